--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,203 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+	"gopkg.in/tomb.v2"
+
+	"github.com/crocuscross/crocuscross/peerpb"
+)
+
+// Handler serves one kind of stream. ctx ends with the session; the stream is
+// closed when the handler returns.
+type Handler interface {
+	ServeStream(ctx context.Context, s *Stream) error
+}
+
+// HandlerFunc is a function as a Handler.
+type HandlerFunc func(ctx context.Context, s *Stream) error
+
+// ServeStream calls f.
+func (f HandlerFunc) ServeStream(ctx context.Context, s *Stream) error { return f(ctx, s) }
+
+// ServerOptions holds the bounds of a Server.
+type ServerOptions struct {
+	// MaxSessions bounds the sessions held at once.
+	MaxSessions int
+	// MaxStreams bounds the streams served at once over all sessions.
+	MaxStreams int
+	// HeadTimeout is how long a new stream may take to say what it is.
+	HeadTimeout time.Duration
+	Meter       Meter
+	Logger      *slog.Logger
+}
+
+// DefaultServerOptions suit a fleet of about a thousand daemons.
+func DefaultServerOptions() ServerOptions {
+	return ServerOptions{
+		MaxSessions: 4096,
+		MaxStreams:  8192,
+		HeadTimeout: 5 * time.Second,
+		Meter:       NoMeter{},
+		Logger:      slog.New(slog.DiscardHandler),
+	}
+}
+
+// Server accepts sessions from other daemons.
+type Server struct {
+	opts     ServerOptions
+	handlers map[peerpb.Kind]Handler
+	streams  atomic.Int64
+
+	mu       sync.Mutex
+	sessions map[*yamux.Session]struct{}
+	t        tomb.Tomb
+}
+
+// NewServer returns a server without handlers.
+func NewServer(opts ServerOptions) *Server {
+	return &Server{opts: opts, handlers: map[peerpb.Kind]Handler{}, sessions: map[*yamux.Session]struct{}{}}
+}
+
+// Handle sets the handler of a kind. It must be called before Serve.
+func (s *Server) Handle(kind peerpb.Kind, h Handler) { s.handlers[kind] = h }
+
+// Serve accepts sessions until Close, and returns nil then.
+func (s *Server) Serve(ln net.Listener) error {
+	s.t.Go(func() error {
+		<-s.t.Dying()
+		return ln.Close()
+	})
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			if !s.t.Alive() {
+				return nil
+			}
+			if !isTemporary(err) {
+				return errors.Wrap(err, "accept peer")
+			}
+			continue
+		}
+		s.t.Go(func() error {
+			s.serveConn(conn)
+			return nil
+		})
+	}
+}
+
+// Close ends all sessions and waits for the handlers.
+func (s *Server) Close() error {
+	s.t.Kill(nil)
+	s.mu.Lock()
+	for sess := range s.sessions {
+		_ = sess.Close()
+	}
+	s.mu.Unlock()
+	// Serve may never have been called.
+	s.t.Go(func() error { return nil })
+	return s.t.Wait()
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	sess, err := yamux.Server(conn, sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	defer sess.Close()
+	if !s.add(sess) {
+		s.opts.Meter.Rejected(RejectSessions)
+		return
+	}
+	defer s.remove(sess)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		conn, err := sess.AcceptStream()
+		if err != nil {
+			if !errors.Is(err, io.EOF) && !errors.Is(err, yamux.ErrSessionShutdown) {
+				s.opts.Meter.Rejected(RejectSession)
+				s.opts.Logger.Debug("peer: session broken", "remote", conn, "error", err)
+			}
+			cancel()
+			return
+		}
+		if s.streams.Add(1) > int64(s.opts.MaxStreams) {
+			s.streams.Add(-1)
+			s.opts.Meter.Rejected(RejectStreams)
+			_ = conn.Close()
+			continue
+		}
+		wg.Go(func() {
+			defer s.streams.Add(-1)
+			s.serveStream(ctx, conn)
+		})
+	}
+}
+
+// serveStream reads the head and hands the stream over. A peer that sends
+// something else, or nothing, loses this stream only.
+func (s *Server) serveStream(ctx context.Context, conn net.Conn) {
+	st := newStream(conn, peerpb.Kind_KIND_UNSPECIFIED, s.opts.Meter)
+	defer st.Close()
+	_ = st.SetReadDeadline(time.Now().Add(s.opts.HeadTimeout))
+	var head peerpb.Head
+	if err := st.RecvMax(&head, MaxHeadBytes); err != nil {
+		s.opts.Meter.Rejected(reasonOf(err))
+		return
+	}
+	h, ok := s.handlers[head.GetKind()]
+	if !ok || head.GetVersion() != protocolVersion {
+		s.opts.Meter.Rejected(RejectKind)
+		s.opts.Logger.Warn("peer: stream refused", "kind", head.GetKind(), "version", head.GetVersion())
+		return
+	}
+	st.kind = head.GetKind()
+	_ = st.SetReadDeadline(time.Time{})
+	if err := h.ServeStream(ctx, st); err != nil {
+		s.opts.Logger.Debug("peer: exchange ended", "kind", st.kind, "error", err)
+	}
+}
+
+func (s *Server) add(sess *yamux.Session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.sessions) >= s.opts.MaxSessions || !s.t.Alive() {
+		return false
+	}
+	s.sessions[sess] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(sess *yamux.Session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, sess)
+}
+
+func reasonOf(err error) RejectReason {
+	var netErr net.Error
+	switch {
+	case errors.Is(err, ErrMessageTooLarge):
+		return RejectLarge
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return RejectSlow
+	}
+	return RejectHead
+}
+
+func isTemporary(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
--- /dev/null
+++ b/peer/stream.go
@@ -0,0 +1,170 @@
+// Package peer carries messages between daemons: one yamux session for each pair
+// that talks, one stream for each exchange, protobuf messages with a length
+// before each.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/crocuscross/crocuscross/peerpb"
+)
+
+const (
+	// protocolVersion of the Head that opens each stream.
+	protocolVersion = 1
+	// MaxMessageBytes bounds one message. The largest is a state or a batch of
+	// records on a pull.
+	MaxMessageBytes = 16 << 20
+	// MaxHeadBytes bounds the message that opens a stream, before anything is
+	// known of the sender's intent.
+	MaxHeadBytes = 64
+	// ChunkBytes is how much of a body is sent in one message. It keeps one
+	// body from holding the session for long.
+	ChunkBytes = 32 << 10
+
+	readBufferBytes = 4 << 10
+)
+
+// ErrMessageTooLarge means that a peer announced a message above its bound.
+var ErrMessageTooLarge = errors.New("peer message too large")
+
+// ErrMalformed means that a peer's bytes are not the message expected.
+var ErrMalformed = errors.New("peer message malformed")
+
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
+	buffers = sync.Pool{New: func() any { return new(make([]byte, 0, readBufferBytes)) }}
+)
+
+// Stream is one exchange. One goroutine may read while another writes.
+type Stream struct {
+	conn  net.Conn
+	r     *bufio.Reader
+	kind  peerpb.Kind
+	meter Meter
+}
+
+func newStream(conn net.Conn, kind peerpb.Kind, meter Meter) *Stream {
+	r := readers.Get().(*bufio.Reader)
+	r.Reset(conn)
+	return &Stream{conn: conn, r: r, kind: kind, meter: meter}
+}
+
+// Kind returns what the exchange is about.
+func (s *Stream) Kind() peerpb.Kind { return s.kind }
+
+// Send writes one message.
+func (s *Stream) Send(m proto.Message) error {
+	p := buffers.Get().(*[]byte)
+	defer buffers.Put(p)
+	b := protowire.AppendVarint((*p)[:0], uint64(proto.Size(m)))
+	b, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(b, m)
+	if err != nil {
+		return errors.Wrap(err, "encode peer message")
+	}
+	// Oversized buffers are left to the collector, so that one large state
+	// does not stay in the pool for good.
+	if cap(b) <= 2*ChunkBytes {
+		*p = b
+	}
+	n, err := s.conn.Write(b)
+	s.meter.Sent(s.kind, n)
+	return err
+}
+
+// Recv reads one message of at most MaxMessageBytes. The error is io.EOF where
+// the peer ended the stream between messages.
+func (s *Stream) Recv(m proto.Message) error { return s.RecvMax(m, MaxMessageBytes) }
+
+// RecvMax is Recv with a bound of its own, in bytes.
+func (s *Stream) RecvMax(m proto.Message, limit int64) error {
+	err := protodelim.UnmarshalOptions{MaxSize: limit}.UnmarshalFrom(s.r, m)
+	if err == nil {
+		s.meter.Received(s.kind, proto.Size(m)+1)
+		return nil
+	}
+	return classify(err)
+}
+
+// classify tells what the peer did wrong from what the connection did.
+func classify(err error) error {
+	var tooLarge *protodelim.SizeTooLargeError
+	var netErr net.Error
+	switch {
+	case errors.As(err, &tooLarge):
+		return errors.Mark(err, ErrMessageTooLarge)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
+		return err
+	case errors.Is(err, proto.Error):
+		return errors.Mark(err, ErrMalformed)
+	}
+	return err
+}
+
+// SetDeadline bounds all reads and writes.
+func (s *Stream) SetDeadline(t time.Time) error { return s.conn.SetDeadline(t) }
+
+// SetReadDeadline bounds reads.
+func (s *Stream) SetReadDeadline(t time.Time) error { return s.conn.SetReadDeadline(t) }
+
+// BindContext makes reads and writes fail once ctx is done. The returned
+// function undoes the binding.
+func (s *Stream) BindContext(ctx context.Context) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { _ = s.conn.SetDeadline(time.Unix(1, 0)) })
+}
+
+// Close ends the stream. No read may be in progress.
+func (s *Stream) Close() error {
+	err := s.conn.Close()
+	if s.r != nil {
+		s.r.Reset(nil)
+		readers.Put(s.r)
+		s.r = nil
+	}
+	return err
+}
+
+// Meter counts the bytes of messages by kind. Implementations are safe for
+// concurrent use.
+type Meter interface {
+	Sent(kind peerpb.Kind, bytes int)
+	Received(kind peerpb.Kind, bytes int)
+	// Rejected counts input that was refused.
+	Rejected(reason RejectReason)
+}
+
+// RejectReason is why input from a peer was refused.
+type RejectReason string
+
+// The reasons.
+const (
+	RejectHead     RejectReason = "bad_head"
+	RejectKind     RejectReason = "unknown_kind"
+	RejectLarge    RejectReason = "too_large"
+	RejectSlow     RejectReason = "too_slow"
+	RejectSessions RejectReason = "too_many_sessions"
+	RejectStreams  RejectReason = "too_many_streams"
+	RejectSession  RejectReason = "session_broken"
+)
+
+// NoMeter counts nothing.
+type NoMeter struct{}
+
+// Sent does nothing.
+func (NoMeter) Sent(peerpb.Kind, int) {}
+
+// Received does nothing.
+func (NoMeter) Received(peerpb.Kind, int) {}
+
+// Rejected does nothing.
+func (NoMeter) Rejected(RejectReason) {}
