--- /dev/null
+++ b/internal/telemetry/log.go
@@ -0,0 +1,27 @@
+// Package telemetry sets up what a daemon tells of itself: log lines, metrics
+// and traces.
+package telemetry
+
+import (
+	"io"
+	"log/slog"
+
+	"github.com/cockroachdb/errors"
+)
+
+// NewLogger returns a logger of a level (debug, info, warn, error) and format
+// (text, json).
+func NewLogger(w io.Writer, level, format string) (*slog.Logger, error) {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		return nil, errors.Wrap(err, "log level")
+	}
+	opts := &slog.HandlerOptions{Level: l}
+	switch format {
+	case "text":
+		return slog.New(slog.NewTextHandler(w, opts)), nil
+	case "json":
+		return slog.New(slog.NewJSONHandler(w, opts)), nil
+	}
+	return nil, errors.Newf("log format %q is neither text nor json", format)
+}
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -41,10 +41,7 @@
 // ErrMalformed means that a peer's bytes are not the message expected.
 var ErrMalformed = errors.New("peer message malformed")
 
-var (
-	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
-	buffers = sync.Pool{New: func() any { return new(make([]byte, 0, readBufferBytes)) }}
-)
+var buffers = sync.Pool{New: func() any { return new(make([]byte, 0, readBufferBytes)) }}
 
 // Stream is one exchange. One goroutine may read while another writes.
 type Stream struct {
@@ -55,9 +52,7 @@
 }
 
 func newStream(conn net.Conn, kind peerpb.Kind, meter Meter) *Stream {
-	r := readers.Get().(*bufio.Reader)
-	r.Reset(conn)
-	return &Stream{conn: conn, r: r, kind: kind, meter: meter}
+	return &Stream{conn: conn, r: bufio.NewReaderSize(conn, readBufferBytes), kind: kind, meter: meter}
 }
 
 // Kind returns what the exchange is about.
@@ -123,16 +118,8 @@
 	return context.AfterFunc(ctx, func() { _ = s.conn.SetDeadline(time.Unix(1, 0)) })
 }
 
-// Close ends the stream. No read may be in progress.
-func (s *Stream) Close() error {
-	err := s.conn.Close()
-	if s.r != nil {
-		s.r.Reset(nil)
-		readers.Put(s.r)
-		s.r = nil
-	}
-	return err
-}
+// Close ends the stream.
+func (s *Stream) Close() error { return s.conn.Close() }
 
 // Meter counts the bytes of messages by kind. Implementations are safe for
 // concurrent use.
