Add first versions of gate, balance and retry

The three APIs that the request path is wired to: admission beside a backend server, choice of backend server at the first daemon, and the rule and budget of retries. The policies are reasoned, not yet measured; measurements follow.

--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,247 @@
+// Package gate admits calls to one backend server. A gate counts the slots in
+// use, queues within the time that each call has left, and refuses before a
+// call starts what could not be answered in time. Slot time is shared fairly
+// between customers, so that none waits for another's excess.
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/crocuscross/crocuscross/errkind"
+)
+
+// Options holds the bounds of a Gate.
+type Options struct {
+	// Slots is how many calls the backend server runs at once.
+	Slots int
+	// MaxQueue is how many calls may wait. It bounds memory; the time that
+	// calls have left bounds the wait.
+	MaxQueue int
+	// ServiceTime is the time that a call is assumed to hold its slot until
+	// the first ones have told.
+	ServiceTime time.Duration
+	// Now reads a monotonic clock.
+	Now func() time.Time
+}
+
+// DefaultOptions suit a backend server with 10 slots and calls of a few
+// milliseconds.
+func DefaultOptions() Options {
+	return Options{
+		Slots:       10,
+		MaxQueue:    1024,
+		ServiceTime: 5 * time.Millisecond,
+		Now:         time.Now,
+	}
+}
+
+// Refusals are made once: under overload there are many, and none is worth a
+// stack trace.
+var (
+	errDraining   = errkind.New(errkind.Draining, "the backend server is leaving")
+	errOverloaded = errkind.New(errkind.Overloaded, "the queue is too long for the time left")
+	errDisplaced  = errkind.New(errkind.Overloaded, "the place in the queue went to a customer below its share")
+	errTooLate    = errkind.New(errkind.DeadlineNotRun, "too little time is left to run the call")
+	errCanceled   = errkind.New(errkind.Canceled, "canceled before the call started")
+)
+
+// Gate admits calls to one backend server. It is safe for concurrent use.
+type Gate struct {
+	opts Options
+	load counters
+	idle chan struct{}
+
+	mu       sync.Mutex
+	slots    int
+	inUse    int
+	draining bool
+	isIdle   bool
+	queue    *fairQueue
+}
+
+// New returns a gate that admits calls.
+func New(opts Options) *Gate {
+	g := &Gate{
+		opts:  opts,
+		idle:  make(chan struct{}),
+		slots: max(opts.Slots, 1),
+		queue: newFairQueue(opts.ServiceTime),
+	}
+	g.publish()
+	return g
+}
+
+// Enter takes a slot for a call that must be answered within remaining. It
+// waits for a slot only as long as the call can still be answered in time. The
+// error is an *errkind.Error, and none of its kinds lets the call start:
+// Overloaded and DeadlineNotRun for lack of time, Draining, and Canceled when
+// ctx ends first.
+func (g *Gate) Enter(ctx context.Context, customer string, remaining time.Duration) (*Ticket, error) {
+	if ctx.Err() != nil {
+		return nil, errCanceled
+	}
+	if remaining <= 0 {
+		return nil, errTooLate
+	}
+	now := g.opts.Now()
+	t := &Ticket{gate: g, deadline: now.Add(remaining)}
+
+	g.mu.Lock()
+	if err := g.arrive(t, customer, now); err != nil {
+		g.mu.Unlock()
+		return nil, err
+	}
+	queued := t.state == waiting
+	g.publish()
+	g.mu.Unlock()
+
+	if !queued {
+		return t, nil
+	}
+	return g.wait(ctx, t)
+}
+
+// arrive starts the ticket, queues it or returns why neither. The caller holds
+// mu.
+func (g *Gate) arrive(t *Ticket, customer string, now time.Time) error {
+	if g.draining {
+		return errDraining
+	}
+	t.share = g.queue.share(customer)
+	if g.inUse < g.slots && g.queue.len == 0 {
+		g.start(t, now)
+		return nil
+	}
+	return g.enqueue(t, now)
+}
+
+// enqueue puts the ticket into its customer's queue if it can be answered in
+// time from there.
+func (g *Gate) enqueue(t *Ticket, now time.Time) error {
+	left := t.deadline.Sub(now)
+	if left < t.share.serviceTime {
+		return errTooLate
+	}
+	wait := g.queue.estimate(t.share, g.slots)
+	if left < wait+t.share.serviceTime {
+		return errOverloaded.After(retryAfter(wait))
+	}
+	if g.queue.len >= g.opts.MaxQueue && !g.displace(t.share) {
+		return errOverloaded.After(retryAfter(wait))
+	}
+	t.ready = make(chan error, 1)
+	t.patience = left - t.share.serviceTime
+	t.state = waiting
+	g.queue.push(t)
+	return nil
+}
+
+// displace makes room for a ticket of the share by refusing the newest of the
+// customer that waits with most, if that is another one.
+func (g *Gate) displace(s *share) bool {
+	longest := g.queue.longest()
+	if longest == nil || longest == s || len(longest.waiting) <= len(s.waiting)+1 {
+		return false
+	}
+	g.refuse(longest.waiting[len(longest.waiting)-1], errDisplaced)
+	return true
+}
+
+// refuse takes a ticket out of the queue and tells its waiter.
+func (g *Gate) refuse(t *Ticket, err error) {
+	g.queue.remove(t)
+	t.state = ended
+	t.ready <- err
+}
+
+// start gives the ticket a slot.
+func (g *Gate) start(t *Ticket, now time.Time) {
+	g.inUse++
+	t.state = running
+	t.started = now
+	t.charged = g.queue.charge(t.share)
+}
+
+// dispatch fills free slots from the queue. Calls that waited too long for what
+// they have left are refused instead of started: they would only take a slot
+// from one that can still be answered.
+func (g *Gate) dispatch(now time.Time) {
+	for g.inUse < g.slots {
+		t := g.queue.next()
+		if t == nil {
+			return
+		}
+		if t.deadline.Sub(now) < t.share.serviceTime {
+			g.refuse(t, errTooLate)
+			continue
+		}
+		g.queue.remove(t)
+		g.start(t, now)
+		t.ready <- nil
+	}
+}
+
+// wait blocks until the ticket has a slot, is refused, or its time is up.
+func (g *Gate) wait(ctx context.Context, t *Ticket) (*Ticket, error) {
+	timer := time.NewTimer(t.patience)
+	defer timer.Stop()
+	select {
+	case err := <-t.ready:
+		if err != nil {
+			return nil, err
+		}
+		return t, nil
+	case <-ctx.Done():
+		return g.leave(t, errCanceled)
+	case <-timer.C:
+		return g.leave(t, errTooLate)
+	}
+}
+
+// leave gives up waiting. A slot that was granted meanwhile is kept if only the
+// time ran out, since the grant made sure that enough was left, and given back
+// if the caller has gone.
+func (g *Gate) leave(t *Ticket, reason *errkind.Error) (*Ticket, error) {
+	g.mu.Lock()
+	if t.state == waiting {
+		g.queue.remove(t)
+		t.state = ended
+		g.publish()
+		g.mu.Unlock()
+		return nil, reason
+	}
+	g.mu.Unlock()
+	if err := <-t.ready; err != nil {
+		return nil, err
+	}
+	if reason == errCanceled {
+		t.Done(NotStarted)
+		return nil, reason
+	}
+	return t, nil
+}
+
+// SetSlots changes the number of slots. Calls beyond a lower number run on.
+func (g *Gate) SetSlots(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.slots = max(n, 1)
+	g.dispatch(g.opts.Now())
+	g.publish()
+}
+
+// Drain refuses new calls from now on. Those that wait keep their place: they
+// were promised an answer in time, and refusing them would cost their callers a
+// second attempt.
+func (g *Gate) Drain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+	g.publish()
+}
+
+// Idle returns a channel that is closed once the gate drains and neither runs
+// nor holds a call.
+func (g *Gate) Idle() <-chan struct{} { return g.idle }
--- /dev/null
+++ b/gate/load.go
@@ -0,0 +1,49 @@
+package gate
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Load is what a gate tells of itself.
+type Load struct {
+	InUse    int
+	Queued   int
+	Slots    int
+	Draining bool
+	// ServiceTime is the moving mean of the time that a call holds its slot.
+	ServiceTime time.Duration
+}
+
+// counters hold the latest Load for readers without the gate's mutex. A reader
+// may see the fields of two neighbouring moments.
+type counters struct {
+	inUse, queued, slots atomic.Int64
+	draining             atomic.Bool
+	serviceTime          atomic.Int64
+}
+
+// Load returns the gate's load of this moment without waiting for anyone.
+func (g *Gate) Load() Load {
+	return Load{
+		InUse:       int(g.load.inUse.Load()),
+		Queued:      int(g.load.queued.Load()),
+		Slots:       int(g.load.slots.Load()),
+		Draining:    g.load.draining.Load(),
+		ServiceTime: time.Duration(g.load.serviceTime.Load()),
+	}
+}
+
+// publish makes the state visible to Load and closes the idle channel when it
+// is time. The caller holds mu.
+func (g *Gate) publish() {
+	g.load.inUse.Store(int64(g.inUse))
+	g.load.queued.Store(int64(g.queue.len))
+	g.load.slots.Store(int64(g.slots))
+	g.load.draining.Store(g.draining)
+	g.load.serviceTime.Store(int64(g.queue.serviceTime))
+	if g.draining && !g.isIdle && g.inUse == 0 && g.queue.len == 0 {
+		g.isIdle = true
+		close(g.idle)
+	}
+}
--- /dev/null
+++ b/gate/ticket.go
@@ -0,0 +1,57 @@
+package gate
+
+import "time"
+
+// Outcome tells how a call that had a slot ended.
+type Outcome uint8
+
+const (
+	// Answered calls got the backend server's answer, whatever its status.
+	Answered Outcome = iota + 1
+	// Shed calls were turned away by the backend server itself.
+	Shed
+	// Failed calls got no whole answer.
+	Failed
+	// NotStarted calls gave the slot back unused.
+	NotStarted
+)
+
+type ticketState uint8
+
+const (
+	waiting ticketState = iota + 1
+	running
+	ended
+)
+
+// Ticket is a call's hold on one slot.
+type Ticket struct {
+	gate     *Gate
+	share    *share
+	deadline time.Time
+	// ready tells a waiting call that it has a slot, or why not.
+	ready chan error
+	// patience is how long the call may wait and still be answered in time.
+	patience time.Duration
+
+	// The rest is guarded by the gate's mutex.
+	state   ticketState
+	started time.Time
+	charged time.Duration
+}
+
+// Done gives the slot back. Only the first call has an effect.
+func (t *Ticket) Done(o Outcome) {
+	g := t.gate
+	now := g.opts.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.state != running {
+		return
+	}
+	t.state = ended
+	g.inUse--
+	g.queue.settle(t, now.Sub(t.started), o)
+	g.dispatch(now)
+	g.publish()
+}
--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,63 @@
+package retry
+
+import "sync/atomic"
+
+// BudgetOptions sizes a Budget.
+type BudgetOptions struct {
+	// Ratio is the share of first attempts that may be sent again.
+	Ratio float64
+	// Burst is how many may be sent again at once after a quiet time.
+	Burst int
+}
+
+// DefaultBudgetOptions holds the extra load on backend servers to a tenth.
+func DefaultBudgetOptions() BudgetOptions { return BudgetOptions{Ratio: 0.1, Burst: 10} }
+
+// milli is the unit of the balance: a thousandth of a retry.
+const milli = 1000
+
+// Budget bounds the retries of one process to a share of its first attempts.
+// One is shared by all calls of the process, since a budget for each customer
+// or service would bound nothing in sum. It is safe for concurrent use.
+type Budget struct {
+	deposit int64
+	limit   int64
+	balance atomic.Int64
+}
+
+// NewBudget returns a full budget.
+func NewBudget(opts BudgetOptions) *Budget {
+	b := &Budget{
+		deposit: int64(opts.Ratio * milli),
+		limit:   int64(opts.Burst) * milli,
+	}
+	b.balance.Store(b.limit)
+	return b
+}
+
+// Deposit counts one first attempt. A full budget is only read, so that
+// requests share no written cache line while nothing fails.
+func (b *Budget) Deposit() {
+	for {
+		old := b.balance.Load()
+		if old >= b.limit {
+			return
+		}
+		if b.balance.CompareAndSwap(old, min(old+b.deposit, b.limit)) {
+			return
+		}
+	}
+}
+
+// Withdraw takes one retry and reports whether there was one.
+func (b *Budget) Withdraw() bool {
+	for {
+		old := b.balance.Load()
+		if old < milli {
+			return false
+		}
+		if b.balance.CompareAndSwap(old, old-milli) {
+			return true
+		}
+	}
+}
