Check settings against one table and tell all mistakes with their place

Meaning, unit, default and bounds of each field stand in settings.Fields only; Default, the checks and the printed file are derived from it. Struct tags were weighed: they cannot go out of step with the struct, but a row with doc text is unreadable as a tag, and a test compares table and struct anyway.

Load now tells every mistake at once as file:line:column, field, what is wrong and what would be right, with a suggestion for a misspelt name.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,14 +1,13 @@
-// Package settings reads a daemon's settings file: JSON with comments.
+// Package settings reads a daemon's settings file: JSON with comments. What is
+// fixed about each field (meaning, unit, default, bounds) is kept in Fields and
+// nowhere else.
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
-	"os"
+	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/tailscale/hujson"
+	"github.com/crocuscross/crocuscross/internal/jsonc"
 )
 
 // Duration is a time.Duration written as "150ms".
@@ -22,7 +21,19 @@
 }
 
 // MarshalText returns the form that UnmarshalText reads.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// String returns the shortest form: "1m" rather than "1m0s".
+func (d Duration) String() string {
+	s := time.Duration(d).String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
 
 // Settings is the whole file.
 type Settings struct {
@@ -118,48 +129,30 @@
 
 // Default returns the settings that hold where the file says nothing.
 func Default() Settings {
-	return Settings{
-		Platform: Platform{
-			AppendTimeout: Duration(2 * time.Second),
-			ReadWait:      Duration(10 * time.Second),
-		},
-		Membership: Membership{
-			ProbeInterval:    Duration(time.Second),
-			ProbeTimeout:     Duration(300 * time.Millisecond),
-			SuspicionTimeout: Duration(4 * time.Second),
-		},
-		Spread: Spread{
-			ReadersPerZone: 2,
-			FanOut:         6,
-			OwnReadAfter:   Duration(30 * time.Second),
-		},
-		Requests: Requests{
-			MaxHeaderBytes: 64 << 10,
-			MaxBodyBytes:   1 << 30,
-			HeaderTimeout:  Duration(10 * time.Second),
-			MaxInFlight:    4096,
-		},
-		Drain: Drain{Timeout: Duration(30 * time.Second)},
-		Log:   Log{Level: "info", Format: "text"},
-		Trace: Trace{Exporter: "none", Ratio: 0.01},
+	var s Settings
+	for _, f := range Fields {
+		if f.Default != nil {
+			s.set(f.Path, f.defaultJSON())
+		}
 	}
+	return s
 }
 
-// Load reads a file over the defaults.
+// Load reads a file over the defaults. The error of a file that was read is a
+// jsonc.Problems with all that is wrong with it.
 func Load(path string) (*Settings, error) {
-	raw, err := os.ReadFile(path)
+	d, err := jsonc.ReadFile(path)
 	if err != nil {
-		return nil, errors.Wrap(err, "read settings")
+		return nil, err
 	}
-	raw, err = hujson.Standardize(raw)
+	return check(d)
+}
+
+// Parse is Load for bytes that are at hand. The file name is only shown.
+func Parse(file string, raw []byte) (*Settings, error) {
+	d, err := jsonc.Parse(file, raw)
 	if err != nil {
-		return nil, errors.Wrapf(err, "%s", path)
-	}
-	s := Default()
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
-		return nil, errors.Wrapf(err, "%s", path)
+		return nil, err
 	}
-	return &s, nil
+	return check(d)
 }
