Add the tables that keep non-idempotent calls at most once

Attempts settles one attempt whose link went silent (ask or bar at the gate); Keys runs a call at most once under a key that names its holder.

Bounded memory was the hard part. Random attempt ids were ruled out: once a table forgets, an id that it does not hold has either never come or has run, and nothing tells the two apart. Ages told by the asker were ruled out, since a paused asker tells too little. So ids are numbered within a lane that the gate opens for each sender, and each lane keeps the highest number forgotten. It costs one exchange for each pair of daemons and no clock.

errkind gains key_unresolved: a daemon that cannot reach a key's holder, or the log, must not say "not run" of a repeat whose first run may have taken effect.

--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -34,6 +34,7 @@
 	KeyUnknown       Kind = "key_unknown"
 	KeyMismatch      Kind = "key_mismatch"
 	KeyInProgress    Kind = "key_in_progress"
+	KeyUnresolved    Kind = "key_unresolved"
 	Deadline         Kind = "deadline_exceeded"
 	OutcomeUnknown   Kind = "outcome_unknown"
 	BackendFailed    Kind = "backend_failed"
@@ -86,6 +87,7 @@
 	KeyUnknown:       {http.StatusBadRequest, NotRun, false, 0},
 	KeyMismatch:      {http.StatusUnprocessableEntity, NotRun, false, 0},
 	KeyInProgress:    {http.StatusConflict, RunUnknown, true, time.Second},
+	KeyUnresolved:    {http.StatusServiceUnavailable, RunUnknown, true, time.Second},
 	Deadline:         {http.StatusGatewayTimeout, RunUnknown, true, 0},
 	OutcomeUnknown:   {http.StatusBadGateway, RunUnknown, false, 0},
 	BackendFailed:    {http.StatusBadGateway, RunUnknown, true, 0},
--- /dev/null
+++ b/once/clock.go
@@ -0,0 +1,13 @@
+package once
+
+import "time"
+
+// clock counts monotonic time from the start of a table.
+type clock struct {
+	now   func() time.Time
+	start time.Time
+}
+
+func newClock(now func() time.Time) clock { return clock{now: now, start: now()} }
+
+func (c *clock) elapsed() time.Duration { return c.now().Sub(c.start) }
--- /dev/null
+++ b/once/example_test.go
@@ -0,0 +1,58 @@
+package once_test
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/once"
+)
+
+// A caller gets a key, sends a permit hold under it, and repeats the request
+// when the answer does not come. The hold is placed once.
+func ExampleKeys() {
+	keys := once.NewKeys(once.DefaultKeysOptions("host-a", 7))
+	sent := keys.Issue(1)[0].String()
+
+	body := []byte(`{"space":17}`)
+	for range 2 {
+		key, err := once.ParseKey(sent)
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		fp := once.NewFingerprint("POST", "/holds", "garage-9")
+		_, _ = fp.Write(body)
+		run, ans, err := keys.Begin(key, fp.Sum())
+		switch {
+		case err != nil:
+			fmt.Println(errkind.Of(err))
+		case run != nil:
+			rec := once.NewRecorder(1 << 10)
+			rec.Head(201, nil)
+			fmt.Fprint(rec, "held")
+			run.Finish(rec.Answer())
+			fmt.Println("ran")
+		default:
+			fmt.Println("replayed:", ans.Status, string(ans.Body))
+		}
+	}
+	// Output:
+	// ran
+	// replayed: 201 held
+}
+
+// The link to a gate goes silent before the attempt's frame has arrived. The
+// sender asks over a new connection, and the frame that comes late is refused.
+func ExampleAttempts() {
+	gate := once.NewAttempts(once.DefaultAttemptsOptions(7))
+	sender := once.NewLanes(once.DefaultLanesOptions(
+		func(context.Context, once.Gate) (once.Lane, error) { return gate.OpenLane() }))
+	id, _ := sender.Next(context.Background(), once.Gate{Host: "host-a", Boot: 7})
+
+	fmt.Println(gate.Ask(id, true).Outcome == once.NotRun)
+	fmt.Println(errkind.Of(gate.Start(id)))
+	// Output:
+	// true
+	// barred
+}
--- /dev/null
+++ b/once/lanes.go
@@ -0,0 +1,142 @@
+package once
+
+import (
+	"context"
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Lane is what a gate gives a sender to number its attempts with.
+type Lane struct {
+	// Boot is the life of the gate.
+	Boot uint64
+	// Number is unique within the boot.
+	Number uint32
+}
+
+// Gate names one life of the daemon beside a backend server.
+type Gate struct {
+	Host string
+	Boot uint64
+}
+
+// LanesOptions holds what a Lanes works with.
+type LanesOptions struct {
+	// Open asks a gate to open a lane, in one exchange.
+	Open func(ctx context.Context, gate Gate) (Lane, error)
+	// IdleAfter is how long an unused lane is trusted to be open still. It must
+	// be well below the gates' LaneIdle.
+	IdleAfter time.Duration
+	Now       func() time.Time
+}
+
+// DefaultLanesOptions match DefaultAttemptsOptions.
+func DefaultLanesOptions(open func(ctx context.Context, gate Gate) (Lane, error)) LanesOptions {
+	return LanesOptions{Open: open, IdleAfter: 5 * time.Minute, Now: time.Now}
+}
+
+// Lanes gives a sender's attempts their ids. It keeps one lane to each gate,
+// so that only the first call to a gate costs an exchange. It is safe for
+// concurrent use.
+type Lanes struct {
+	opts  LanesOptions
+	clock clock
+	gates sync.Map // Gate to *gateLane
+}
+
+// gateLane is the sender's side of the lane to one gate.
+type gateLane struct {
+	current atomic.Pointer[openLane]
+	// opening holds a token that whoever opens a lane takes, so that all who
+	// wait for it open one and each waits no longer than it may.
+	opening chan struct{}
+}
+
+// openLane counts the attempts of one lane.
+type openLane struct {
+	lane Lane
+	seq  atomic.Uint32
+	// used is when an id was last given out, in the clock of Lanes.
+	used atomic.Int64
+}
+
+// NewLanes returns a Lanes that has no lane open.
+func NewLanes(opts LanesOptions) *Lanes {
+	return &Lanes{opts: opts, clock: newClock(opts.Now)}
+}
+
+// Next returns the id of a new attempt at a gate. The error is Open's or
+// ctx's; nothing of the attempt has been sent then.
+func (l *Lanes) Next(ctx context.Context, gate Gate) (ID, error) {
+	g := l.gate(gate)
+	if id, ok := l.mint(g.current.Load()); ok {
+		return id, nil
+	}
+	select {
+	case <-g.opening:
+		defer func() { g.opening <- struct{}{} }()
+	case <-ctx.Done():
+		return ID{}, ctx.Err()
+	}
+	if id, ok := l.mint(g.current.Load()); ok {
+		return id, nil
+	}
+	l.prune()
+	lane, err := l.opts.Open(ctx, gate)
+	if err != nil {
+		return ID{}, err
+	}
+	o := &openLane{lane: lane}
+	o.used.Store(int64(l.clock.elapsed()))
+	id, _ := l.mint(o)
+	g.current.Store(o)
+	return id, nil
+}
+
+// Refused tells that a gate barred an attempt that it was sent: the lane may
+// be closed there, and the next attempt opens another.
+func (l *Lanes) Refused(gate Gate, id ID) {
+	g := l.gate(gate)
+	if o := g.current.Load(); o != nil && o.lane.Number == id.lane() {
+		g.current.CompareAndSwap(o, nil)
+	}
+}
+
+func (l *Lanes) gate(gate Gate) *gateLane {
+	if v, ok := l.gates.Load(gate); ok {
+		return v.(*gateLane)
+	}
+	g := &gateLane{opening: make(chan struct{}, 1)}
+	g.opening <- struct{}{}
+	v, _ := l.gates.LoadOrStore(gate, g)
+	return v.(*gateLane)
+}
+
+// mint returns the lane's next id, unless there is no lane or it is idle or
+// used up.
+func (l *Lanes) mint(o *openLane) (ID, bool) {
+	if o == nil {
+		return ID{}, false
+	}
+	now := l.clock.elapsed()
+	if now-time.Duration(o.used.Load()) >= l.opts.IdleAfter || o.seq.Load() >= math.MaxUint32/2 {
+		return ID{}, false
+	}
+	o.used.Store(int64(now))
+	return newID(o.lane.Boot, o.lane.Number, o.seq.Add(1)), true
+}
+
+// prune drops the lanes to gates that have not been used for long, so that
+// gates which are gone for good take no room.
+func (l *Lanes) prune() {
+	now := l.clock.elapsed()
+	l.gates.Range(func(k, v any) bool {
+		o := v.(*gateLane).current.Load()
+		if o != nil && now-time.Duration(o.used.Load()) >= l.opts.IdleAfter {
+			l.gates.Delete(k)
+		}
+		return true
+	})
+}
