Add the inbound half of the request path, controllers, and a watch on peer sessions

A connection whose ends lost each other brings no error: the pool pings the sessions that carry streams and drops one that stays silent for 600 ms.

--- /dev/null
+++ b/internal/controller/announce/announce.go
@@ -0,0 +1,155 @@
+// Package announce takes announcements from the backend server beside the
+// daemon. An announcement lapses unless it is renewed, so that a backend server that
+// died without a word gets no more calls.
+package announce
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/internal/answer"
+	"github.com/crocuscross/crocuscross/internal/blackboard"
+)
+
+const (
+	// Path of the announcement on the backend listener.
+	Path = "/v1/announcement"
+	// TTL is how long an announcement holds without renewal.
+	TTL = 5 * time.Second
+
+	maxRequestBytes = 64 << 10
+	maxSlots        = 100_000
+	checkInterval   = 500 * time.Millisecond
+)
+
+// Announcement is the body of a PUT on Path.
+type Announcement struct {
+	Service string `json:"service"`
+	// URL of the backend server; the host must be a loopback address.
+	URL       string `json:"url"`
+	Slots     int    `json:"slots"`
+	HealthURL string `json:"health_url,omitempty"`
+	Draining  bool   `json:"draining,omitempty"`
+}
+
+// Controller owns the Local cell.
+type Controller struct {
+	Board  *blackboard.Board
+	Logger *slog.Logger
+	Now    func() time.Time
+}
+
+// Handler returns the handler of the backend listener.
+func (c *Controller) Handler() http.Handler {
+	r := bunrouter.New()
+	r.PUT(Path, c.put)
+	r.DELETE(Path, c.withdraw)
+	return r
+}
+
+// Run drops an announcement that lapsed, until ctx is done.
+func (c *Controller) Run(ctx context.Context) error {
+	t := time.NewTicker(checkInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			c.expire()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (c *Controller) expire() {
+	c.Board.Local.Update(func(old *blackboard.LocalBackend) *blackboard.LocalBackend {
+		if old == nil || old.Service == "" || c.Now().Before(old.Expires) {
+			return old
+		}
+		c.Logger.Warn("announce: announcement lapsed", "service", old.Service)
+		return &blackboard.LocalBackend{}
+	})
+}
+
+func (c *Controller) put(w http.ResponseWriter, r bunrouter.Request) error {
+	var a Announcement
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&a); err != nil {
+		answer.Write(w, errkind.Wrap(errkind.BadRequest, err, "read announcement"))
+		return nil
+	}
+	if err := a.check(); err != nil {
+		answer.Write(w, err)
+		return nil
+	}
+	c.Board.Local.Update(func(old *blackboard.LocalBackend) *blackboard.LocalBackend {
+		return c.renewed(old, a)
+	})
+	w.WriteHeader(http.StatusNoContent)
+	return nil
+}
+
+func (c *Controller) renewed(old *blackboard.LocalBackend, a Announcement) *blackboard.LocalBackend {
+	now := c.Now()
+	n := &blackboard.LocalBackend{
+		Service: a.Service, URL: a.URL, Slots: a.Slots, HealthURL: a.HealthURL, Draining: a.Draining,
+		FirstSeen: now, Expires: now.Add(TTL),
+	}
+	if old != nil && old.Service == a.Service && old.URL == a.URL {
+		n.FirstSeen = old.FirstSeen
+	} else {
+		c.Logger.Info("announce: backend server announced itself", "service", a.Service, "slots", a.Slots)
+	}
+	return n
+}
+
+func (c *Controller) withdraw(w http.ResponseWriter, _ bunrouter.Request) error {
+	c.Board.Local.Update(func(old *blackboard.LocalBackend) *blackboard.LocalBackend {
+		if old == nil || old.Service == "" {
+			return old
+		}
+		c.Logger.Info("announce: backend server left", "service", old.Service)
+		return &blackboard.LocalBackend{}
+	})
+	w.WriteHeader(http.StatusNoContent)
+	return nil
+}
+
+func (a Announcement) check() error {
+	if a.Service == "" {
+		return errkind.New(errkind.BadRequest, "service is empty")
+	}
+	if a.Slots < 1 || a.Slots > maxSlots {
+		return errkind.Newf(errkind.BadRequest, "slots must be 1 to %d, not %d", maxSlots, a.Slots)
+	}
+	if err := checkURL("url", a.URL); err != nil {
+		return err
+	}
+	if a.HealthURL == "" {
+		return nil
+	}
+	return checkURL("health_url", a.HealthURL)
+}
+
+// checkURL lets only loopback addresses through: the daemon must not be made to
+// send calls to another host, past that host's gate.
+func checkURL(field, raw string) error {
+	u, err := url.Parse(raw)
+	if err != nil || u.Scheme != "http" {
+		return errkind.Newf(errkind.BadRequest, "%s must be an http URL, not %q", field, raw)
+	}
+	ap, err := netip.ParseAddrPort(u.Host)
+	if err != nil || !ap.Addr().IsLoopback() {
+		return errkind.Newf(errkind.BadRequest, "%s must name a loopback IP and port, not %q", field, u.Host)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controller/apply/apply.go
@@ -0,0 +1,59 @@
+// Package apply puts configuration in force: it derives a snapshot from the
+// folded state and the known backend servers and swaps it in.
+package apply
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/crocuscross/crocuscross/fold"
+	"github.com/crocuscross/crocuscross/internal/blackboard"
+	"github.com/crocuscross/crocuscross/snapshot"
+)
+
+// Controller owns the Snapshot cell.
+type Controller struct {
+	Board  *blackboard.Board
+	Logger *slog.Logger
+	// InForce is told of each new version and when it came into force.
+	InForce func(offset uint64, at time.Time)
+}
+
+// Run reconciles until ctx is done.
+func (c *Controller) Run(ctx context.Context) error {
+	for {
+		// The channels are taken before the values are used, so that a change
+		// in between wakes the next round.
+		st, stateChanged := c.Board.State.Watch()
+		_, backendsChanged := c.Board.Backends.Watch()
+		floor, floorChanged := c.Board.Floor.Watch()
+		c.reconcile(st, floor)
+		select {
+		case <-stateChanged:
+		case <-backendsChanged:
+		case <-floorChanged:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// reconcile brings the snapshot up to the state. Until the floor is known
+// nothing comes into force: a restarted daemon would otherwise serve an older
+// version than its host had before, and callers would see a contract revert.
+func (c *Controller) reconcile(st *fold.State, floor *blackboard.Floor) {
+	if st == nil || floor == nil || !floor.Known || st.Offset < floor.Offset {
+		return
+	}
+	prev := c.Board.Snapshot.Load()
+	next := snapshot.Build(prev, st, c.Board.Backends.Load())
+	if next == prev {
+		return
+	}
+	c.Board.Snapshot.Store(next)
+	if prev == nil || next.Offset > prev.Offset {
+		c.Logger.Info("apply: version in force", "offset", next.Offset, "withheld_routes", len(next.Withheld))
+		c.InForce(next.Offset, time.Now())
+	}
+}
--- /dev/null
+++ b/internal/controller/drain/drain.go
@@ -0,0 +1,85 @@
+// Package drain takes a daemon through its life's phases and lets it stop
+// without cutting off a request.
+package drain
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/crocuscross/crocuscross/internal/blackboard"
+)
+
+const pollInterval = 20 * time.Millisecond
+
+// InFlight counts work that must end before the daemon may stop.
+type InFlight interface {
+	InFlight() int
+}
+
+// Controller owns the Lifecycle cell.
+type Controller struct {
+	Board  *blackboard.Board
+	Logger *slog.Logger
+	// Timeout is how long requests in flight may take.
+	Timeout time.Duration
+	// Quiet is how long a draining daemon goes on taking calls, until all
+	// others know that it drains.
+	Quiet time.Duration
+	Work  []InFlight
+}
+
+// Serving marks the end of the start.
+func (c *Controller) Serving() { c.enter(blackboard.Serving, "") }
+
+// Drain begins a graceful shutdown of this host's share of the work; a second call
+// changes nothing. The daemon itself stays up and forwards callers' requests.
+func (c *Controller) Drain(reason string) { c.enter(blackboard.Draining, reason) }
+
+// enter moves to a later phase; an earlier or equal one is ignored.
+func (c *Controller) enter(p blackboard.Phase, reason string) {
+	c.Board.Lifecycle.Update(func(old *blackboard.Lifecycle) *blackboard.Lifecycle {
+		if old != nil && old.Phase >= p {
+			return old
+		}
+		c.Logger.Info("drain: phase entered", "phase", p.String(), "reason", reason)
+		return &blackboard.Lifecycle{Phase: p, Since: time.Now(), Reason: reason}
+	})
+}
+
+// Draining reports whether the daemon drains or has stopped.
+func (c *Controller) Draining() bool {
+	l := c.Board.Lifecycle.Load()
+	return l != nil && l.Phase >= blackboard.Draining
+}
+
+// Wait blocks until the others know of the drain and no request is in flight,
+// or the timeout is up. It returns how many requests were still in flight.
+func (c *Controller) Wait(ctx context.Context) int {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	quiet := time.NewTimer(c.Quiet)
+	defer quiet.Stop()
+	select {
+	case <-quiet.C:
+	case <-ctx.Done():
+	}
+	t := time.NewTicker(pollInterval)
+	defer t.Stop()
+	for n := c.inFlight(); n > 0; n = c.inFlight() {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return n
+		}
+	}
+	return 0
+}
+
+func (c *Controller) inFlight() int {
+	n := 0
+	for _, w := range c.Work {
+		n += w.InFlight()
+	}
+	return n
+}
--- /dev/null
+++ b/internal/proxy/inbound/inbound.go
@@ -0,0 +1,196 @@
+// Package inbound is the second half of a call's path: the daemon beside the
+// chosen backend server admits the call, runs it there over loopback HTTP and
+// streams the answer back.
+package inbound
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/gate"
+	"github.com/crocuscross/crocuscross/internal/blackboard"
+	"github.com/crocuscross/crocuscross/internal/telemetry"
+	"github.com/crocuscross/crocuscross/once"
+	"github.com/crocuscross/crocuscross/peer"
+	"github.com/crocuscross/crocuscross/peerpb"
+)
+
+const (
+	// maxHeadBytes bounds the message that opens a call.
+	maxHeadBytes = 256 << 10
+	// headTimeout bounds the time until that message is there.
+	headTimeout = 5 * time.Second
+	// refuseTimeout bounds the effort to tell of a refusal.
+	refuseTimeout = time.Second
+)
+
+// Options holds what a Handler works with.
+type Options struct {
+	Local    *blackboard.Cell[blackboard.LocalBackend]
+	Gate     *gate.Gate
+	Attempts *once.Attempts
+	Tracer   trace.Tracer
+	Metrics  *telemetry.Calls
+	Logger   *slog.Logger
+}
+
+// Handler serves the calls that other daemons send to the backend server
+// beside this one.
+type Handler struct {
+	opts   Options
+	client http.RoundTripper
+}
+
+// NewHandler returns a handler with a connection pool of its own to the backend
+// server.
+func NewHandler(opts Options) *Handler {
+	return &Handler{opts: opts, client: newTransport()}
+}
+
+// InFlight returns the number of calls that run or wait.
+func (h *Handler) InFlight() int {
+	l := h.opts.Gate.Load()
+	return l.InUse + l.Queued
+}
+
+// ServeStream runs one attempt of one call.
+func (h *Handler) ServeStream(ctx context.Context, st *peer.Stream) error {
+	c, err := h.receive(ctx, st)
+	if err != nil {
+		return err
+	}
+	defer c.cancel()
+	defer c.span.End()
+	err = c.run()
+	kind := errkind.Of(err)
+	c.span.SetAttributes(attribute.String("crocuscross.kind", string(kind)))
+	h.opts.Metrics.Inbound(kind, time.Since(c.start))
+	return err
+}
+
+// receive reads the call's head and starts its clock.
+func (h *Handler) receive(ctx context.Context, st *peer.Stream) (*call, error) {
+	start := time.Now()
+	_ = st.SetReadDeadline(start.Add(headTimeout))
+	head := new(peerpb.CallHead)
+	if err := st.RecvMax(head, maxHeadBytes); err != nil {
+		return nil, errors.Wrap(err, "read call head")
+	}
+	remaining := time.Duration(head.GetRemainingMs()) * time.Millisecond
+	deadline := start.Add(remaining)
+	_ = st.SetReadDeadline(deadline)
+	if head.GetNonIdempotent() {
+		// The call outlives its link: the outcome can be asked for over
+		// another one.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(telemetry.WithTraceparent(ctx, head.GetTraceparent()), deadline)
+	ctx, span := h.opts.Tracer.Start(ctx, "inbound", trace.WithSpanKind(trace.SpanKindServer))
+	return &call{
+		h: h, st: st, head: head, span: span,
+		ctx: ctx, cancel: cancel, start: start, deadline: deadline,
+	}, nil
+}
+
+// call is one attempt in progress.
+type call struct {
+	h        *Handler
+	st       *peer.Stream
+	head     *peerpb.CallHead
+	span     trace.Span
+	ctx      context.Context
+	cancel   context.CancelFunc
+	start    time.Time
+	deadline time.Time
+}
+
+// run admits the attempt and runs it. The error is what the other daemon was
+// answered, nil where the backend server answered.
+func (c *call) run() error {
+	target, err := c.target()
+	if err != nil {
+		return c.refuse(err)
+	}
+	up := newUpload(c.st, c.cancel, c.onLinkLost)
+	defer up.stop()
+	if !c.head.GetExpectContinue() {
+		if err := up.prefetch(); err != nil {
+			return c.refuse(err)
+		}
+	}
+	ticket, err := c.h.opts.Gate.Enter(c.ctx, c.head.GetCustomer(), time.Until(c.deadline))
+	if err != nil {
+		return c.refuse(err)
+	}
+	outcome, err := c.runAdmitted(target, up)
+	ticket.Done(outcome)
+	return err
+}
+
+// runAdmitted runs a call that holds a slot.
+func (c *call) runAdmitted(target *url.URL, up *upload) (gate.Outcome, error) {
+	if c.head.GetExpectContinue() {
+		if err := c.st.Send(&peerpb.AnswerHead{Status: http.StatusContinue}); err != nil {
+			return gate.NotStarted, linkBroken(err)
+		}
+	}
+	if !c.head.GetNonIdempotent() {
+		return c.forward(target, up)
+	}
+	return c.forwardOnce(target, up)
+}
+
+// target returns where the backend server beside this daemon listens, if it
+// offers the service that the call is for.
+func (c *call) target() (*url.URL, error) {
+	local := c.h.opts.Local.Load()
+	if local == nil || local.Service != c.head.GetService() {
+		return nil, errkind.Newf(errkind.NoBackend, "no backend server of service %q is here", c.head.GetService())
+	}
+	u, err := url.Parse(local.URL)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.Internal, err, "address of the backend server")
+	}
+	return u, nil
+}
+
+// onLinkLost ends an idempotent call that nobody can receive any more.
+func (c *call) onLinkLost() {
+	if !c.head.GetNonIdempotent() {
+		c.cancel()
+	}
+}
+
+// refuse answers with an error in place of the backend server and returns it.
+func (c *call) refuse(err error) error {
+	head := &peerpb.AnswerHead{
+		ErrorKind:    string(errkind.Of(err)),
+		ErrorText:    err.Error(),
+		RetryAfterMs: uint32(errkind.RetryAfterOf(err).Milliseconds()),
+		Load:         c.load(),
+	}
+	_ = c.st.SetWriteDeadline(time.Now().Add(refuseTimeout))
+	if serr := c.st.Send(head); serr != nil {
+		return errors.WithSecondaryError(err, serr)
+	}
+	return err
+}
+
+func (c *call) load() *peerpb.Load {
+	l := c.h.opts.Gate.Load()
+	return &peerpb.Load{
+		InUse:         uint32(l.InUse),
+		Queued:        uint32(l.Queued),
+		Slots:         uint32(l.Slots),
+		Draining:      l.Draining,
+		ServiceTimeUs: uint32(l.ServiceTime.Microseconds()),
+	}
+}
--- /dev/null
+++ b/internal/proxy/inbound/upload.go
@@ -0,0 +1,77 @@
+package inbound
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/internal/proxy/body"
+	"github.com/crocuscross/crocuscross/peer"
+	"github.com/crocuscross/crocuscross/peerpb"
+)
+
+// upload is the request body on its way to the backend server. Once it has been read
+// whole, the stream is watched for the word that the caller went away.
+type upload struct {
+	st  *peer.Stream
+	src *body.Reader
+	// canceled is called when the caller went away; linkLost when the stream
+	// ended without a word.
+	canceled, linkLost func()
+
+	watching atomic.Bool
+	watched  chan struct{}
+}
+
+func newUpload(st *peer.Stream, canceled, linkLost func()) *upload {
+	return &upload{
+		st: st, src: body.NewReader(st), canceled: canceled, linkLost: linkLost,
+		watched: make(chan struct{}),
+	}
+}
+
+// prefetch reads the first part of the body, so that a small body is at hand
+// before the call queues and a caller that goes away meanwhile is noticed.
+func (u *upload) prefetch() error {
+	if err := u.src.Fill(); err != nil {
+		return errkind.Wrap(errkind.BadRequest, err, "read request body")
+	}
+	u.watchIfComplete()
+	return nil
+}
+
+// Read implements io.Reader.
+func (u *upload) Read(p []byte) (int, error) {
+	n, err := u.src.Read(p)
+	u.watchIfComplete()
+	return n, err
+}
+
+// watchIfComplete starts the watch, once, when nothing of the body is left to
+// come.
+func (u *upload) watchIfComplete() {
+	if u.src.Complete() && u.watching.CompareAndSwap(false, true) {
+		go u.watch()
+	}
+}
+
+// watch waits for whatever comes after the body: a chunk that says canceled,
+// or the end of the stream.
+func (u *upload) watch() {
+	defer close(u.watched)
+	var c peerpb.Chunk
+	err := u.st.RecvMax(&c, peer.MaxHeadBytes)
+	if err == nil && c.GetErrorKind() == string(errkind.Canceled) {
+		u.canceled()
+		return
+	}
+	u.linkLost()
+}
+
+// stop ends the watch before the stream is closed.
+func (u *upload) stop() {
+	_ = u.st.SetReadDeadline(time.Unix(1, 0))
+	if u.watching.Load() {
+		<-u.watched
+	}
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -47,22 +48,37 @@
 }
 
 // Pool keeps one session to each peer that is talked to and opens streams on
-// it. It is safe for concurrent use; an open session costs a reader no lock
-// that others share.
+// it. It is safe for concurrent use; opening a stream on an open session takes
+// no lock of the pool's.
 type Pool struct {
 	opts     PoolOptions
 	sessions sync.Map // netip.AddrPort to *slot
-
-	mu     sync.Mutex
-	closed bool
+	closed   atomic.Bool
 }
 
 // slot holds the session to one address.
 type slot struct {
-	mu   sync.Mutex
-	sess *yamux.Session
-	// used is when a stream was last opened.
-	used time.Time
+	sess atomic.Pointer[yamux.Session]
+	// used is when a stream was last opened, in Unix nanoseconds.
+	used    atomic.Int64
+	pinging atomic.Bool
+	// dialing holds a token that a dialer takes, so that all who wait for the
+	// session dial once and each waits no longer than it may.
+	dialing chan struct{}
+}
+
+func newSlot() *slot {
+	s := &slot{dialing: make(chan struct{}, 1)}
+	s.dialing <- struct{}{}
+	return s
+}
+
+// open returns the slot's session if it is usable.
+func (s *slot) open() *yamux.Session {
+	if sess := s.sess.Load(); sess != nil && !sess.IsClosed() {
+		return sess
+	}
+	return nil
 }
 
 // NewPool returns a pool without sessions.
@@ -73,18 +89,18 @@
 func (p *Pool) Open(ctx context.Context, addr netip.AddrPort, kind peerpb.Kind) (*Stream, error) {
 	sess, err := p.session(ctx, addr)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", addr), ErrUnreachable)
+		return nil, mark(errors.Wrapf(err, "connect to %s", addr), ErrUnreachable)
 	}
 	conn, err := sess.OpenStream()
 	if err != nil {
 		p.drop(addr, sess)
-		return nil, errors.Mark(errors.Wrapf(err, "open stream to %s", addr), ErrUnreachable)
+		return nil, mark(errors.Wrapf(err, "open stream to %s", addr), ErrUnreachable)
 	}
 	st := newStream(conn, kind, p.opts.Meter)
 	if err := st.Send(&peerpb.Head{Version: protocolVersion, Kind: kind}); err != nil {
 		_ = st.Close()
 		p.drop(addr, sess)
-		return nil, errors.Mark(errors.Wrapf(err, "open stream to %s", addr), ErrUnreachable)
+		return nil, mark(errors.Wrapf(err, "open stream to %s", addr), ErrUnreachable)
 	}
 	return st, nil
 }
@@ -109,12 +125,7 @@
 	if !ok {
 		return
 	}
-	s := v.(*slot)
-	s.mu.Lock()
-	sess := s.sess
-	s.sess = nil
-	s.mu.Unlock()
-	if sess != nil {
+	if sess := v.(*slot).sess.Swap(nil); sess != nil {
 		_ = sess.Close()
 	}
 }
@@ -123,23 +134,20 @@
 func (p *Pool) CloseIdle(now time.Time) {
 	p.sessions.Range(func(k, v any) bool {
 		s := v.(*slot)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if s.sess == nil || s.sess.NumStreams() > 0 || now.Sub(s.used) < p.opts.IdleTimeout {
+		sess := s.sess.Load()
+		if sess == nil || now.UnixNano()-s.used.Load() < int64(p.opts.IdleTimeout) {
 			return true
 		}
-		_ = s.sess.Close()
-		s.sess = nil
-		p.sessions.Delete(k)
+		if sess.IsClosed() || sess.NumStreams() == 0 {
+			p.drop(k.(netip.AddrPort), sess)
+		}
 		return true
 	})
 }
 
 // Close closes all sessions; later calls of Open fail.
 func (p *Pool) Close() error {
-	p.mu.Lock()
-	p.closed = true
-	p.mu.Unlock()
+	p.closed.Store(true)
 	p.sessions.Range(func(k, _ any) bool {
 		p.Drop(k.(netip.AddrPort))
 		return true
@@ -151,19 +159,32 @@
 func (p *Pool) session(ctx context.Context, addr netip.AddrPort) (*yamux.Session, error) {
 	v, ok := p.sessions.Load(addr)
 	if !ok {
-		v, _ = p.sessions.LoadOrStore(addr, &slot{})
+		v, _ = p.sessions.LoadOrStore(addr, newSlot())
 	}
 	s := v.(*slot)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.used = time.Now()
-	if s.sess != nil && !s.sess.IsClosed() {
-		return s.sess, nil
-	}
-	p.mu.Lock()
-	closed := p.closed
-	p.mu.Unlock()
-	if closed {
+	s.used.Store(time.Now().UnixNano())
+	if sess := s.open(); sess != nil {
+		return sess, nil
+	}
+	select {
+	case <-s.dialing:
+		defer func() { s.dialing <- struct{}{} }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if sess := s.open(); sess != nil {
+		return sess, nil
+	}
+	sess, err := p.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	s.sess.Store(sess)
+	return sess, nil
+}
+
+func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*yamux.Session, error) {
+	if p.closed.Load() {
 		return nil, net.ErrClosed
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
@@ -177,21 +198,14 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	s.sess = sess
 	return sess, nil
 }
 
+// drop closes sess and forgets it, unless another has taken its place.
 func (p *Pool) drop(addr netip.AddrPort, sess *yamux.Session) {
 	_ = sess.Close()
-	v, ok := p.sessions.Load(addr)
-	if !ok {
-		return
-	}
-	s := v.(*slot)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.sess == sess {
-		s.sess = nil
+	if v, ok := p.sessions.Load(addr); ok {
+		v.(*slot).sess.CompareAndSwap(sess, nil)
 	}
 }
 
@@ -202,14 +216,16 @@
 	streamOpenTimeout  = 10 * time.Second
 	streamCloseTimeout = 10 * time.Second
 	acceptBacklog      = 1024
+	keepAliveInterval  = time.Minute
 )
 
 func sessionConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.AcceptBacklog = acceptBacklog
-	// Liveness is judged per exchange, by time without an answer; pings on
-	// every idle session would cost more than the configuration itself.
-	c.EnableKeepAlive = false
+	// Sessions in use are pinged by the pool's watch. The keep-alive only lets
+	// the accepting side find sessions whose other end is gone for good.
+	c.EnableKeepAlive = true
+	c.KeepAliveInterval = keepAliveInterval
 	c.ConnectionWriteTimeout = writeTimeout
 	c.StreamOpenTimeout = streamOpenTimeout
 	c.StreamCloseTimeout = streamCloseTimeout
--- a/peer/server.go
+++ b/peer/server.go
@@ -62,9 +62,16 @@
 	t        tomb.Tomb
 }
 
-// NewServer returns a server without handlers.
+// NewServer returns a server without handlers. It must be closed.
 func NewServer(opts ServerOptions) *Server {
-	return &Server{opts: opts, handlers: map[peerpb.Kind]Handler{}, sessions: map[*yamux.Session]struct{}{}}
+	s := &Server{opts: opts, handlers: map[peerpb.Kind]Handler{}, sessions: map[*yamux.Session]struct{}{}}
+	// A tomb takes no goroutine after its last one has ended; this one lives
+	// until Close.
+	s.t.Go(func() error {
+		<-s.t.Dying()
+		return nil
+	})
+	return s
 }
 
 // Handle sets the handler of a kind. It must be called before Serve.
@@ -72,10 +79,19 @@
 
 // Serve accepts sessions until Close, and returns nil then.
 func (s *Server) Serve(ln net.Listener) error {
+	result := make(chan error, 1)
+	s.t.Go(func() error {
+		result <- s.accept(ln)
+		return nil
+	})
 	s.t.Go(func() error {
 		<-s.t.Dying()
 		return ln.Close()
 	})
+	return <-result
+}
+
+func (s *Server) accept(ln net.Listener) error {
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
@@ -102,8 +118,6 @@
 		_ = sess.Close()
 	}
 	s.mu.Unlock()
-	// Serve may never have been called.
-	s.t.Go(func() error { return nil })
 	return s.t.Wait()
 }
 
@@ -128,7 +142,7 @@
 		if err != nil {
 			if !errors.Is(err, io.EOF) && !errors.Is(err, yamux.ErrSessionShutdown) {
 				s.opts.Meter.Rejected(RejectSession)
-				s.opts.Logger.Debug("peer: session broken", "remote", conn, "error", err)
+				s.opts.Logger.Debug("peer: session broken", "remote", sess.RemoteAddr(), "error", err)
 			}
 			cancel()
 			return
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -97,11 +97,11 @@
 	var netErr net.Error
 	switch {
 	case errors.As(err, &tooLarge):
-		return errors.Mark(err, ErrMessageTooLarge)
+		return mark(err, ErrMessageTooLarge)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
 		return err
 	case errors.Is(err, proto.Error):
-		return errors.Mark(err, ErrMalformed)
+		return mark(err, ErrMalformed)
 	}
 	return err
 }
@@ -112,6 +112,15 @@
 // SetReadDeadline bounds reads.
 func (s *Stream) SetReadDeadline(t time.Time) error { return s.conn.SetReadDeadline(t) }
 
+// SetWriteDeadline bounds writes.
+func (s *Stream) SetWriteDeadline(t time.Time) error { return s.conn.SetWriteDeadline(t) }
+
+// BindReads makes reads fail once ctx is done; writes still work, so that the
+// peer can be told. The returned function undoes the binding.
+func (s *Stream) BindReads(ctx context.Context) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { _ = s.conn.SetReadDeadline(time.Unix(1, 0)) })
+}
+
 // BindContext makes reads and writes fail once ctx is done. The returned
 // function undoes the binding.
 func (s *Stream) BindContext(ctx context.Context) (stop func() bool) {
@@ -142,6 +151,8 @@
 	RejectSessions RejectReason = "too_many_sessions"
 	RejectStreams  RejectReason = "too_many_streams"
 	RejectSession  RejectReason = "session_broken"
+	// RejectSilent counts sessions given up since a ping was not answered.
+	RejectSilent RejectReason = "session_silent"
 )
 
 // NoMeter counts nothing.
--- /dev/null
+++ b/peer/watch.go
@@ -0,0 +1,89 @@
+package peer
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+const (
+	// watchInterval is how often sessions with streams are checked. With
+	// pingTimeout it bounds the time until a connection that went silent is
+	// given up: below a second.
+	watchInterval = 250 * time.Millisecond
+	// pingTimeout is far above a round trip between regions and a scheduler's
+	// delay under load.
+	pingTimeout = 600 * time.Millisecond
+	// idleInterval is how often idle sessions are looked for.
+	idleInterval = 10 * time.Second
+)
+
+// Run watches the sessions until ctx is done: those that carry streams must
+// answer pings, those without streams are closed after a while. A connection
+// whose ends have lost each other brings no error by itself; without the
+// watch, every exchange on it would wait for its own time to be up.
+func (p *Pool) Run(ctx context.Context) error {
+	watch := time.NewTicker(watchInterval)
+	defer watch.Stop()
+	idle := time.NewTicker(idleInterval)
+	defer idle.Stop()
+	for {
+		select {
+		case <-watch.C:
+			p.checkBusy(ctx)
+		case now := <-idle.C:
+			p.CloseIdle(now)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// checkBusy pings each session that carries streams, in the background.
+func (p *Pool) checkBusy(ctx context.Context) {
+	p.sessions.Range(func(k, v any) bool {
+		s := v.(*slot)
+		if sess := s.busy(); sess != nil {
+			go p.check(ctx, k.(netip.AddrPort), s, sess)
+		}
+		return true
+	})
+}
+
+// check closes a session that does not answer in time. Its streams then fail
+// at once.
+func (p *Pool) check(ctx context.Context, addr netip.AddrPort, s *slot, sess *yamux.Session) {
+	defer s.pinging.Store(false)
+	answered := make(chan error, 1)
+	go func() {
+		_, err := sess.Ping()
+		answered <- err
+	}()
+	t := time.NewTimer(pingTimeout)
+	defer t.Stop()
+	select {
+	case err := <-answered:
+		if err == nil {
+			return
+		}
+	case <-t.C:
+	case <-ctx.Done():
+		return
+	}
+	p.opts.Meter.Rejected(RejectSilent)
+	p.drop(addr, sess)
+}
+
+// busy returns the slot's session if it carries streams and no ping is out.
+func (s *slot) busy() *yamux.Session {
+	sess := s.sess.Load()
+	if sess == nil || sess.IsClosed() || sess.NumStreams() == 0 {
+		return nil
+	}
+	if !s.pinging.CompareAndSwap(false, true) {
+		return nil
+	}
+	return sess
+}
