Add the membership protocol: join, probe, gossip, sync

Liveness and announcements go between the daemons by a protocol of the SWIM family over UDP with protobuf. Per host two registers, each the maximum of what was heard: the state (incarnation, boot, liveness) and the info (revision, boot), so that a suspicion and its refutation need not carry the info: 30 bytes in place of 110.

Weighed for repair of what gossip misses: a full-table exchange every 30 s (100 KB at 910 members) or a digest of the table in each probe and answer (9 bytes) with an exchange of the differing 1/64 of the table only where digests differ in quiet. The second: none in a settled fleet.

--- /dev/null
+++ b/membership/fleet_test.go
@@ -0,0 +1,240 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/crocuscross/crocuscross/memberpb"
+)
+
+// fleet runs many Memberships on one thread, one virtual clock and a network in
+// memory. A datagram arrives within the step in which it was sent.
+type fleet struct {
+	t      testing.TB
+	now    time.Time
+	nodes  []*node
+	byAddr map[netip.AddrPort]*node
+	flying []flying
+	// cut tells which packets and exchanges are lost.
+	cut func(from, to *node) bool
+
+	packets, bytes, syncs, syncBytes int
+	rejected                         map[RejectReason]int
+}
+
+type flying struct {
+	from, to *node
+	data     []byte
+}
+
+// node is one daemon with its ends of the network.
+type node struct {
+	*Membership
+	f      *fleet
+	index  int
+	addr   netip.AddrPort
+	down   bool
+	paused bool
+	err    error
+}
+
+const (
+	testZones   = 4
+	testRegions = 2
+)
+
+// newFleet returns n daemons that do not know of each other.
+func newFleet(t testing.TB, n int) *fleet {
+	f := &fleet{t: t, now: time.Unix(1000, 0), byAddr: map[netip.AddrPort]*node{}, rejected: map[RejectReason]int{}}
+	for i := range n {
+		f.start(i, uint64(i+1))
+	}
+	return f
+}
+
+// newJoinedFleet returns n daemons whose tables are complete.
+func newJoinedFleet(t testing.TB, n int) *fleet {
+	f := newFleet(t, n)
+	for _, nd := range f.nodes {
+		for _, other := range f.nodes {
+			e := other.self
+			nd.apply(&record{host: e.host, state: e.state, info: e.info}, fromJoin, f.now)
+		}
+		nd.queue = newQueue()
+		nd.lastNews = f.now.Add(-time.Minute)
+		nd.changed = false
+	}
+	return f
+}
+
+// start starts or restarts the daemon of host i.
+func (f *fleet) start(i int, boot uint64) *node {
+	nd := &node{f: f, index: i, addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)}
+	opts := DefaultOptions()
+	opts.Host = fmt.Sprintf("host-%04d", i)
+	opts.Boot = boot
+	opts.AvailabilityZone = fmt.Sprintf("zone-%d", i%testZones)
+	opts.Region = fmt.Sprintf("region-%d", i%testRegions)
+	opts.PeerAddr, opts.CallerAddr = nd.addr, netip.AddrPortFrom(nd.addr.Addr(), 8000)
+	opts.Packets, opts.Sync, opts.Meter = nd, nd, nd
+	opts.Now = func() time.Time { return f.now }
+	m, err := New(opts)
+	must.NoError(f.t, err)
+	m.rng = rand.New(rand.NewPCG(boot, uint64(i)))
+	m.sleep = func(context.Context, time.Duration) error { return nil }
+	nd.Membership = m
+	f.byAddr[nd.addr] = nd
+	if i < len(f.nodes) {
+		f.nodes[i] = nd
+	} else {
+		f.nodes = append(f.nodes, nd)
+	}
+	return nd
+}
+
+func (nd *node) join(contacts ...int) int {
+	var addrs []netip.AddrPort
+	for _, c := range contacts {
+		addrs = append(addrs, nd.f.nodes[c].addr)
+	}
+	return nd.joinOnce(context.Background(), nd.remember(addrs))
+}
+
+// step moves the clock on by one tick.
+func (f *fleet) step() {
+	f.now = f.now.Add(tickInterval)
+	for _, nd := range f.nodes {
+		if nd.down || nd.paused || nd.err != nil {
+			continue
+		}
+		nd.err = nd.tick()
+		select {
+		case addr := <-nd.syncWanted:
+			nd.runSync(context.Background(), addr)
+		default:
+		}
+	}
+	f.deliver()
+}
+
+func (f *fleet) deliver() {
+	var kept []flying
+	for len(f.flying) > 0 {
+		p := f.flying[0]
+		f.flying = f.flying[1:]
+		switch {
+		case p.to.paused:
+			kept = append(kept, p)
+		case !p.to.down && p.to.err == nil:
+			p.to.handlePacket(p.data, p.from.addr)
+		}
+	}
+	f.flying = kept
+}
+
+// run steps until done holds, and fails the test where it does not within the
+// time. It returns the time taken.
+func (f *fleet) run(limit time.Duration, done func() bool) time.Duration {
+	f.t.Helper()
+	start := f.now
+	for !done() {
+		if f.now.Sub(start) >= limit {
+			f.t.Fatalf("not reached within %v", limit)
+		}
+		f.step()
+	}
+	return f.now.Sub(start)
+}
+
+// runFor steps for a time; check may be nil.
+func (f *fleet) runFor(d time.Duration, check func()) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.step()
+		if check != nil {
+			check()
+		}
+	}
+}
+
+// agree reports whether all that run hold the same table with n usable members.
+func (f *fleet) agree(n int) bool {
+	var sum *uint64
+	for _, nd := range f.nodes {
+		if nd.down || nd.err != nil {
+			continue
+		}
+		s := nd.table.digests.sum()
+		if nd.table.usable != n || nd.table.suspects > 0 || (sum != nil && *sum != s) {
+			return false
+		}
+		sum = &s
+	}
+	return true
+}
+
+// count returns how many of the others a daemon believes to be in a state.
+func (nd *node) count(l Liveness) int {
+	n := 0
+	for _, e := range nd.table.order {
+		n += count(e.liveness == l && e != nd.self)
+	}
+	return n
+}
+
+func (nd *node) lost(to *node) bool {
+	return to == nil || to.down || (nd.f.cut != nil && nd.f.cut(nd, to))
+}
+
+// WriteToUDPAddrPort is part of PacketConn.
+func (nd *node) WriteToUDPAddrPort(b []byte, addr netip.AddrPort) (int, error) {
+	must.LessEq(nd.f.t, MaxPacketBytes, len(b))
+	nd.f.packets++
+	nd.f.bytes += len(b)
+	if to := nd.f.byAddr[addr]; !nd.lost(to) {
+		nd.f.flying = append(nd.f.flying, flying{nd, to, b})
+	}
+	return len(b), nil
+}
+
+// ReadFromUDPAddrPort is part of PacketConn.
+func (nd *node) ReadFromUDPAddrPort([]byte) (int, netip.AddrPort, error) {
+	return 0, netip.AddrPort{}, net.ErrClosed
+}
+
+// Close is part of PacketConn.
+func (nd *node) Close() error { return nil }
+
+// Sync carries an exchange to another daemon, encoded as on the wire.
+func (nd *node) Sync(ctx context.Context, addr netip.AddrPort, table *memberpb.Table) (*memberpb.Table, error) {
+	to := nd.f.byAddr[addr]
+	if nd.lost(to) || to.lost(nd) || to.paused || to.err != nil {
+		return nil, errors.New("unreachable")
+	}
+	nd.f.syncs++
+	return nd.f.recode(to.HandleSync(ctx, nd.f.recode(table))), nil
+}
+
+func (f *fleet) recode(table *memberpb.Table) *memberpb.Table {
+	b, err := proto.Marshal(table)
+	must.NoError(f.t, err)
+	f.syncBytes += len(b)
+	decoded := new(memberpb.Table)
+	must.NoError(f.t, proto.Unmarshal(b, decoded))
+	return decoded
+}
+
+func (nd *node) Sent(PacketKind, int)     {}
+func (nd *node) Received(PacketKind, int) {}
+func (nd *node) Rejected(r RejectReason)  { nd.f.rejected[r]++ }
+func (nd *node) Probed(bool)              {}
+func (nd *node) Paused(time.Duration)     {}
+func (nd *node) Synced(int, int)          {}
--- /dev/null
+++ b/membership/sync.go
@@ -0,0 +1,250 @@
+package membership
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocuscross/crocuscross/memberpb"
+)
+
+const (
+	// syncTimeout bounds one message of an exchange and its answer.
+	syncTimeout = 3 * time.Second
+	// syncQuiet is how long the table must have been still before differing
+	// digests mean that gossip has missed somebody.
+	syncQuiet = 3 * time.Second
+	// syncGap is the shortest time between two exchanges that differing digests
+	// led to. It doubles up to syncMaxGap while exchanges change nothing.
+	syncGap    = 5 * time.Second
+	syncMaxGap = time.Minute
+	// syncRounds bounds the messages of one exchange: one to learn, one to
+	// teach.
+	syncRounds = 2
+	// fullSyncMembers is how many members an answer must hold to count as full.
+	fullSyncMembers = 64
+)
+
+// errBusy means that the daemon asked has put the exchange off.
+var errBusy = errors.New("daemon is busy with other exchanges")
+
+// syncer decides when full tables are exchanged.
+type syncer struct {
+	want netip.AddrPort
+	due  time.Time
+	// last is when an exchange was last planned, next the earliest time for the
+	// next one.
+	last time.Time
+	next time.Time
+	gap  time.Duration
+
+	// tokens bounds the full answers handed out.
+	tokens   float64
+	refilled time.Time
+}
+
+// compareDigest plans an exchange with a member whose table differs though
+// neither has news under way. In a settled fleet none takes place.
+func (m *Membership) compareDigest(digest uint64, from netip.AddrPort, now time.Time) {
+	switch {
+	case digest == m.table.digests.sum():
+		m.sync.want = netip.AddrPort{}
+	case m.sync.want.IsValid() || now.Before(m.sync.next):
+	case now.Sub(m.lastNews) < syncQuiet && now.Sub(m.sync.last) < syncMaxGap:
+		// Gossip is still under way, though not for good: one member that comes
+		// and goes must not keep the tables from being compared at all.
+	default:
+		m.wantSync(from, now.Add(m.jitter(syncQuiet)), now)
+	}
+}
+
+func (m *Membership) wantSync(addr netip.AddrPort, due, now time.Time) {
+	m.sync.want = addr
+	m.sync.due = due
+	m.sync.last = now
+	m.sync.next = now.Add(m.sync.gap)
+}
+
+// jitter returns a random part of d.
+func (m *Membership) jitter(d time.Duration) time.Duration {
+	return time.Duration(m.rng.Int64N(int64(d) + 1))
+}
+
+// reconcileSync hands a due exchange to the loop that runs them.
+func (m *Membership) reconcileSync(now time.Time) {
+	if !m.sync.want.IsValid() || now.Before(m.sync.due) {
+		return
+	}
+	select {
+	case m.syncWanted <- m.sync.want:
+		m.sync.want = netip.AddrPort{}
+	default:
+	}
+}
+
+// exchange brings both tables to the same state. contacts are whom to ask
+// instead where the error is errBusy.
+func (m *Membership) exchange(ctx context.Context, addr netip.AddrPort) (contacts []netip.AddrPort, err error) {
+	var push [bucketCount]bool
+	for range syncRounds {
+		answer, err := m.ask(ctx, addr, push)
+		if err != nil {
+			return nil, errors.Wrapf(err, "exchange tables with %s", addr)
+		}
+		if answer.GetBusy() {
+			return decodeContacts(answer.GetContacts()), errBusy
+		}
+		more := false
+		push, more = m.learn(answer)
+		if !more {
+			break
+		}
+	}
+	return nil, nil
+}
+
+func (m *Membership) ask(ctx context.Context, addr netip.AddrPort, push [bucketCount]bool) (*memberpb.Table, error) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	m.mu.Lock()
+	request := m.encodeTable(push, m.opts.Now())
+	m.mu.Unlock()
+	return m.opts.Sync.Sync(ctx, addr, request)
+}
+
+// learn takes an answer in and returns the buckets in which this table still
+// differs, hence holds more.
+func (m *Membership) learn(answer *memberpb.Table) (push [bucketCount]bool, more bool) {
+	records, theirs, rej := decodeTable(answer)
+	if rej != nil {
+		m.opts.Meter.Rejected(rej.reason)
+		m.log.Warn("membership: full-table answer refused", "host", answer.GetHost(), "error", rej)
+		return push, false
+	}
+	m.update(func(now time.Time) {
+		before := m.table.digests
+		m.takeTable(records, now)
+		if m.table.digests == before {
+			m.sync.gap = min(2*m.sync.gap, syncMaxGap)
+		} else {
+			m.sync.gap = syncGap
+		}
+		push, more = m.table.digests.differing(theirs)
+	})
+	return push, more
+}
+
+// takeTable applies the records of an exchange. A daemon that learns most of
+// its table has just started and need not tell the others what they told it.
+func (m *Membership) takeTable(records []record, now time.Time) {
+	from := fromSync
+	if len(records) > len(m.table.order) {
+		from = fromJoin
+	}
+	for i := range records {
+		m.apply(&records[i], from, now)
+	}
+	m.opts.Meter.Synced(len(records), 0)
+}
+
+// HandleSync answers one message of a full-table exchange. It takes the
+// remote's members in and returns those whose bucket differs.
+func (m *Membership) HandleSync(_ context.Context, remote *memberpb.Table) *memberpb.Table {
+	records, theirs, rej := decodeTable(remote)
+	if rej != nil {
+		m.opts.Meter.Rejected(rej.reason)
+		m.log.Warn("membership: full-table request refused", "host", remote.GetHost(), "error", rej)
+		return &memberpb.Table{Busy: true}
+	}
+	var answer *memberpb.Table
+	m.update(func(now time.Time) {
+		m.takeTable(records, now)
+		buckets, _ := m.table.digests.differing(theirs)
+		if !m.admitSync(buckets, now) {
+			m.opts.Meter.Rejected(RejectBusy)
+			answer = m.busyAnswer()
+			return
+		}
+		answer = m.encodeTable(buckets, now)
+	})
+	return answer
+}
+
+// admitSync bounds the full answers per second. When a third of the fleet
+// restarts at once and asks the few contacts of its settings, these would spend
+// their time and network on tables alone; the rest are sent to others.
+func (m *Membership) admitSync(buckets [bucketCount]bool, now time.Time) bool {
+	limit := float64(m.opts.FullSyncsPerSecond)
+	if m.sync.refilled.IsZero() {
+		m.sync.tokens = limit
+	} else {
+		m.sync.tokens = min(limit, m.sync.tokens+limit*now.Sub(m.sync.refilled).Seconds())
+	}
+	m.sync.refilled = now
+	if m.sizeOf(buckets) < fullSyncMembers {
+		return true
+	}
+	if m.sync.tokens < 1 {
+		return false
+	}
+	m.sync.tokens--
+	return true
+}
+
+func (m *Membership) sizeOf(buckets [bucketCount]bool) int {
+	n := 0
+	for _, e := range m.table.order {
+		n += count(buckets[bucketOf(e.host)])
+	}
+	return n
+}
+
+// busyAnswer names others to ask. They are chosen at random, so that those
+// turned away spread over the fleet.
+func (m *Membership) busyAnswer() *memberpb.Table {
+	t := &memberpb.Table{Host: m.self.host, Boot: m.self.boot, Busy: true}
+	for _, e := range m.table.sample(m.rng, maxContacts, m.isOther) {
+		t.Contacts = append(t.Contacts, encodeAddr(e.info.peerAddr))
+	}
+	return t
+}
+
+// encodeTable returns the members of the named buckets, this daemon itself in
+// any case, and the digests of all.
+func (m *Membership) encodeTable(buckets [bucketCount]bool, now time.Time) *memberpb.Table {
+	t := &memberpb.Table{Host: m.self.host, Boot: m.self.boot, Digests: slices.Clone(m.table.digests[:])}
+	for _, e := range m.table.order {
+		if e != m.self && !buckets[bucketOf(e.host)] {
+			continue
+		}
+		member := encodeMember(e, true)
+		member.AgeMs = milliseconds(now.Sub(e.since))
+		t.Members = append(t.Members, member)
+	}
+	m.opts.Meter.Synced(0, len(t.Members))
+	return t
+}
+
+func decodeTable(t *memberpb.Table) ([]record, *digests, *rejection) {
+	if rej := checkIdentity(t.GetHost(), t.GetBoot()); rej != nil {
+		return nil, nil, rej
+	}
+	if len(t.GetDigests()) != bucketCount {
+		return nil, nil, invalid("%d digests", len(t.GetDigests()))
+	}
+	records, rej := decodeMembers(t.GetMembers())
+	return records, (*digests)(t.GetDigests()), rej
+}
+
+func decodeContacts(list [][]byte) []netip.AddrPort {
+	var contacts []netip.AddrPort
+	for _, b := range list[:min(len(list), maxContacts)] {
+		if a, rej := decodeAddr(b); rej == nil {
+			contacts = append(contacts, a)
+		}
+	}
+	return contacts
+}
--- a/membership/view.go
+++ b/membership/view.go
@@ -63,8 +63,11 @@
 	// have in force. It survives the member's death as the floor for its next
 	// life.
 	Offset uint64
-	// Since is when this process last saw the liveness, boot or announcements
-	// change.
+	// Floor is the latest configuration offset heard of in the host's earlier
+	// lives. See Membership.Floor for both taken together.
+	Floor uint64
+	// Since is when the liveness, boot or announcements last changed, as far as
+	// this process or those that it learned the member from have seen.
 	Since time.Time
 }
 
