Add a first version of quota

Each customer's contract (rate, burst, calls in flight) is leased by one owner, the rendezvous winner over the daemons heard, to the daemons where its calls arrive; what is not leased fills a pool at the owner. Admit never waits; AdmitWait lets a call that finds no token wait for the owner's pool, for customers spread so thin that a daemon's share holds no whole call.

The API is for wiring.

--- /dev/null
+++ b/quota/claim.go
@@ -0,0 +1,135 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"github.com/crocuscross/crocuscross/quota/quotapb"
+)
+
+const (
+	// driftUp and driftDown are by how much demand changes before it is told
+	// ahead of the next renewal.
+	driftUp   = 1.3
+	driftDown = 0.6
+	// driftMin in calls per second; smaller changes wait.
+	driftMin = 2
+	// keepShare of a lease is kept as it is rather than shrunk by a little.
+	keepShare = 0.9
+	// quietDemand in calls per second is as good as none.
+	quietDemand = 0.02
+)
+
+// due reports whether a claim should go out.
+func (a *account) due(now time.Duration) bool {
+	if a.asking || a.owner == nil {
+		return false
+	}
+	if now >= a.nextClaim {
+		return true
+	}
+	return a.wanting && int64(now) >= a.notBefore.Load()
+}
+
+// drifted reports whether the owner should hear of a change before the next
+// renewal.
+func (a *account) drifted(now time.Duration) bool {
+	if a.failures > 0 || a.asking {
+		return false
+	}
+	d := a.demand.rate(a.arrivals.Load())
+	if d > driftUp*a.reported+driftMin || d < driftDown*a.reported-driftMin {
+		return true
+	}
+	l := a.lease.Load()
+	return l.valid(now) && l.slotsContended && a.idleSlots(l) > 0
+}
+
+// idleSlots returns how many slots no call has used since the last claim.
+func (a *account) idleSlots(l *lease) int64 {
+	return int64(l.slots) - max(a.peak.Load(), a.inFlight.Load())
+}
+
+// claim tells the owner what the account uses and wants. What it does not need
+// it gives up before it says so.
+func (a *account) claim(now time.Duration, owner uint64, r *round) *quotapb.Claim {
+	a.asking = true
+	arrivals := a.arrivals.Load()
+	a.demand.observe(arrivals, now)
+	a.reported = a.demand.rate(arrivals)
+	if a.reported < quietDemand {
+		a.reported = 0
+	}
+	c := &quotapb.Claim{
+		Customer: a.customer,
+		Demand:   a.reported,
+		Need:     a.need(now, r),
+		Unleased: uint32(a.unleased.Swap(0)),
+	}
+	a.wanting = false
+	c.InUse = a.takePeak(now)
+	held := a.giveBack(now, float64(c.InUse))
+	if held == nil {
+		c.Held = amount{slots: a.slotsInFlight()}.proto()
+		return c
+	}
+	c.Held = held.max(amount{slots: a.slotsInFlight()}).proto()
+	c.GrantedBy = held.grantedBy
+	c.Pooled = held.pooled && !held.local
+	if held.grantedBy != owner {
+		c.GrantedToAll = held.grantedToAll.proto()
+	}
+	return c
+}
+
+// need returns how many tokens to ask for: one for each call that waits, or one
+// for the call that was refused and may return.
+func (a *account) need(now time.Duration, r *round) uint32 {
+	n := min(r.waiters.Load(), math.MaxUint16)
+	if n == 0 && a.wanting && !a.hasMeans(now) {
+		n = 1
+	}
+	return uint32(n)
+}
+
+// slotsInFlight returns the calls in flight where the contract bounds them.
+func (a *account) slotsInFlight() float64 {
+	if a.contract.MaxConcurrent == 0 {
+		return 0
+	}
+	return float64(a.inFlight.Load())
+}
+
+// takePeak returns the calls in flight to be reported, and starts a new peak. A
+// customer that calls now and then keeps a slot, unless others wait for it.
+func (a *account) takePeak(now time.Duration) uint32 {
+	if a.contract.MaxConcurrent == 0 {
+		return 0
+	}
+	peak := a.peak.Swap(a.inFlight.Load())
+	l := a.lease.Load()
+	if peak == 0 && a.reported > 0 && !(l.valid(now) && l.slotsContended) {
+		peak = 1
+	}
+	return uint32(peak)
+}
+
+// giveBack shrinks the lease to what the account has use for and returns it,
+// nil if there is none.
+func (a *account) giveBack(now time.Duration, inUse float64) *lease {
+	l := a.lease.Load()
+	if !l.valid(now) {
+		return nil
+	}
+	keep := l.amount
+	if want := wantedRate(a.reported); want < keepShare*keep.rate {
+		keep.rate = want
+		keep.burst = min(keep.burst, wantedBurst(want))
+	}
+	keep.slots = min(keep.slots, wantedSlots(inUse))
+	if keep != l.amount {
+		l = l.shrunk(now, keep)
+		a.lease.Store(l)
+	}
+	return l
+}
--- /dev/null
+++ b/quota/options.go
@@ -0,0 +1,100 @@
+package quota
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/crocuscross/crocuscross/membership"
+	"github.com/crocuscross/crocuscross/quota/quotapb"
+)
+
+const (
+	// DefaultLeaseTime outlasts the time in which membership notices that an
+	// owner is dead, so that holders go on while ownership moves.
+	DefaultLeaseTime = 15 * time.Second
+	// DefaultRenewInterval of a customer whose demand is below its contract.
+	DefaultRenewInterval = 5 * time.Second
+
+	// tickInterval is how often a holder looks at demand and due claims.
+	tickInterval = 250 * time.Millisecond
+	// askTimeout bounds one exchange with an owner.
+	askTimeout = 500 * time.Millisecond
+	// admitWait bounds how long a call waits for the owner's pool.
+	admitWait = 250 * time.Millisecond
+	// maxBeatGap is the longest time between two ticks that passes for a busy
+	// machine. A daemon is not taken for dead in less, so nobody else can have
+	// become the owner meanwhile.
+	maxBeatGap = 2 * time.Second
+	// suspectGrace is how long a suspect member counts as heard. It is longer
+	// than the usual suspicion, so that one false alarm moves no ownership.
+	suspectGrace = 5 * time.Second
+	// lossMemory is how long members that are not heard count as possibly cut
+	// off.
+	lossMemory = 30 * time.Minute
+
+	// contendedDivisor shortens the renew interval where demand exceeds the
+	// contract.
+	contendedDivisor = 5
+	// settleDivisor is the part of the lease time that a new owner settles.
+	settleDivisor = 3
+	// reportDivisor is the part of the lease time over which holders spread
+	// their first claims to a new owner.
+	reportDivisor = 15
+)
+
+// Peers sends requests to owners on other daemons.
+type Peers interface {
+	Ask(ctx context.Context, owner *membership.Member, req *quotapb.Request) (*quotapb.Answer, error)
+}
+
+// Options configures a Manager.
+type Options struct {
+	// Host is this daemon's host as in the membership view.
+	Host string
+	// LeaseTime is how long a lease lasts without renewal. It must be the same
+	// on all daemons.
+	LeaseTime time.Duration
+	// RenewInterval is the longest time between claims of an active customer.
+	RenewInterval time.Duration
+	// Now returns the time with a monotonic reading.
+	Now    func() time.Time
+	Peers  Peers
+	Logger *slog.Logger
+}
+
+// DefaultOptions returns options that lack only Host and Peers.
+func DefaultOptions() Options {
+	return Options{
+		LeaseTime:     DefaultLeaseTime,
+		RenewInterval: DefaultRenewInterval,
+		Now:           time.Now,
+		Logger:        slog.New(slog.DiscardHandler),
+	}
+}
+
+// withDefaults fills in what the caller left out.
+func (o Options) withDefaults() Options {
+	d := DefaultOptions()
+	if o.LeaseTime == 0 {
+		o.LeaseTime = d.LeaseTime
+	}
+	if o.RenewInterval == 0 {
+		o.RenewInterval = d.RenewInterval
+	}
+	if o.Now == nil {
+		o.Now = d.Now
+	}
+	if o.Logger == nil {
+		o.Logger = d.Logger
+	}
+	return o
+}
+
+func (o Options) contendedRenewal() time.Duration { return o.RenewInterval / contendedDivisor }
+func (o Options) settleTime() time.Duration       { return o.LeaseTime / settleDivisor }
+func (o Options) reportSpread() time.Duration     { return o.LeaseTime / reportDivisor }
+
+// ownerLeaseTime is how long the owner charges a lease: a little longer than
+// the holder uses it, for clocks that run at different speeds.
+func (o Options) ownerLeaseTime() time.Duration { return o.LeaseTime + o.LeaseTime/64 }
--- /dev/null
+++ b/quota/owner.go
@@ -0,0 +1,170 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"github.com/crocuscross/crocuscross/quota/quotapb"
+	"github.com/crocuscross/crocuscross/snapshot"
+)
+
+// owner keeps the ledgers of the customers that this daemon owns.
+type owner struct {
+	opts Options
+
+	mu        sync.Mutex
+	fleet     *fleet
+	contracts map[string]*snapshot.Contract
+	// opensAt tells for each customer owned when its ledger may stop to
+	// settle.
+	opensAt map[string]time.Duration
+	ledgers map[string]*ledger
+	// lastBeat is when the process was last seen running.
+	lastBeat  time.Duration
+	nextSweep time.Duration
+}
+
+func newOwner(opts Options) *owner {
+	return &owner{opts: opts, opensAt: map[string]time.Duration{}, ledgers: map[string]*ledger{}}
+}
+
+// setFleet makes the owner take over and give up customers.
+func (o *owner) setFleet(f *fleet, now time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	same := f.sameOwners(o.fleet)
+	o.fleet = f
+	if same {
+		return
+	}
+	for customer := range o.contracts {
+		o.reassign(customer, now+o.opts.settleTime(), now)
+	}
+}
+
+// setContracts takes over the contracts in force. The ledger of a customer that
+// is new to the fleet need not settle, as nobody can have granted anything.
+func (o *owner) setContracts(contracts map[string]*snapshot.Contract, now time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	first := o.contracts == nil
+	for customer := range o.contracts {
+		if contracts[customer] == nil {
+			delete(o.opensAt, customer)
+			delete(o.ledgers, customer)
+		}
+	}
+	for customer, c := range contracts {
+		if l := o.ledgers[customer]; l != nil {
+			l.contract = contractAmount(c)
+		}
+		if o.contracts[customer] != nil || o.fleet == nil {
+			continue
+		}
+		opensAt := now
+		if first {
+			opensAt += o.opts.settleTime()
+		}
+		o.reassign(customer, opensAt, now)
+	}
+	o.contracts = contracts
+}
+
+// reassign notes whether the customer is owned; a ledger that is taken up anew
+// settles until opensAt.
+func (o *owner) reassign(customer string, opensAt, now time.Duration) {
+	if !o.fleet.ownsSelf(customer) {
+		delete(o.opensAt, customer)
+		return
+	}
+	if _, ok := o.opensAt[customer]; ok {
+		return
+	}
+	o.opensAt[customer] = opensAt
+	if l := o.ledgers[customer]; l != nil {
+		l.settle(opensAt, now)
+	}
+}
+
+// serve answers a request.
+func (o *owner) serve(from string, req *quotapb.Request, now time.Duration) *quotapb.Answer {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	answer := &quotapb.Answer{Leases: make([]*quotapb.Lease, 0, len(req.GetClaims()))}
+	o.checkBeat(now)
+	if o.fleet != nil {
+		answer.Boot = o.fleet.view.Self.Boot
+	}
+	id := holderID{from, req.GetBoot()}
+	for _, c := range req.GetClaims() {
+		answer.Leases = append(answer.Leases, o.claim(id, req.GetSequence(), c, now))
+	}
+	return answer
+}
+
+func (o *owner) claim(id holderID, sequence uint64, c *quotapb.Claim, now time.Duration) *quotapb.Lease {
+	customer := c.GetCustomer()
+	contract := o.contracts[customer]
+	if contract == nil {
+		return &quotapb.Lease{Verdict: quotapb.Verdict_VERDICT_NO_CONTRACT}
+	}
+	opensAt, owned := o.opensAt[customer]
+	if !owned {
+		return &quotapb.Lease{Verdict: quotapb.Verdict_VERDICT_NOT_OWNER}
+	}
+	l := o.ledgers[customer]
+	if l == nil {
+		l = newLedger(o.opts, contractAmount(contract), opensAt, now)
+		o.ledgers[customer] = l
+	}
+	return l.claim(now, o.fleet, o.fleet.view.Self.Boot, id, sequence, c)
+}
+
+// beat tells that the process runs, and drops what has ended.
+func (o *owner) beat(now time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.checkBeat(now)
+	o.lastBeat = now
+	if o.fleet == nil || now < o.nextSweep {
+		return
+	}
+	o.nextSweep = now + tickInterval
+	for customer, l := range o.ledgers {
+		l.sweep(now, o.fleet)
+		_, owned := o.opensAt[customer]
+		if l.idle() || !owned && len(l.entries) == 0 {
+			delete(o.ledgers, customer)
+		}
+	}
+}
+
+// checkBeat finds that the process was stopped, and gives up what it owned
+// before it acts on it: others may have taken it for dead, elected another
+// owner and been granted the whole contract by that one. Without this, claims
+// that waited in the socket are granted out of a ledger that knows nothing of
+// the other's.
+func (o *owner) checkBeat(now time.Duration) {
+	gap := now - o.lastBeat
+	if gap <= maxBeatGap {
+		return
+	}
+	o.opts.Logger.Warn("quota: paused, ownership starts anew", "gap", gap)
+	o.lastBeat = now
+	for customer := range o.opensAt {
+		o.opensAt[customer] = now + o.opts.settleTime()
+		if l := o.ledgers[customer]; l != nil {
+			l.settle(o.opensAt[customer], now)
+		}
+	}
+}
+
+// size returns the number of ledgers and of leases in them.
+func (o *owner) size() (ledgers, leases int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, l := range o.ledgers {
+		leases += len(l.entries)
+	}
+	return len(o.ledgers), leases
+}
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,70 @@
+package quota
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/membership"
+	"github.com/crocuscross/crocuscross/snapshot"
+)
+
+// alone returns a Manager that is the whole fleet, past settling, and its
+// clock.
+func alone(t *testing.T, c *snapshot.Contract) (m *Manager, clock *time.Duration) {
+	t.Helper()
+	clock = new(time.Duration)
+	base := time.Unix(1_000_000, 0)
+	m = New(Options{Host: "a", Now: func() time.Time { return base.Add(*clock) }})
+	self := &membership.Member{Host: "a", Boot: 1, Liveness: membership.Alive, Since: base}
+	m.SetView(&membership.View{Self: self, Members: []*membership.Member{self}})
+	m.SetContracts(map[string]*snapshot.Contract{c.Customer: c})
+	for *clock = 0; *clock < DefaultLeaseTime; *clock += tickInterval {
+		must.SliceEmpty(t, m.step(*clock))
+	}
+	return m, clock
+}
+
+func TestManager_refusesBeyondContract(t *testing.T) {
+	c := &snapshot.Contract{Customer: "acme", Rate: 10, Burst: 5, MaxConcurrent: 3}
+	m, clock := alone(t, c)
+	admitted := 0
+	for range 10 * 100 {
+		*clock += 10 * time.Millisecond
+		if g, err := m.Admit(c); err == nil {
+			admitted++
+			g.Done()
+		} else {
+			must.Eq(t, errkind.RateLimited, errkind.Of(err))
+			must.Positive(t, errkind.RetryAfterOf(err))
+		}
+		must.SliceEmpty(t, m.step(*clock))
+	}
+	must.Between(t, 90, admitted, 105)
+}
+
+func TestManager_refusesBeyondConcurrency(t *testing.T) {
+	c := &snapshot.Contract{Customer: "acme", Rate: 1000, Burst: 1000, MaxConcurrent: 3}
+	m, clock := alone(t, c)
+	for range 100 {
+		*clock += 10 * time.Millisecond
+		_, _ = m.Admit(c)
+		m.step(*clock)
+	}
+	_, err := m.Admit(c)
+	must.Eq(t, errkind.ConcurrencyLimit, errkind.Of(err))
+	must.Eq(t, 3, (*m.holder.accounts.Load())["acme"].inFlight.Load())
+	(&Grant{(*m.holder.accounts.Load())["acme"]}).Done()
+	_, err = m.Admit(c)
+	must.NoError(t, err)
+}
+
+func TestManager_Run(t *testing.T) {
+	m := New(Options{Host: "a"})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	must.NoError(t, m.Run(ctx))
+}
