--- a/once/attempts.go
+++ b/once/attempts.go
@@ -216,7 +216,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.ledger.entries[id.number()]
-	if e == nil || e.state != running || id.Boot() != a.opts.Boot {
+	if e == nil || e.state != running {
 		return
 	}
 	s.ledger.end(id.number(), e, st, ans, a.clock.elapsed())
