Make the fold persistent, bounded, and checked by properties

Faults of the first version, each with a test now: - publish ids, authors, service names and reasons were remembered at any length: a few bad publishes made a state that no message between daemons carries. They are bounded, and so are resources (16,384 and 8 MiB). - a record of a later rule that this program cannot parse was passed over as unreadable. The rule is now read by itself. - a state always claimed this program's rule, so that older programs would refuse a newer program's checkpoint without need. - Decode took states that the fold cannot produce (a publish id twice, a route without service, more verdicts than are remembered), and forgetting by count could then differ from daemon to daemon. Forgetting follows from offsets now. - the loser of a race against a deletion was not told who won.

ApplyAll skips what the state holds; ApplyDelta refuses records of another history by the chain digest.

--- a/fold/apply.go
+++ b/fold/apply.go
@@ -1,21 +1,16 @@
 package fold
 
 import (
-	"cmp"
-	"crypto/sha256"
-	"encoding/binary"
 	"fmt"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/platform"
 )
 
-// MaxVerdicts bounds how many publishes are remembered for telling repeats. At
-// 1,300 changes a day that is three days, far longer than a publisher repeats.
-const MaxVerdicts = 4096
-
 // ErrGap means that a record does not follow the state's offset.
 var ErrGap = errors.New("record does not follow the state")
 
@@ -38,81 +33,138 @@
 	if offset != s.Offset+1 {
 		return s, Verdict{}, errors.Wrapf(ErrGap, "record %d after state %d", offset, s.Offset)
 	}
-	var rec configpb.Record
-	err := proto.Unmarshal(data, &rec)
-	if err == nil && rec.GetRuleVersion() > RuleVersion {
-		return s, Verdict{}, &UnknownRuleError{Offset: offset, Rule: rec.GetRuleVersion()}
+	rec, readable, err := readRecord(offset, data)
+	if err != nil {
+		return s, Verdict{}, err
 	}
 	n := s.next()
 	n.Offset = offset
-	n.Chain = s.Chain.extend(offset, data)
-	if err != nil {
+	n.Chain = s.Chain.Extend(offset, data)
+	n.recent.forget(offset)
+	if !readable {
 		return n, Verdict{Offset: offset, Reasons: []string{"the record cannot be read"}}, nil
 	}
-	return n, n.decide(&rec), nil
+	n.rule = max(n.rule, rec.GetRuleVersion())
+	return n, n.decide(rec), nil
 }
 
-// decide applies a record's bundle if it is acceptable and remembers the verdict.
+// ApplyAll folds records in order and returns the verdict on each record that
+// it folded. Records that the state already holds are skipped, so a delivery
+// may be repeated or overlap an earlier one. At the first record that cannot
+// follow it stops with Apply's error and returns the state reached.
+func ApplyAll(s *State, records []platform.Record) (*State, []Verdict, error) {
+	var verdicts []Verdict
+	for _, r := range records {
+		if r.Offset <= s.Offset {
+			continue
+		}
+		next, v, err := Apply(s, r.Offset, r.Data)
+		if err != nil {
+			return s, verdicts, err
+		}
+		s = next
+		verdicts = append(verdicts, v)
+	}
+	return s, verdicts, nil
+}
+
+// readRecord parses a record; readable is false where no daemon can. The error
+// is an *UnknownRuleError.
+func readRecord(offset uint64, data []byte) (rec *configpb.Record, readable bool, err error) {
+	rule, ok := ruleOf(data)
+	if !ok || len(data) > platform.MaxRecordBytes {
+		return nil, false, nil
+	}
+	if rule > RuleVersion {
+		return nil, false, &UnknownRuleError{Offset: offset, Rule: rule}
+	}
+	rec = &configpb.Record{}
+	if err := proto.Unmarshal(data, rec); err != nil {
+		return nil, false, nil
+	}
+	return rec, true, nil
+}
+
+// ruleField is the number of rule_version in configpb.Record.
+const ruleField = 1
+
+// ruleOf reads the rule version alone. All rules have that field and the wire
+// format in common, nothing else: a record of a later rule that this program
+// cannot parse must stop it, not be passed over as unreadable, or it would
+// differ from the daemons that can.
+func ruleOf(data []byte) (rule uint32, ok bool) {
+	for len(data) > 0 {
+		num, typ, n := protowire.ConsumeTag(data)
+		if n < 0 {
+			return 0, false
+		}
+		data = data[n:]
+		if num == ruleField && typ == protowire.VarintType {
+			v, _ := protowire.ConsumeVarint(data)
+			rule = uint32(v)
+		}
+		n = protowire.ConsumeFieldValue(num, typ, data)
+		if n < 0 {
+			return 0, false
+		}
+		data = data[n:]
+	}
+	return rule, true
+}
+
+// decide applies a record's bundle if it is acceptable and remembers the
+// verdict. s must not have been handed out yet.
 func (s *State) decide(rec *configpb.Record) Verdict {
 	b := rec.GetBundle()
-	v := Verdict{PublishID: b.GetPublishId(), Offset: s.Offset}
-	if first, ok := s.Verdict(v.PublishID); ok {
+	if first, ok := s.Verdict(b.GetPublishId()); ok {
 		// A repeat after a lost answer: the first decision stands, and the
 		// publisher is told that one.
 		return first
 	}
-	v.Reasons = s.check(rec)
-	v.Accepted = len(v.Reasons) == 0
+	reasons := s.check(rec)
+	v := Verdict{
+		PublishID: b.GetPublishId(),
+		Offset:    s.Offset,
+		Accepted:  len(reasons) == 0,
+		Reasons:   reasons.trim(),
+	}
 	if v.Accepted {
-		for _, c := range b.GetChanges() {
-			s.set(b, c)
-		}
+		s.applyBundle(b)
 	}
-	if v.PublishID != "" {
-		s.remember(v)
+	if validPublishID(v.PublishID) {
+		s.recent.open(s.Offset).remember(v, b)
 	}
 	return v
 }
 
-func (s *State) set(b *configpb.Bundle, c *configpb.Change) {
-	k, _ := KeyOf(c.GetResource())
-	if c.GetDelete() {
-		delete(s.entries, k)
-		return
-	}
-	s.entries[k] = &Entry{
-		Key:             k,
-		Revision:        s.Offset,
-		Author:          b.GetAuthor(),
-		PublishedUnixMs: b.GetPublishedUnixMs(),
-		Resource:        c.GetResource(),
+func (s *State) applyBundle(b *configpb.Bundle) {
+	for _, c := range b.GetChanges() {
+		k, _ := KeyOf(c.GetResource())
+		if c.GetDelete() {
+			s.remove(k)
+			continue
+		}
+		s.put(&Entry{
+			Key:             k,
+			Revision:        s.Offset,
+			Author:          b.GetAuthor(),
+			PublishedUnixMs: b.GetPublishedUnixMs(),
+			Resource:        c.GetResource(),
+		})
 	}
 }
 
-func (s *State) remember(v Verdict) {
-	if len(s.verdicts) >= MaxVerdicts {
-		delete(s.byPublish, s.verdicts[0].PublishID)
-		s.verdicts = s.verdicts[1:]
+// remember keeps a verdict and, if it is accepted, who deleted what.
+func (b *block) remember(v Verdict, bundle *configpb.Bundle) {
+	b.addVerdict(v)
+	if !v.Accepted {
+		return
+	}
+	for _, c := range bundle.GetChanges() {
+		if !c.GetDelete() {
+			continue
+		}
+		k, _ := KeyOf(c.GetResource())
+		b.addDeletion(Deletion{Key: k, Offset: v.Offset, Author: bundle.GetAuthor()})
 	}
-	s.verdicts = append(s.verdicts, v)
-	s.byPublish[v.PublishID] = v.Offset
-}
-
-// extend chains the next record to the digest.
-func (c Chain) extend(offset uint64, data []byte) Chain {
-	h := sha256.New()
-	h.Write(c[:])
-	var o [8]byte
-	binary.BigEndian.PutUint64(o[:], offset)
-	h.Write(o[:])
-	h.Write(data)
-	var n Chain
-	h.Sum(n[:0])
-	return n
-}
-
-func compareOffsets(a, b uint64) int { return cmp.Compare(a, b) }
-
-func compareEntries(a, b *Entry) int {
-	return cmp.Or(cmp.Compare(a.Key.Kind, b.Key.Kind), cmp.Compare(a.Key.Name, b.Key.Name))
 }
--- a/fold/check.go
+++ b/fold/check.go
@@ -2,8 +2,9 @@
 
 import (
 	"fmt"
-	"math"
+	"slices"
 	"strings"
+	"unicode"
 
 	"github.com/crocuscross/crocuscross/configpb"
 )
@@ -11,7 +12,9 @@
 // Bounds on what a bundle may hold.
 const (
 	MaxNameBytes     = 128
+	MaxAuthorBytes   = 128
 	MaxPrefixBytes   = 1024
+	MaxMethodBytes   = 32
 	MaxChanges       = 1024
 	MaxRules         = 256
 	MaxRatePerSecond = 1e6
@@ -19,6 +22,17 @@
 	maxPublishID     = 64
 )
 
+// Bounds on the state as a whole. A state has to fit one message between
+// daemons, which pull it whole, and the memory of a daemon.
+const (
+	// MaxResources is how many resources may be in force at once.
+	MaxResources = 16384
+	// MaxResourceBytes bounds the serialized entries of all of them.
+	MaxResourceBytes = 8 << 20
+	// maxReasonBytes bounds what is kept of the reasons of one verdict.
+	maxReasonBytes = 1024
+)
+
 // KeyOf returns the key of a resource; ok is false where it has no kind.
 func KeyOf(r *configpb.Resource) (k Key, ok bool) {
 	switch r.GetKind().(type) {
@@ -34,11 +48,16 @@
 
 // CheckBundle checks all that can be told without a state. It returns the
 // reasons for which every state would reject the bundle.
-func CheckBundle(b *configpb.Bundle) []string {
+func CheckBundle(b *configpb.Bundle) []string { return checkBundle(b) }
+
+func checkBundle(b *configpb.Bundle) reasons {
 	var r reasons
-	if b.GetPublishId() == "" || len(b.GetPublishId()) > maxPublishID {
+	if !validPublishID(b.GetPublishId()) {
 		r.addf("publish_id must have 1 to %d bytes", maxPublishID)
 	}
+	if !printable(b.GetAuthor(), MaxAuthorBytes) {
+		r.addf("author must have at most %d bytes and no control characters", MaxAuthorBytes)
+	}
 	n := len(b.GetChanges())
 	if n == 0 || n > MaxChanges {
 		r.addf("a bundle must have 1 to %d changes, this one has %d", MaxChanges, n)
@@ -50,11 +69,13 @@
 			r.addf("change %d names no resource", i+1)
 			continue
 		}
+		if !r.checkName(k) {
+			continue
+		}
 		if seen[k] {
 			r.addf("%s is changed twice", k)
 		}
 		seen[k] = true
-		r.checkName(k)
 		if !c.GetDelete() {
 			r.checkResource(k, c.GetResource())
 		}
@@ -62,25 +83,10 @@
 	return r
 }
 
-// check returns the reasons for which the state rejects a record.
-func (s *State) check(rec *configpb.Record) []string {
-	var r reasons
-	if rec.GetRuleVersion() == 0 {
-		r.addf("the record names no rule version")
-	}
-	b := rec.GetBundle()
-	r = append(r, CheckBundle(b)...)
-	if len(r) > 0 {
-		return r
-	}
-	for _, c := range b.GetChanges() {
-		r.checkRevision(s, c)
-	}
-	if len(r) > 0 {
-		return r
-	}
-	r.checkReferences(s, b)
-	return r
+func validPublishID(id string) bool { return id != "" && len(id) <= maxPublishID }
+
+func printable(text string, maxBytes int) bool {
+	return len(text) <= maxBytes && !strings.ContainsFunc(text, unicode.IsControl)
 }
 
 // reasons collects why a bundle is rejected.
@@ -90,22 +96,38 @@
 	*r = append(*r, fmt.Sprintf(format, args...))
 }
 
-func (r *reasons) checkName(k Key) {
+// trim returns the reasons that are remembered with a verdict, and how many
+// were left out.
+func (r reasons) trim() []string {
+	total := 0
+	for i, reason := range r {
+		total += len(reason)
+		if total > maxReasonBytes {
+			return append(slices.Clone(r[:i]), fmt.Sprintf("and %d more reasons", len(r)-i))
+		}
+	}
+	return r
+}
+
+// checkName reports whether a name is good enough to be quoted.
+func (r *reasons) checkName(k Key) bool {
 	if k.Name == "" || len(k.Name) > MaxNameBytes {
 		r.addf("a %s's name must have 1 to %d bytes", k.Kind, MaxNameBytes)
-		return
+		return false
 	}
-	for _, c := range k.Name {
-		if c <= ' ' || c == 0x7f {
-			r.addf("%s: a name must have no blanks or control characters", k)
-			return
-		}
+	if strings.ContainsFunc(k.Name, blankOrControl) {
+		r.addf("a %s's name must have no blanks or control characters", k.Kind)
+		return false
 	}
+	return true
 }
 
+func blankOrControl(c rune) bool { return unicode.IsSpace(c) || unicode.IsControl(c) }
+
 func (r *reasons) checkResource(k Key, res *configpb.Resource) {
 	switch k.Kind {
 	case KindRoute:
+		r.checkName(Key{KindService, res.GetRoute().GetService()})
 		r.checkPrefix(k, res.GetRoute().GetPathPrefix())
 	case KindContract:
 		r.checkContract(k, res.GetContract())
@@ -121,7 +143,7 @@
 func (r *reasons) checkContract(k Key, c *configpb.Contract) {
 	rate := c.GetRatePerSecond()
 	// The comparison is written so that NaN fails it.
-	if !(rate > 0 && rate <= MaxRatePerSecond) || math.IsInf(rate, 0) {
+	if !(rate > 0 && rate <= MaxRatePerSecond) {
 		r.addf("%s: rate_per_second must be above 0 and at most %g", k, MaxRatePerSecond)
 	}
 	if w := c.GetMaxWaitMs(); w == 0 || w > MaxWaitMs {
@@ -132,51 +154,11 @@
 	}
 	for _, rule := range c.GetRules() {
 		r.checkPrefix(k, rule.GetPathPrefix())
+		if !printable(rule.GetMethod(), MaxMethodBytes) {
+			r.addf("%s: a rule's method must have at most %d bytes", k, MaxMethodBytes)
+		}
 		if rule.GetMaxWaitMs() > MaxWaitMs {
 			r.addf("%s: a rule's max_wait_ms must be at most %d", k, MaxWaitMs)
 		}
 	}
 }
-
-// checkRevision rejects a change that does not replace what is in force: of
-// two operators who race, the first in the log wins and the other is told.
-func (r *reasons) checkRevision(s *State, c *configpb.Change) {
-	k, _ := KeyOf(c.GetResource())
-	e := s.Get(k)
-	switch {
-	case e == nil && c.GetReplaces() != 0:
-		r.addf("%s does not exist, the change replaces revision %d", k, c.GetReplaces())
-	case e == nil && c.GetDelete():
-		r.addf("%s does not exist and cannot be deleted", k)
-	case e != nil && e.Revision != c.GetReplaces():
-		r.addf("%s is at revision %d by %s, the change replaces revision %d", k, e.Revision, e.Author, c.GetReplaces())
-	}
-}
-
-// checkReferences rejects a bundle that would leave a route without its
-// service or two routes with one prefix.
-func (r *reasons) checkReferences(s *State, b *configpb.Bundle) {
-	after := make(map[Key]*configpb.Resource, s.Len()+len(b.GetChanges()))
-	for k, e := range s.entries {
-		after[k] = e.Resource
-	}
-	for _, c := range b.GetChanges() {
-		k, _ := KeyOf(c.GetResource())
-		if c.GetDelete() {
-			delete(after, k)
-		} else {
-			after[k] = c.GetResource()
-		}
-	}
-	byPrefix := make(map[string]string)
-	for _, k := range sortedKeys(after, KindRoute) {
-		route := after[k].GetRoute()
-		if _, ok := after[Key{KindService, route.GetService()}]; !ok {
-			r.addf("%s needs service %s, which would not exist", k, route.GetService())
-		}
-		if other, ok := byPrefix[route.GetPathPrefix()]; ok {
-			r.addf("%s and route %s would have the same path_prefix", k, other)
-		}
-		byPrefix[route.GetPathPrefix()] = route.GetName()
-	}
-}
--- a/fold/codec.go
+++ b/fold/codec.go
@@ -1,7 +1,6 @@
 package fold
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -10,14 +9,21 @@
 	"github.com/crocuscross/crocuscross/configpb"
 )
 
-// ErrBadState means that a serialized state contradicts itself.
+// ErrBadState means that a serialized state contradicts itself or could not
+// have come from the fold.
 var ErrBadState = errors.New("serialized state is not valid")
 
+// EncodeRecord returns the record of a bundle under the current rule.
+func EncodeRecord(b *configpb.Bundle) ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(&configpb.Record{RuleVersion: RuleVersion, Bundle: b})
+}
+
 // Encode returns the state as a message in canonical order: equal states give
-// equal messages.
+// equal messages. The message shares the state's resources and must not be
+// changed.
 func (s *State) Encode() *configpb.State {
-	m := &configpb.State{Offset: s.Offset, Chain: slices.Clone(s.Chain[:]), RuleVersion: RuleVersion}
-	for _, kind := range []ResourceKind{KindService, KindRoute, KindContract} {
+	m := &configpb.State{Offset: s.Offset, Chain: slices.Clone(s.Chain[:]), RuleVersion: s.rule}
+	for _, kind := range kinds {
 		for _, e := range s.Entries(kind) {
 			m.Entries = append(m.Entries, &configpb.Entry{
 				Resource:        e.Resource,
@@ -27,67 +33,143 @@
 			})
 		}
 	}
-	for _, v := range s.verdicts {
+	for _, b := range s.recent.blocks {
+		b.encode(m)
+	}
+	return m
+}
+
+func (b *block) encode(m *configpb.State) {
+	for _, v := range b.verdicts {
 		m.Verdicts = append(m.Verdicts, &configpb.Verdict{
 			PublishId: v.PublishID, Offset: v.Offset, Accepted: v.Accepted, Reasons: v.Reasons,
 		})
 	}
-	return m
+	for _, d := range b.deletions {
+		m.Deletions = append(m.Deletions, &configpb.Deletion{
+			Kind: uint32(d.Key.Kind), Name: d.Key.Name, Offset: d.Offset, Author: d.Author,
+		})
+	}
 }
 
-// Decode returns the state of a message. The error is ErrBadState, or an
-// *UnknownRuleError where a newer program wrote it.
+// Decode returns the state of a message, which must not be changed afterwards.
+// It takes only what the fold could have produced, so that a damaged or made up
+// state never comes into force. The error is ErrBadState, or an
+// *UnknownRuleError where a record of the state needs a newer program.
 func Decode(m *configpb.State) (*State, error) {
 	if m.GetRuleVersion() > RuleVersion {
 		return nil, &UnknownRuleError{Offset: m.GetOffset(), Rule: m.GetRuleVersion()}
 	}
 	s := Empty()
 	s.Offset = m.GetOffset()
+	s.rule = m.GetRuleVersion()
 	if len(m.GetChain()) != len(s.Chain) {
 		return nil, errors.Wrap(ErrBadState, "chain digest length")
 	}
 	copy(s.Chain[:], m.GetChain())
-	for _, e := range m.GetEntries() {
-		k, ok := KeyOf(e.GetResource())
-		if !ok || s.entries[k] != nil || e.GetRevision() == 0 || e.GetRevision() > s.Offset {
-			return nil, errors.Wrapf(ErrBadState, "entry %s", k)
+	if (s.Offset == 0) != (s.Chain == Chain{}) {
+		return nil, errors.Wrap(ErrBadState, "chain digest does not suit the offset")
+	}
+	if err := s.decodeEntries(m.GetEntries()); err != nil {
+		return nil, err
+	}
+	if err := s.decodeVerdicts(m.GetVerdicts()); err != nil {
+		return nil, err
+	}
+	if err := s.decodeDeletions(m.GetDeletions()); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *State) decodeEntries(list []*configpb.Entry) error {
+	if len(list) > MaxResources {
+		return errors.Wrapf(ErrBadState, "%d resources", len(list))
+	}
+	for _, m := range list {
+		e, err := s.decodeEntry(m)
+		if err != nil {
+			return err
+		}
+		s.put(e)
+	}
+	if s.bytes > MaxResourceBytes {
+		return errors.Wrapf(ErrBadState, "%d bytes of resources", s.bytes)
+	}
+	for _, e := range s.Entries(KindRoute) {
+		if s.Get(Key{KindService, e.Resource.GetRoute().GetService()}) == nil {
+			return errors.Wrapf(ErrBadState, "%s has no service", e.Key)
 		}
-		s.entries[k] = &Entry{
-			Key: k, Revision: e.GetRevision(), Author: e.GetAuthor(),
-			PublishedUnixMs: e.GetPublishedUnixMs(), Resource: e.GetResource(),
+	}
+	return nil
+}
+
+func (s *State) decodeEntry(m *configpb.Entry) (*Entry, error) {
+	k, ok := KeyOf(m.GetResource())
+	if !ok {
+		return nil, errors.Wrap(ErrBadState, "entry without a resource")
+	}
+	var r reasons
+	if r.checkName(k) {
+		r.checkResource(k, m.GetResource())
+	}
+	if len(r) > 0 {
+		return nil, errors.Wrapf(ErrBadState, "%s", r[0])
+	}
+	if s.Get(k) != nil || m.GetRevision() == 0 || m.GetRevision() > s.Offset || !printable(m.GetAuthor(), MaxAuthorBytes) {
+		return nil, errors.Wrapf(ErrBadState, "entry %s", k)
+	}
+	if route := m.GetResource().GetRoute(); route != nil {
+		if other, taken := s.routes.holder(route.GetPathPrefix()); taken {
+			return nil, errors.Wrapf(ErrBadState, "%s has the path_prefix of route %s", k, other)
 		}
 	}
-	return s, s.decodeVerdicts(m.GetVerdicts())
+	return &Entry{
+		Key:             k,
+		Revision:        m.GetRevision(),
+		Author:          m.GetAuthor(),
+		PublishedUnixMs: m.GetPublishedUnixMs(),
+		Resource:        m.GetResource(),
+	}, nil
 }
 
 func (s *State) decodeVerdicts(list []*configpb.Verdict) error {
 	last := uint64(0)
-	for _, v := range list {
-		if v.GetOffset() <= last || v.GetOffset() > s.Offset || v.GetPublishId() == "" {
-			return errors.Wrapf(ErrBadState, "verdict at %d", v.GetOffset())
+	for _, m := range list {
+		v := Verdict{
+			PublishID: m.GetPublishId(),
+			Offset:    m.GetOffset(),
+			Accepted:  m.GetAccepted(),
+			Reasons:   m.GetReasons(),
 		}
-		last = v.GetOffset()
-		s.remember(Verdict{
-			PublishID: v.GetPublishId(), Offset: v.GetOffset(), Accepted: v.GetAccepted(), Reasons: v.GetReasons(),
-		})
+		_, repeated := s.Verdict(v.PublishID)
+		ascending := v.Offset > last && v.Offset <= s.Offset
+		if repeated || !ascending || !remembered(v.Offset, s.Offset) ||
+			!validPublishID(v.PublishID) || v.Accepted != (len(v.Reasons) == 0) {
+			return errors.Wrapf(ErrBadState, "verdict at %d", v.Offset)
+		}
+		last = v.Offset
+		s.recent.fill(v.Offset).addVerdict(v)
 	}
 	return nil
 }
 
-// EncodeRecord returns the record of a bundle under the current rule.
-func EncodeRecord(b *configpb.Bundle) ([]byte, error) {
-	return proto.MarshalOptions{Deterministic: true}.Marshal(&configpb.Record{RuleVersion: RuleVersion, Bundle: b})
-}
-
-// sortedKeys returns the keys of one kind by name, so that reasons come in the
-// same order on every daemon.
-func sortedKeys(m map[Key]*configpb.Resource, kind ResourceKind) []Key {
-	var keys []Key
-	for k := range m {
-		if k.Kind == kind {
-			keys = append(keys, k)
+func (s *State) decodeDeletions(list []*configpb.Deletion) error {
+	last := uint64(0)
+	for _, m := range list {
+		d := Deletion{
+			Key:    Key{ResourceKind(m.GetKind()), m.GetName()},
+			Offset: m.GetOffset(),
+			Author: m.GetAuthor(),
 		}
+		var r reasons
+		b := s.recent.find(d.Offset)
+		if b == nil || !b.room() || d.Offset < last || d.Offset > s.Offset ||
+			!slices.Contains(kinds[:], d.Key.Kind) || !r.checkName(d.Key) || !printable(d.Author, MaxAuthorBytes) {
+			return errors.Wrapf(ErrBadState, "deletion at %d", d.Offset)
+		}
+		last = d.Offset
+		b.deletions = append(b.deletions, d)
 	}
-	slices.SortFunc(keys, func(a, b Key) int { return cmp.Compare(a.Name, b.Name) })
-	return keys
+	return nil
 }
--- /dev/null
+++ b/fold/fuzz_test.go
@@ -0,0 +1,118 @@
+package fold
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/crocuscross/crocuscross/configpb"
+)
+
+// harms are ways in which a serialized state can contradict itself.
+var harms = map[string]func(m *configpb.State){
+	"short chain":             func(m *configpb.State) { m.Chain = m.Chain[1:] },
+	"chain without offset":    func(m *configpb.State) { m.Reset(); m.Chain = make([]byte, 32); m.Chain[0] = 1 },
+	"entry twice":             func(m *configpb.State) { m.Entries = append(m.Entries, m.Entries[0]) },
+	"entry without resource":  func(m *configpb.State) { m.Entries = append(m.Entries, nil) },
+	"route without service":   func(m *configpb.State) { m.Entries = m.Entries[1:] },
+	"prefix twice":            func(m *configpb.State) { m.Entries = append(m.Entries, entry(route("q", "/", "s"))) },
+	"resource out of bounds":  func(m *configpb.State) { m.Entries = append(m.Entries, entry(contract("d", -1))) },
+	"revision of the future":  func(m *configpb.State) { m.Entries[0].Revision = m.Offset + 1 },
+	"verdict twice":           func(m *configpb.State) { m.Verdicts = append(m.Verdicts, m.Verdicts[0]) },
+	"publish id twice":        func(m *configpb.State) { m.Verdicts[1].PublishId = m.Verdicts[0].PublishId },
+	"accepted with reasons":   func(m *configpb.State) { m.Verdicts[2].Accepted = true },
+	"verdict to be forgotten": func(m *configpb.State) { m.Offset += 2 * MaxVerdicts },
+	"deletion of the future":  func(m *configpb.State) { m.Deletions[0].Offset = 1 << 60 },
+	"deletion of no kind":     func(m *configpb.State) { m.Deletions[0].Kind = 300 },
+}
+
+func entry(r *configpb.Resource) *configpb.Entry { return &configpb.Entry{Resource: r, Revision: 1} }
+
+// seedStates returns serialized states of a short log.
+func seedStates() [][]byte {
+	s := Empty()
+	seeds := [][]byte{mustMarshal(s.Encode())}
+	for _, data := range [][]byte{
+		bundle("1", "ann", set(service("s"), 0), set(route("r", "/", "s"), 0), set(contract("c", 1), 0)),
+		bundle("2", "bo", del(contract("c", 0), 1)),
+		bundle("3", "bo", del(contract("c", 0), 1)),
+	} {
+		s, _, _ = Apply(s, s.Offset+1, data)
+		seeds = append(seeds, mustMarshal(s.Encode()))
+	}
+	return seeds
+}
+
+// harmed returns the last of seedStates with one harm done to it.
+func harmed(harm func(m *configpb.State)) *configpb.State {
+	seeds := seedStates()
+	m := &configpb.State{}
+	if err := proto.Unmarshal(seeds[len(seeds)-1], m); err != nil {
+		panic(err)
+	}
+	harm(m)
+	return m
+}
+
+// A checkpoint is damaged or made up, but its digest is right. Taking it would
+// put a state into force that no other daemon can have.
+func TestDecodeRefusesWhatTheFoldCannotProduce(t *testing.T) {
+	_, err := Decode(harmed(func(*configpb.State) {}))
+	must.NoError(t, err)
+	for name, harm := range harms {
+		t.Run(name, func(t *testing.T) {
+			_, err := Decode(harmed(harm))
+			must.ErrorIs(t, err, ErrBadState)
+		})
+	}
+}
+
+// FuzzDecode feeds made-up states to Decode. One that is accepted must be a
+// state: it encodes to what it was decoded from and can be folded onto.
+func FuzzDecode(f *testing.F) {
+	for _, data := range seedStates() {
+		f.Add(data)
+	}
+	for _, harm := range harms {
+		f.Add(mustMarshal(harmed(harm)))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var m configpb.State
+		if proto.Unmarshal(data, &m) != nil {
+			return
+		}
+		s, err := Decode(&m)
+		if err != nil {
+			must.Nil(t, s)
+			return
+		}
+		again, err := Decode(s.Encode())
+		must.NoError(t, err)
+		must.Eq(t, encoded(s), encoded(again))
+		if s.Offset+1 == 0 {
+			return
+		}
+		next, _, err := Apply(s, s.Offset+1, bundle("next", "ann", set(contract("next", 1), 0)))
+		must.NoError(t, err)
+		must.Eq(t, s.Offset+1, next.Offset)
+		must.Eq(t, encoded(s), encoded(again))
+	})
+}
+
+// FuzzApply feeds made-up records to the fold, which must neither panic nor
+// reach different states from the same bytes.
+func FuzzApply(f *testing.F) {
+	f.Add(bundle("1", "ann", set(service("s"), 0), set(route("r", "/", "s"), 0)))
+	f.Add(bundle("1", "ann", del(service("s"), 1), set(contract("c", 1), 0)))
+	f.Add([]byte{0x08, 0x02})
+	f.Add([]byte{0x08, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01})
+	base, _, _ := Apply(Empty(), 1, bundle("0", "ann", set(service("s"), 0)))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		one, v, err := Apply(base, 2, data)
+		two, w, _ := Apply(base, 2, data)
+		must.Eq(t, encoded(one), encoded(two))
+		must.Eq(t, v, w)
+		must.True(t, err != nil || one.Offset == 2)
+	})
+}
--- /dev/null
+++ b/fold/property_test.go
@@ -0,0 +1,190 @@
+package fold
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/platform"
+)
+
+// history folds a log one record after another and returns the state at each
+// offset with its serialized form at that time.
+func history(t *rapid.T, records []platform.Record) (states []*State, bytes []string) {
+	states, bytes = []*State{Empty()}, []string{encoded(Empty())}
+	for _, r := range records {
+		s, _, err := Apply(states[len(states)-1], r.Offset, r.Data)
+		must.NoError(t, err)
+		states, bytes = append(states, s), append(bytes, encoded(s))
+	}
+	return states, bytes
+}
+
+// A daemon gets the same records in batches that come twice, overlap, come out
+// of order and with holes, from the log or from peers, and restarts from a
+// serialized state in between. At each offset it must hold what a daemon that
+// read the log in order holds, byte for byte, or two daemons would answer
+// callers differently at the same version.
+func TestAnyDeliveryGivesTheSameState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := drawLog(t)
+		states, want := history(t, records)
+		s := Empty()
+		for s.Offset < uint64(len(records)) {
+			from := rapid.IntRange(0, len(records)-1).Draw(t, "from")
+			to := rapid.IntRange(from+1, len(records)).Draw(t, "to")
+			batch := records[from:to]
+			follows := uint64(from) <= s.Offset
+			reached := max(s.Offset, uint64(to))
+			var err error
+			switch rapid.IntRange(0, 3).Draw(t, "way") {
+			case 0:
+				s, _, err = ApplyAll(s, batch)
+				must.Eq(t, follows, err == nil && s.Offset == reached)
+			case 1:
+				s, _, err = ApplyDelta(s, Delta{Base: uint64(from), BaseChain: states[from].Chain, Records: batch})
+				must.Eq(t, follows, err == nil && s.Offset == reached)
+			case 2:
+				s, _, err = ApplyAll(s, rapid.Permutation(batch).Draw(t, "order"))
+			case 3:
+				s, err = Decode(s.Encode())
+				must.NoError(t, err)
+			}
+			must.True(t, err == nil || errors.Is(err, ErrGap))
+			must.Eq(t, want[s.Offset], encoded(s))
+			must.Eq(t, states[s.Offset].Chain, s.Chain)
+		}
+		for i, old := range states {
+			must.Eq(t, want[i], encoded(old), must.Sprint("an older state was written to"))
+		}
+	})
+}
+
+// Two operators race on top of the same state. Each branch must stay as it was
+// when the other is folded, or a daemon that tries a record on the state in
+// force would change what is in force.
+func TestBranchesShareNothingThatIsWritten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		states, _ := history(t, drawLog(t))
+		base := states[len(states)-1]
+		one, _, err := Apply(base, base.Offset+1, drawRecord(t, base))
+		must.NoError(t, err)
+		before := encoded(one)
+		_, _, err = Apply(base, base.Offset+1, drawRecord(t, base))
+		must.NoError(t, err)
+		must.Eq(t, before, encoded(one))
+	})
+}
+
+// The same over many blocks of verdicts, whose list grows and is cut in place.
+func TestBranchesShareNoBlocks(t *testing.T) {
+	s := Empty()
+	for s.Offset < (maxBlocks+4)*blockRecords {
+		next, _, err := Apply(s, s.Offset+1, bundle(fmt.Sprint(s.Offset), "ann"))
+		must.NoError(t, err)
+		if blockOf(next.Offset) != blockOf(s.Offset) {
+			before := encoded(next)
+			_, _, err = Apply(s, s.Offset+1, bundle("other branch", "bo"))
+			must.NoError(t, err)
+			must.Eq(t, before, encoded(next))
+		}
+		s = next
+	}
+}
+
+// A record is accepted whole or changes no resource; no revision in force ever
+// falls; no accepted bundle leaves a route without its service or two routes
+// with one prefix; and a publish id gets one verdict, whatever comes with it
+// later.
+func TestRecordTakesEffectWholeOrNot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := drawLog(t)
+		s := Empty()
+		first := map[string]Verdict{}
+		for _, r := range records {
+			var rec configpb.Record
+			readable := proto.Unmarshal(r.Data, &rec) == nil
+			id := rec.GetBundle().GetPublishId()
+			next, v, err := Apply(s, r.Offset, r.Data)
+			must.NoError(t, err)
+			earlier, repeat := first[id]
+			switch {
+			case !readable:
+				must.False(t, v.Accepted)
+			case repeat:
+				must.Eq(t, earlier, v)
+			default:
+				must.Eq(t, wouldAccept(s, rec.GetBundle()), v.Accepted, must.Sprint(v.Reasons))
+				first[id] = v
+			}
+			checkChanges(t, s, next, &rec, readable && !repeat && v.Accepted)
+			s = next
+		}
+	})
+}
+
+// wouldAccept decides on a bundle the slow way, on a copy of all resources.
+func wouldAccept(s *State, b *configpb.Bundle) bool {
+	if len(CheckBundle(b)) > 0 {
+		return false
+	}
+	after := map[Key]*configpb.Resource{}
+	for k, e := range s.entries.all() {
+		after[k] = e.Resource
+	}
+	for _, c := range b.GetChanges() {
+		k, _ := KeyOf(c.GetResource())
+		revision := uint64(0)
+		if e := s.Get(k); e != nil {
+			revision = e.Revision
+		}
+		if revision != c.GetReplaces() || revision == 0 && c.GetDelete() {
+			return false
+		}
+		after[k] = c.GetResource()
+		if c.GetDelete() {
+			delete(after, k)
+		}
+	}
+	prefixes := map[string]bool{}
+	for _, r := range after {
+		if r.GetRoute() == nil {
+			continue
+		}
+		if prefixes[r.GetRoute().GetPathPrefix()] || after[Key{KindService, r.GetRoute().GetService()}] == nil {
+			return false
+		}
+		prefixes[r.GetRoute().GetPathPrefix()] = true
+	}
+	return true
+}
+
+func checkChanges(t *rapid.T, s, next *State, rec *configpb.Record, accepted bool) {
+	changed := map[Key]*configpb.Change{}
+	if accepted {
+		for _, c := range rec.GetBundle().GetChanges() {
+			k, _ := KeyOf(c.GetResource())
+			changed[k] = c
+		}
+	}
+	for k, c := range changed {
+		e := next.Get(k)
+		must.Eq(t, c.GetDelete(), e == nil)
+		must.True(t, e == nil || e.Revision == next.Offset && proto.Equal(e.Resource, c.GetResource()))
+	}
+	for k, e := range s.entries.all() {
+		if changed[k] == nil {
+			must.True(t, e == next.Get(k), must.Sprintf("%s changed", k))
+		}
+	}
+	for k, e := range next.entries.all() {
+		old := s.Get(k)
+		must.True(t, old == nil || old.Revision <= e.Revision)
+		must.True(t, old != nil || changed[k] != nil)
+	}
+}
--- a/fold/state.go
+++ b/fold/state.go
@@ -4,8 +4,9 @@
 package fold
 
 import (
+	"cmp"
 	"crypto/sha256"
-	"maps"
+	"encoding/binary"
 	"slices"
 
 	"github.com/crocuscross/crocuscross/configpb"
@@ -24,6 +25,9 @@
 	KindContract
 )
 
+// kinds lists all kinds in serialization order.
+var kinds = [...]ResourceKind{KindService, KindRoute, KindContract}
+
 // String returns the name used in messages.
 func (k ResourceKind) String() string {
 	switch k {
@@ -46,6 +50,10 @@
 // String returns kind and name.
 func (k Key) String() string { return k.Kind.String() + " " + k.Name }
 
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+}
+
 // Entry is one resource in force. It is immutable.
 type Entry struct {
 	Key Key
@@ -56,73 +64,95 @@
 	Resource        *configpb.Resource
 }
 
-// Chain is the digest over all records up to an offset.
+// Chain is the digest over all records up to an offset. Two daemons with the
+// same chain have folded the same records.
 type Chain [sha256.Size]byte
 
-// Verdict is what became of one publish.
-type Verdict struct {
-	PublishID string
-	// Offset of the record that was decided on.
-	Offset   uint64
-	Accepted bool
-	// Reasons tells why a publish was rejected.
-	Reasons []string
+// Extend returns the chain after one more record. Whoever passes records on
+// uses it to tell the chain before the first of them.
+func (c Chain) Extend(offset uint64, data []byte) Chain {
+	h := sha256.New()
+	h.Write(c[:])
+	var o [8]byte
+	binary.BigEndian.PutUint64(o[:], offset)
+	h.Write(o[:])
+	h.Write(data)
+	var n Chain
+	h.Sum(n[:0])
+	return n
 }
 
-// State is the fold of all records up to Offset. States are immutable; Apply
-// returns a new one.
+// State is the fold of all records up to Offset. States are immutable and
+// share what they have in common; Apply returns a new one.
 type State struct {
-	Offset  uint64
-	Chain   Chain
-	entries map[Key]*Entry
-	// verdicts of the latest publishes, oldest first.
-	verdicts []Verdict
-	// byPublish finds a verdict's offset by publish id.
-	byPublish map[string]uint64
+	Offset uint64
+	Chain  Chain
+
+	// rule is the highest rule version among the records folded.
+	rule    uint32
+	entries cowMap[Key, *Entry]
+	// bytes is the sum of the entries' sizes, see entryBytes.
+	bytes  int
+	routes routeIndex
+	recent recent
 }
 
 // Empty returns the state before the first record.
-func Empty() *State {
-	return &State{entries: map[Key]*Entry{}, byPublish: map[string]uint64{}}
-}
+func Empty() *State { return &State{} }
 
 // Get returns a resource in force, nil if there is none.
-func (s *State) Get(k Key) *Entry { return s.entries[k] }
+func (s *State) Get(k Key) *Entry {
+	e, _ := s.entries.get(k)
+	return e
+}
 
 // Len returns the number of resources in force.
-func (s *State) Len() int { return len(s.entries) }
+func (s *State) Len() int { return s.entries.len() }
 
 // Entries returns the resources of one kind, sorted by name.
 func (s *State) Entries(kind ResourceKind) []*Entry {
 	var list []*Entry
-	for k, e := range s.entries {
+	for k, e := range s.entries.all() {
 		if k.Kind == kind {
 			list = append(list, e)
 		}
 	}
-	slices.SortFunc(list, compareEntries)
+	slices.SortFunc(list, func(a, b *Entry) int { return compareKeys(a.Key, b.Key) })
 	return list
 }
 
 // Verdict returns what became of a publish, if that is still remembered.
-func (s *State) Verdict(publishID string) (Verdict, bool) {
-	offset, ok := s.byPublish[publishID]
-	if !ok {
-		return Verdict{}, false
+func (s *State) Verdict(publishID string) (Verdict, bool) { return s.recent.verdict(publishID) }
+
+// next returns a copy that may be changed until it is handed out.
+func (s *State) next() *State {
+	n := *s
+	n.entries = s.entries.fork()
+	n.routes.byPrefix = s.routes.byPrefix.fork()
+	n.routes.byService = s.routes.byService.fork()
+	return &n
+}
+
+// put sets or replaces a resource. s must not have been handed out yet.
+func (s *State) put(e *Entry) {
+	s.remove(e.Key)
+	s.entries.set(e.Key, e)
+	s.bytes += entryBytes(e)
+	if r := e.Resource.GetRoute(); r != nil {
+		s.routes.add(r)
 	}
-	i, _ := slices.BinarySearchFunc(s.verdicts, offset, func(v Verdict, o uint64) int {
-		return compareOffsets(v.Offset, o)
-	})
-	return s.verdicts[i], true
 }
 
-// next returns a copy of s that may be changed.
-func (s *State) next() *State {
-	return &State{
-		Offset:    s.Offset,
-		Chain:     s.Chain,
-		entries:   maps.Clone(s.entries),
-		verdicts:  slices.Clone(s.verdicts),
-		byPublish: maps.Clone(s.byPublish),
+// remove deletes a resource if it is there. s must not have been handed out
+// yet.
+func (s *State) remove(k Key) {
+	e := s.Get(k)
+	if e == nil {
+		return
+	}
+	s.entries.delete(k)
+	s.bytes -= entryBytes(e)
+	if r := e.Resource.GetRoute(); r != nil {
+		s.routes.remove(r)
 	}
 }
