Add the operators' command line and ready-to-run examples

The settings of both deployments (14 and 12 hosts in four availability zones) are derived from internal/deployment; a test compares the committed files. Each host has a loopback address of its own, so that all run on one Linux machine with the same ports. The publish files of both are published, revised and listed by a test over the stand-in log.

--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,92 @@
+// Package cli is the command line: it picks the command, runs it and turns its
+// error into an exit status.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocuscross/crocuscross/internal/cli/command"
+	"github.com/crocuscross/crocuscross/internal/cli/contractcmd"
+	"github.com/crocuscross/crocuscross/internal/cli/draincmd"
+	"github.com/crocuscross/crocuscross/internal/cli/settingscmd"
+	"github.com/crocuscross/crocuscross/internal/cli/statuscmd"
+	"github.com/crocuscross/crocuscross/internal/cli/versioncmd"
+	"github.com/crocuscross/crocuscross/internal/operator"
+)
+
+const (
+	name = "crocuscross"
+	help = "Daemon beside each backend server, and the operators' command line."
+)
+
+// usageTemplate adds a command's examples, or the exit statuses, to the
+// library's help.
+var usageTemplate = kingpin.DefaultUsageTemplate +
+	`{{if .Context.SelectedCommand}}{{.Context.SelectedCommand.HelpLong}}{{else}}` + command.Meanings + `{{end}}`
+
+// terminated ends the run when the library has printed help or a completion.
+type terminated struct{ status int }
+
+// Run runs the command that args name and returns the exit status.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) (status command.Status) {
+	defer func() {
+		switch t := recover().(type) {
+		case nil:
+		case terminated:
+			status = command.Status(t.status)
+		default:
+			panic(t)
+		}
+	}()
+	app := newApp(&command.Env{Context: ctx, Stdout: stdout, Stderr: stderr})
+	_, err := app.Parse(expandWait(args))
+	return exitStatus(err, stderr)
+}
+
+func newApp(env *command.Env) *kingpin.Application {
+	app := kingpin.New(name, help)
+	app.UsageWriter(env.Stdout).ErrorWriter(env.Stderr).UsageTemplate(usageTemplate)
+	app.Terminate(func(status int) { panic(terminated{status}) })
+	app.HelpFlag.Short('h')
+	env.AddFlags(app)
+	contractcmd.Register(app, env)
+	statuscmd.Register(app, env)
+	draincmd.Register(app, env)
+	settingscmd.Register(app, env)
+	versioncmd.Register(app, env)
+	return app
+}
+
+// exitStatus prints an error that has not been told yet. What the library
+// itself complains of are wrong arguments.
+func exitStatus(err error, stderr io.Writer) command.Status {
+	if err == nil {
+		return command.StatusOK
+	}
+	var exit *command.ExitError
+	if !errors.As(err, &exit) {
+		exit = command.Exitf(command.StatusBadInput, "%v; see %s --help", err, name)
+	}
+	if !exit.Silent() {
+		fmt.Fprintf(stderr, "%s: %v\n", name, exit)
+	}
+	return exit.Status
+}
+
+// expandWait gives --wait its value. The library takes a flag either with a
+// value always or with none ever.
+func expandWait(args []string) []string {
+	expanded := make([]string, 0, len(args))
+	for _, a := range args {
+		if a == "--wait" {
+			a += "=" + operator.DefaultWait.String()
+		}
+		expanded = append(expanded, a)
+	}
+	return expanded
+}
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,180 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/internal/blackboard"
+	"github.com/crocuscross/crocuscross/internal/cli"
+	"github.com/crocuscross/crocuscross/internal/cli/command"
+	"github.com/crocuscross/crocuscross/internal/fleet"
+	"github.com/crocuscross/crocuscross/internal/operator"
+	"github.com/crocuscross/crocuscross/internal/standin/logserver"
+	"github.com/crocuscross/crocuscross/membership"
+	"github.com/crocuscross/crocuscross/peerpb"
+	"github.com/crocuscross/crocuscross/platform/memlog"
+)
+
+const examples = "../../examples/"
+
+// run runs one command line.
+func run(t *testing.T, args ...string) (status command.Status, stdout, stderr string) {
+	t.Helper()
+	var out, errOut bytes.Buffer
+	status = cli.Run(t.Context(), args, &out, &errOut)
+	return status, out.String(), errOut.String()
+}
+
+// expect runs one command line and returns its output.
+func expect(t *testing.T, want command.Status, args ...string) string {
+	t.Helper()
+	status, out, errOut := run(t, args...)
+	must.Eq(t, want, status, must.Sprintf("%v\n%s%s", args, out, errOut))
+	return out + errOut
+}
+
+func startPlatform(t *testing.T) (*memlog.Service, string) {
+	log := memlog.New(memlog.DefaultOptions())
+	srv := httptest.NewServer(logserver.New(log))
+	t.Cleanup(srv.Close)
+	return log, srv.URL
+}
+
+// fixedFleet has one daemon that is up to date and one that lags.
+type fixedFleet struct{ offset uint64 }
+
+func (f *fixedFleet) Self() *peerpb.StatusAnswer { return &peerpb.StatusAnswer{Host: "a"} }
+
+func (f *fixedFleet) Status(context.Context) []fleet.Report {
+	return []fleet.Report{
+		{Member: &membership.Member{Host: "a", Liveness: membership.Alive}, Status: &peerpb.StatusAnswer{Phase: "serving", Offset: 2}},
+		{Member: &membership.Member{Host: "b", Liveness: membership.Alive},
+			Status: &peerpb.StatusAnswer{Phase: "serving", Offset: 1, BehindMs: 12_345, LogError: "down", LogErrorAgeMs: 12_000}},
+	}
+}
+
+func (f *fixedFleet) Converge(_ context.Context, offset uint64, _ time.Time) fleet.Convergence {
+	return fleet.Convergence{Offset: offset, Converged: offset <= f.offset, Time: 80 * time.Millisecond,
+		Daemons: []fleet.Progress{{Host: "a", InForce: offset <= f.offset, Reason: "has not got it yet"}}}
+}
+
+func (f *fixedFleet) Drain(_ context.Context, target fleet.Target, _ string) ([]fleet.DrainResult, error) {
+	r := fleet.DrainResult{Host: target.Host + target.AvailabilityZone}
+	if target.AvailabilityZone != "" {
+		r.Err = errors.New("timeout")
+	}
+	return []fleet.DrainResult{r}, nil
+}
+
+func startDaemon(t *testing.T, f operator.Fleet) string {
+	srv := httptest.NewServer(operator.New(operator.Options{
+		Board: &blackboard.Board{}, Fleet: f, Logger: slog.New(slog.DiscardHandler), Metrics: http.NotFoundHandler(),
+	}))
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+// Both example deployments are published from the files as they are, then
+// revised, listed and told.
+func TestExamplesArePublished(t *testing.T) {
+	for _, name := range []string{"association", "waterrecords"} {
+		t.Run(name, func(t *testing.T) {
+			_, url := startPlatform(t)
+			for i, file := range []string{"services", "contracts", "revision"} {
+				out := expect(t, command.StatusOK, "contract", "publish", examples+name+"/"+file+".jsonc", "--platform", url, "-o", "json")
+				var r struct {
+					Outcome  string
+					Revision int
+				}
+				must.NoError(t, json.Unmarshal([]byte(out), &r))
+				must.Eq(t, "accepted", r.Outcome)
+				must.Eq(t, i+1, r.Revision)
+			}
+			out := expect(t, command.StatusOK, "contract", "list", "--platform", url)
+			must.StrContains(t, out, "version 3")
+			out = expect(t, command.StatusOK, "contract", "history", "--platform", url, "--limit", "1")
+			must.StrContains(t, out, "2 to 3")
+		})
+	}
+}
+
+func TestExitStatuses(t *testing.T) {
+	log, url := startPlatform(t)
+	addr := startDaemon(t, &fixedFleet{offset: 2})
+	services, contracts, revision := examples+"association/services.jsonc", examples+"association/contracts.jsonc", examples+"association/revision.jsonc"
+	bad := filepath.Join(t.TempDir(), "bad.jsonc")
+	must.NoError(t, os.WriteFile(bad, []byte("{\"autor\": \"x\",\n \"changes\": []}"), 0o600))
+
+	expect(t, command.StatusOK, "contract", "publish", services, "--platform", url)
+	out := expect(t, command.StatusOK, "contract", "publish", contracts, "--platform", url, "--daemon", addr, "--wait")
+	must.StrContains(t, out, "in force on all 1 live daemons 80 ms after")
+	out = expect(t, command.StatusRejected, "contract", "publish", contracts, "--platform", url, "--replaces", "0")
+	must.StrContains(t, out, "contract harbor-garage is at revision 2")
+	out = expect(t, command.StatusNotConverged, "contract", "publish", revision, "--platform", url, "--daemon", addr, "--wait=10ms")
+	must.StrContains(t, out, "has not got it yet")
+
+	out = expect(t, command.StatusBadInput, "contract", "validate", bad)
+	must.StrContains(t, out, `bad.jsonc:1:2: autor: is not a field; did you mean "author"?`)
+	must.StrContains(t, out, "bad.jsonc:2:13: changes: has 0 changes")
+	expect(t, command.StatusBadInput, "contract", "publish", bad, "--platform", url)
+	expect(t, command.StatusBadInput, "contract", "publish", services)
+	expect(t, command.StatusBadInput, "contract", "publish", services, "--platform", url, "--replaces", "x")
+	expect(t, command.StatusBadInput, "contract", "publish", services, "--platform", url, "--wait")
+	expect(t, command.StatusBadInput, "settings", "check", bad)
+	expect(t, command.StatusBadInput, "nonsense")
+	expect(t, command.StatusBadInput, "status")
+
+	expect(t, command.StatusFailed, "contract", "get", "nobody", "--platform", url)
+	expect(t, command.StatusFailed, "status", "--daemon", "127.0.0.1:1")
+	log.SetOutage(true)
+	out = expect(t, command.StatusFailed, "contract", "publish", revision, "--platform", url, "--timeout", "10ms")
+	must.StrContains(t, out, "nothing was published")
+}
+
+// The operator's time ends while an append is held in the platform. The exit
+// status says "unknown" and the output names the id for the repeat, which then
+// tells the truth.
+func TestUnknownOutcomeNamesTheRepeat(t *testing.T) {
+	log, url := startPlatform(t)
+	log.LoseRequests(1000)
+	publish := []string{"contract", "publish", examples + "association/services.jsonc", "--platform", url, "--timeout", "1s"}
+	out := expect(t, command.StatusUnknown, append(publish, "--publish-id", "p1")...)
+	must.StrContains(t, out, "--publish-id p1")
+	log.LoseRequests(0)
+	out = expect(t, command.StatusOK, "contract", "publish", examples+"association/services.jsonc", "--platform", url, "--publish-id", "p1")
+	must.StrContains(t, out, "accepted: revision 1")
+}
+
+func TestStatusAndDrain(t *testing.T) {
+	addr := startDaemon(t, &fixedFleet{})
+	out := expect(t, command.StatusOK, "status", "--daemon", addr, "--lagging")
+	must.StrContains(t, out, "version 2, in force on 1 of 2 daemons")
+	must.StrContains(t, out, "cannot read the platform's log for 12s: down")
+	must.StrNotContains(t, out, "\na ")
+	must.StrContains(t, expect(t, command.StatusOK, "drain", "host", "a", "--daemon", addr), "a: draining")
+	must.StrContains(t, expect(t, command.StatusFailed, "drain", "zone", "z", "--daemon", addr), "z: not asked: timeout")
+}
+
+// Each command's help must show how it is called.
+func TestHelpHasAnExample(t *testing.T) {
+	for _, c := range []string{
+		"contract validate", "contract publish", "contract get", "contract list", "contract history",
+		"status", "drain host", "drain zone", "settings check", "settings defaults", "settings example", "version",
+	} {
+		out := expect(t, command.StatusOK, append(strings.Fields(c), "--help")...)
+		must.StrContains(t, out, "Example:\n  crocuscross "+c)
+	}
+	must.StrContains(t, expect(t, command.StatusOK, "--help"), "Exit status:")
+}
--- /dev/null
+++ b/internal/cli/contractcmd/contract.go
@@ -0,0 +1,19 @@
+// Package contractcmd is the command "contract": validate, publish and look at
+// contracts, routes and services.
+package contractcmd
+
+import (
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/crocuscross/crocuscross/internal/cli/command"
+)
+
+// Register adds the command.
+func Register(app *kingpin.Application, env *command.Env) {
+	cmd := app.Command("contract", "Publish and look at contracts, and the routes and services that they need.")
+	registerValidate(cmd, env)
+	registerPublish(cmd, env)
+	registerGet(cmd, env)
+	registerList(cmd, env)
+	registerHistory(cmd, env)
+}
--- /dev/null
+++ b/internal/cli/statuscmd/status.go
@@ -0,0 +1,125 @@
+// Package statuscmd is the command "status".
+package statuscmd
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/crocuscross/crocuscross/internal/cli/command"
+	"github.com/crocuscross/crocuscross/internal/operator"
+)
+
+const livenessAlive = "alive"
+
+// Register adds the command.
+func Register(app *kingpin.Application, env *command.Env) {
+	cmd := app.Command("status", "Show what each daemon has in force, which lag, since when and why.")
+	cmd.HelpLong(command.Example(
+		"crocuscross status --daemon 10.1.2.3:7401",
+		"crocuscross status --daemon 10.1.2.3:7401 --lagging --output json"))
+	connect := &command.Connect{}
+	lagging := cmd.Flag("lagging", "Only daemons that lag, do not answer or are not alive.").Bool()
+	connect.DaemonFlag(cmd)
+	connect.TimeoutFlag(cmd, "30s")
+	cmd.Action(command.Action(func() error { return status(env, connect, *lagging) }))
+}
+
+func status(env *command.Env, connect *command.Connect, lagging bool) error {
+	client, err := connect.Daemon()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := connect.WithTimeout(env.Context)
+	defer cancel()
+	s, err := client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	summary := summarize(s)
+	if lagging {
+		s.Daemons = slices.DeleteFunc(s.Daemons, isFine)
+	}
+	return env.Print(s, func(w io.Writer) {
+		fmt.Fprintln(w, summary)
+		command.Table(w, header, rows(s.Daemons))
+	})
+}
+
+// isFine reports whether an operator need not look at the daemon.
+func isFine(d operator.Daemon) bool {
+	return d.Liveness == livenessAlive && d.Lag == 0 && d.Reason == "" && len(d.WithheldRoutes) == 0
+}
+
+func summarize(s *operator.FleetStatus) string {
+	fine := 0
+	for _, d := range s.Daemons {
+		if d.Liveness == livenessAlive && d.Lag == 0 {
+			fine++
+		}
+	}
+	return fmt.Sprintf("version %d, in force on %d of %d daemons (seen by %s)", s.HighestOffset, fine, len(s.Daemons), s.Host)
+}
+
+var header = command.Row{"HOST", "ZONE", "STATE", "VERSION", "IN FORCE FOR", "LAG", "BEHIND FOR", "READS LOG", "BACKEND SERVERS", "REASON"}
+
+func rows(daemons []operator.Daemon) []command.Row {
+	list := make([]command.Row, 0, len(daemons))
+	for _, d := range daemons {
+		list = append(list, command.Row{
+			d.Host, d.AvailabilityZone, state(d),
+			strconv.FormatUint(d.Offset, 10), age(d, d.InForceAgeMs),
+			strconv.FormatUint(d.Lag, 10), age(d, d.BehindMs),
+			reads(d), command.Or(backends(d.BackendServers)), command.Or(reason(d)),
+		})
+	}
+	return list
+}
+
+// state is the daemon's own phase, or else what others believe of it.
+func state(d operator.Daemon) string {
+	if d.Phase == "" {
+		return d.Liveness
+	}
+	if d.Liveness != livenessAlive {
+		return d.Phase + " (" + d.Liveness + ")"
+	}
+	return d.Phase
+}
+
+func age(d operator.Daemon, ms uint64) string {
+	if d.Phase == "" || ms == 0 {
+		return "-"
+	}
+	return command.Duration(ms)
+}
+
+func reads(d operator.Daemon) string {
+	if d.Reader {
+		return "yes"
+	}
+	return "no"
+}
+
+func backends(list []operator.BackendServer) string {
+	var parts []string
+	for _, b := range list {
+		s := fmt.Sprintf("%s (%d slots)", b.Service, b.Slots)
+		if b.Draining {
+			s += " draining"
+		}
+		parts = append(parts, s)
+	}
+	return strings.Join(parts, ", ")
+}
+
+func reason(d operator.Daemon) string {
+	if d.Reason == "" && len(d.WithheldRoutes) > 0 {
+		return "routes withheld until a backend server is known: " + strings.Join(d.WithheldRoutes, ", ")
+	}
+	return d.Reason
+}
--- /dev/null
+++ b/internal/deployment/deployment_test.go
@@ -0,0 +1,60 @@
+package deployment_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/internal/deployment"
+	"github.com/crocuscross/crocuscross/internal/settings"
+)
+
+// The committed examples must be what the program writes today, and must pass
+// its own check.
+func TestExamplesAreCurrent(t *testing.T) {
+	for _, d := range deployment.All() {
+		dir := filepath.Join("..", "..", "examples", d.Name, "daemons")
+		files, err := os.ReadDir(dir)
+		must.NoError(t, err)
+		must.Len(t, len(d.Hosts()), files)
+		for _, h := range d.Hosts() {
+			want, err := d.Settings(h)
+			must.NoError(t, err)
+			got, err := os.ReadFile(filepath.Join(dir, h.Name+".jsonc"))
+			must.NoError(t, err)
+			must.Eq(t, string(want), string(got), must.Sprintf("run: crocuscross settings example --deployment %s --dir examples/%s/daemons", d.Name, d.Name))
+			s, err := settings.Parse(h.Name, got)
+			must.NoError(t, err)
+			must.Len(t, len(d.AvailabilityZones)-contactsOwn(d, h), s.Contacts)
+		}
+	}
+}
+
+// contactsOwn is 1 for a host that is its zone's contact.
+func contactsOwn(d deployment.Deployment, h deployment.Host) int {
+	for _, first := range d.Hosts() {
+		if first.AvailabilityZone == h.AvailabilityZone {
+			if first == h {
+				return 1
+			}
+			return 0
+		}
+	}
+	return 0
+}
+
+func TestHostsHaveAddressesOfTheirOwn(t *testing.T) {
+	seen := map[string]bool{}
+	for _, d := range deployment.All() {
+		zones := map[string]bool{}
+		for _, h := range d.Hosts() {
+			must.False(t, seen[h.Addr.String()])
+			seen[h.Addr.String()] = true
+			zones[h.AvailabilityZone] = true
+		}
+		must.MapLen(t, 4, zones)
+	}
+	must.MapLen(t, 14+12, seen)
+}
