Decide routes by prefix, refuse older states, find routes by search

Routes were decided by name. A prefix that passed from one route to another, withheld one (rename, swap, delete and create) was without an answer until the new service had a backend server. Routes are now decided by prefix: what a withheld route will replace stays, under whatever name. Weighed: keeping the whole old version until all its services are there (one route without servers would hold back every contract revision of the bundle); ruled out.

Build refuses an older state, or another one at the same offset, by returning prev. A draining server does not let a route in. On a daemon that has just started, a withheld route refuses its calls (Withholds) in place of passing them to a shorter prefix's service, which may never have been meant to get them.

--- /dev/null
+++ b/snapshot/bench_test.go
@@ -0,0 +1,114 @@
+package snapshot
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/fold"
+)
+
+const benchServices = 26
+
+// fleet returns a state with n routes and n contracts, and their services.
+func fleet(n int) (*fold.State, []string) {
+	var serviceNames []string
+	for i := range benchServices {
+		serviceNames = append(serviceNames, fmt.Sprint("service-", i))
+	}
+	st := publish(fold.Empty(), services(serviceNames...)...)
+	var resources []*configpb.Resource
+	for i := range n {
+		svc := serviceNames[i%benchServices]
+		resources = append(resources,
+			route(fmt.Sprint("route-", i), fmt.Sprintf("/%s/route-%d/", svc, i), svc),
+			contract(fmt.Sprint("customer-", i), 100))
+	}
+	for len(resources) > 0 {
+		k := min(fold.MaxChanges, len(resources))
+		st = publish(st, resources[:k]...)
+		resources = resources[k:]
+	}
+	return st, serviceNames
+}
+
+var sizes = []int{100, 1000, 4000}
+
+func BenchmarkRoute(b *testing.B) {
+	for _, n := range sizes {
+		st, names := fleet(n)
+		s := Build(nil, st, backends(names...))
+		path := fmt.Sprintf("/service-%d/route-%d/lookup?id=7", (n/2)%benchServices, n/2)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := s.Route(path); !ok {
+					b.Fatal("no route")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkBuild(b *testing.B) {
+	for _, n := range sizes {
+		st, names := fleet(n)
+		known := backends(names...)
+		prev := Build(nil, st, known)
+		next := publish(st, contract("customer-1", 50))
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Build(prev, next, known)
+			}
+		})
+	}
+}
+
+func BenchmarkBuildForBackends(b *testing.B) {
+	for _, n := range sizes {
+		st, names := fleet(n)
+		prev := Build(nil, st, backends(names...))
+		known := backends(names...)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Build(prev, st, known)
+			}
+		})
+	}
+}
+
+// Bounds on the allocations of a snapshot swap. maxBuildAllocs is for a swap at
+// 1,000 routes and 1,000 contracts of which one has changed: an unchanged
+// contract is carried over, not compiled again. maxBackendsAllocs is for a swap
+// because of backend servers alone.
+const (
+	maxBuildAllocs    = 60
+	maxBackendsAllocs = 1
+)
+
+func TestCostOfASwap(t *testing.T) {
+	st, names := fleet(1000)
+	known := backends(names...)
+	prev := Build(nil, st, known)
+	next := publish(st, contract("customer-1", 50))
+	must.LessEq(t, maxBuildAllocs, testing.AllocsPerRun(20, func() { Build(prev, next, known) }))
+	must.LessEq(t, maxBackendsAllocs, testing.AllocsPerRun(20, func() { Build(prev, st, known) }))
+}
+
+// The lookups are on the path of each call.
+func TestLookupsDoNotAllocate(t *testing.T) {
+	st, names := fleet(1000)
+	s := Build(nil, st, backends(names...))
+	lookup := func() {
+		s.Route("/service-6/route-500/lookup")
+		s.Route("/nothing")
+		s.Withholds("/nothing")
+		s.Backends("service-6")
+		s.Contract("customer-500").Terms("POST", "/service-6/route-500/lookup")
+	}
+	must.Zero(t, testing.AllocsPerRun(100, lookup))
+}
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -5,89 +5,83 @@
 package snapshot
 
 import (
-	"cmp"
-	"slices"
-	"strings"
-	"time"
-
 	"github.com/crocuscross/crocuscross/backend"
-	"github.com/crocuscross/crocuscross/configpb"
 	"github.com/crocuscross/crocuscross/fold"
 )
 
-// Route is one route in force.
-type Route struct {
-	Name       string
-	PathPrefix string
-	Service    string
-	Revision   uint64
-}
-
-// WithheldRoute is a route revision that is accepted but not yet in force.
-type WithheldRoute struct {
-	Name     string
-	Revision uint64
-	Service  string
-}
-
 // Snapshot is everything a request needs to know of the configuration.
 type Snapshot struct {
 	// Offset is the version in force.
 	Offset uint64
 	// State is the fold that the snapshot was derived from.
 	State *fold.State
-	// Withheld lists routes whose backend servers are not known yet.
+	// Withheld lists the routes that wait for a backend server, by name.
 	Withheld []WithheldRoute
 
-	// routes by prefix length, longest first.
 	routes    []Route
+	table     table
 	contracts map[string]*Contract
 	backends  *backend.Set
 }
 
-// Build derives the snapshot that follows prev; prev is nil at the start. This
-// is the only place where a route gets into force: a route revision whose
-// service has no known backend server is withheld, and what it replaces stays
-// until it is let in. A revision that is in force is never taken back for an
-// older one, also when all its backend servers have gone.
+// Build derives the snapshot that follows prev; prev is nil at the start. It is
+// the only place where a route gets into force.
+//
+// A state older than prev's, or another one at the same offset, is refused: the
+// result is prev itself. Controllers may see states out of order when they race
+// or when a peer lags, and a version that went back would revert contracts that
+// are in force.
+//
+// A route revision whose service has no backend server that takes new calls is
+// withheld. Until it gets in force, callers get:
+//   - under the path prefix that the revision asks for, what they got before:
+//     the route that had the prefix, under whatever name, or else the route of a
+//     shorter prefix, or else no route;
+//   - under the path prefix that the route moves away from, the old target,
+//     unless another route in force has taken that prefix over;
+//   - on a daemon that has just started and so cannot know what they got
+//     before, a refusal that invites a retry (Withholds). A shorter prefix does
+//     not stand in there, as it may lead to a service that never was meant to
+//     see the call.
+//
+// A deleted route goes at once, unless a withheld route has claimed its prefix.
+// A route in force stays in force when its backend servers go; its calls are
+// then refused for want of a backend server.
 func Build(prev *Snapshot, st *fold.State, backends *backend.Set) *Snapshot {
+	if prev.refuses(st) {
+		return prev
+	}
 	s := &Snapshot{Offset: st.Offset, State: st, backends: backends}
-	s.buildRoutes(prev, st)
-	s.buildContracts(prev, st)
+	if prev != nil && prev.Offset == st.Offset {
+		s.follow(prev)
+		return s
+	}
+	s.buildRoutes(prev)
+	s.buildContracts(prev)
 	return s
 }
 
-func (s *Snapshot) buildRoutes(prev *Snapshot, st *fold.State) {
-	for _, e := range st.Entries(fold.KindRoute) {
-		r := e.Resource.GetRoute()
-		next := Route{Name: r.GetName(), PathPrefix: r.GetPathPrefix(), Service: r.GetService(), Revision: e.Revision}
-		old, had := prev.routeNamed(next.Name)
-		switch {
-		case had && old.Revision == next.Revision:
-			s.routes = append(s.routes, old)
-		case len(s.backends.Of(next.Service)) > 0:
-			s.routes = append(s.routes, next)
-		default:
-			s.Withheld = append(s.Withheld, WithheldRoute{next.Name, next.Revision, next.Service})
-			if had {
-				s.routes = append(s.routes, old)
-			}
-		}
+// follow takes over all that new backend servers do not change. They come and
+// go far more often than versions do.
+func (s *Snapshot) follow(prev *Snapshot) {
+	s.contracts = prev.contracts
+	if len(prev.Withheld) > 0 {
+		s.buildRoutes(prev)
+		return
+	}
+	s.routes, s.table = prev.routes, prev.table
+}
+
+func (s *Snapshot) refuses(st *fold.State) bool {
+	if s == nil {
+		return false
 	}
-	slices.SortFunc(s.routes, func(a, b Route) int {
-		return cmp.Or(
-			cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)),
-			cmp.Compare(a.PathPrefix, b.PathPrefix),
-			// A withheld route's predecessor may share a prefix with a newer
-			// route; the newer revision goes first.
-			cmp.Compare(b.Revision, a.Revision),
-		)
-	})
+	return st.Offset < s.Offset || st.Offset == s.Offset && st.Chain != s.State.Chain
 }
 
 // buildContracts compiles each contract once and carries unchanged ones over.
-func (s *Snapshot) buildContracts(prev *Snapshot, st *fold.State) {
-	entries := st.Entries(fold.KindContract)
+func (s *Snapshot) buildContracts(prev *Snapshot) {
+	entries := s.State.Entries(fold.KindContract)
 	s.contracts = make(map[string]*Contract, len(entries))
 	for _, e := range entries {
 		if c := prev.Contract(e.Key.Name); c != nil && c.Revision == e.Revision {
@@ -98,29 +92,24 @@
 	}
 }
 
-func (s *Snapshot) routeNamed(name string) (Route, bool) {
-	if s == nil {
+// Route returns the route of a path: the longest matching prefix in force.
+func (s *Snapshot) Route(path string) (Route, bool) {
+	n := s.table.find(path)
+	if n == nil || n.withheld {
 		return Route{}, false
 	}
-	for _, r := range s.routes {
-		if r.Name == name {
-			return r, true
-		}
-	}
-	return Route{}, false
+	return n.route, true
 }
 
-// Route returns the route of a path: the longest matching prefix in force.
-func (s *Snapshot) Route(path string) (Route, bool) {
-	for _, r := range s.routes {
-		if strings.HasPrefix(path, r.PathPrefix) {
-			return r, true
-		}
-	}
-	return Route{}, false
+// Withholds reports whether a path has no route only because the backend
+// servers of its route are not known yet. The call may succeed a little later.
+func (s *Snapshot) Withholds(path string) bool {
+	n := s.table.find(path)
+	return n != nil && n.withheld
 }
 
-// Routes returns all routes in force. The caller must not change the slice.
+// Routes returns all routes in force, sorted by prefix. The caller must not
+// change the slice.
 func (s *Snapshot) Routes() []Route { return s.routes }
 
 // Contract returns a customer's contract, nil if there is none.
@@ -137,66 +126,3 @@
 
 // Backends returns the backend servers known of a service.
 func (s *Snapshot) Backends(service string) []*backend.Server { return s.backends.Of(service) }
-
-// Contract is a customer's contract, compiled for the request path.
-type Contract struct {
-	Customer      string
-	Revision      uint64
-	Rate          float64
-	Burst         float64
-	MaxConcurrent int
-	MaxWait       time.Duration
-	rules         []rule
-}
-
-type rule struct {
-	method, prefix string
-	nonIdempotent  bool
-	maxWait        time.Duration
-}
-
-func newContract(c *configpb.Contract, revision uint64) *Contract {
-	n := &Contract{
-		Customer:      c.GetCustomer(),
-		Revision:      revision,
-		Rate:          c.GetRatePerSecond(),
-		Burst:         float64(c.GetBurst()),
-		MaxConcurrent: int(c.GetMaxConcurrent()),
-		MaxWait:       time.Duration(c.GetMaxWaitMs()) * time.Millisecond,
-	}
-	if n.Burst == 0 {
-		n.Burst = max(1, n.Rate)
-	}
-	for _, r := range c.GetRules() {
-		n.rules = append(n.rules, rule{
-			method: r.GetMethod(), prefix: r.GetPathPrefix(), nonIdempotent: r.GetNonIdempotent(),
-			maxWait: time.Duration(r.GetMaxWaitMs()) * time.Millisecond,
-		})
-	}
-	return n
-}
-
-// CallTerms is what a contract says of one call.
-type CallTerms struct {
-	NonIdempotent bool
-	MaxWait       time.Duration
-}
-
-// Terms returns what the contract says of a call: the first matching rule, or
-// else the contract's wait and the method's usual meaning.
-func (c *Contract) Terms(method, path string) CallTerms {
-	for _, r := range c.rules {
-		if r.method != "" && r.method != method {
-			continue
-		}
-		if !strings.HasPrefix(path, r.prefix) {
-			continue
-		}
-		wait := c.MaxWait
-		if r.maxWait > 0 {
-			wait = r.maxWait
-		}
-		return CallTerms{NonIdempotent: r.nonIdempotent, MaxWait: wait}
-	}
-	return CallTerms{NonIdempotent: method == "POST" || method == "PATCH", MaxWait: c.MaxWait}
-}
