--- a/internal/standin/logserver/server.go
+++ b/internal/standin/logserver/server.go
@@ -29,6 +29,8 @@
 	maxLimit = 10_000
 	// maxWait bounds how long a read waits for the first record.
 	maxWait = 30 * time.Second
+	// shutdownGrace is enough for requests whose context has ended.
+	shutdownGrace = 5 * time.Second
 )
 
 var streamName = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,63}$`)
@@ -55,7 +57,9 @@
 
 // Run serves ln until ctx ends and counts the bytes of its connections.
 func (s *Server) Run(ctx context.Context, ln net.Listener) error {
-	return serve.Run(ctx, &meteredListener{Listener: ln, meter: s.meter}, s)
+	ln = &meteredListener{Listener: ln, meter: s.meter}
+	// Reads wait for records; without ctx they would outlast the shutdown.
+	return serve.Run(ctx, ln, s, serve.Options{Requests: ctx, Grace: shutdownGrace})
 }
 
 func (s *Server) append(w http.ResponseWriter, r bunrouter.Request) error {
--- a/internal/standin/serve/serve.go
+++ b/internal/standin/serve/serve.go
@@ -18,20 +18,28 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
-	// shutdownGrace is how long requests may take to end after Run's context
-	// has.
-	shutdownGrace = 5 * time.Second
 )
 
-// Run serves h until ctx ends, which also ends the contexts of the requests in
-// flight.
-func Run(ctx context.Context, ln net.Listener, h http.Handler) error {
+// Options tells how a server ends.
+type Options struct {
+	// Requests is the parent of the requests' contexts. Nil lets requests in
+	// flight run to their end.
+	Requests context.Context
+	// Grace is how long requests may take to end after Run's context has.
+	Grace time.Duration
+}
+
+// Run serves h until ctx ends. The error tells of requests that outlived the
+// grace.
+func Run(ctx context.Context, ln net.Listener, h http.Handler, opts Options) error {
 	srv := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+	if opts.Requests != nil {
+		srv.BaseContext = func(net.Listener) context.Context { return opts.Requests }
 	}
 	var t tomb.Tomb
 	t.Go(func() error {
@@ -45,13 +53,13 @@
 		case <-ctx.Done():
 		case <-t.Dying():
 		}
-		return shutdown(srv)
+		return shutdown(srv, opts.Grace)
 	})
 	return t.Wait()
 }
 
-func shutdown(srv *http.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
+func shutdown(srv *http.Server, grace time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	if err := srv.Shutdown(ctx); err != nil {
 		return errors.CombineErrors(errors.Wrap(err, "shut down"), srv.Close())
