--- a/internal/controller/drain/drain.go
+++ b/internal/controller/drain/drain.go
@@ -27,6 +27,32 @@
 	// others know that it drains.
 	Quiet time.Duration
 	Work  []InFlight
+	// Refuse makes the gate turn away new calls; it comes after Quiet.
+	Refuse func()
+}
+
+// Run lets the gate refuse new calls once all others know of the drain, until
+// ctx is done. Refusing at once would fail the calls that are on their way.
+func (c *Controller) Run(ctx context.Context) error {
+	for {
+		l, changed := c.Board.Lifecycle.Watch()
+		if l != nil && l.Phase >= blackboard.Draining {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	quiet := time.NewTimer(c.Quiet)
+	defer quiet.Stop()
+	select {
+	case <-quiet.C:
+		c.Refuse()
+	case <-ctx.Done():
+	}
+	return nil
 }
 
 // Serving marks the end of the start.
--- /dev/null
+++ b/internal/controller/members/members.go
@@ -0,0 +1,98 @@
+// Package members keeps the table of daemons on the blackboard and tells the
+// others of this daemon's backend server, phase and version in force.
+package members
+
+import (
+	"context"
+	"time"
+
+	"github.com/crocuscross/crocuscross/internal/blackboard"
+	"github.com/crocuscross/crocuscross/internal/loop"
+	"github.com/crocuscross/crocuscross/membership"
+)
+
+// Controller owns the Members cell.
+type Controller struct {
+	Board      *blackboard.Board
+	Membership *membership.Membership
+	Now        func() time.Time
+}
+
+// Run reconciles in both directions until ctx is done.
+func (c *Controller) Run(ctx context.Context) error {
+	return loop.Run(ctx, c.publishView, c.publishLocal, c.publishOffset)
+}
+
+// publishView copies the table to the blackboard whenever it changes.
+func (c *Controller) publishView(ctx context.Context) error {
+	for {
+		changed := c.Membership.Watch()
+		c.Board.Members.Store(c.Membership.View())
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// publishLocal announces the backend server beside the daemon and the drain.
+func (c *Controller) publishLocal(ctx context.Context) error {
+	var last announced
+	for {
+		local, localChanged := c.Board.Local.Watch()
+		phase, phaseChanged := c.Board.Lifecycle.Watch()
+		next := announcedBy(local, phase)
+		if next != last {
+			c.Membership.SetLocal(next.announcements(local, c.Now()), next.hostDraining)
+			last = next
+		}
+		select {
+		case <-localChanged:
+		case <-phaseChanged:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (c *Controller) publishOffset(ctx context.Context) error {
+	for {
+		snap, changed := c.Board.Snapshot.Watch()
+		if snap != nil {
+			c.Membership.SetOffset(snap.Offset)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// announced is what the others are told; a renewal that changes nothing of it
+// is not passed on.
+type announced struct {
+	service      string
+	slots        int
+	draining     bool
+	hostDraining bool
+}
+
+func announcedBy(local *blackboard.LocalBackend, phase *blackboard.Lifecycle) announced {
+	var a announced
+	if local != nil {
+		a.service, a.slots, a.draining = local.Service, local.Slots, local.Draining
+	}
+	a.hostDraining = phase != nil && phase.Phase >= blackboard.Draining
+	return a
+}
+
+func (a announced) announcements(local *blackboard.LocalBackend, now time.Time) []membership.Announcement {
+	if a.service == "" {
+		return nil
+	}
+	return []membership.Announcement{{
+		Service: a.service, Slots: a.slots, Draining: a.draining, Age: now.Sub(local.FirstSeen),
+	}}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,184 @@
+// Package daemon wires the parts of one daemon together and owns its life:
+// start, serving, graceful shutdown.
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/crocuscross/crocuscross/internal/blackboard"
+	"github.com/crocuscross/crocuscross/internal/loop"
+	"github.com/crocuscross/crocuscross/internal/settings"
+	"github.com/crocuscross/crocuscross/internal/telemetry"
+)
+
+const (
+	// quiet is how long a leaving daemon goes on taking calls, until all others
+	// know that it leaves.
+	quiet = 2 * time.Second
+	// leaveTimeout bounds the goodbye to the other daemons.
+	leaveTimeout = time.Second
+	// closeTimeout bounds the end of what is left after the drain.
+	closeTimeout = time.Second
+)
+
+// Daemon is one daemon with all its parts.
+type Daemon struct {
+	settings *settings.Settings
+	logger   *slog.Logger
+	tracer   trace.Tracer
+	flush    func(context.Context) error
+	registry *prometheus.Registry
+	boot     uint64
+	board    *blackboard.Board
+	ln       *listeners
+	*parts
+
+	callers, operators, backend *http.Server
+}
+
+// Run runs a daemon until ctx is done and its graceful shutdown has ended.
+func Run(ctx context.Context, s *settings.Settings) error {
+	d, err := New(ctx, s)
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx)
+}
+
+// New binds the listeners and builds the parts; nothing runs yet.
+func New(ctx context.Context, s *settings.Settings) (*Daemon, error) {
+	logger, err := telemetry.NewLogger(os.Stderr, s.Log.Level, s.Log.Format)
+	if err != nil {
+		return nil, err
+	}
+	tracer, flush, err := telemetry.NewTracer(ctx, telemetry.TraceOptions{
+		Exporter: s.Trace.Exporter, Endpoint: s.Trace.Endpoint, Ratio: s.Trace.Ratio,
+		Host: s.Host, AvailabilityZone: s.AvailabilityZone, Stdout: os.Stdout,
+	})
+	if err != nil {
+		return nil, err
+	}
+	ln, err := listen(s.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	d := &Daemon{
+		settings: s,
+		logger:   logger.With("host", s.Host),
+		tracer:   tracer,
+		flush:    flush,
+		registry: telemetry.NewRegistry(),
+		boot:     rand.Uint64() | 1,
+		board:    &blackboard.Board{},
+		ln:       ln,
+	}
+	d.parts, err = d.build()
+	if err != nil {
+		ln.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// Run starts the parts, serves until ctx is done, and shuts down gracefully.
+// It returns early where a part fails.
+func (d *Daemon) Run(ctx context.Context) error {
+	// The parts outlive ctx: they are needed until the drain has ended.
+	life, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := make(chan error, 1)
+	d.serveHTTP()
+	go func() { ended <- loop.Run(life, d.loops()...) }()
+	d.logger.Info("daemon: started", "availability_zone", d.settings.AvailabilityZone, "boot", d.boot,
+		"callers", d.ln.callers.Addr(), "peers", d.ln.peers.Addr(), "operators", d.ln.operators.Addr())
+	var err error
+	select {
+	case <-ctx.Done():
+		d.drain("signal")
+		stop()
+		d.close()
+		err = <-ended
+	case err = <-ended:
+		d.close()
+	}
+	flushCtx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	return errors.CombineErrors(err, d.flush(flushCtx))
+}
+
+// serveHTTP makes the servers of the HTTP listeners.
+func (d *Daemon) serveHTTP() {
+	d.callers = callerServer(d.outbound, d.settings.Requests, d.logger)
+	d.operators = operatorServer(d.operatorAPI, d.logger)
+	d.backend = backendServer(d.announce.Handler(), d.logger)
+	watchInput(d.callers, "callers", d.meter, d.logger)
+	watchInput(d.operators, "operators", d.meter, d.logger)
+	watchInput(d.backend, "backend", d.meter, d.logger)
+}
+
+// join finds the other daemons, learns the floor, and begins to serve.
+func (d *Daemon) join(life context.Context) error {
+	contacts, err := parseContacts(d.settings.Contacts)
+	if err != nil {
+		return err
+	}
+	if err := d.recover(life, contacts); err != nil {
+		if life.Err() != nil {
+			return nil
+		}
+		return err
+	}
+	d.lifecycle.Serving()
+	return nil
+}
+
+// drain shuts down gracefully: the others are told first, then the work in
+// flight ends. Callers that keep connections are told to close them.
+func (d *Daemon) drain(reason string) {
+	d.lifecycle.Drain(reason)
+	d.callers.SetKeepAlivesEnabled(false)
+	left := d.lifecycle.Wait(context.Background())
+	if left > 0 {
+		d.logger.Warn("daemon: requests cut off by the drain timeout", "requests", left)
+	}
+	shutdown(d.callers, closeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := d.membership.Leave(ctx); err != nil {
+		d.logger.Warn("daemon: the goodbye was not heard", "error", err)
+	}
+}
+
+// close ends what serves others.
+func (d *Daemon) close() {
+	shutdown(d.callers, closeTimeout)
+	shutdown(d.operators, closeTimeout)
+	shutdown(d.backend, closeTimeout)
+	_ = d.server.Close()
+	_ = d.calls.Close()
+	_ = d.control.Close()
+	d.ln.close()
+	d.logger.Info("daemon: stopped")
+}
+
+func parseContacts(list []string) ([]netip.AddrPort, error) {
+	addrs := make([]netip.AddrPort, 0, len(list))
+	for _, s := range list {
+		a, err := netip.ParseAddrPort(s)
+		if err != nil {
+			return nil, errors.Wrap(err, "contacts")
+		}
+		addrs = append(addrs, a)
+	}
+	return addrs, nil
+}
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,416 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/fold"
+	"github.com/crocuscross/crocuscross/internal/answer"
+	"github.com/crocuscross/crocuscross/internal/controller/announce"
+	"github.com/crocuscross/crocuscross/internal/proxy/body"
+	"github.com/crocuscross/crocuscross/internal/proxy/outbound"
+	"github.com/crocuscross/crocuscross/internal/settings"
+	"github.com/crocuscross/crocuscross/internal/standin/logserver"
+	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/platform/memlog"
+)
+
+// waitLimit bounds the waits for what must come; it decides nothing.
+const waitLimit = 20 * time.Second
+
+// testQuiet is long enough for a drain to be known among a few daemons.
+const testQuiet = 300 * time.Millisecond
+
+// testFleet is a few daemons in one process, each in an availability zone of its
+// own, with a platform log.
+type testFleet struct {
+	t       *testing.T
+	log     *memlog.Service
+	logURL  string
+	daemons []*testDaemon
+	publish int
+}
+
+type testDaemon struct {
+	*Daemon
+	stop context.CancelFunc
+	done chan error
+}
+
+func newFleet(t *testing.T, n int) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, log: memlog.New(memlog.DefaultOptions())}
+	srv := httptest.NewServer(logserver.New(f.log))
+	t.Cleanup(srv.Close)
+	f.logURL = srv.URL
+	for range n {
+		f.start()
+	}
+	return f
+}
+
+// start adds a daemon that joins by the first one.
+func (f *testFleet) start() *testDaemon {
+	f.t.Helper()
+	s := settings.Default()
+	s.Host = fmt.Sprintf("host-%d", len(f.daemons))
+	s.AvailabilityZone = fmt.Sprintf("zone-%d", len(f.daemons)%4)
+	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0", Backend: "127.0.0.1:0"}
+	s.Platform.URL = f.logURL
+	s.Log.Level = "error"
+	if len(f.daemons) > 0 {
+		s.Contacts = []string{f.daemons[0].ln.peers.Addr().String()}
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	d, err := New(ctx, &s)
+	must.NoError(f.t, err)
+	d.lifecycle.Quiet = testQuiet
+	td := &testDaemon{Daemon: d, stop: stop, done: make(chan error, 1)}
+	go func() { td.done <- d.Run(ctx) }()
+	f.t.Cleanup(func() {
+		stop()
+		must.NoError(f.t, <-td.done)
+	})
+	f.daemons = append(f.daemons, td)
+	return td
+}
+
+// put publishes changes and returns the record's offset.
+func (f *testFleet) put(changes ...*configpb.Change) uint64 {
+	f.t.Helper()
+	f.publish++
+	data, err := fold.EncodeRecord(&configpb.Bundle{
+		PublishId: fmt.Sprintf("p%d", f.publish), Author: "test", Changes: changes,
+	})
+	must.NoError(f.t, err)
+	offset, err := f.log.Stream(platform.StreamConfig).Append(f.t.Context(), data)
+	must.NoError(f.t, err)
+	return offset
+}
+
+// eventually waits for a condition.
+func (f *testFleet) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(waitLimit); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("timed out waiting until %s", what)
+		}
+	}
+}
+
+// converged waits until all daemons have an offset in force with n backend
+// servers known.
+func (f *testFleet) converged(offset uint64, servers int) {
+	f.t.Helper()
+	f.eventually(fmt.Sprintf("offset %d with %d backend servers is in force", offset, servers), func() bool {
+		for _, d := range f.daemons {
+			snap := d.board.Snapshot.Load()
+			if snap == nil || snap.Offset < offset || len(snap.Withheld) > 0 || d.board.Backends.Load().Len() != servers {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// announceBackend starts a backend server beside a daemon.
+func (f *testFleet) announceBackend(d *testDaemon, service string, h http.Handler) {
+	f.t.Helper()
+	srv := httptest.NewServer(h)
+	f.t.Cleanup(srv.Close)
+	a, err := json.Marshal(announce.Announcement{Service: service, URL: srv.URL, Slots: 10})
+	must.NoError(f.t, err)
+	renew := func() {
+		req, err := http.NewRequest(http.MethodPut, "http://"+d.ln.backend.Addr().String()+announce.Path, strings.NewReader(string(a)))
+		must.NoError(f.t, err)
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}
+	renew()
+	t := time.NewTicker(announce.TTL / 5)
+	done := make(chan struct{})
+	f.t.Cleanup(func() { t.Stop(); close(done) })
+	go func() {
+		for {
+			select {
+			case <-t.C:
+				renew()
+			case <-done:
+				return
+			}
+		}
+	}()
+}
+
+// call sends one request to a daemon.
+func (f *testFleet) call(d *testDaemon, method, path, payload string, header http.Header) *http.Response {
+	f.t.Helper()
+	req, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+d.ln.callers.Addr().String()+path, strings.NewReader(payload))
+	must.NoError(f.t, err)
+	req.Header = header.Clone()
+	if req.Header == nil {
+		req.Header = http.Header{}
+	}
+	if req.Header.Get(body.HeaderCustomer) == "" {
+		req.Header.Set(body.HeaderCustomer, "garage")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+func readAll(t *testing.T, r io.Reader) string {
+	t.Helper()
+	b, err := io.ReadAll(r)
+	must.NoError(t, err)
+	return string(b)
+}
+
+func service(name string) *configpb.Change {
+	return &configpb.Change{Resource: &configpb.Resource{Kind: &configpb.Resource_Service{Service: &configpb.Service{Name: name}}}}
+}
+
+func route(name, prefix, svc string) *configpb.Change {
+	return &configpb.Change{Resource: &configpb.Resource{Kind: &configpb.Resource_Route{
+		Route: &configpb.Route{Name: name, PathPrefix: prefix, Service: svc},
+	}}}
+}
+
+func contract(c *configpb.Contract, replaces uint64) *configpb.Change {
+	return &configpb.Change{
+		Resource: &configpb.Resource{Kind: &configpb.Resource_Contract{Contract: c}}, Replaces: replaces,
+	}
+}
+
+func garage() *configpb.Contract {
+	return &configpb.Contract{Customer: "garage", RatePerSecond: 1000, Burst: 1000, MaxWaitMs: 10_000}
+}
+
+// setUp is a fleet of n with one service whose only backend server is beside
+// the last daemon.
+func setUp(t *testing.T, n int, h http.Handler) *testFleet {
+	t.Helper()
+	f := newFleet(t, n)
+	f.announceBackend(f.daemons[n-1], "sign-feed", h)
+	offset := f.put(service("sign-feed"), route("signs", "/signs", "sign-feed"), contract(garage(), 0))
+	f.converged(offset, 1)
+	return f
+}
+
+func TestDaemon_CallGoesToAnotherHostAndBack(t *testing.T) {
+	echo := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		w.Header().Set("X-Echo", r.Method+" "+r.URL.RequestURI())
+		w.WriteHeader(http.StatusAccepted)
+		_, _ = w.Write(b)
+	})
+	f := setUp(t, 4, echo)
+	for _, size := range []int{0, 1, 40 << 10, 300 << 10} {
+		payload := strings.Repeat("x", size)
+		resp := f.call(f.daemons[0], http.MethodPut, "/signs/7?full=1", payload, nil)
+		must.Eq(t, http.StatusAccepted, resp.StatusCode)
+		must.Eq(t, "PUT /signs/7?full=1", resp.Header.Get("X-Echo"))
+		must.Eq(t, "host-3", resp.Header.Get(outbound.HeaderServedBy))
+		must.Eq(t, payload, readAll(t, resp.Body))
+	}
+}
+
+func TestDaemon_RefusalsNameTheirKind(t *testing.T) {
+	f := setUp(t, 2, http.NotFoundHandler())
+	for name, tc := range map[string]struct {
+		path, customer, kind string
+		status               int
+	}{
+		"unknown customer": {"/signs/1", "nobody", "unknown_customer", http.StatusForbidden},
+		"no route":         {"/other", "garage", "no_route", http.StatusNotFound},
+		"backend's own":    {"/signs/1", "garage", "", http.StatusNotFound},
+	} {
+		t.Run(name, func(t *testing.T) {
+			resp := f.call(f.daemons[0], http.MethodGet, tc.path, "", http.Header{body.HeaderCustomer: {tc.customer}})
+			must.Eq(t, tc.status, resp.StatusCode)
+			must.Eq(t, tc.kind, resp.Header.Get(answer.HeaderError))
+		})
+	}
+}
+
+// A caller over its contract's rate is told when to come back, and a revision
+// that raises the rate takes effect on every host.
+func TestDaemon_ContractBindsAndIsRevised(t *testing.T) {
+	f := newFleet(t, 2)
+	f.announceBackend(f.daemons[1], "sign-feed", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {}))
+	small := garage()
+	small.RatePerSecond, small.Burst = 0.5, 1
+	first := f.put(service("sign-feed"), route("signs", "/signs", "sign-feed"), contract(small, 0))
+	f.converged(first, 1)
+	refused := 0
+	for range 20 {
+		resp := f.call(f.daemons[0], http.MethodGet, "/signs/1", "", nil)
+		if resp.StatusCode == http.StatusTooManyRequests {
+			refused++
+			must.NotEq(t, "", resp.Header.Get("Retry-After"))
+		}
+	}
+	must.Positive(t, refused)
+	second := f.put(contract(garage(), first))
+	f.converged(second, 1)
+	f.eventually("the raised rate is usable", func() bool {
+		return f.call(f.daemons[0], http.MethodGet, "/signs/1", "", nil).StatusCode == http.StatusOK
+	})
+}
+
+// A caller gives up; the backend server sees the request end. Without the
+// cancel chunk and the watch it would run on for nobody.
+func TestDaemon_CancellationReachesTheBackendServer(t *testing.T) {
+	started, ended := make(chan struct{}), make(chan struct{})
+	f := setUp(t, 2, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(ended)
+	}))
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.daemons[0].ln.callers.Addr().String()+"/signs/1", nil)
+	must.NoError(t, err)
+	req.Header.Set(body.HeaderCustomer, "garage")
+	done := make(chan error, 1)
+	go func() {
+		_, err := http.DefaultClient.Do(req)
+		done <- err
+	}()
+	<-started
+	cancel()
+	must.Error(t, <-done)
+	select {
+	case <-ended:
+	case <-time.After(waitLimit):
+		t.Fatal("the backend server was not told")
+	}
+}
+
+// A caller waits no longer than its contract allows and is told that the
+// outcome is open, since the call had started.
+func TestDaemon_ContractBoundsTheWait(t *testing.T) {
+	f := newFleet(t, 2)
+	f.announceBackend(f.daemons[1], "sign-feed", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		// The HTTP library looks for the end of the connection only once the
+		// body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}))
+	c := garage()
+	c.MaxWaitMs = 200
+	offset := f.put(service("sign-feed"), route("signs", "/signs", "sign-feed"), contract(c, 0))
+	f.converged(offset, 1)
+	resp := f.call(f.daemons[0], http.MethodPost, "/signs/1", "hold", nil)
+	must.Eq(t, http.StatusGatewayTimeout, resp.StatusCode)
+	must.Eq(t, "deadline_exceeded", resp.Header.Get(answer.HeaderError))
+	must.Eq(t, "unknown", resp.Header.Get(answer.HeaderRun))
+}
+
+// A driver's app repeats a permit hold through another host because the first
+// answer was lost. It gets the first answer again; the hold ran once.
+func TestDaemon_RepeatedHoldRunsOnce(t *testing.T) {
+	var mu sync.Mutex
+	runs := 0
+	f := setUp(t, 3, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		runs++
+		_, _ = fmt.Fprintf(w, "hold %d", runs)
+	}))
+	resp := f.call(f.daemons[0], http.MethodPost, outbound.KeysPath, "", nil)
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+	key := http.Header{body.HeaderIdempotencyKey: {resp.Header.Get(body.HeaderIdempotencyKey)}}
+	for _, d := range f.daemons {
+		resp := f.call(d, http.MethodPost, "/signs/hold", "space 12", key)
+		must.Eq(t, http.StatusOK, resp.StatusCode)
+		must.Eq(t, "hold 1", readAll(t, resp.Body))
+	}
+	other := f.call(f.daemons[1], http.MethodPost, "/signs/hold", "space 13", key)
+	must.Eq(t, "key_mismatch", other.Header.Get(answer.HeaderError))
+	must.Eq(t, 1, runs)
+}
+
+// Callers see no failure while the host that serves them is stopped: the
+// others learn of it first, and what is in flight ends.
+func TestDaemon_GracefulShutdownFailsNoCall(t *testing.T) {
+	slow := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+	})
+	f := newFleet(t, 3)
+	f.announceBackend(f.daemons[1], "sign-feed", slow)
+	f.announceBackend(f.daemons[2], "sign-feed", slow)
+	offset := f.put(service("sign-feed"), route("signs", "/signs", "sign-feed"), contract(garage(), 0))
+	f.converged(offset, 2)
+	leaving := f.daemons[2]
+	stopped := make(chan struct{})
+	var wg sync.WaitGroup
+	failures := make(chan string, 1000)
+	for range 4 {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stopped:
+					return
+				default:
+				}
+				resp := f.call(f.daemons[0], http.MethodPost, "/signs/1", "x", nil)
+				if resp.StatusCode != http.StatusOK {
+					failures <- resp.Header.Get(answer.HeaderError)
+				}
+			}
+		})
+	}
+	leaving.stop()
+	err := <-leaving.done
+	leaving.done <- err
+	close(stopped)
+	wg.Wait()
+	must.NoError(t, err)
+	must.Eq(t, 0, len(failures))
+}
+
+// Input that is not HTTP is counted and ends nothing but its connection.
+func TestDaemon_MalformedInputIsCounted(t *testing.T) {
+	f := newFleet(t, 1)
+	d := f.daemons[0]
+	for _, ln := range []net.Listener{d.ln.callers, d.ln.operators, d.ln.backend} {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		must.NoError(t, err)
+		_, err = conn.Write([]byte("\x16\x03\x01 not http\r\n\r\n"))
+		must.NoError(t, err)
+		_, _ = io.Copy(io.Discard, conn)
+		_ = conn.Close()
+	}
+	f.eventually("all three are counted", func() bool { return counted(t, d) == 3 })
+}
+
+func counted(t *testing.T, d *testDaemon) int {
+	t.Helper()
+	families, err := d.registry.Gather()
+	must.NoError(t, err)
+	n := 0
+	for _, fam := range families {
+		if fam.GetName() != "crocuscross_rejected_input_total" {
+			continue
+		}
+		for _, m := range fam.GetMetric() {
+			n += int(m.GetCounter().GetValue())
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/daemon/exchange.go
@@ -0,0 +1,64 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/crocuscross/crocuscross/memberpb"
+	"github.com/crocuscross/crocuscross/membership"
+	"github.com/crocuscross/crocuscross/peer"
+	"github.com/crocuscross/crocuscross/peerpb"
+	"github.com/crocuscross/crocuscross/quota"
+	"github.com/crocuscross/crocuscross/quota/quotapb"
+)
+
+// exchangeTimeout bounds how long another daemon may take over its part of a
+// short exchange.
+const exchangeTimeout = 5 * time.Second
+
+// memberSync carries full-table exchanges over peer sessions.
+type memberSync struct{ pool *peer.Pool }
+
+// Sync implements membership.Syncer.
+func (s memberSync) Sync(ctx context.Context, addr netip.AddrPort, t *memberpb.Table) (*memberpb.Table, error) {
+	ans := new(memberpb.Table)
+	err := s.pool.Call(ctx, addr, peerpb.Kind_KIND_MEMBER_SYNC, t, ans)
+	return ans, err
+}
+
+// syncHandler answers full-table exchanges.
+type syncHandler struct{ m *membership.Membership }
+
+// ServeStream implements peer.Handler.
+func (h syncHandler) ServeStream(ctx context.Context, st *peer.Stream) error {
+	_ = st.SetDeadline(time.Now().Add(exchangeTimeout))
+	var t memberpb.Table
+	if err := st.Recv(&t); err != nil {
+		return err
+	}
+	return st.Send(h.m.HandleSync(ctx, &t))
+}
+
+// quotaPeers carries quota requests to owners.
+type quotaPeers struct{ pool *peer.Pool }
+
+// Ask implements quota.Peers.
+func (q quotaPeers) Ask(ctx context.Context, owner *membership.Member, req *quotapb.Request) (*quotapb.Answer, error) {
+	ans := new(quotapb.Answer)
+	err := q.pool.Call(ctx, owner.PeerAddr, peerpb.Kind_KIND_QUOTA, req, ans)
+	return ans, err
+}
+
+// quotaHandler answers quota requests of holders.
+type quotaHandler struct{ m *quota.Manager }
+
+// ServeStream implements peer.Handler.
+func (h quotaHandler) ServeStream(ctx context.Context, st *peer.Stream) error {
+	_ = st.SetDeadline(time.Now().Add(exchangeTimeout))
+	var req quotapb.Request
+	if err := st.Recv(&req); err != nil {
+		return err
+	}
+	return st.Send(h.m.Serve(ctx, "", &req))
+}
--- /dev/null
+++ b/internal/daemon/listeners.go
@@ -0,0 +1,125 @@
+package daemon
+
+import (
+	"context"
+	"log"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocuscross/crocuscross/internal/settings"
+)
+
+const (
+	// operatorWriteTimeout is above the longest wait that an operator can ask
+	// for.
+	operatorWriteTimeout = 2 * time.Minute
+	callerIdleTimeout    = 2 * time.Minute
+	localTimeout         = 10 * time.Second
+)
+
+// listeners are bound before anything else starts, so that a port that is
+// taken is told at once.
+type listeners struct {
+	callers, peers, operators, backend net.Listener
+	packets                            *net.UDPConn
+}
+
+func listen(s settings.Listen) (*listeners, error) {
+	l := &listeners{}
+	for _, b := range []struct {
+		field, addr string
+		ln          *net.Listener
+	}{
+		{"listen.callers", s.Callers, &l.callers},
+		{"listen.peers", s.Peers, &l.peers},
+		{"listen.operators", s.Operators, &l.operators},
+		{"listen.backend", s.Backend, &l.backend},
+	} {
+		ln, err := net.Listen("tcp", b.addr)
+		if err != nil {
+			l.close()
+			return nil, errors.Wrap(err, b.field)
+		}
+		*b.ln = ln
+	}
+	// Probes use UDP on the same port as the sessions between daemons.
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addrOf(l.peers)))
+	if err != nil {
+		l.close()
+		return nil, errors.Wrap(err, "listen.peers")
+	}
+	l.packets = conn
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, ln := range []net.Listener{l.callers, l.peers, l.operators, l.backend} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+	if l.packets != nil {
+		_ = l.packets.Close()
+	}
+}
+
+func addrOf(ln net.Listener) netip.AddrPort {
+	return ln.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// callerServer serves callers. Bodies may take as long as their contract
+// allows; only the header has a time of its own.
+func callerServer(h http.Handler, r settings.Requests, logger *slog.Logger) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: time.Duration(r.HeaderTimeout),
+		IdleTimeout:       callerIdleTimeout,
+		MaxHeaderBytes:    r.MaxHeaderBytes,
+		ErrorLog:          errorLog(logger, "callers"),
+	}
+}
+
+func operatorServer(h http.Handler, logger *slog.Logger) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: localTimeout,
+		ReadTimeout:       localTimeout,
+		WriteTimeout:      operatorWriteTimeout,
+		ErrorLog:          errorLog(logger, "operators"),
+	}
+}
+
+func backendServer(h http.Handler, logger *slog.Logger) *http.Server {
+	return &http.Server{
+		Handler:      h,
+		ReadTimeout:  localTimeout,
+		WriteTimeout: localTimeout,
+		ErrorLog:     errorLog(logger, "backend"),
+	}
+}
+
+func errorLog(logger *slog.Logger, listener string) *log.Logger {
+	return slog.NewLogLogger(logger.With("listener", listener).Handler(), slog.LevelDebug)
+}
+
+// serve runs an HTTP server until it is shut down.
+func serve(srv *http.Server, ln net.Listener) error {
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// shutdown lets requests in flight end within the time and then closes.
+func shutdown(srv *http.Server, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if srv.Shutdown(ctx) != nil {
+		_ = srv.Close()
+	}
+}
--- /dev/null
+++ b/internal/daemon/parts.go
@@ -0,0 +1,270 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/crocuscross/crocuscross/backend"
+	"github.com/crocuscross/crocuscross/balance"
+	"github.com/crocuscross/crocuscross/gate"
+	"github.com/crocuscross/crocuscross/internal/controller/announce"
+	"github.com/crocuscross/crocuscross/internal/controller/apply"
+	"github.com/crocuscross/crocuscross/internal/controller/backends"
+	"github.com/crocuscross/crocuscross/internal/controller/distribute"
+	"github.com/crocuscross/crocuscross/internal/controller/drain"
+	"github.com/crocuscross/crocuscross/internal/controller/members"
+	"github.com/crocuscross/crocuscross/internal/fleet"
+	"github.com/crocuscross/crocuscross/internal/loop"
+	"github.com/crocuscross/crocuscross/internal/operator"
+	"github.com/crocuscross/crocuscross/internal/proxy/inbound"
+	"github.com/crocuscross/crocuscross/internal/proxy/outbound"
+	"github.com/crocuscross/crocuscross/internal/telemetry"
+	"github.com/crocuscross/crocuscross/membership"
+	"github.com/crocuscross/crocuscross/once"
+	"github.com/crocuscross/crocuscross/peer"
+	"github.com/crocuscross/crocuscross/peerpb"
+	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/platform/httplog"
+	"github.com/crocuscross/crocuscross/quota"
+	"github.com/crocuscross/crocuscross/retry"
+	"github.com/crocuscross/crocuscross/spread"
+)
+
+// Bounds on the answers kept for repeats and asks. Together with the rest they
+// keep a daemon below 64 MB.
+const (
+	keptRecords = 16 << 10
+	keptBytes   = 6 << 20
+	keysOut     = 1 << 20
+)
+
+// parts are the pieces of a daemon, in the order in which they depend on each
+// other.
+type parts struct {
+	calls, control *peer.Pool
+	server         *peer.Server
+	log            *httplog.Client
+	meter          *telemetry.PeerMeter
+
+	membership *membership.Membership
+	spreader   *spread.Spreader
+	quota      *quota.Manager
+	gate       *gate.Gate
+	attempts   *once.Attempts
+	picker     *balance.Picker
+
+	inbound     *inbound.Handler
+	outbound    *outbound.Handler
+	self        *fleet.Self
+	operatorAPI http.Handler
+
+	apply      *apply.Controller
+	backends   *backends.Controller
+	members    *members.Controller
+	announce   *announce.Controller
+	distribute *distribute.Controller
+	lifecycle  *drain.Controller
+}
+
+// build makes all parts.
+func (d *Daemon) build() (*parts, error) {
+	p := &parts{}
+	p.meter = telemetry.NewPeerMeter(d.registry)
+	p.buildPeers(d)
+	if err := p.buildMembership(d); err != nil {
+		return nil, err
+	}
+	p.buildConfiguration(d)
+	p.buildCalls(d)
+	p.buildOperators(d)
+	p.handle()
+	return p, nil
+}
+
+// buildPeers makes two pools: configuration must not wait behind a large
+// upload, and a drop of one session must not end the other's streams.
+func (p *parts) buildPeers(d *Daemon) {
+	opts := peer.DefaultPoolOptions()
+	opts.Meter = p.meter
+	p.calls = peer.NewPool(opts)
+	p.control = peer.NewPool(opts)
+	server := peer.DefaultServerOptions()
+	server.Meter = p.meter
+	server.Logger = d.logger
+	p.server = peer.NewServer(server)
+	log := httplog.DefaultOptions(d.settings.Platform.URL)
+	log.AppendTimeout = time.Duration(d.settings.Platform.AppendTimeout)
+	p.log = httplog.New(log)
+}
+
+func (p *parts) buildMembership(d *Daemon) error {
+	s := d.settings
+	o := membership.DefaultOptions()
+	o.Host = s.Host
+	o.Boot = d.boot
+	o.AvailabilityZone = s.AvailabilityZone
+	o.Region = s.Region
+	o.PeerAddr = addrOf(d.ln.peers)
+	o.CallerAddr = addrOf(d.ln.callers)
+	o.ProbeInterval = time.Duration(s.Membership.ProbeInterval)
+	o.ProbeTimeout = time.Duration(s.Membership.ProbeTimeout)
+	o.SuspicionTimeout = time.Duration(s.Membership.SuspicionTimeout)
+	o.Packets = d.ln.packets
+	o.Sync = memberSync{p.control}
+	o.Meter = telemetry.NewMemberMeter(d.registry)
+	o.Logger = d.logger
+	m, err := membership.New(o)
+	p.membership = m
+	return err
+}
+
+func (p *parts) buildConfiguration(d *Daemon) {
+	p.distribute = &distribute.Controller{Board: d.board}
+	s := d.settings.Spread
+	o := spread.DefaultOptions()
+	o.Host = d.settings.Host
+	o.AvailabilityZone = d.settings.AvailabilityZone
+	o.Log = p.log.Stream(platform.StreamConfig)
+	o.Peers = spread.NewPoolPeers(p.control)
+	o.ReadersPerZone = s.ReadersPerZone
+	o.FanOut = s.FanOut
+	o.OwnReadAfter = time.Duration(s.OwnReadAfter)
+	o.ReadWait = time.Duration(d.settings.Platform.ReadWait)
+	o.Floor = p.membership.Floor
+	o.OnState = p.distribute.OnState
+	o.OnStatus = p.distribute.OnStatus
+	o.Meter = telemetry.NewSpreadMeter(d.registry)
+	o.Logger = d.logger
+	p.spreader = spread.New(o)
+	p.distribute.Spreader = p.spreader
+	p.membership.OnHeard(p.spreader.Heard)
+	p.members = &members.Controller{Board: d.board, Membership: p.membership, Now: time.Now}
+	p.apply = &apply.Controller{Board: d.board, Logger: d.logger, InForce: telemetry.NewInForce(d.registry)}
+	p.announce = &announce.Controller{Board: d.board, Logger: d.logger, Now: time.Now}
+}
+
+func (p *parts) buildCalls(d *Daemon) {
+	metrics := telemetry.NewCalls(d.registry)
+	p.gate = gate.New(gate.DefaultOptions())
+	attempts := once.DefaultAttemptsOptions(d.boot)
+	attempts.Bounds.MaxRecords, attempts.Bounds.MaxBytes = keptRecords, keptBytes
+	p.attempts = once.NewAttempts(attempts)
+	p.inbound = inbound.NewHandler(inbound.Options{
+		Local: &d.board.Local, Gate: p.gate, Attempts: p.attempts,
+		Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
+	})
+	balancing := balance.DefaultOptions()
+	balancing.AvailabilityZone, balancing.Region = d.settings.AvailabilityZone, d.settings.Region
+	p.picker = balance.New(balancing)
+	p.backends = &backends.Controller{Board: d.board, OnChange: func(s *backend.Set) { p.picker.Forget(s) }}
+	quotas := quota.DefaultOptions()
+	quotas.Host = d.settings.Host
+	quotas.Peers = quotaPeers{p.control}
+	quotas.Logger = d.logger
+	p.quota = quota.New(quotas)
+	keys := once.DefaultKeysOptions(d.settings.Host, d.boot)
+	keys.Bounds.MaxRecords, keys.Bounds.MaxBytes, keys.MaxKeys = keptRecords, keptBytes, keysOut
+	p.outbound = outbound.NewHandler(outbound.Options{
+		Board: d.board, Pool: p.calls, Picker: p.picker, Quota: p.quota,
+		Budget: retry.NewBudget(retry.DefaultBudgetOptions()),
+		Keys:   once.NewKeys(keys), Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
+		Host: d.settings.Host, Boot: d.boot,
+		MaxBody: d.settings.Requests.MaxBodyBytes, MaxCalls: d.settings.Requests.MaxInFlight,
+	})
+	p.lifecycle = &drain.Controller{
+		Board: d.board, Logger: d.logger, Quiet: quiet,
+		Timeout: time.Duration(d.settings.Drain.Timeout),
+		Work:    []drain.InFlight{p.inbound, p.outbound},
+		Refuse:  p.gate.Drain,
+	}
+}
+
+func (p *parts) buildOperators(d *Daemon) {
+	p.self = fleet.NewSelf(fleet.SelfOptions{
+		Board: d.board, Host: d.settings.Host, AvailabilityZone: d.settings.AvailabilityZone,
+		Version: version(), Now: time.Now,
+	})
+	o := fleet.DefaultOptions()
+	o.Board, o.Self, o.Peers, o.Drain, o.Logger = d.board, p.self, p.control, p.lifecycle.Drain, d.logger
+	f := fleet.New(o)
+	p.server.Handle(peerpb.Kind_KIND_STATUS, p.self)
+	p.server.Handle(peerpb.Kind_KIND_DRAIN, peer.HandlerFunc(f.ServeDrain))
+	p.operatorAPI = operator.New(operator.Options{
+		Board: d.board, Fleet: f, Logger: d.logger,
+		Metrics: promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}),
+	})
+}
+
+// handle connects the kinds of exchange with the parts that serve them.
+func (p *parts) handle() {
+	p.server.Handle(peerpb.Kind_KIND_CALL, p.inbound)
+	p.server.Handle(peerpb.Kind_KIND_ASK, peer.HandlerFunc(p.inbound.ServeAsk))
+	p.server.Handle(peerpb.Kind_KIND_LANE, peer.HandlerFunc(p.inbound.ServeLane))
+	p.server.Handle(peerpb.Kind_KIND_KEYED_CALL, peer.HandlerFunc(p.outbound.ServeKeyedCall))
+	p.server.Handle(peerpb.Kind_KIND_PUSH, peer.HandlerFunc(p.spreader.HandlePush))
+	p.server.Handle(peerpb.Kind_KIND_PULL, peer.HandlerFunc(p.spreader.HandlePull))
+	p.server.Handle(peerpb.Kind_KIND_QUOTA, quotaHandler{p.quota})
+	p.server.Handle(peerpb.Kind_KIND_MEMBER_SYNC, syncHandler{p.membership})
+}
+
+// loops returns what runs for the daemon's whole life.
+func (d *Daemon) loops() []loop.Func {
+	return []loop.Func{
+		func(context.Context) error { return d.server.Serve(d.ln.peers) },
+		func(context.Context) error { return serve(d.operators, d.ln.operators) },
+		func(context.Context) error { return serve(d.backend, d.ln.backend) },
+		func(context.Context) error { return serve(d.callers, d.ln.callers) },
+		d.join, d.calls.Run, d.control.Run,
+		d.membership.Run, d.members.Run, d.backends.Run,
+		d.distribute.Run, d.apply.Run, d.announce.Run,
+		d.quota.Run, d.followQuota, d.followSlots,
+		d.self.Run, d.lifecycle.Run,
+	}
+}
+
+// followSlots keeps the gate's size at what the backend server announced.
+func (d *Daemon) followSlots(ctx context.Context) error {
+	for {
+		local, changed := d.board.Local.Watch()
+		if local != nil && local.Slots > 0 {
+			d.gate.SetSlots(local.Slots)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// followQuota tells the quota of the fleet and of the contracts in force.
+func (d *Daemon) followQuota(ctx context.Context) error {
+	for {
+		view, viewChanged := d.board.Members.Watch()
+		snap, snapChanged := d.board.Snapshot.Watch()
+		if view != nil {
+			d.quota.SetView(view)
+		}
+		if snap != nil {
+			d.quota.SetContracts(snap.Contracts())
+		}
+		select {
+		case <-viewChanged:
+		case <-snapChanged:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// version returns the program's version for status.
+func version() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		return info.Main.Version
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/proxy/outbound/answer.go
@@ -0,0 +1,78 @@
+package outbound
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/internal/proxy/body"
+	"github.com/crocuscross/crocuscross/peerpb"
+)
+
+// Headers that a daemon adds to a backend server's answer.
+const (
+	// HeaderServedBy names the host whose backend server answered.
+	HeaderServedBy = "Crocuscross-Served-By"
+	// HeaderConfig is the configuration offset that the call was served with.
+	HeaderConfig = "Crocuscross-Config"
+)
+
+// flushBytes is how much of an answer without a known length may wait before
+// it is sent on.
+const copyBytes = 32 << 10
+
+// writeTo streams the answer to the caller.
+func (s *answered) writeTo(w http.ResponseWriter) error {
+	c := s.a.c
+	s.setHeader(w.Header())
+	w.Header().Set(HeaderServedBy, s.a.server.Host)
+	w.Header().Set(HeaderConfig, strconv.FormatUint(c.snap.Offset, 10))
+	w.WriteHeader(int(s.head.GetStatus()))
+	err := copyFlushing(w, s.body, s.head.GetContentLength() < 0)
+	if err != nil {
+		s.close(errkind.BackendFailed)
+		return errors.Mark(errkind.Wrap(errkind.BackendFailed, err, "stream the answer"), errAnswerCut)
+	}
+	s.close(errkind.None)
+	return nil
+}
+
+func (s *answered) setHeader(h http.Header) {
+	body.SetFields(h, s.head.GetFields())
+	if n := s.head.GetContentLength(); n >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(n, 10))
+	}
+}
+
+// copyFlushing copies a body. One without a known length is flushed chunk by
+// chunk, so that a caller sees each part when it comes.
+func copyFlushing(w http.ResponseWriter, src io.Reader, flush bool) error {
+	buf := make([]byte, copyBytes)
+	rc := http.NewResponseController(w)
+	for {
+		n, err := src.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return errors.Wrap(werr, "write to the caller")
+			}
+			if flush {
+				_ = rc.Flush()
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// hasBody reports whether an answer to a method with a status has a body.
+func hasBody(method string, head *peerpb.AnswerHead) bool {
+	st := head.GetStatus()
+	return method != http.MethodHead && st != http.StatusNoContent && st != http.StatusNotModified
+}
--- /dev/null
+++ b/internal/proxy/outbound/attempt.go
@@ -0,0 +1,247 @@
+package outbound
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/crocuscross/crocuscross/backend"
+	"github.com/crocuscross/crocuscross/balance"
+	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/internal/proxy/body"
+	"github.com/crocuscross/crocuscross/once"
+	"github.com/crocuscross/crocuscross/peer"
+	"github.com/crocuscross/crocuscross/peerpb"
+)
+
+const (
+	// cancelTimeout bounds the effort to tell a gate that a caller went away.
+	cancelTimeout = 100 * time.Millisecond
+	// maxAnswerHead bounds the message that begins an answer.
+	maxAnswerHead = 256 << 10
+	// statusContinue in an AnswerHead asks for the body.
+	statusContinue = 100
+)
+
+// attempt is one try of a call at one backend server.
+type attempt struct {
+	c      *call
+	lease  *balance.Lease
+	server *backend.Server
+	id     once.ID
+	start  time.Time
+	span   trace.Span
+	st     *peer.Stream
+	unbind func() bool
+	// upload ends when a streamed body is no longer read.
+	upload chan struct{}
+	// sent is whether the whole request body has been sent.
+	sent bool
+}
+
+func newAttempt(c *call, lease *balance.Lease) *attempt {
+	return &attempt{c: c, lease: lease, server: lease.Server(), start: time.Now()}
+}
+
+// run makes the attempt. A failed one has released all it held.
+func (a *attempt) run(ctx context.Context) (*answered, error) {
+	ctx, a.span = a.c.h.opts.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient))
+	a.span.SetAttributes(
+		attribute.String("crocuscross.host", a.server.Host),
+		attribute.String("crocuscross.availability_zone", a.server.AvailabilityZone),
+		attribute.Int("crocuscross.attempt", a.c.attempts),
+	)
+	head, err := a.exchange(ctx)
+	if err == nil {
+		return &answered{a: a, head: head, body: body.NewReader(a.st), latency: time.Since(a.start)}, nil
+	}
+	kept, err := a.settle(ctx, err)
+	a.close(balance.Result{Kind: errkind.Of(err), Latency: time.Since(a.start), Load: loadOf(head)})
+	if err != nil {
+		return nil, err
+	}
+	return &answered{a: a, head: kept.head, body: kept.body, closed: true}, nil
+}
+
+// exchange sends the call and returns the head of the backend server's answer.
+func (a *attempt) exchange(ctx context.Context) (*peerpb.AnswerHead, error) {
+	if err := a.number(ctx); err != nil {
+		return nil, a.unreachable(ctx, err)
+	}
+	st, err := a.c.h.opts.Pool.Open(ctx, a.server.PeerAddr, peerpb.Kind_KIND_CALL)
+	if err != nil {
+		return nil, a.unreachable(ctx, err)
+	}
+	a.st = st
+	a.unbind = st.BindReads(ctx)
+	_ = st.SetWriteDeadline(a.c.deadline)
+	if err := st.Send(a.c.callHead(ctx, a.id[:])); err != nil {
+		return nil, linkLost(err)
+	}
+	if a.c.stream == nil {
+		// A failure to send shows in the answer: a gate that refused the call
+		// may have stopped reading, and what it says counts.
+		a.sent = a.sendHeld() == nil
+	}
+	return a.answerHead()
+}
+
+// number gives a non-idempotent attempt the id by which its outcome can be
+// asked for.
+func (a *attempt) number(ctx context.Context) error {
+	if !a.c.terms.NonIdempotent {
+		return nil
+	}
+	id, err := a.c.h.lanes.Next(ctx, a.gate())
+	a.id = id
+	return err
+}
+
+func (a *attempt) gate() once.Gate { return once.Gate{Host: a.server.Host, Boot: a.server.Boot} }
+
+// unreachable is the error of an attempt of which nothing was sent.
+func (a *attempt) unreachable(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return contextKind(ctx, errkind.DeadlineNotRun)
+	}
+	return errkind.Wrap(errkind.Unreachable, err, "reach the backend server's host")
+}
+
+func (a *attempt) sendHeld() error {
+	if len(a.c.held) == 0 {
+		return body.SendEmpty(a.st)
+	}
+	return body.Send(a.st, a.c.heldBody())
+}
+
+// answerHead waits for the answer to begin, sending a streamed body once the
+// gate asks for it.
+func (a *attempt) answerHead() (*peerpb.AnswerHead, error) {
+	for {
+		head := new(peerpb.AnswerHead)
+		if err := a.st.RecvMax(head, maxAnswerHead); err != nil {
+			return nil, linkLost(err)
+		}
+		if head.GetErrorKind() != "" {
+			return head, a.refusedBy(head)
+		}
+		if head.GetStatus() != statusContinue {
+			return head, nil
+		}
+		a.startUpload()
+	}
+}
+
+func (a *attempt) startUpload() {
+	if a.c.stream == nil || a.upload != nil {
+		return
+	}
+	a.c.streamed = true
+	a.upload = make(chan struct{})
+	go func() {
+		defer close(a.upload)
+		_ = body.Send(a.st, a.c.stream)
+	}()
+}
+
+// close releases everything and reports how the attempt went.
+func (a *attempt) close(r balance.Result) {
+	if a.st != nil {
+		a.unbind()
+		_ = a.st.Close()
+	}
+	a.endUpload()
+	a.span.SetAttributes(attribute.String("crocuscross.kind", string(r.Kind)))
+	a.span.End()
+	a.lease.Done(r)
+}
+
+// endUpload waits until nothing reads the caller's body any more.
+func (a *attempt) endUpload() {
+	if a.upload == nil {
+		return
+	}
+	select {
+	case <-a.upload:
+		a.c.uploadDone()
+	default:
+		a.c.stopUpload()
+		<-a.upload
+	}
+}
+
+// cancel tells the gate that nobody waits for the answer any more.
+func (a *attempt) cancel() {
+	if a.st == nil || !a.sent {
+		return
+	}
+	_ = a.st.SetWriteDeadline(time.Now().Add(cancelTimeout))
+	_ = body.SendCut(a.st, errkind.Canceled)
+}
+
+// refusedBy notes what a refusal tells of the lane, and returns it as an error.
+func (a *attempt) refusedBy(head *peerpb.AnswerHead) error {
+	err := gateError(head)
+	if errkind.Of(err) == errkind.Barred {
+		a.c.h.lanes.Refused(a.gate(), a.id)
+	}
+	return err
+}
+
+// gateError is what a gate answered in place of the backend server.
+func gateError(head *peerpb.AnswerHead) error {
+	k := errkind.Kind(head.GetErrorKind())
+	if !k.Known() {
+		k = errkind.Internal
+	}
+	e := errkind.New(k, head.GetErrorText())
+	return e.After(time.Duration(head.GetRetryAfterMs()) * time.Millisecond)
+}
+
+// lostError marks a link that broke while the outcome was open.
+type lostError struct{ cause error }
+
+func (e *lostError) Error() string { return "link lost: " + e.cause.Error() }
+
+func (e *lostError) Unwrap() error { return e.cause }
+
+func linkLost(err error) error { return &lostError{err} }
+
+// loadOf returns what a gate told of its load, nil if it told nothing.
+func loadOf(head *peerpb.AnswerHead) *balance.Load {
+	l := head.GetLoad()
+	if l == nil {
+		return nil
+	}
+	return &balance.Load{
+		InUse:       int(l.GetInUse()),
+		Queued:      int(l.GetQueued()),
+		Slots:       int(l.GetSlots()),
+		Draining:    l.GetDraining(),
+		ServiceTime: time.Duration(l.GetServiceTimeUs()) * time.Microsecond,
+	}
+}
+
+// answered is the answer of a backend server whose body is still to come.
+type answered struct {
+	a       *attempt
+	head    *peerpb.AnswerHead
+	body    io.Reader
+	latency time.Duration
+	// closed is set where the attempt has ended and the body is at hand.
+	closed bool
+}
+
+// close ends the attempt behind the answer.
+func (s *answered) close(kind errkind.Kind) {
+	if s.closed {
+		return
+	}
+	s.closed = true
+	s.a.close(balance.Result{
+		Kind: kind, Status: int(s.head.GetStatus()), Latency: s.latency, Load: loadOf(s.head),
+	})
+}
--- /dev/null
+++ b/internal/proxy/outbound/call.go
@@ -0,0 +1,209 @@
+package outbound
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocuscross/crocuscross/backend"
+	"github.com/crocuscross/crocuscross/balance"
+	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/internal/proxy/body"
+	"github.com/crocuscross/crocuscross/internal/telemetry"
+	"github.com/crocuscross/crocuscross/peerpb"
+	"github.com/crocuscross/crocuscross/quota"
+	"github.com/crocuscross/crocuscross/retry"
+	"github.com/crocuscross/crocuscross/snapshot"
+)
+
+// maxHeldBody is the largest request body that is held whole, in bytes. A body
+// held whole can be sent again when an attempt is refused; a larger one is
+// streamed after the gate has admitted the call.
+const maxHeldBody = 64 << 10
+
+var (
+	errDeadline = errors.New("the call's time is up")
+	// errAnswerCut means that an answer broke off after its head was written.
+	errAnswerCut = errors.New("answer cut short")
+)
+
+// call is one call of a caller in progress.
+type call struct {
+	h        *Handler
+	snap     *snapshot.Snapshot
+	route    snapshot.Route
+	terms    snapshot.CallTerms
+	customer string
+	grant    *quota.Grant
+	deadline time.Time
+	// inherited is the number of the attempt that brought the call here, from 1.
+	inherited uint32
+	// attempts is how many attempts this daemon has made.
+	attempts int
+
+	head *peerpb.CallHead
+	// held is the whole request body, unless stream is set.
+	held   []byte
+	stream io.Reader
+	// streamed is set once a byte of stream may have been read.
+	streamed bool
+	tried    []backend.ID
+	// control reaches the caller's connection.
+	control *http.ResponseController
+}
+
+// readBody prepares the head and reads a small body whole.
+func (c *call) readBody(ctx context.Context, w http.ResponseWriter, r *http.Request) error {
+	if r.ContentLength > c.h.opts.MaxBody {
+		return errkind.Newf(errkind.TooLarge, "the body has %d bytes, at most %d are taken", r.ContentLength, c.h.opts.MaxBody)
+	}
+	c.head = &peerpb.CallHead{
+		Customer:      c.customer,
+		Service:       c.route.Service,
+		Method:        r.Method,
+		Target:        r.URL.RequestURI(),
+		Authority:     r.Host,
+		Fields:        body.Fields(r.Header),
+		NonIdempotent: c.terms.NonIdempotent,
+		ContentLength: r.ContentLength,
+		ConfigOffset:  c.snap.Offset,
+	}
+	c.control = http.NewResponseController(w)
+	limited := http.MaxBytesReader(w, r.Body, c.h.opts.MaxBody)
+	if r.ContentLength == 0 {
+		return nil
+	}
+	if r.ContentLength < 0 || r.ContentLength > maxHeldBody {
+		_ = c.control.SetReadDeadline(c.deadline)
+		c.stream = limited
+		c.head.ExpectContinue = true
+		return nil
+	}
+	// A caller that is slow to send must not hold the call beyond its time.
+	_ = c.control.SetReadDeadline(c.deadline)
+	defer c.control.SetReadDeadline(time.Time{})
+	held, err := io.ReadAll(limited)
+	if err != nil {
+		return bodyError(ctx, err)
+	}
+	c.held = held
+	return nil
+}
+
+func bodyError(ctx context.Context, err error) error {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return errkind.Wrap(errkind.TooLarge, err, "read request body")
+	case ctx.Err() != nil:
+		return contextKind(ctx, errkind.DeadlineNotRun)
+	}
+	return errkind.Wrap(errkind.BadRequest, err, "read request body")
+}
+
+// open makes attempts until one is answered by a backend server or no further
+// one is allowed.
+func (c *call) open(ctx context.Context) (*answered, error) {
+	c.h.opts.Budget.Deposit()
+	var failed error
+	for {
+		lease, err := c.pick()
+		if err != nil {
+			return nil, firstCertain(failed, err)
+		}
+		c.h.opts.Metrics.Attempt(c.attempts == 0)
+		c.attempts++
+		a, err := newAttempt(c, lease).run(ctx)
+		if err == nil {
+			return a, nil
+		}
+		failed = firstCertain(failed, err)
+		if !c.mayRetry(ctx, err) {
+			return nil, failed
+		}
+	}
+}
+
+// pick chooses a backend server that this call has not tried yet.
+func (c *call) pick() (*balance.Lease, error) {
+	lease, err := c.h.opts.Picker.Pick(c.snap.Backends(c.route.Service), c.wasTried)
+	if err != nil {
+		return nil, err
+	}
+	c.tried = append(c.tried, lease.Server().ID)
+	return lease, nil
+}
+
+func (c *call) wasTried(id backend.ID) bool { return slices.Contains(c.tried, id) }
+
+// mayRetry decides whether another attempt may follow a failed one.
+func (c *call) mayRetry(ctx context.Context, err error) bool {
+	if ctx.Err() != nil || c.streamed {
+		return false
+	}
+	d := retry.Allowed(errkind.Of(err), retry.Call{
+		Inherited:     int(c.inherited),
+		Attempts:      c.attempts,
+		NonIdempotent: c.terms.NonIdempotent,
+		Remaining:     time.Until(c.deadline),
+	})
+	return d.Retry && (d.Free || c.h.opts.Budget.Withdraw())
+}
+
+// firstCertain returns the error that a call with several failed attempts ends
+// with: the latest, unless an earlier attempt may have run. "Not run" must not
+// be said of a call that did run once.
+func firstCertain(earlier, latest error) error {
+	if earlier == nil || errkind.Of(earlier).Answer().Run == errkind.NotRun {
+		return latest
+	}
+	return earlier
+}
+
+// callHead returns the head of the next attempt.
+func (c *call) callHead(ctx context.Context, id []byte) *peerpb.CallHead {
+	left := time.Until(c.deadline)
+	h := &peerpb.CallHead{
+		AttemptId:      id,
+		Customer:       c.head.Customer,
+		Service:        c.head.Service,
+		Method:         c.head.Method,
+		Target:         c.head.Target,
+		Authority:      c.head.Authority,
+		Fields:         c.head.Fields,
+		NonIdempotent:  c.head.NonIdempotent,
+		ContentLength:  c.head.ContentLength,
+		ConfigOffset:   c.head.ConfigOffset,
+		ExpectContinue: c.head.ExpectContinue,
+		Attempt:        c.inherited + uint32(c.attempts) - 1,
+		Traceparent:    telemetry.Traceparent(ctx),
+	}
+	if left > 0 {
+		h.RemainingMs = uint32(left / time.Millisecond)
+	}
+	return h
+}
+
+// heldBody returns a new reader of the held body.
+func (c *call) heldBody() io.Reader { return bytes.NewReader(c.held) }
+
+// stopUpload makes a read of the caller's body return, so that nothing reads it
+// after the call has ended.
+func (c *call) stopUpload() { _ = c.control.SetReadDeadline(time.Unix(1, 0)) }
+
+// uploadDone lifts the bound on reads, which would else end the caller's
+// connection when it is used again.
+func (c *call) uploadDone() { _ = c.control.SetReadDeadline(time.Time{}) }
+
+// contextKind tells a caller that went away from a time that is up.
+func contextKind(ctx context.Context, onDeadline errkind.Kind) error {
+	if errors.Is(context.Cause(ctx), errDeadline) {
+		return errkind.Wrap(onDeadline, errDeadline, "give up")
+	}
+	return errkind.Wrap(errkind.Canceled, context.Cause(ctx), "the caller went away")
+}
--- /dev/null
+++ b/internal/proxy/outbound/handler.go
@@ -0,0 +1,194 @@
+// Package outbound is the first half of a call's path: the daemon that a caller
+// reached identifies the customer, holds it to its contract, chooses a backend
+// server and sends the call to the daemon beside that one.
+package outbound
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uptrace/bunrouter"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/crocuscross/crocuscross/balance"
+	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/internal/answer"
+	"github.com/crocuscross/crocuscross/internal/blackboard"
+	"github.com/crocuscross/crocuscross/internal/proxy/body"
+	"github.com/crocuscross/crocuscross/internal/telemetry"
+	"github.com/crocuscross/crocuscross/once"
+	"github.com/crocuscross/crocuscross/peer"
+	"github.com/crocuscross/crocuscross/quota"
+	"github.com/crocuscross/crocuscross/retry"
+	"github.com/crocuscross/crocuscross/snapshot"
+)
+
+// Options holds what a Handler works with.
+type Options struct {
+	Board    *blackboard.Board
+	Pool     *peer.Pool
+	Picker   *balance.Picker
+	Quota    *quota.Manager
+	Budget   *retry.Budget
+	Keys     *once.Keys
+	Tracer   trace.Tracer
+	Metrics  *telemetry.Calls
+	Logger   *slog.Logger
+	Host     string
+	Boot     uint64
+	MaxBody  int64
+	MaxCalls int
+}
+
+// Handler serves callers' requests.
+type Handler struct {
+	opts     Options
+	router   *bunrouter.Router
+	lanes    *once.Lanes
+	inFlight atomic.Int64
+}
+
+// NewHandler returns the handler for the callers' listener.
+func NewHandler(opts Options) *Handler {
+	h := &Handler{opts: opts}
+	h.lanes = once.NewLanes(once.DefaultLanesOptions(h.openLane))
+	h.router = bunrouter.New(bunrouter.WithNotFoundHandler(h.proxy), bunrouter.WithMethodNotAllowedHandler(h.proxy))
+	h.router.POST(KeysPath, h.issueKeys)
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.router.ServeHTTP(w, r) }
+
+// InFlight returns the number of requests in progress.
+func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
+
+// proxy serves one call from end to end.
+func (h *Handler) proxy(w http.ResponseWriter, r bunrouter.Request) error {
+	start := time.Now()
+	n := h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	h.opts.Metrics.InFlight.Inc()
+	defer h.opts.Metrics.InFlight.Dec()
+	ctx := telemetry.WithTraceparent(r.Context(), r.Header.Get("Traceparent"))
+	ctx, span := h.opts.Tracer.Start(ctx, "outbound", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	err := h.serve(ctx, w, r.Request, start, int(n))
+	kind := errkind.Of(err)
+	span.SetAttributes(attribute.String("crocuscross.kind", string(kind)))
+	h.opts.Metrics.Outbound(kind, time.Since(start))
+	h.finish(w, err)
+	return nil
+}
+
+// finish answers with an error, unless the answer has begun: then the
+// connection is cut, so that no caller takes a part for the whole.
+func (h *Handler) finish(w http.ResponseWriter, err error) {
+	if err == nil {
+		return
+	}
+	if errors.Is(err, errAnswerCut) {
+		panic(http.ErrAbortHandler)
+	}
+	answer.Write(w, err)
+}
+
+func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, start time.Time, inFlight int) error {
+	c, err := h.admit(r, start, inFlight)
+	if err != nil {
+		return err
+	}
+	defer c.grant.Done()
+	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline, errDeadline)
+	defer cancel()
+	if err := c.readBody(ctx, w, r); err != nil {
+		return err
+	}
+	if r.Header.Get(body.HeaderIdempotencyKey) != "" && c.terms.NonIdempotent {
+		return c.serveKeyed(ctx, w, r.Header.Get(body.HeaderIdempotencyKey))
+	}
+	a, err := c.open(ctx)
+	if err != nil {
+		return err
+	}
+	return a.writeTo(w)
+}
+
+// admit finds the call's contract and route and holds it to its limits.
+func (h *Handler) admit(r *http.Request, start time.Time, inFlight int) (*call, error) {
+	if inFlight > h.opts.MaxCalls {
+		return nil, errkind.New(errkind.Overloaded, "this host holds as many calls as it may")
+	}
+	snap := h.opts.Board.Snapshot.Load()
+	if snap == nil {
+		return nil, errkind.New(errkind.NotReady, "this host has no configuration in force yet")
+	}
+	customer := r.Header.Get(body.HeaderCustomer)
+	contract := snap.Contract(customer)
+	if contract == nil {
+		return nil, errkind.Newf(errkind.UnknownCustomer, "no contract for customer %q", customer)
+	}
+	route, ok := snap.Route(r.URL.Path)
+	if !ok {
+		return nil, noRoute(snap, r.URL.Path)
+	}
+	terms := contract.Terms(r.Method, r.URL.Path)
+	wait, err := remaining(r.Header, terms.MaxWait)
+	if err != nil {
+		return nil, err
+	}
+	attempt, err := firstAttempt(r.Header)
+	if err != nil {
+		return nil, err
+	}
+	grant, err := h.opts.Quota.AdmitWait(r.Context(), contract)
+	if err != nil {
+		return nil, err
+	}
+	return &call{
+		h: h, snap: snap, route: route, terms: terms, customer: customer, grant: grant,
+		deadline: start.Add(wait), inherited: attempt,
+	}, nil
+}
+
+// noRoute tells a route that waits for its backend servers from one that does
+// not exist.
+func noRoute(snap *snapshot.Snapshot, path string) error {
+	if len(snap.Withheld) > 0 {
+		return errkind.Newf(errkind.NoBackend, "no route for %s is in force, %d wait for a backend server", path, len(snap.Withheld))
+	}
+	return errkind.Newf(errkind.NoRoute, "no route for %s", path)
+}
+
+// remaining returns how long a call may take: what the contract allows, or
+// what an earlier hop says is left, if that is less.
+func remaining(h http.Header, allowed time.Duration) (time.Duration, error) {
+	v := h.Get(body.HeaderRemaining)
+	if v == "" {
+		return allowed, nil
+	}
+	ms, err := strconv.ParseUint(v, 10, 31)
+	if err != nil {
+		return 0, errkind.Newf(errkind.BadRequest, "%s is not a number of milliseconds: %q", body.HeaderRemaining, v)
+	}
+	return min(allowed, time.Duration(ms)*time.Millisecond), nil
+}
+
+// firstAttempt returns the number of the attempt that brought the call here.
+func firstAttempt(h http.Header) (uint32, error) {
+	v := h.Get(body.HeaderAttempt)
+	if v == "" {
+		return 1, nil
+	}
+	n, err := strconv.ParseUint(v, 10, 16)
+	if err != nil || n == 0 {
+		return 0, errkind.Newf(errkind.BadRequest, "%s is not a number from 1: %q", body.HeaderAttempt, v)
+	}
+	return uint32(n), nil
+}
--- /dev/null
+++ b/internal/proxy/outbound/keyed.go
@@ -0,0 +1,243 @@
+package outbound
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/internal/proxy/body"
+	"github.com/crocuscross/crocuscross/internal/telemetry"
+	"github.com/crocuscross/crocuscross/once"
+	"github.com/crocuscross/crocuscross/peer"
+	"github.com/crocuscross/crocuscross/peerpb"
+	"github.com/crocuscross/crocuscross/snapshot"
+)
+
+const (
+	// maxKeyedBody and maxKeyedAnswer bound what is held whole of a call under
+	// an idempotency key, in bytes.
+	maxKeyedBody   = 8 << 20
+	maxKeyedAnswer = 16 << 20
+	// headTimeout bounds the time until a forwarded call's head is there.
+	headTimeout = 5 * time.Second
+)
+
+// serveKeyed runs a non-idempotent call under its key, at the daemon that
+// issued the key and nowhere else.
+func (c *call) serveKeyed(ctx context.Context, w http.ResponseWriter, header string) error {
+	key, err := once.ParseKey(header)
+	if err != nil {
+		return err
+	}
+	if err := c.holdBody(ctx); err != nil {
+		return err
+	}
+	host, boot := key.Holder()
+	if host == c.h.opts.Host && boot == c.h.opts.Boot {
+		ans, err := c.runKeyed(ctx, key)
+		if err != nil {
+			return err
+		}
+		return writeKept(w, ans)
+	}
+	return c.forwardKeyed(ctx, w, host, boot)
+}
+
+// holdBody reads the rest of a large body, which must be held to be told from
+// another request under the same key.
+func (c *call) holdBody(ctx context.Context) error {
+	if c.stream == nil {
+		return nil
+	}
+	held, err := io.ReadAll(io.LimitReader(c.stream, maxKeyedBody+1))
+	if err != nil {
+		return bodyError(ctx, err)
+	}
+	if len(held) > maxKeyedBody {
+		return errkind.Newf(errkind.TooLarge, "a call under an idempotency key may have a body of at most %d bytes", maxKeyedBody)
+	}
+	c.uploadDone()
+	c.held, c.stream = held, nil
+	c.head.ContentLength = int64(len(held))
+	c.head.ExpectContinue = false
+	return nil
+}
+
+// runKeyed runs the call, or returns the kept answer of its first run. It goes
+// on when the caller goes away, so that a repeat finds an outcome.
+func (c *call) runKeyed(ctx context.Context, key once.Key) (*once.Answer, error) {
+	fp := once.NewFingerprint(c.head.GetMethod(), c.head.GetTarget(), c.customer)
+	_, _ = fp.Write(c.held)
+	exec, ans, err := c.h.opts.Keys.BeginOrWait(ctx, key, fp.Sum())
+	if err != nil || ans != nil {
+		return ans, err
+	}
+	ctx, cancel := context.WithDeadlineCause(context.WithoutCancel(ctx), c.deadline, errDeadline)
+	defer cancel()
+	a, err := c.open(ctx)
+	if err != nil {
+		endFailed(exec, err)
+		return nil, err
+	}
+	ans, err = a.hold()
+	if err != nil {
+		exec.Unknown()
+		return nil, err
+	}
+	exec.Finish(ans)
+	return ans, nil
+}
+
+func endFailed(exec *once.Execution, err error) {
+	if errkind.Of(err).Answer().Run == errkind.NotRun {
+		exec.NotRun()
+		return
+	}
+	exec.Unknown()
+}
+
+// hold reads the whole answer.
+func (s *answered) hold() (*once.Answer, error) {
+	b, err := io.ReadAll(io.LimitReader(s.body, maxKeyedAnswer+1))
+	if err == nil && len(b) > maxKeyedAnswer {
+		err = errors.Newf("the answer has more than %d bytes", maxKeyedAnswer)
+	}
+	if err != nil {
+		s.close(errkind.BackendFailed)
+		return nil, errkind.Wrap(errkind.OutcomeUnknown, err, "the call ran, its answer cannot be held")
+	}
+	s.close(errkind.None)
+	ans := &once.Answer{Status: int(s.head.GetStatus()), Body: b}
+	for _, f := range s.head.GetFields() {
+		ans.Fields = append(ans.Fields, once.Field{Name: f.GetName(), Value: f.GetValue()})
+	}
+	return ans, nil
+}
+
+func writeKept(w http.ResponseWriter, ans *once.Answer) error {
+	body.SetFields(w.Header(), keptHead(ans).GetFields())
+	w.WriteHeader(ans.Status)
+	if _, err := w.Write(ans.Body); err != nil {
+		return errors.Mark(errkind.Wrap(errkind.Canceled, err, "write to the caller"), errAnswerCut)
+	}
+	return nil
+}
+
+func keptHead(ans *once.Answer) *peerpb.AnswerHead {
+	head := &peerpb.AnswerHead{Status: uint32(ans.Status), ContentLength: int64(len(ans.Body))}
+	for _, f := range ans.Fields {
+		head.Fields = append(head.Fields, &peerpb.Field{Name: f.Name, Value: f.Value})
+	}
+	return head
+}
+
+// forwardKeyed sends the call to the daemon that issued its key. A holder that
+// is gone, or a link that breaks, leaves the outcome unknown: an earlier
+// request under the key may have run.
+func (c *call) forwardKeyed(ctx context.Context, w http.ResponseWriter, host string, boot uint64) error {
+	m := c.h.opts.Board.Members.Load().Find(host)
+	if m == nil || m.Boot != boot {
+		return errkind.Newf(errkind.OutcomeUnknown, "the daemon on host %s that issued the key is gone", host)
+	}
+	st, err := c.h.opts.Pool.Open(ctx, m.PeerAddr, peerpb.Kind_KIND_KEYED_CALL)
+	if err != nil {
+		return errkind.Wrap(errkind.OutcomeUnknown, err, "reach the daemon that issued the key")
+	}
+	defer st.Close()
+	defer st.BindContext(ctx)()
+	head, err := c.exchangeKeyed(ctx, st)
+	if err != nil {
+		return err
+	}
+	body.SetFields(w.Header(), head.GetFields())
+	w.WriteHeader(int(head.GetStatus()))
+	if err := copyFlushing(w, body.NewReader(st), false); err != nil {
+		return errors.Mark(errkind.Wrap(errkind.OutcomeUnknown, err, "stream the answer"), errAnswerCut)
+	}
+	return nil
+}
+
+func (c *call) exchangeKeyed(ctx context.Context, st *peer.Stream) (*peerpb.AnswerHead, error) {
+	lost := func(err error) error {
+		return errkind.Wrap(errkind.OutcomeUnknown, err, "the link to the daemon that issued the key broke")
+	}
+	c.attempts = 1
+	if err := st.Send(c.callHead(ctx, nil)); err != nil {
+		return nil, lost(err)
+	}
+	if err := body.Send(st, c.heldBody()); err != nil {
+		return nil, lost(err)
+	}
+	head := new(peerpb.AnswerHead)
+	if err := st.RecvMax(head, maxAnswerHead); err != nil {
+		return nil, lost(err)
+	}
+	if head.GetErrorKind() != "" {
+		return nil, gateError(head)
+	}
+	return head, nil
+}
+
+// ServeKeyedCall runs a call under a key that this daemon issued and another
+// daemon was sent.
+func (h *Handler) ServeKeyedCall(ctx context.Context, st *peer.Stream) error {
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	_ = st.SetReadDeadline(time.Now().Add(headTimeout))
+	head := new(peerpb.CallHead)
+	if err := st.RecvMax(head, maxAnswerHead); err != nil {
+		return errors.Wrap(err, "read keyed call")
+	}
+	ans, err := h.runForwarded(ctx, st, head)
+	_ = st.SetWriteDeadline(time.Now().Add(headTimeout))
+	if err != nil {
+		refusal := &peerpb.AnswerHead{
+			ErrorKind: string(errkind.Of(err)), ErrorText: err.Error(),
+			RetryAfterMs: uint32(errkind.RetryAfterOf(err).Milliseconds()),
+		}
+		return errors.CombineErrors(err, st.Send(refusal))
+	}
+	if err := st.Send(keptHead(ans)); err != nil {
+		return err
+	}
+	return body.Send(st, bytes.NewReader(ans.Body))
+}
+
+func (h *Handler) runForwarded(ctx context.Context, st *peer.Stream, head *peerpb.CallHead) (*once.Answer, error) {
+	deadline := time.Now().Add(time.Duration(head.GetRemainingMs()) * time.Millisecond)
+	_ = st.SetReadDeadline(deadline)
+	held, err := io.ReadAll(io.LimitReader(body.NewReader(st), maxKeyedBody+1))
+	if err != nil || len(held) > maxKeyedBody {
+		return nil, errkind.New(errkind.BadRequest, "the forwarded call's body is not whole or too large")
+	}
+	key, err := once.ParseKey(fieldOf(head, body.HeaderIdempotencyKey))
+	if err != nil {
+		return nil, err
+	}
+	snap := h.opts.Board.Snapshot.Load()
+	if snap == nil {
+		return nil, errkind.New(errkind.NotReady, "the daemon that issued the key has no configuration in force")
+	}
+	ctx, cancel := context.WithDeadlineCause(telemetry.WithTraceparent(ctx, head.GetTraceparent()), deadline, errDeadline)
+	defer cancel()
+	c := &call{
+		h: h, snap: snap, route: snapshot.Route{Service: head.GetService()},
+		terms: snapshot.CallTerms{NonIdempotent: true}, customer: head.GetCustomer(),
+		deadline: deadline, inherited: max(1, head.GetAttempt()), head: head, held: held,
+	}
+	return c.runKeyed(ctx, key)
+}
+
+func fieldOf(head *peerpb.CallHead, name string) string {
+	for _, f := range head.GetFields() {
+		if f.GetName() == name {
+			return f.GetValue()
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/proxy/outbound/lane.go
@@ -0,0 +1,27 @@
+package outbound
+
+import (
+	"context"
+
+	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/once"
+	"github.com/crocuscross/crocuscross/peerpb"
+)
+
+// openLane asks a gate for a lane, once for each gate that non-idempotent
+// calls go to.
+func (h *Handler) openLane(ctx context.Context, g once.Gate) (once.Lane, error) {
+	view := h.opts.Board.Members.Load()
+	m := view.Find(g.Host)
+	if m == nil {
+		return once.Lane{}, errkind.Newf(errkind.Unreachable, "host %s is not known", g.Host)
+	}
+	ans := new(peerpb.LaneAnswer)
+	if err := h.opts.Pool.Call(ctx, m.PeerAddr, peerpb.Kind_KIND_LANE, &peerpb.LaneAsk{}, ans); err != nil {
+		return once.Lane{}, err
+	}
+	if ans.GetErrorKind() != "" {
+		return once.Lane{}, errkind.New(errkind.Kind(ans.GetErrorKind()), "the gate opens no lane")
+	}
+	return once.Lane{Boot: ans.GetBoot(), Number: ans.GetNumber()}, nil
+}
