--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,16 @@
 GO ?= go
 BIN := bin
 
+# Shown by "crocuscross version". Without them the Go tool's own stamps hold.
+VERSION ?= $(shell git describe --tags --always --dirty 2>/dev/null)
+COMMIT ?= $(shell git rev-parse HEAD 2>/dev/null)
+BUILDINFO := github.com/crocuscross/crocuscross/internal/buildinfo
+LDFLAGS := -X $(BUILDINFO).version=$(VERSION) -X $(BUILDINFO).commit=$(COMMIT)
+
 .PHONY: build generate test lint bench fmt
 
 build:
-	$(GO) build -trimpath -o $(BIN)/crocuscross ./cmd/crocuscross
+	$(GO) build -trimpath -ldflags '$(LDFLAGS)' -o $(BIN)/crocuscross ./cmd/crocuscross
 	$(GO) build -trimpath -o $(BIN)/standin ./cmd/standin
 
 generate:
--- a/internal/cli/statuscmd/status.go
+++ b/internal/cli/statuscmd/status.go
@@ -72,8 +72,8 @@
 	for _, d := range daemons {
 		list = append(list, command.Row{
 			d.Host, d.AvailabilityZone, state(d),
-			strconv.FormatUint(d.Offset, 10), age(d, d.InForceAgeMs),
-			strconv.FormatUint(d.Lag, 10), age(d, d.BehindMs),
+			strconv.FormatUint(d.Offset, 10), inForceFor(d),
+			strconv.FormatUint(d.Lag, 10), age(d.BehindMs),
 			reads(d), command.Or(backends(d.BackendServers)), command.Or(reason(d)),
 		})
 	}
@@ -91,9 +91,17 @@
 	return d.Phase
 }
 
-func age(d operator.Daemon, ms uint64) string {
-	if d.Phase == "" || ms == 0 {
-		return "-"
+// inForceFor is empty for a daemon that did not answer or has nothing in force.
+func inForceFor(d operator.Daemon) string {
+	if d.Phase == "" || d.Offset == 0 {
+		return age(0)
+	}
+	return age(d.InForceAgeMs)
+}
+
+func age(ms uint64) string {
+	if ms == 0 {
+		return command.Or("")
 	}
 	return command.Duration(ms)
 }
