--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -12,6 +12,7 @@
 
 	"github.com/crocuscross/crocuscross/internal/cli/command"
 	"github.com/crocuscross/crocuscross/internal/cli/contractcmd"
+	"github.com/crocuscross/crocuscross/internal/cli/daemoncmd"
 	"github.com/crocuscross/crocuscross/internal/cli/draincmd"
 	"github.com/crocuscross/crocuscross/internal/cli/settingscmd"
 	"github.com/crocuscross/crocuscross/internal/cli/statuscmd"
@@ -54,6 +55,7 @@
 	app.Terminate(func(status int) { panic(terminated{status}) })
 	app.HelpFlag.Short('h')
 	env.AddFlags(app)
+	daemoncmd.Register(app, env)
 	contractcmd.Register(app, env)
 	statuscmd.Register(app, env)
 	draincmd.Register(app, env)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -133,6 +133,7 @@
 	expect(t, command.StatusBadInput, "contract", "publish", services, "--platform", url, "--replaces", "x")
 	expect(t, command.StatusBadInput, "contract", "publish", services, "--platform", url, "--wait")
 	expect(t, command.StatusBadInput, "settings", "check", bad)
+	expect(t, command.StatusBadInput, "daemon", "--settings", bad)
 	expect(t, command.StatusBadInput, "nonsense")
 	expect(t, command.StatusBadInput, "status")
 
@@ -170,7 +171,7 @@
 // Each command's help must show how it is called.
 func TestHelpHasAnExample(t *testing.T) {
 	for _, c := range []string{
-		"contract validate", "contract publish", "contract get", "contract list", "contract history",
+		"daemon", "contract validate", "contract publish", "contract get", "contract list", "contract history",
 		"status", "drain host", "drain zone", "settings check", "settings defaults", "settings example", "version",
 	} {
 		out := expect(t, command.StatusOK, append(strings.Fields(c), "--help")...)
--- /dev/null
+++ b/internal/cli/daemoncmd/daemon.go
@@ -0,0 +1,25 @@
+// Package daemoncmd is the command "daemon".
+package daemoncmd
+
+import (
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocuscross/crocuscross/internal/cli/command"
+	"github.com/crocuscross/crocuscross/internal/daemon"
+	"github.com/crocuscross/crocuscross/internal/settings"
+)
+
+// Register adds the command.
+func Register(app *kingpin.Application, env *command.Env) {
+	cmd := app.Command("daemon", "Run the daemon beside a backend server until SIGTERM or SIGINT, then shut down gracefully.")
+	cmd.HelpLong(command.Example("crocuscross daemon --settings /etc/crocuscross/daemon.jsonc"))
+	path := cmd.Flag("settings", "Settings file: JSON with comments.").Required().PlaceHolder("FILE").String()
+	cmd.Action(command.Action(func() error {
+		s, err := settings.Load(*path)
+		if err != nil {
+			return command.Exit(command.StatusBadInput, err)
+		}
+		return errors.Wrap(daemon.Run(env.Context, s), "daemon")
+	}))
+}
