--- /dev/null
+++ b/errkind/errkind_test.go
@@ -0,0 +1,42 @@
+package errkind
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+)
+
+func TestTable_EveryRowIsAnAnswer(t *testing.T) {
+	for _, k := range Kinds() {
+		a := k.Answer()
+		must.Between(t, 400, a.Status, 599, must.Sprint(k))
+		must.True(t, a.Run == NotRun || a.Run == RunUnknown, must.Sprint(k))
+		// A caller that is told to come back must be told that it may.
+		must.True(t, a.RetryAfter == 0 || a.Retry, must.Sprint(k))
+	}
+}
+
+func TestKind_UnknownNameIsInternal(t *testing.T) {
+	k := Kind("from_a_newer_daemon")
+	must.False(t, k.Known())
+	must.Eq(t, Internal.Answer(), k.Answer())
+}
+
+func TestOf_FindsTheKindInAChain(t *testing.T) {
+	cause := errors.New("cause")
+	err := fmt.Errorf("outer: %w", Wrap(Overloaded, cause, "inner"))
+	must.Eq(t, Overloaded, Of(err))
+	must.ErrorIs(t, err, cause)
+	must.Eq(t, Internal, Of(cause))
+	must.Eq(t, None, Of(nil))
+}
+
+func TestRetryAfterOf_ErrorKnowsBetterThanTheTable(t *testing.T) {
+	plain := New(Overloaded, "full")
+	must.Eq(t, Overloaded.Answer().RetryAfter, RetryAfterOf(plain))
+	must.Eq(t, 7*time.Second, RetryAfterOf(plain.After(7*time.Second)))
+	must.Eq(t, Overloaded.Answer().RetryAfter, RetryAfterOf(plain))
+}
--- /dev/null
+++ b/internal/controller/contacts/contacts_test.go
@@ -0,0 +1,70 @@
+package contacts
+
+import (
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/internal/blackboard"
+	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/platform/memlog"
+)
+
+// clock is a time that tests move.
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+func newController(log *memlog.Service, host string, port uint16, c *clock) *Controller {
+	board := &blackboard.Board{}
+	board.Source.Store(&blackboard.Source{Reader: true})
+	return New(Options{
+		Board: board, Log: log.Stream(platform.StreamContacts), Host: host,
+		PeerAddr: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port),
+		Logger:   slog.New(slog.DiscardHandler), Now: c.Now,
+	})
+}
+
+func appends(t *testing.T, log *memlog.Service) uint64 {
+	t.Helper()
+	b, err := log.Stream(platform.StreamContacts).Bounds(t.Context())
+	must.NoError(t, err)
+	return b.End - 1
+}
+
+func TestController_NewcomerFindsReaders(t *testing.T) {
+	log := memlog.New(memlog.DefaultOptions())
+	c := &clock{now: time.Unix(0, 0)}
+	newController(log, "a", 1, c).reconcile(t.Context())
+	newController(log, "b", 2, c).reconcile(t.Context())
+	// The host's replacement has another address; only the newest counts.
+	newController(log, "a", 3, c).reconcile(t.Context())
+	_, err := log.Stream(platform.StreamContacts).Append(t.Context(), []byte{0xff})
+	must.NoError(t, err)
+	found, err := newController(log, "c", 4, c).Find(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:3"), netip.MustParseAddrPort("127.0.0.1:2")}, found)
+}
+
+// The platform takes a few hundred appends a second for everybody. A reader
+// appends once in an interval, also when the log refuses, and others never.
+func TestController_AppendsAreRare(t *testing.T) {
+	log := memlog.New(memlog.DefaultOptions())
+	c := &clock{now: time.Unix(0, 0)}
+	reader := newController(log, "a", 1, c)
+	for range 20 {
+		reader.reconcile(t.Context())
+		c.now = c.now.Add(checkInterval)
+	}
+	must.Eq(t, 1, appends(t, log))
+	c.now = c.now.Add(RefreshInterval)
+	reader.reconcile(t.Context())
+	must.Eq(t, 2, appends(t, log))
+	other := newController(log, "b", 2, c)
+	other.opts.Board.Source.Store(&blackboard.Source{})
+	other.reconcile(t.Context())
+	must.Eq(t, 2, appends(t, log))
+}
--- a/internal/proxy/outbound/answer.go
+++ b/internal/proxy/outbound/answer.go
@@ -9,7 +9,6 @@
 
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/internal/proxy/body"
-	"github.com/crocuscross/crocuscross/peerpb"
 )
 
 // Headers that a daemon adds to a backend server's answer.
@@ -20,8 +19,7 @@
 	HeaderConfig = "Crocuscross-Config"
 )
 
-// flushBytes is how much of an answer without a known length may wait before
-// it is sent on.
+// copyBytes is how much of an answer is held at once.
 const copyBytes = 32 << 10
 
 // writeTo streams the answer to the caller.
@@ -70,9 +68,3 @@
 		}
 	}
 }
-
-// hasBody reports whether an answer to a method with a status has a body.
-func hasBody(method string, head *peerpb.AnswerHead) bool {
-	st := head.GetStatus()
-	return method != http.MethodHead && st != http.StatusNoContent && st != http.StatusNotModified
-}
