--- a/internal/standin/backendserver/server_test.go
+++ b/internal/standin/backendserver/server_test.go
@@ -53,6 +53,25 @@
 	return resp.StatusCode, body
 }
 
+// doAsync sends the status when it comes, 0 where there is no whole answer.
+func doAsync(r *http.Request) <-chan int {
+	status := make(chan int, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			status <- 0
+			return
+		}
+		defer resp.Body.Close()
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			status <- 0
+			return
+		}
+		status <- resp.StatusCode
+	}()
+	return status
+}
+
 func command(t *testing.T, url string) {
 	status, text := do(t, request(t, http.MethodPost, url, "", ""))
 	must.Eq(t, http.StatusOK, status, must.Sprint(string(text)))
@@ -157,18 +176,13 @@
 	opts.Slots = 1
 	s, url := start(t, opts)
 	command(t, url+"/admin/stall?on=true")
-	done := make(chan int, 2)
-	for range 2 {
-		go func() {
-			status, _ := do(t, request(t, http.MethodGet, url+"/a", "a", ""))
-			done <- status
-		}()
-	}
+	first := doAsync(request(t, http.MethodGet, url+"/a", "a", ""))
+	second := doAsync(request(t, http.MethodGet, url+"/b", "b", ""))
 	waitFor(func() bool { return s.Stats().Queued == 1 })
 	must.Eq(t, 1, s.Stats().Executions)
 	command(t, url+"/admin/stall?on=false")
-	must.Eq(t, http.StatusOK, <-done)
-	must.Eq(t, http.StatusOK, <-done)
+	must.Eq(t, http.StatusOK, <-first)
+	must.Eq(t, http.StatusOK, <-second)
 	must.Eq(t, 1, s.Stats().PeakQueued)
 }
 
@@ -288,14 +302,10 @@
 	go func() { ended <- s.Run(ctx, ln) }()
 	waitFor(func() bool { return d.local().URL == url })
 
-	answered := make(chan int, 1)
 	upload, body := io.Pipe()
-	go func() {
-		resp, err := http.Post(url+"/a", "text/plain", upload)
-		must.NoError(t, err)
-		must.NoError(t, resp.Body.Close())
-		answered <- resp.StatusCode
-	}()
+	r := request(t, http.MethodPost, url+"/a", "a", "")
+	r.Body, r.ContentLength = upload, -1
+	answered := doAsync(r)
 	waitFor(func() bool { return s.Stats().Executions == 1 })
 	stop()
 	must.NoError(t, <-withdrawn)
