--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 BUILDINFO := github.com/crocuscross/crocuscross/internal/buildinfo
 LDFLAGS := -X $(BUILDINFO).version=$(VERSION) -X $(BUILDINFO).commit=$(COMMIT)
 
-.PHONY: build generate test lint bench fmt
+.PHONY: build generate test lint bench fmt demo latency
 
 build:
 	$(GO) build -trimpath -ldflags '$(LDFLAGS)' -o $(BIN)/crocuscross ./cmd/crocuscross
@@ -26,3 +26,12 @@
 
 fmt:
 	gofmt -w .
+
+# The whole path as separate processes; ends by itself in under a minute.
+demo: build
+	$(GO) run ./bench/demo
+
+# What the path through two daemons adds to a call, against calling the same
+# backend servers directly.
+latency: build
+	$(GO) run ./bench/latency $(ARGS)
--- a/bench/demo/main.go
+++ b/bench/demo/main.go
@@ -19,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/crocuscross/crocuscross/bench/procs"
+	"github.com/crocuscross/crocuscross/internal/operator"
 )
 
 const (
@@ -97,15 +98,14 @@
 	}
 	fmt.Printf("%d daemons and %d backend servers run\n", d.daemons, d.daemons)
 	return d.eventually(func() error {
-		out, err := d.cli("status", "--daemon", operators)
+		s, err := operator.NewClient(operators).Status(d.ctx)
 		if err != nil {
 			return err
 		}
-		if n := strings.Count(out, "alive"); n != d.daemons {
-			return errors.Newf("%d of %d daemons are known", n, d.daemons)
+		if len(s.Daemons) != d.daemons {
+			return errors.Newf("%d of %d daemons are known", len(s.Daemons), d.daemons)
 		}
-		fmt.Print(out)
-		return nil
+		return d.show("status", "--daemon", operators)
 	})
 }
 
@@ -127,20 +127,26 @@
 
 func (d *demo) publish() error {
 	for _, file := range []string{"services", "contracts"} {
-		out, err := d.cli("contract", "publish", "examples/association/"+file+".jsonc",
-			"--platform", "http://"+logAddress, "--daemon", operators, "--wait=10s")
-		fmt.Print(out)
-		if err != nil {
+		if err := d.show("contract", "publish", "examples/association/"+file+".jsonc",
+			"--platform", "http://"+logAddress, "--daemon", operators, "--wait=10s"); err != nil {
 			return err
 		}
 	}
-	return d.eventually(func() error {
-		out, err := d.cli("status", "--daemon", operators, "--output", "json")
-		if err == nil && strings.Contains(out, "withheld_routes\": [\n") {
-			err = errors.New("routes wait for backend servers")
-		}
+	return d.eventually(d.routesInForce)
+}
+
+// routesInForce checks that no daemon waits for a backend server.
+func (d *demo) routesInForce() error {
+	s, err := operator.NewClient(operators).Status(d.ctx)
+	if err != nil {
 		return err
-	})
+	}
+	for _, daemon := range s.Daemons {
+		if len(daemon.WithheldRoutes) > 0 {
+			return errors.Newf("host %s withholds %v", daemon.Host, daemon.WithheldRoutes)
+		}
+	}
+	return nil
 }
 
 // serve sends lookups to one host and looks at who answered.
@@ -204,15 +210,11 @@
 }
 
 func (d *demo) revise() error {
-	out, err := d.cli("contract", "publish", "examples/association/revision.jsonc",
-		"--platform", "http://"+logAddress, "--daemon", operators, "--wait=10s")
-	fmt.Print(out)
-	if err != nil {
+	if err := d.show("contract", "publish", "examples/association/revision.jsonc",
+		"--platform", "http://"+logAddress, "--daemon", operators, "--wait=10s"); err != nil {
 		return err
 	}
-	out, err = d.cli("contract", "history", "--platform", "http://"+logAddress, "elm-street-garage")
-	fmt.Print(out)
-	return err
+	return d.show("contract", "history", "--platform", "http://"+logAddress, "elm-street-garage")
 }
 
 // repeat sends one hold through three hosts under one idempotency key.
@@ -243,9 +245,7 @@
 
 // drain stops a whole availability zone while lookups go on.
 func (d *demo) drain() error {
-	out, err := d.cli("drain", "zone", "worcester", "--daemon", operators)
-	fmt.Print(out)
-	if err != nil {
+	if err := d.show("drain", "zone", "providence", "--daemon", operators); err != nil {
 		return err
 	}
 	for range 60 {
@@ -262,10 +262,12 @@
 	return nil
 }
 
-// cli runs the operators' command line.
-func (d *demo) cli(args ...string) (string, error) {
-	out, err := exec.CommandContext(d.ctx, "bin/crocuscross", args...).CombinedOutput()
-	return string(out), errors.Wrapf(err, "crocuscross %s: %s", strings.Join(args, " "), out)
+// show runs the operators' command line and prints what it prints.
+func (d *demo) show(args ...string) error {
+	fmt.Printf("$ crocuscross %s\n", strings.Join(args, " "))
+	cmd := exec.CommandContext(d.ctx, "bin/crocuscross", args...)
+	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+	return errors.Wrapf(cmd.Run(), "crocuscross %s", args[0])
 }
 
 // eventually repeats a check until it passes.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -17,6 +17,7 @@
 	"github.com/crocuscross/crocuscross/configpb"
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/internal/answer"
+	"github.com/crocuscross/crocuscross/peerpb"
 )
 
 const (
@@ -46,6 +47,19 @@
 	return s, c.getJSON(ctx, pathStatus, nil, 0, s)
 }
 
+// Self returns the daemon's own status.
+func (c *Client) Self(ctx context.Context) (*peerpb.StatusAnswer, error) {
+	b, err := c.do(ctx, http.MethodGet, pathStatusSelf, nil, nil, 0)
+	if err != nil {
+		return nil, err
+	}
+	s := &peerpb.StatusAnswer{}
+	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(b, s); err != nil {
+		return nil, errors.Wrapf(err, "answer of %s", c.base)
+	}
+	return s, nil
+}
+
 // Converge asks the daemon to wait until a version is in force everywhere.
 // elapsed is how long ago the publish began; times count from there.
 func (c *Client) Converge(ctx context.Context, offset uint64, wait, elapsed time.Duration) (*Convergence, error) {
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -97,9 +98,12 @@
 
 func bodyError(ctx context.Context, err error) error {
 	var tooLarge *http.MaxBytesError
+	var netErr net.Error
 	switch {
 	case errors.As(err, &tooLarge):
 		return errkind.Wrap(errkind.TooLarge, err, "read request body")
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return errkind.Wrap(errkind.DeadlineNotRun, err, "the request body came too slowly")
 	case ctx.Err() != nil:
 		return contextKind(ctx, errkind.DeadlineNotRun)
 	}
--- a/internal/proxy/outbound/settle.go
+++ b/internal/proxy/outbound/settle.go
@@ -34,15 +34,14 @@
 		a.cancel()
 		return nil, contextKind(ctx, errkind.Deadline)
 	}
-	// The session may be silent for others, too: they must not wait on it.
-	a.c.h.opts.Pool.Drop(a.server.PeerAddr)
 	if !a.c.terms.NonIdempotent {
 		return nil, errkind.Wrap(errkind.BackendFailed, lost, "the link to the backend server's host broke")
 	}
 	return a.ask(ctx)
 }
 
-// ask learns the outcome of a non-idempotent attempt over a new connection. The
+// ask learns the outcome of a non-idempotent attempt over another stream; the
+// pool has connected anew if the session itself broke or was silent. The
 // gate bars an attempt that has not started, so that "not run" stays true; a
 // gate that cannot be asked leaves the outcome unknown.
 func (a *attempt) ask(ctx context.Context) (*keptAnswer, error) {
