Spread records by few readers, pushes along trees, digests and pulls

Two daemons of each availability zone, by rendezvous hash, read the log. The first pushes each batch along a k-ary tree; a push names the daemons below its receiver, so that coverage depends on the root's view alone, and the sender takes over the daemons below one that does not acknowledge. A root tells one reader of each other zone its offset, in case the log failed there. Membership's digests lead to pulls; who hears nobody reads the log itself.

Weighed: children computed by each daemon from its own view (a differing view cuts a subtree), both readers sending records (twice the bytes), every daemon reading the log and digests with pulls alone (both kept as modes, to measure).

--- /dev/null
+++ b/spread/fleet_test.go
@@ -0,0 +1,270 @@
+package spread
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/fold"
+	"github.com/crocuscross/crocuscross/membership"
+	"github.com/crocuscross/crocuscross/peer"
+	"github.com/crocuscross/crocuscross/peerpb"
+	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/platform/memlog"
+)
+
+// hop is the time of a message between two nodes. Tests run in a synctest
+// bubble, where time is virtual.
+const hop = 500 * time.Microsecond
+
+// traffic counts what the nodes send.
+type traffic struct {
+	pushes, digests, pulls, bytes atomic.Int64
+}
+
+// fleet is a set of Spreaders over one log and a network of function calls.
+type fleet struct {
+	t       testing.TB
+	svc     *memlog.Service
+	log     *memlog.Stream
+	nodes   []*node
+	byAddr  map[netip.AddrPort]*node
+	traffic *traffic
+	// handlers are the pushes being served.
+	handlers sync.WaitGroup
+}
+
+// node is one daemon; it is the Peers and the log that its Spreader sees.
+type node struct {
+	*Spreader
+	platform.Log
+	fleet  *fleet
+	member *membership.Member
+	stop   context.CancelFunc
+	// logCut ends when the node loses the log.
+	logCut  context.Context
+	cutLog  context.CancelFunc
+	dead    atomic.Bool
+	inForce atomic.Uint64
+}
+
+func newFleet(t testing.TB, size, zones int, adjust func(*Options)) *fleet {
+	svc := memlog.New(memlog.DefaultOptions())
+	f := &fleet{t: t, svc: svc, log: svc.Stream(platform.StreamConfig), byAddr: map[netip.AddrPort]*node{}, traffic: &traffic{}}
+	rnd := rand.New(rand.NewPCG(1, 2))
+	var mu sync.Mutex
+	for i := range size {
+		n := &node{fleet: f, Log: f.log, member: &membership.Member{
+			Host: fmt.Sprintf("host-%d", i), AvailabilityZone: fmt.Sprintf("zone-%d", i%zones), Liveness: membership.Alive,
+			PeerAddr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000),
+		}}
+		n.logCut, n.cutLog = context.WithCancel(context.Background())
+		opts := DefaultOptions()
+		opts.Host, opts.AvailabilityZone, opts.Log, opts.Peers = n.member.Host, n.member.AvailabilityZone, n, n
+		opts.OnState = func(st *fold.State) {
+			if st.Offset < n.inForce.Load() {
+				t.Errorf("%s: version fell from %d to %d", n.member.Host, n.inForce.Load(), st.Offset)
+			}
+			n.inForce.Store(st.Offset)
+		}
+		opts.Rand = func() float64 {
+			mu.Lock()
+			defer mu.Unlock()
+			return rnd.Float64()
+		}
+		if adjust != nil {
+			adjust(&opts)
+		}
+		n.Spreader = New(opts)
+		f.nodes = append(f.nodes, n)
+		f.byAddr[n.member.PeerAddr] = n
+	}
+	return f
+}
+
+// run starts all nodes at the empty state, and stops them at the test's end.
+func (f *fleet) run() {
+	var wg sync.WaitGroup
+	f.setViews()
+	for _, n := range f.nodes {
+		n.Start(fold.Empty())
+		ctx, cancel := context.WithCancel(context.Background())
+		n.stop = cancel
+		wg.Go(func() { _ = n.Run(ctx) })
+	}
+	f.t.(*testing.T).Cleanup(func() {
+		for _, n := range f.nodes {
+			n.stop()
+		}
+		wg.Wait()
+		f.handlers.Wait()
+	})
+	synctest.Wait()
+}
+
+// setViews tells the live nodes of one another.
+func (f *fleet) setViews() {
+	var members []*membership.Member
+	for _, n := range f.nodes {
+		if !n.dead.Load() {
+			members = append(members, n.member)
+		}
+	}
+	for _, n := range f.nodes {
+		if !n.dead.Load() {
+			n.SetView(&membership.View{Self: n.member, Members: members})
+		}
+	}
+}
+
+// probe lets each live node hear one other and be heard by it.
+func (f *fleet) probe() {
+	for i, n := range f.nodes {
+		m := f.nodes[(i+1+rand.IntN(len(f.nodes)-1))%len(f.nodes)]
+		if n.dead.Load() || m.dead.Load() {
+			continue
+		}
+		n.Heard(m.member.Host, m.member.PeerAddr, m.inForce.Load())
+		m.Heard(n.member.Host, n.member.PeerAddr, n.inForce.Load())
+	}
+}
+
+// await lets time pass, with a round of probes each second, until all live
+// nodes have an offset in force, and returns how long that took.
+func (f *fleet) await(offset uint64, limit time.Duration) time.Duration {
+	f.t.Helper()
+	began := time.Now()
+	for tick := 1; f.lacking(offset) > 0; tick++ {
+		if time.Since(began) > limit {
+			f.t.Fatalf("%d nodes lack %d after %v", f.lacking(offset), offset, limit)
+		}
+		time.Sleep(time.Millisecond)
+		if tick%1000 == 0 {
+			f.probe()
+		}
+	}
+	return time.Since(began)
+}
+
+func (f *fleet) lacking(offset uint64) int {
+	lacking := 0
+	for _, n := range f.nodes {
+		if !n.dead.Load() && n.inForce.Load() < offset {
+			lacking++
+		}
+	}
+	return lacking
+}
+
+// readers returns the reading nodes of a zone by rank.
+func (f *fleet) readers(zone string) []*node {
+	list := make([]*node, 2)
+	for _, n := range f.nodes {
+		if p := n.plan.Load(); n.member.AvailabilityZone == zone && p.rank != notRanked {
+			list[p.rank] = n
+		}
+	}
+	return list
+}
+
+func (f *fleet) append(b *configpb.Record) uint64 {
+	f.t.Helper()
+	data, err := proto.Marshal(b)
+	must.NoError(f.t, err)
+	offset, err := f.log.Append(context.Background(), data)
+	must.NoError(f.t, err)
+	return offset
+}
+
+// kill makes a node vanish without a word.
+func (n *node) kill() {
+	n.dead.Store(true)
+	n.stop()
+}
+
+// Read fails once the node has lost the log.
+func (n *node) Read(ctx context.Context, from platform.Offset, limit int, wait time.Duration) ([]platform.Record, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer context.AfterFunc(n.logCut, cancel)()
+	if n.logCut.Err() != nil {
+		return nil, platform.ErrUnavailable
+	}
+	return n.Log.Read(ctx, from, limit, wait)
+}
+
+// Push implements Peers: the receiver's handler runs as it would over a stream.
+func (n *node) Push(ctx context.Context, addr netip.AddrPort, m *peerpb.Push) (*peerpb.PushAck, error) {
+	n.fleet.traffic.count(m)
+	acks := make(chan *peerpb.PushAck, 1)
+	to, err := n.fleet.reach(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	n.fleet.handlers.Go(func() {
+		_ = to.servePush(m, func(ack *peerpb.PushAck) error { acks <- ack; return nil })
+	})
+	select {
+	case ack := <-acks:
+		time.Sleep(hop)
+		return ack, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Pull implements Peers.
+func (n *node) Pull(ctx context.Context, addr netip.AddrPort, m *peerpb.Pull) (*peerpb.PullAnswer, error) {
+	to, err := n.fleet.reach(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	answer := to.servePull(m)
+	n.fleet.traffic.pulls.Add(1)
+	n.fleet.traffic.bytes.Add(int64(proto.Size(m) + proto.Size(answer)))
+	time.Sleep(hop)
+	return answer, nil
+}
+
+// reach takes the time of a hop. Dead nodes of odd ports refuse, the others are
+// silent, as a host without power is.
+func (f *fleet) reach(ctx context.Context, addr netip.AddrPort) (*node, error) {
+	time.Sleep(hop)
+	to := f.byAddr[addr]
+	if !to.dead.Load() {
+		return to, nil
+	}
+	if addr.Addr().As4()[3]%2 == 1 {
+		return nil, peer.ErrUnreachable
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (t *traffic) count(m *peerpb.Push) {
+	t.bytes.Add(int64(proto.Size(m)))
+	if len(m.GetRecords()) == 0 {
+		t.digests.Add(1)
+		return
+	}
+	t.pushes.Add(1)
+}
+
+// change returns a record that sets one contract anew.
+func change(id string, replaces uint64) *configpb.Record {
+	return &configpb.Record{RuleVersion: fold.RuleVersion, Bundle: &configpb.Bundle{
+		PublishId: id, Author: "operator",
+		Changes: []*configpb.Change{{Replaces: replaces, Resource: &configpb.Resource{Kind: &configpb.Resource_Contract{
+			Contract: &configpb.Contract{Customer: "garage", RatePerSecond: 10, MaxWaitMs: 500},
+		}}}},
+	}}
+}
--- /dev/null
+++ b/spread/history_test.go
@@ -0,0 +1,89 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/fold"
+	"github.com/crocuscross/crocuscross/platform"
+)
+
+func sequencedFrom(offset uint64, data ...[]byte) []*configpb.SequencedRecord {
+	records := make([]platform.Record, len(data))
+	for i, d := range data {
+		records[i] = platform.Record{Offset: offset + uint64(i), Data: d}
+	}
+	return sequenced(records)
+}
+
+// logOf returns records with the states after each, the empty one first.
+func logOf(t must.T, n int) ([]*configpb.SequencedRecord, []*fold.State) {
+	states := []*fold.State{fold.Empty()}
+	var data [][]byte
+	for i := range n {
+		d, err := fold.EncodeRecord(change(fmt.Sprint(i), uint64(i)).GetBundle())
+		must.NoError(t, err)
+		st, _, err := fold.Apply(states[i], uint64(i+1), d)
+		must.NoError(t, err)
+		states, data = append(states, st), append(data, d)
+	}
+	return sequencedFrom(1, data...), states
+}
+
+// Batches cut anywhere, in any order and any number of times, with whole states
+// in between, give the same state as the log in order, and no version falls.
+func TestAnyOrderFoldsTheSame(t *testing.T) {
+	const n = 12
+	records, states := logOf(t, n)
+	rapid.Check(t, func(t *rapid.T) {
+		last := -1
+		h := history{onState: func(st *fold.State) {
+			must.Greater(t, last, int(st.Offset))
+			must.Eq(t, states[st.Offset].Chain, st.Chain)
+			last = int(st.Offset)
+		}}
+		h.adopt(states[0])
+		for range rapid.IntRange(0, 40).Draw(t, "batches") {
+			from := rapid.IntRange(0, n).Draw(t, "from")
+			to := rapid.IntRange(from, n).Draw(t, "to")
+			if rapid.IntRange(0, 9).Draw(t, "whole state") == 0 {
+				h.adopt(states[to])
+				continue
+			}
+			_, err := h.apply(batch{base: uint64(from), chain: states[from].Chain, records: records[from:to]})
+			must.True(t, err == nil || errors.Is(err, errGap))
+		}
+		for o := h.offset(); o < n; o++ {
+			_, err := h.apply(batch{base: o, chain: states[o].Chain, records: records[o : o+1]})
+			must.NoError(t, err)
+		}
+		must.Eq(t, states[n].Chain, h.current().Chain)
+		must.Zero(t, len(h.held))
+	})
+}
+
+// The ring forgets the oldest records beyond its bounds and answers for the rest.
+func TestRingBounds(t *testing.T) {
+	var r ring
+	const n = maxRingRecords + 10
+	for i := range uint64(n) {
+		r.add(sequencedFrom(i+1, []byte{1})[0], fold.Chain{byte(i)})
+	}
+	_, ok := r.after(9, maxBatchBytes)
+	must.False(t, ok)
+	records, ok := r.after(n-3, maxBatchBytes)
+	must.True(t, ok)
+	must.Len(t, 3, records)
+	records, _ = r.after(n-3, 0)
+	must.Len(t, 1, records)
+	chain, ok := r.chainAt(10)
+	must.True(t, ok)
+	must.Eq(t, fold.Chain{9}, chain)
+	r.add(sequencedFrom(n+1, make([]byte, maxRingBytes))[0], fold.Chain{})
+	must.Len(t, 1, r.entries)
+}
--- /dev/null
+++ b/spread/plan.go
@@ -0,0 +1,151 @@
+package spread
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/crocuscross/crocuscross/membership"
+)
+
+// notRanked is the rank of a daemon that does not read the log.
+const notRanked = -1
+
+// Seeds of the rendezvous hashes; a tree's order is seeded by its root's host.
+const readerSeed = "reader"
+
+// plan is what one view of the membership means for spreading: who reads, and
+// along which tree this daemon would push. Daemons with different views may
+// disagree on readers; a second one only costs bytes, and one too few is found
+// by backups, handoffs and digests.
+type plan struct {
+	self netip.AddrPort
+	// rank is the place among the readers of the own availability zone, 0
+	// first, or notRanked.
+	rank int
+	// tree lists the other live daemons of the own availability zone in the
+	// order in which this daemon's tree is laid out.
+	tree []netip.AddrPort
+	// zones lists for each other availability zone its daemons by rank.
+	zones [][]netip.AddrPort
+}
+
+// ranked is a member with its rendezvous hash.
+type ranked struct {
+	hash   uint64
+	member *membership.Member
+}
+
+// newPlan ranks the members of a view.
+func newPlan(v *membership.View, readers int) *plan {
+	p := &plan{self: v.Self.PeerAddr, rank: notRanked}
+	byZone := make(map[string][]ranked)
+	tree := make([]ranked, 0, len(v.Members))
+	for _, m := range v.Members {
+		if !m.Usable() {
+			continue
+		}
+		zone := m.AvailabilityZone
+		// A daemon that drains leaves soon; others take its turn now.
+		if !m.Draining {
+			byZone[zone] = append(byZone[zone], ranked{rendezvous(m.Host, readerSeed), m})
+		}
+		if zone == v.Self.AvailabilityZone && m.Host != v.Self.Host {
+			tree = append(tree, ranked{rendezvous(m.Host, v.Self.Host), m})
+		}
+	}
+	p.tree = sortedAddrs(tree)
+	for zone, members := range byZone {
+		if zone == v.Self.AvailabilityZone {
+			p.rank = rankOf(members, v.Self.Host, readers)
+			continue
+		}
+		p.zones = append(p.zones, sortedAddrs(members))
+	}
+	return p
+}
+
+// rankOf returns the place of a host among the first readers of its zone.
+func rankOf(members []ranked, host string, readers int) int {
+	slices.SortFunc(members, compareRanked)
+	for i, r := range members[:min(readers, len(members))] {
+		if r.member.Host == host {
+			return i
+		}
+	}
+	return notRanked
+}
+
+// sortedAddrs returns the peer addresses in order of hash.
+func sortedAddrs(members []ranked) []netip.AddrPort {
+	slices.SortFunc(members, compareRanked)
+	addrs := make([]netip.AddrPort, len(members))
+	for i, r := range members {
+		addrs[i] = r.member.PeerAddr
+	}
+	return addrs
+}
+
+func compareRanked(a, b ranked) int {
+	return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.member.Host, b.member.Host))
+}
+
+// rendezvous hashes a host under a seed.
+func rendezvous(host, seed string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(seed)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(host)
+	return d.Sum64()
+}
+
+// split cuts targets into at most n parts whose lengths differ by at most one.
+// The first of each part passes the push on to the others of it.
+func split(targets []netip.AddrPort, n int) [][]netip.AddrPort {
+	n = min(n, len(targets))
+	parts := make([][]netip.AddrPort, 0, n)
+	for i := range n {
+		parts = append(parts, targets[i*len(targets)/n:(i+1)*len(targets)/n])
+	}
+	return parts
+}
+
+// encodeAddrs returns addresses as they travel in a push.
+func encodeAddrs(addrs []netip.AddrPort) [][]byte {
+	if len(addrs) == 0 {
+		return nil
+	}
+	out := make([][]byte, len(addrs))
+	for i, a := range addrs {
+		out[i] = encodeAddr(a)
+	}
+	return out
+}
+
+func encodeAddr(a netip.AddrPort) []byte {
+	b, _ := a.MarshalBinary()
+	return b
+}
+
+// decodeAddrs is the inverse of encodeAddrs; addresses that cannot be read are
+// left out.
+func decodeAddrs(list [][]byte) []netip.AddrPort {
+	addrs := make([]netip.AddrPort, 0, len(list))
+	for _, b := range list {
+		if a, ok := decodeAddr(b); ok {
+			addrs = append(addrs, a)
+		}
+	}
+	return addrs
+}
+
+func decodeAddr(b []byte) (netip.AddrPort, bool) {
+	var a netip.AddrPort
+	if err := a.UnmarshalBinary(b); err != nil || !a.IsValid() {
+		return netip.AddrPort{}, false
+	}
+	return a, true
+}
--- /dev/null
+++ b/spread/spread_test.go
@@ -0,0 +1,332 @@
+package spread
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/fold"
+	"github.com/crocuscross/crocuscross/membership"
+	"github.com/crocuscross/crocuscross/peerpb"
+)
+
+// One change in a calm fleet of the size to design for. All daemons get it by
+// the first readers' pushes within a few hops; each gets the records once, the
+// backup's digest once, and each zone one handoff from each other.
+func TestCalm(t *testing.T) {
+	const size, zones = 910, 8
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, size, zones, nil)
+		f.run()
+		must.Less(t, 20*time.Millisecond, f.await(f.append(change("a", 0)), time.Second))
+		time.Sleep(time.Second)
+		must.Eq(t, size-zones, f.traffic.pushes.Load())
+		must.Eq(t, size-zones+zones*(zones-1), f.traffic.digests.Load())
+		must.Zero(t, f.traffic.pulls.Load())
+		must.Less(t, 200, f.traffic.bytes.Load()/size)
+	})
+}
+
+// Reads at the source grow with zones and not with daemons; in direct mode
+// they grow with daemons.
+func TestReadsAtSource(t *testing.T) {
+	reads := func(mode Mode, size, zones int) (n uint64) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, size, zones, func(o *Options) { o.Mode = mode })
+			f.run()
+			for range 55 {
+				time.Sleep(time.Second)
+				f.probe()
+			}
+			n = f.svc.Counters().Reads
+		})
+		return n
+	}
+	must.Eq(t, reads(ModeTree, 80, 4), reads(ModeTree, 320, 4))
+	must.Eq(t, 2*reads(ModeTree, 80, 4), reads(ModeTree, 80, 8))
+	must.Eq(t, 4*reads(ModeDirect, 80, 4), reads(ModeDirect, 320, 4))
+}
+
+// A tenth of the daemons vanish, half of them without closing their
+// connections, at each of several moments of a push. The views still hold them.
+// No daemon that lives may wait for more than the timeouts of a few levels.
+func TestTenthDiesMidPush(t *testing.T) {
+	limits := map[Mode]time.Duration{ModeTree: 4 * time.Second, ModeGossip: 30 * time.Second}
+	for mode, limit := range limits {
+		for after := time.Duration(0); after < 3*time.Millisecond; after += 500 * time.Microsecond {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 300, 4, func(o *Options) { o.Mode = mode })
+				f.run()
+				offset := f.append(change("a", 0))
+				time.Sleep(after)
+				for i := 0; i < len(f.nodes); i += 10 {
+					f.nodes[i].kill()
+				}
+				f.await(offset, limit)
+			})
+		}
+	}
+}
+
+// The views name dead daemons as inner nodes of the tree; digests and probes are
+// off. Those below must be reached by the push alone.
+func TestPushGoesRoundTheDead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 300, 1, func(o *Options) { o.Redundancy = RedundancyNone })
+		f.run()
+		root := f.readers("zone-0")[0]
+		for i, n := range f.nodes {
+			if n != root && i%4 != 0 {
+				n.kill()
+			}
+		}
+		offset := f.append(change("a", 0))
+		for f.lacking(offset) > 0 && time.Since(time.Unix(946684800, 0)) < 10*time.Second {
+			time.Sleep(time.Millisecond)
+		}
+		must.Zero(t, f.lacking(offset))
+		must.Zero(t, f.traffic.pulls.Load())
+	})
+}
+
+// The log fails just after an append that one reader has seen. That reader
+// pushes to its zone, hands off to the others, and they push; nobody needs the
+// log.
+func TestLogFailsAfterOneReaderSaw(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 300, 4, nil)
+		f.run()
+		f.cutLogs(f.readers("zone-1")[0])
+		offset := f.append(change("a", 0))
+		synctest.Wait()
+		f.svc.SetOutage(true)
+		must.Less(t, time.Second, f.await(offset, 4*time.Second))
+	})
+}
+
+// The reader that alone saw a record pushes to its own zone and dies before it
+// tells the other zones. Their daemons hear of the offset by probes, pull, and
+// their readers push.
+func TestReaderDiesBeforeHandoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 300, 4, nil)
+		f.run()
+		reader := f.readers("zone-1")[0]
+		f.cutLogs(reader)
+		offset := f.append(change("a", 0))
+		time.Sleep(2 * time.Millisecond)
+		reader.kill()
+		f.svc.SetOutage(true)
+		f.await(offset, 4*time.Second)
+	})
+}
+
+// The first reader of a zone is dead in fact but not yet in the views. The
+// second waits for its push in vain and sends the records itself.
+func TestSecondReaderTakesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 300, 1, nil)
+		f.run()
+		f.readers("zone-0")[0].kill()
+		f.await(f.append(change("a", 0)), time.Second)
+		must.Zero(t, f.traffic.digests.Load())
+	})
+}
+
+// A publisher's daemon holds what it appended when the log fails before any
+// reader read. It spreads the record itself.
+func TestAppendedSpreadsWithoutLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 100, 4, nil)
+		f.run()
+		f.cutLogs(nil)
+		offset := f.append(change("a", 0))
+		records, err := f.log.Read(t.Context(), offset, 1, 0)
+		must.NoError(t, err)
+		f.nodes[5].Appended(offset, records[0].Data)
+		f.await(offset, 2*time.Second)
+	})
+}
+
+// A daemon that hears of nobody reads the log itself after the time set, and
+// then no more often than that.
+func TestIsolatedReadsLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 10, 1, func(o *Options) { o.Mode = ModeGossip })
+		f.run()
+		offset := f.append(change("a", 0))
+		time.Sleep(50 * time.Second)
+		must.Zero(t, f.lacking(offset))
+		// Two readers: a poll and a check each 10 s; eight others: at most once
+		// in 15 s.
+		must.LessEq(t, 2*2*6+8*4, f.svc.Counters().Reads)
+	})
+}
+
+// The log has dropped what a daemon lacks. A peer gives the state; without
+// peers the platform's checkpoint does.
+func TestPassedByRetention(t *testing.T) {
+	for _, alone := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 2, 1, nil)
+			st := fold.Empty()
+			for i := range uint64(5) {
+				f.append(change(string('a'+rune(i)), i))
+				st = f.folded(st, i+1)
+			}
+			f.log.Cut(4)
+			late, peer := f.nodes[0], f.nodes[1]
+			late.opts.LoadCheckpoint = func(context.Context) (*fold.State, error) { return st, nil }
+			peer.Start(st)
+			peer.dead.Store(alone)
+			f.run()
+			f.await(5, time.Second)
+			must.Eq(t, st.Chain, late.State().Chain)
+		})
+	}
+}
+
+// The log comes back without its end, grows past the version in force with
+// other records, and is read on. The daemon must stay and say why: the offsets
+// alone would let it mix the two logs.
+func TestLogWentBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 1, nil)
+		f.run()
+		f.append(change("a", 0))
+		f.await(f.append(change("b", 1)), time.Second)
+		f.svc.SetOutage(true)
+		time.Sleep(time.Second)
+		must.StrContains(t, f.nodes[0].Status().LogError, "down")
+		f.log.TruncateEnd(2)
+		f.svc.SetOutage(false)
+		time.Sleep(20 * time.Second)
+		must.StrContains(t, f.nodes[0].Status().Stuck, "log ends before it")
+		f.append(change("c", 1))
+		f.append(change("d", 2))
+		time.Sleep(20 * time.Second)
+		must.StrContains(t, f.nodes[0].Status().Stuck, "another record")
+		must.Eq(t, 2, f.nodes[0].State().Offset)
+	})
+}
+
+// An old program meets a record of a newer rule. It stays before the record,
+// says so, and passes the push on to daemons that may know the rule.
+func TestUnknownRule(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 20, 1, nil)
+		f.run()
+		f.await(f.append(change("a", 0)), time.Second)
+		rec := change("b", 1)
+		rec.RuleVersion = fold.RuleVersion + 1
+		f.append(rec)
+		time.Sleep(time.Minute)
+		for _, n := range f.readers("zone-0") {
+			must.Eq(t, 1, n.State().Offset)
+			must.StrContains(t, n.Status().Stuck, "rule 2")
+		}
+		must.Less(t, 60, f.svc.Counters().Reads)
+	})
+}
+
+// A push continues other records than those folded here, as after a log that
+// was written anew. It is refused, reported and not passed on; the sender sees
+// to the daemons below.
+func TestDivergedPush(t *testing.T) {
+	n, relayed := lone(t)
+	n.Start(fold.Empty())
+	must.False(t, push(t, n, 0, fold.Chain{}, "a").GetDiverged())
+	must.Eq(t, 1, *relayed)
+	ack := push(t, n, 1, fold.Chain{1}, "b")
+	must.True(t, ack.GetDiverged())
+	must.Eq(t, 1, ack.GetOffset())
+	must.Eq(t, 1, *relayed)
+	must.StrContains(t, n.Status().Stuck, "do not follow")
+	must.True(t, push(t, n, 0, fold.Chain{}, "z").GetDiverged())
+	push(t, n, 1, n.State().Chain, "b")
+	must.Eq(t, 2, n.State().Offset)
+	must.Eq(t, "", n.Status().Stuck)
+}
+
+// A sender that waited too long sends the same push again. Passing it on again
+// would double the traffic at each level.
+func TestRepeatedPushIsPassedOnOnce(t *testing.T) {
+	n, relayed := lone(t)
+	n.Start(fold.Empty())
+	for range 3 {
+		push(t, n, 0, fold.Chain{}, "a")
+	}
+	must.Eq(t, 1, *relayed)
+}
+
+// A session has gone silent while new ones work: the push runs into its
+// timeout. The daemon itself must get the records over a new one.
+func TestSilentSessionIsTriedAnew(t *testing.T) {
+	n, relayed := lone(t)
+	n.opts.Peers = peersFunc(func(*peerpb.Push) error {
+		*relayed++
+		return context.DeadlineExceeded
+	})
+	n.pushPart(&peerpb.Push{}, []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")})
+	must.Eq(t, 2, *relayed)
+}
+
+// cutLogs takes the log from all nodes but one.
+func (f *fleet) cutLogs(except *node) {
+	for _, n := range f.nodes {
+		if n != except {
+			n.cutLog()
+		}
+	}
+	synctest.Wait()
+}
+
+// folded applies one record of the log to a state.
+func (f *fleet) folded(st *fold.State, offset uint64) *fold.State {
+	records, err := f.log.Read(context.Background(), offset, 1, 0)
+	must.NoError(f.t, err)
+	st, _, err = fold.Apply(st, offset, records[0].Data)
+	must.NoError(f.t, err)
+	return st
+}
+
+// peersFunc counts pushes.
+type peersFunc func(*peerpb.Push) error
+
+func (f peersFunc) Push(_ context.Context, _ netip.AddrPort, m *peerpb.Push) (*peerpb.PushAck, error) {
+	return &peerpb.PushAck{}, f(m)
+}
+
+func (f peersFunc) Pull(context.Context, netip.AddrPort, *peerpb.Pull) (*peerpb.PullAnswer, error) {
+	return nil, errors.New("no peer")
+}
+
+// lone returns a Spreader whose pushes are only counted.
+func lone(t *testing.T) (*Spreader, *int) {
+	relayed := new(int)
+	opts := DefaultOptions()
+	opts.Host = "host-0"
+	opts.Peers = peersFunc(func(*peerpb.Push) error { *relayed++; return nil })
+	s := New(opts)
+	s.SetView(&membership.View{Self: &membership.Member{Host: "host-0"}})
+	return s, relayed
+}
+
+// push sends one record to s, to be passed on to one daemon.
+func push(t *testing.T, s *Spreader, base uint64, chain fold.Chain, id string) *peerpb.PushAck {
+	data, err := fold.EncodeRecord(change(id, base).GetBundle())
+	must.NoError(t, err)
+	target := netip.MustParseAddrPort("10.0.0.9:7000")
+	var got *peerpb.PushAck
+	err = s.servePush(&peerpb.Push{
+		Base: base, BaseChain: chain[:], Root: "host-1", Targets: encodeAddrs([]netip.AddrPort{target}),
+		Records: sequencedFrom(base+1, data),
+	}, func(ack *peerpb.PushAck) error { got = ack; return nil })
+	must.NoError(t, err)
+	return got
+}
