Add checkpoints: writer, scanner, policy and keeper

The folded state outlives the retention of the log as checkpoints in parts of at most one record. Parts belong together if writer, id, offset, count and digest agree, and count only in order, so a checkpoint is whole or not there with writers that interleave, repeat, stop half-way or come back late. A scan keeps no part's data (at most 2,048 open and 64 whole ones).

Who writes, weighed: every daemon on a timer (910 copies); a lease (needs an authority); gossip of the last checkpoint (one more message). Chosen: a few candidates by rendezvous on the configuration offset, which all daemons know without asking the source, each with a turn of its own. Only candidates look at the streams, so reads at the source do not grow with the fleet. When: records that no checkpoint covers dropped (at once), halfway to being dropped, 500 records, or an hour; the log tells no ages, so an unknown age counts half.

--- /dev/null
+++ b/checkpoint/policy_test.go
@@ -0,0 +1,252 @@
+package checkpoint
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/fold"
+	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/platform/memlog"
+)
+
+func TestDue(t *testing.T) {
+	p := DefaultPolicy()
+	seen := func(offset uint64, age time.Duration) *Sighting { return &Sighting{offset, age, true} }
+	for name, tc := range map[string]struct {
+		s    Situation
+		want Reason
+	}{
+		"nothing published":            {Situation{0, platform.Bounds{First: 1, End: 1}, nil}, ReasonNone},
+		"none yet":                     {Situation{5, platform.Bounds{First: 1, End: 6}, nil}, ReasonAge},
+		"none, and the log has cut":    {Situation{5, platform.Bounds{First: 3, End: 6}, nil}, ReasonTail},
+		"fresh":                        {Situation{100, platform.Bounds{First: 1, End: 101}, seen(60, time.Minute)}, ReasonNone},
+		"tail broken though fresh":     {Situation{100, platform.Bounds{First: 91, End: 101}, seen(89, time.Minute)}, ReasonTail},
+		"tail just unbroken":           {Situation{100, platform.Bounds{First: 90, End: 101}, seen(89, time.Minute)}, ReasonNone},
+		"tail broken, covered by own":  {Situation{89, platform.Bounds{First: 91, End: 101}, seen(89, time.Minute)}, ReasonNone},
+		"half of retention":            {Situation{100, platform.Bounds{First: 1, End: 101}, seen(49, 10*time.Minute)}, ReasonRetention},
+		"later half of retention":      {Situation{100, platform.Bounds{First: 1, End: 101}, seen(50, 10*time.Minute)}, ReasonNone},
+		"nothing new in a short log":   {Situation{100, platform.Bounds{First: 101, End: 101}, seen(100, 10*time.Minute)}, ReasonNone},
+		"many records":                 {Situation{9500, platform.Bounds{First: 1, End: 9501}, seen(9000, 10*time.Minute)}, ReasonRecords},
+		"many records at once":         {Situation{9500, platform.Bounds{First: 1, End: 9501}, seen(9000, time.Minute)}, ReasonNone},
+		"old though nothing new":       {Situation{100, platform.Bounds{First: 101, End: 101}, seen(100, time.Hour)}, ReasonAge},
+		"age unknown counts half":      {Situation{100, platform.Bounds{First: 101, End: 101}, &Sighting{100, 30 * time.Minute, false}}, ReasonAge},
+		"behind the newest checkpoint": {Situation{100, platform.Bounds{First: 150, End: 201}, seen(120, time.Hour)}, ReasonNone},
+	} {
+		t.Run(name, func(t *testing.T) { must.Eq(t, tc.want, p.Due(tc.s)) })
+	}
+}
+
+// Whatever the fleet, the same few hosts look at the stream as long as few
+// records come, each at a time of its own; then it is others' turn.
+func TestTurnsAreFewAndGoAround(t *testing.T) {
+	p := DefaultPolicy()
+	rapid.Check(t, func(t *rapid.T) {
+		var hosts []string
+		for i := range rapid.IntRange(1, 300).Draw(t, "hosts") {
+			hosts = append(hosts, fmt.Sprint("host-", i))
+		}
+		offset := rapid.Uint64Range(0, 1e6).Draw(t, "offset")
+		waits := map[time.Duration]bool{}
+		for _, h := range hosts {
+			if wait, ok := p.Turn(h, hosts, offset, 0); ok {
+				waits[wait] = true
+			}
+		}
+		for rank := range min(p.Candidates, len(hosts)) {
+			must.True(t, waits[time.Duration(rank)*p.TurnLength])
+		}
+		must.MapLen(t, min(p.Candidates, len(hosts)), waits)
+	})
+	var hosts []string
+	first := map[string]bool{}
+	for i := range 50 {
+		hosts = append(hosts, fmt.Sprint("host-", i))
+	}
+	for epoch := range uint64(40) {
+		for _, h := range hosts {
+			if wait, ok := p.Turn(h, hosts, epoch*p.EveryRecords, 0); ok && wait == 0 {
+				first[h] = true
+			}
+		}
+	}
+	must.Greater(t, 20, len(first))
+}
+
+// keepers is a small fleet on one log with an injected clock.
+type keepers struct {
+	now    time.Time
+	svc    *memlog.Service
+	config *memlog.Stream
+	stream *memlog.Stream
+	state  *fold.State
+	hosts  []string
+	list   []*Keeper
+	next   []time.Time
+}
+
+const keeperRetention = 3 * time.Hour
+
+func newKeepers(hosts int) *keepers {
+	f := &keepers{now: time.Unix(1e9, 0), state: fold.Empty()}
+	opts := memlog.DefaultOptions()
+	opts.RetainFor = keeperRetention
+	opts.Now = func() time.Time { return f.now }
+	f.svc = memlog.New(opts)
+	f.config, f.stream = f.svc.Stream(platform.StreamConfig), f.svc.Stream(platform.StreamCheckpoints)
+	f.list, f.next = make([]*Keeper, hosts), make([]time.Time, hosts)
+	for i := range hosts {
+		f.hosts = append(f.hosts, fmt.Sprint("host-", i))
+		f.restart(i)
+	}
+	return f
+}
+
+// restart replaces a host's keeper by one that knows nothing.
+func (f *keepers) restart(i int) {
+	opts := DefaultKeeperOptions()
+	opts.Writer = options()
+	opts.Writer.NewID = func() uint64 { return uint64(f.now.UnixNano()) }
+	opts.Now = func() time.Time { return f.now }
+	opts.Jitter = func() float64 { return 0 }
+	f.list[i] = NewKeeper(f.hosts[i], f.config, f.stream, opts)
+	f.next[i] = f.now
+}
+
+func (f *keepers) publish() {
+	data := record(f.state, int(f.state.Offset%20))
+	if _, err := f.config.Append(context.Background(), data); err == nil {
+		f.state, _, _ = fold.Apply(f.state, f.state.Offset+1, data)
+	}
+}
+
+// run lets time pass in steps of some seconds and calls each keeper when it asked
+// to be called.
+func (f *keepers) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(10 * time.Second) {
+		for i, k := range f.list {
+			if f.now.Before(f.next[i]) {
+				continue
+			}
+			wait, _ := k.Step(context.Background(), f.state, f.hosts)
+			f.next[i] = f.now.Add(wait)
+		}
+	}
+}
+
+// checkNewcomer starts from nothing but the log.
+func (f *keepers) checkNewcomer(t *testing.T) {
+	t.Helper()
+	st, err := Latest(t.Context(), f.stream)
+	must.NoError(t, err)
+	bounds, err := f.config.Bounds(t.Context())
+	must.NoError(t, err)
+	must.LessEq(t, st.Offset+1, bounds.First, must.Sprint("the tail is broken"))
+	records, err := f.config.Read(t.Context(), st.Offset+1, 1<<20, 0)
+	must.NoError(t, err)
+	st, _, err = fold.ApplyAll(st, records)
+	must.NoError(t, err)
+	must.Eq(t, encoded(f.state), encoded(st))
+}
+
+// Operators publish in the daytime and not at night, hosts are replaced all the
+// time, and records expire after three hours. At any time a newcomer must be
+// able to start from the log alone, with few checkpoints in the stream.
+func TestNewcomerCanAlwaysStart(t *testing.T) {
+	f := newKeepers(12)
+	f.publish()
+	f.run(time.Minute)
+	for hour := range 30 {
+		for minute := range 60 {
+			if hour%24 < 8 {
+				f.publish()
+			}
+			f.restart((hour*60 + minute) / 7 % len(f.list))
+			f.run(time.Minute)
+			if minute%20 == 0 {
+				f.checkNewcomer(t)
+			}
+		}
+	}
+	bounds, _ := f.stream.Bounds(t.Context())
+	must.LessEq(t, 30*2, bounds.End-1, must.Sprint("checkpoints in 30 h"))
+}
+
+// The platform is down for longer than it keeps records, so that every
+// checkpoint and record has expired when it comes back; the state lives in the
+// daemons' memory alone. They must write it back at once, not when the last
+// checkpoint they remember would have been due.
+func TestCheckpointAfterAnOutageLongerThanRetention(t *testing.T) {
+	f := newKeepers(5)
+	f.publish()
+	f.run(time.Minute)
+	f.checkNewcomer(t)
+	f.publish()
+	f.run(time.Minute)
+	f.svc.SetOutage(true)
+	f.run(keeperRetention + time.Hour)
+	f.svc.SetOutage(false)
+	_, err := Latest(t.Context(), f.stream)
+	must.ErrorIs(t, err, ErrNone)
+	f.run(2 * time.Minute)
+	f.checkNewcomer(t)
+	bounds, _ := f.stream.Bounds(t.Context())
+	must.LessEq(t, 1, bounds.End-bounds.First, must.Sprint("duplicates"))
+}
+
+// Two keepers differ over who is alive and write the same checkpoint; a third
+// was paused before its write and appends an hour-old one at last. Newcomers
+// still get the newest.
+func TestLateAndDoubleWritesDoNoHarm(t *testing.T) {
+	f := newKeepers(3)
+	f.publish()
+	late := f.state
+	f.publish()
+	for _, st := range []*fold.State{f.state, f.state, late} {
+		must.NoError(t, NewWriter(f.stream, "h", options()).Write(t.Context(), st))
+	}
+	f.checkNewcomer(t)
+}
+
+// A faulty program writes a checkpoint whose parts are sound but whose state
+// nobody can decode, at a high offset. Keepers that took it for the newest would
+// deem themselves behind and write none while the last good one expires.
+func TestKeeperReliesOnNoCheckpointThatItCannotUse(t *testing.T) {
+	f := newKeepers(3)
+	f.publish()
+	bad := rawPart(&configpb.State{Offset: 1 << 40}, func(*configpb.CheckpointPart) {})
+	_, err := f.stream.Append(t.Context(), bad)
+	must.NoError(t, err)
+	f.run(2 * time.Minute)
+	f.checkNewcomer(t)
+}
+
+// All candidates find at once that a checkpoint is due. The second waits for
+// the first; it writes if the first has died, and not if that has written.
+func TestSecondCandidateWaitsForTheFirst(t *testing.T) {
+	for _, firstDies := range []bool{false, true} {
+		f := newKeepers(2)
+		f.publish()
+		first, second := f.list[0], f.list[1]
+		if wait, _ := DefaultPolicy().Turn(f.hosts[0], f.hosts, f.state.Offset, 0); wait > 0 {
+			first, second = second, first
+		}
+		wait, err := second.Step(t.Context(), f.state, f.hosts)
+		must.NoError(t, err)
+		must.Eq(t, DefaultPolicy().TurnLength, wait)
+		if !firstDies {
+			_, err = first.Step(t.Context(), f.state, f.hosts)
+			must.NoError(t, err)
+		}
+		f.now = f.now.Add(wait)
+		_, err = second.Step(t.Context(), f.state, f.hosts)
+		must.NoError(t, err)
+		bounds, _ := f.stream.Bounds(t.Context())
+		must.Eq(t, uint64(2), bounds.End)
+	}
+}
