Let the command line start from a checkpoint or a daemon's state

Records expire: folding from the first one fails on an old log. The newest checkpoint is the start; where there is none, a daemon that was named lends its state, since after an outage longer than the retention the daemons may be the only ones who still know it. Without either the error says what is missing.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -16,14 +16,18 @@
 	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 
+	"github.com/crocuscross/crocuscross/checkpoint"
+	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
 	"github.com/crocuscross/crocuscross/internal/cli"
 	"github.com/crocuscross/crocuscross/internal/cli/command"
+	"github.com/crocuscross/crocuscross/internal/configlog"
 	"github.com/crocuscross/crocuscross/internal/fleet"
 	"github.com/crocuscross/crocuscross/internal/operator"
 	"github.com/crocuscross/crocuscross/internal/standin/logserver"
 	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/peerpb"
+	"github.com/crocuscross/crocuscross/platform"
 	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
@@ -79,8 +83,12 @@
 }
 
 func startDaemon(t *testing.T, f operator.Fleet) string {
+	return startDaemonWith(t, f, &blackboard.Board{})
+}
+
+func startDaemonWith(t *testing.T, f operator.Fleet, board *blackboard.Board) string {
 	srv := httptest.NewServer(operator.New(operator.Options{
-		Board: &blackboard.Board{}, Fleet: f, Logger: slog.New(slog.DiscardHandler), Metrics: http.NotFoundHandler(),
+		Board: board, Fleet: f, Logger: slog.New(slog.DiscardHandler), Metrics: http.NotFoundHandler(),
 	}))
 	t.Cleanup(srv.Close)
 	return strings.TrimPrefix(srv.URL, "http://")
@@ -179,3 +187,32 @@
 	}
 	must.StrContains(t, expect(t, command.StatusOK, "--help"), "Exit status:")
 }
+
+// The log no longer holds the first records. The command line goes on from the
+// state of a daemon or from the checkpoint that one wrote, and history tells
+// what is left. Without either it says what is missing.
+func TestExpiredRecordsAreCoveredByACheckpoint(t *testing.T) {
+	log, url := startPlatform(t)
+	for _, file := range []string{"services", "contracts"} {
+		expect(t, command.StatusOK, "contract", "publish", examples+"association/"+file+".jsonc", "--platform", url)
+	}
+	config := log.Stream(platform.StreamConfig)
+	st, err := (&configlog.Reader{Log: config, Checkpoint: func(context.Context) (*fold.State, error) { return fold.Empty(), nil }}).Load(t.Context())
+	must.NoError(t, err)
+	config.Cut(2)
+	out := expect(t, command.StatusFailed, "contract", "list", "--platform", url)
+	must.StrContains(t, out, "no checkpoint covers it")
+
+	board := &blackboard.Board{}
+	board.State.Store(st)
+	addr := startDaemonWith(t, &fixedFleet{}, board)
+	out = expect(t, command.StatusOK, "contract", "publish", examples+"association/revision.jsonc", "--platform", url, "--daemon", addr)
+	must.StrContains(t, out, "accepted: revision 3")
+
+	w := checkpoint.NewWriter(log.Stream(platform.StreamCheckpoints), "host", checkpoint.DefaultWriterOptions())
+	must.NoError(t, w.Write(t.Context(), st))
+	out = expect(t, command.StatusOK, "contract", "publish", examples+"association/revision.jsonc", "--platform", url)
+	must.StrContains(t, out, "accepted: revision 4")
+	out = expect(t, command.StatusOK, "contract", "history", "--platform", url)
+	must.StrContains(t, out, "3 to 4")
+}
--- a/internal/cli/command/connect.go
+++ b/internal/cli/command/connect.go
@@ -7,6 +7,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/crocuscross/crocuscross/checkpoint"
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/configlog"
@@ -64,10 +65,29 @@
 	client := httplog.New(httplog.DefaultOptions(c.platformURL))
 	return &configlog.Reader{
 		Log:        client.Stream(platform.StreamConfig),
-		Checkpoint: latestCheckpoint(client.Stream(platform.StreamCheckpoints)),
+		Checkpoint: c.checkpoint(client.Stream(platform.StreamCheckpoints)),
 	}, nil
 }
 
+// checkpoint starts the fold at the newest checkpoint. Without one it starts at
+// the state of the daemon, if one was named: after an outage longer than the
+// retention the daemons may be the only ones who still know it. Otherwise it
+// starts at the log's first record.
+func (c *Connect) checkpoint(log platform.Log) configlog.Checkpoint {
+	return func(ctx context.Context) (*fold.State, error) {
+		st, err := checkpoint.Latest(ctx, log)
+		if !errors.Is(err, checkpoint.ErrNone) {
+			return st, err
+		}
+		if c.HasDaemon() {
+			if st, err := c.daemonState(ctx); err == nil {
+				return st, nil
+			}
+		}
+		return fold.Empty(), nil
+	}
+}
+
 // Daemon returns a client of a daemon's operator listener.
 func (c *Connect) Daemon() (*operator.Client, error) {
 	if c.daemonAddr == "" {
@@ -119,7 +139,7 @@
 	case errors.As(err, &rule):
 		return errors.Wrap(err, "this program is too old for the log; use the version that the daemons run")
 	case errors.As(err, &truncated):
-		return errors.Wrap(err, "the log no longer holds the start and no checkpoint covers it; ask a daemon with --daemon")
+		return errors.Wrap(err, "the log no longer holds the start and no checkpoint covers it; name a daemon with --daemon")
 	case errkind.Of(err) == errkind.NotReady:
 		return errors.Wrap(err, "ask another daemon, or the log with --platform")
 	}
