--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -10,10 +10,14 @@
 
 	"github.com/crocuscross/crocuscross/backend"
 	"github.com/crocuscross/crocuscross/balance"
+	"github.com/crocuscross/crocuscross/checkpoint"
+	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/gate"
 	"github.com/crocuscross/crocuscross/internal/controller/announce"
 	"github.com/crocuscross/crocuscross/internal/controller/apply"
 	"github.com/crocuscross/crocuscross/internal/controller/backends"
+	"github.com/crocuscross/crocuscross/internal/controller/checkpoints"
+	"github.com/crocuscross/crocuscross/internal/controller/contacts"
 	"github.com/crocuscross/crocuscross/internal/controller/distribute"
 	"github.com/crocuscross/crocuscross/internal/controller/drain"
 	"github.com/crocuscross/crocuscross/internal/controller/members"
@@ -62,12 +66,14 @@
 	self        *fleet.Self
 	operatorAPI http.Handler
 
-	apply      *apply.Controller
-	backends   *backends.Controller
-	members    *members.Controller
-	announce   *announce.Controller
-	distribute *distribute.Controller
-	lifecycle  *drain.Controller
+	apply       *apply.Controller
+	backends    *backends.Controller
+	members     *members.Controller
+	announce    *announce.Controller
+	distribute  *distribute.Controller
+	checkpoints *checkpoints.Controller
+	contacts    *contacts.Controller
+	lifecycle   *drain.Controller
 }
 
 // build makes all parts.
@@ -135,6 +141,9 @@
 	o.OwnReadAfter = time.Duration(s.OwnReadAfter)
 	o.ReadWait = time.Duration(d.settings.Platform.ReadWait)
 	o.Floor = p.membership.Floor
+	o.LoadCheckpoint = func(ctx context.Context) (*fold.State, error) {
+		return checkpoint.Latest(ctx, p.log.Stream(platform.StreamCheckpoints))
+	}
 	o.OnState = p.distribute.OnState
 	o.OnStatus = p.distribute.OnStatus
 	o.Meter = telemetry.NewSpreadMeter(d.registry)
@@ -142,11 +151,29 @@
 	p.spreader = spread.New(o)
 	p.distribute.Spreader = p.spreader
 	p.membership.OnHeard(p.spreader.Heard)
+	p.buildStreams(d)
 	p.members = &members.Controller{Board: d.board, Membership: p.membership, Now: time.Now}
 	p.apply = &apply.Controller{Board: d.board, Logger: d.logger, InForce: telemetry.NewInForce(d.registry)}
 	p.announce = &announce.Controller{Board: d.board, Logger: d.logger, Now: time.Now}
 }
 
+// buildStreams makes the parts that keep streams of the project's own in the
+// platform's log.
+func (p *parts) buildStreams(d *Daemon) {
+	keeping := checkpoint.DefaultKeeperOptions()
+	keeping.Logger = d.logger
+	p.checkpoints = &checkpoints.Controller{
+		Board: d.board, Logger: d.logger,
+		Keeper: checkpoint.NewKeeper(d.settings.Host, p.log.Stream(platform.StreamConfig),
+			p.log.Stream(platform.StreamCheckpoints), keeping),
+	}
+	p.contacts = contacts.New(contacts.Options{
+		Board: d.board, Log: p.log.Stream(platform.StreamContacts), Host: d.settings.Host,
+		AvailabilityZone: d.settings.AvailabilityZone, PeerAddr: addrOf(d.ln.peers),
+		Logger: d.logger, Now: time.Now,
+	})
+}
+
 func (p *parts) buildCalls(d *Daemon) {
 	metrics := telemetry.NewCalls(d.registry)
 	p.gate = gate.New(gate.DefaultOptions())
@@ -221,6 +248,7 @@
 		d.join, d.calls.Run, d.control.Run,
 		d.membership.Run, d.members.Run, d.backends.Run,
 		d.distribute.Run, d.apply.Run, d.announce.Run,
+		d.checkpoints.Run, d.contacts.Run,
 		d.quota.Run, d.followQuota, d.followSlots,
 		d.self.Run, d.lifecycle.Run,
 	}
