Admit by forecast, share slots fairly and follow shedding in the gate

Within a customer the earliest deadline goes first; a call is let in to wait only if it can be answered in time and breaks no promise to those that wait.

--- /dev/null
+++ b/gate/admit.go
@@ -0,0 +1,119 @@
+package gate
+
+import "time"
+
+const (
+	// promiseMargin is the least time, in service times, that a waiting call
+	// must be expected to have left at its start for a newcomer of the same
+	// customer to be let in.
+	promiseMargin = 2
+	// forecastError is the inverse of the part by which a forecast may be wrong:
+	// it rests on a mean over a few calls.
+	forecastError = 16
+
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
+
+// admit decides whether a call may wait. It may if it can be answered in time
+// and if that breaks no promise made to the customer's calls that wait already.
+// The deadlines decide the order but not who is let in: without the second
+// condition a customer's short-lived calls would push its patient ones out of
+// their time one by one, after they have waited (goodput falls, and refusals
+// come late).
+func (g *Gate) admit(t *Ticket, now time.Time) error {
+	s := t.share
+	f := g.forecast(s)
+	at := s.position(t.deadline)
+	left := t.deadline.Sub(now)
+	if left < f.wait(at)+s.serviceTime.value {
+		return g.refusal(s, left, f)
+	}
+	for i, w := range s.waiting {
+		if i >= at {
+			i++
+		}
+		margin := promiseMargin*s.serviceTime.value + f.wait(i)/forecastError
+		if w.deadline.Sub(now) < f.wait(i)+margin {
+			return errOverloaded.After(retryAfter(f.wait(len(s.waiting))))
+		}
+	}
+	return nil
+}
+
+// refusal tells a call that has too little time left for the service time, or
+// for the queue.
+func (g *Gate) refusal(s *share, left time.Duration, f forecast) error {
+	if f.wait(0) < s.serviceTime.value {
+		s.doubt()
+	}
+	if left < s.serviceTime.value {
+		return errTooLate
+	}
+	return errOverloaded.After(retryAfter(f.wait(len(s.waiting))))
+}
+
+// forecast is the expected wait in one customer's queue by position.
+type forecast struct {
+	// base is until the first slot is free, step the time per position.
+	base, step time.Duration
+}
+
+// wait returns how long the call at a position, from 0, waits for its slot.
+func (f forecast) wait(position int) time.Duration {
+	return f.base + time.Duration(position)*f.step
+}
+
+// forecast looks at the calls of others that go before the first and the last
+// of the share's and takes those between as evenly spread.
+func (g *Gate) forecast(s *share) forecast {
+	q, n := g.queue, len(s.waiting)
+	slots := time.Duration(g.limit.slots())
+	var release time.Duration
+	if g.inUse > 0 {
+		release = time.Duration(1 / q.releases)
+	}
+	start := max(s.tag, q.present)
+	first := q.aheadOf(s, start)
+	last := q.aheadOf(s, start+time.Duration(n)*s.serviceTime.value)
+	f := forecast{base: release + first/slots, step: s.serviceTime.value / slots}
+	if n > 0 {
+		f.step += (last - first) / time.Duration(n) / slots
+	}
+	f.step = max(f.step, time.Duration(float64(s.serviceTime.value)/g.slotsLeftFor(s)))
+	return f
+}
+
+// slotsLeftFor returns how many slots the share can count on beside what the
+// others use. Calls of others that are yet to arrive may go first as well.
+func (g *Gate) slotsLeftFor(s *share) float64 {
+	slots := float64(g.limit.slots())
+	fair := slots / float64(len(g.queue.active)+1)
+	return max(slots-(g.queue.usage-s.usage), fair)
+}
+
+// aheadOf returns the slot time of the other customers' waiting calls that go
+// before a call of the share with the start tag.
+func (q *fairQueue) aheadOf(s *share, tag time.Duration) time.Duration {
+	var ahead time.Duration
+	for _, o := range q.active {
+		if o == s || o.tag > tag {
+			continue
+		}
+		n := 1 + (tag-o.tag)/max(o.serviceTime.value, 1)
+		ahead += min(n, time.Duration(len(o.waiting))) * o.serviceTime.value
+	}
+	return ahead
+}
+
+// retryAfter tells a refused caller when the present queue will have been
+// served.
+func retryAfter(wait time.Duration) time.Duration {
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+// doubt lowers the share's service time a little, so that the estimate is put
+// to the test now and then. A customer whose calls were slow for a while, and
+// which is refused ever since because of that, would never learn that they are
+// quick again.
+func (s *share) doubt() { s.serviceTime.value -= s.serviceTime.value / 64 }
--- a/gate/fairqueue.go
+++ b/gate/fairqueue.go
@@ -5,8 +5,15 @@
 	"time"
 )
 
-// serviceTimeWeight is the weight of a new sample in the moving means.
-const serviceTimeWeight = 0.1
+const (
+	// maxIdleShares bounds the customers remembered while they are idle.
+	maxIdleShares = 1024
+	// maxDebt is how much slot time a customer can be behind the others at most
+	// when one of its calls takes longer than expected. Without a bound, the end
+	// of an hour-long upload would keep its customer out for as long as the
+	// others take to use an hour.
+	maxDebt = 10 * time.Second
+)
 
 // fairQueue shares slot time between customers by start-time fair queueing:
 // each customer has a tag that advances by the slot time its calls take, and
@@ -18,37 +25,51 @@
 	active []*share
 	len    int
 	// present is the start tag of the call started last.
-	present     time.Duration
-	serviceTime time.Duration
+	present time.Duration
+	// releases is how many slots per nanosecond the running calls are expected
+	// to free.
+	releases    float64
+	serviceTime movingMean
+	// assumed is the service time of customers that have not been served yet.
+	assumed time.Duration
+	// usage is the sum of the shares' usage.
+	usage   float64
+	reserve reserve
 }
 
 // share is one customer's part of the gate.
 type share struct {
 	customer string
 	// tag is the slot time consumed, on the scale of fairQueue.present.
-	tag         time.Duration
+	tag time.Duration
+	// waiting is sorted by deadline.
 	waiting     []*Ticket
 	running     int
-	serviceTime time.Duration
+	serviceTime movingMean
+	seen        time.Time
+	// used is the slot time used since the latest review, usage the mean number
+	// of slots in use as of then.
+	used  time.Duration
+	usage float64
+	slow  bool
 }
 
-// maxIdleShares bounds the customers remembered while they are idle.
-const maxIdleShares = 1024
-
 func newFairQueue(serviceTime time.Duration) *fairQueue {
-	return &fairQueue{shares: make(map[string]*share), serviceTime: serviceTime}
+	return &fairQueue{shares: make(map[string]*share), serviceTime: movingMean{serviceTime, 1}, assumed: serviceTime}
 }
 
 // share returns a customer's share, a new one if it has none.
-func (q *fairQueue) share(customer string) *share {
-	if s, ok := q.shares[customer]; ok {
-		return s
-	}
-	if len(q.shares) >= maxIdleShares {
-		q.forgetIdle()
+func (q *fairQueue) share(customer string, now time.Time) *share {
+	s, ok := q.shares[customer]
+	if !ok {
+		if len(q.shares) >= maxIdleShares {
+			q.forgetIdle()
+		}
+		s = &share{customer: customer, serviceTime: movingMean{q.assumed, 1}}
+		q.shares[customer] = s
+		q.reserve.due = true
 	}
-	s := &share{customer: customer, serviceTime: q.serviceTime}
-	q.shares[customer] = s
+	s.seen = now
 	return s
 }
 
@@ -61,17 +82,30 @@
 	}
 }
 
-// push appends a ticket to its customer's queue.
+// push puts a ticket into its customer's queue. Within a customer the earliest
+// deadline goes first.
 func (q *fairQueue) push(t *Ticket) {
 	s := t.share
 	if len(s.waiting) == 0 {
 		s.tag = max(s.tag, q.present)
 		q.active = append(q.active, s)
 	}
-	s.waiting = append(s.waiting, t)
+	s.waiting = slices.Insert(s.waiting, s.position(t.deadline), t)
 	q.len++
 }
 
+// position returns where a call with the deadline goes in the share's queue:
+// behind those with an equal or earlier one.
+func (s *share) position(deadline time.Time) int {
+	i, _ := slices.BinarySearchFunc(s.waiting, deadline, func(t *Ticket, d time.Time) int {
+		if t.deadline.After(d) {
+			return 1
+		}
+		return -1
+	})
+	return i
+}
+
 // remove takes a waiting ticket out.
 func (q *fairQueue) remove(t *Ticket) {
 	s := t.share
@@ -84,20 +118,6 @@
 	}
 }
 
-// next returns the ticket that goes next without removing it.
-func (q *fairQueue) next() *Ticket {
-	var first *share
-	for _, s := range q.active {
-		if first == nil || s.tag < first.tag {
-			first = s
-		}
-	}
-	if first == nil {
-		return nil
-	}
-	return first.waiting[0]
-}
-
 // longest returns the share with most waiting calls.
 func (q *fairQueue) longest() *share {
 	var longest *share
@@ -109,55 +129,54 @@
 	return longest
 }
 
-// estimate returns how long a call that now joins the share's queue would wait:
-// the slot time of all that goes before it, over the slots.
-func (q *fairQueue) estimate(s *share, slots int) time.Duration {
-	ahead := time.Duration(len(s.waiting)) * s.serviceTime
-	tag := max(s.tag, q.present) + ahead
-	for _, o := range q.active {
-		if o == s || o.tag > tag {
-			continue
-		}
-		n := int(1 + (tag-o.tag)/max(o.serviceTime, 1))
-		ahead += time.Duration(min(n, len(o.waiting))) * o.serviceTime
-	}
-	// The first slot to get free is one residual service time away.
-	return (ahead + q.serviceTime) / time.Duration(slots)
-}
-
-// charge advances the share's tag by the slot time its next call is expected to
-// take, and returns that.
-func (q *fairQueue) charge(s *share) time.Duration {
-	start := max(s.tag, q.present)
-	q.present = start
-	s.tag = start + s.serviceTime
+// charge starts a ticket: it advances its share's tag by the slot time that the
+// call is expected to take.
+func (q *fairQueue) charge(t *Ticket) {
+	s := t.share
+	t.charged = max(s.serviceTime.value, 1)
+	t.quick = !s.slow
+	q.present = max(s.tag, q.present)
+	s.tag = q.present + t.charged
 	s.running++
-	return s.serviceTime
+	q.releases += 1 / float64(t.charged)
+	if t.quick {
+		q.reserve.running++
+	}
 }
 
 // settle replaces the expected slot time of an ended call by the true one.
-func (q *fairQueue) settle(t *Ticket, held time.Duration, o Outcome) {
-	s := t.share
+func (q *fairQueue) settle(t *Ticket, now time.Time, o Outcome) {
+	s, held := t.share, now.Sub(t.started)
 	s.running--
-	s.tag += held - t.charged
-	if o != Answered && o != Failed {
-		return
+	q.releases -= 1 / float64(t.charged)
+	if t.quick {
+		q.reserve.running--
+	}
+	s.tag = min(s.tag+held-t.charged, max(s.tag, q.present+maxDebt))
+	s.used += held
+	switch o {
+	case Failed:
+		// Cut short: it would have taken longer.
+		held = max(held, s.serviceTime.value)
+		fallthrough
+	case Answered:
+		s.serviceTime.add(held)
+		q.serviceTime.add(held)
 	}
-	s.serviceTime = mean(s.serviceTime, held)
-	q.serviceTime = mean(q.serviceTime, held)
 }
 
-func mean(old, sample time.Duration) time.Duration {
-	return old + time.Duration(serviceTimeWeight*float64(sample-old))
+// movingMean weighs the latest samples equally at first and then forgets old
+// ones. A shorter memory makes long forecasts waver by more than the margin of
+// a promise.
+type movingMean struct {
+	value   time.Duration
+	samples int
 }
 
-const (
-	minRetryAfter = 50 * time.Millisecond
-	maxRetryAfter = 5 * time.Second
-)
+// maxSamples is the length of a moving mean's memory.
+const maxSamples = 32
 
-// retryAfter tells a refused caller when the present queue will have been
-// served.
-func retryAfter(wait time.Duration) time.Duration {
-	return min(max(wait, minRetryAfter), maxRetryAfter)
+func (m *movingMean) add(sample time.Duration) {
+	m.samples = min(m.samples+1, maxSamples)
+	m.value += (sample - m.value) / time.Duration(m.samples)
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -54,7 +54,7 @@
 	idle chan struct{}
 
 	mu       sync.Mutex
-	slots    int
+	limit    limit
 	inUse    int
 	draining bool
 	isIdle   bool
@@ -66,7 +66,7 @@
 	g := &Gate{
 		opts:  opts,
 		idle:  make(chan struct{}),
-		slots: max(opts.Slots, 1),
+		limit: newLimit(opts.Slots),
 		queue: newFairQueue(opts.ServiceTime),
 	}
 	g.publish()
@@ -89,57 +89,49 @@
 	t := &Ticket{gate: g, deadline: now.Add(remaining)}
 
 	g.mu.Lock()
-	if err := g.arrive(t, customer, now); err != nil {
-		g.mu.Unlock()
-		return nil, err
-	}
+	err := g.arrive(t, customer, now)
 	queued := t.state == waiting
 	g.publish()
 	g.mu.Unlock()
 
-	if !queued {
-		return t, nil
+	switch {
+	case err != nil:
+		return nil, err
+	case queued:
+		return g.wait(ctx, t)
 	}
-	return g.wait(ctx, t)
+	return t, nil
 }
 
 // arrive starts the ticket, queues it or returns why neither. The caller holds
-// mu.
+// mu. A free slot goes to the newcomer even if others wait: dispatch has left
+// it free because they may not have it.
 func (g *Gate) arrive(t *Ticket, customer string, now time.Time) error {
 	if g.draining {
 		return errDraining
 	}
-	t.share = g.queue.share(customer)
-	if g.inUse < g.slots && g.queue.len == 0 {
+	t.share = g.queue.share(customer, now)
+	g.queue.review(g.limit.slots(), now)
+	if g.inUse < g.limit.slots() && g.mayStart(t.share) {
 		g.start(t, now)
 		return nil
 	}
-	return g.enqueue(t, now)
-}
-
-// enqueue puts the ticket into its customer's queue if it can be answered in
-// time from there.
-func (g *Gate) enqueue(t *Ticket, now time.Time) error {
-	left := t.deadline.Sub(now)
-	if left < t.share.serviceTime {
-		return errTooLate
-	}
-	wait := g.queue.estimate(t.share, g.slots)
-	if left < wait+t.share.serviceTime {
-		return errOverloaded.After(retryAfter(wait))
+	if err := g.admit(t, now); err != nil {
+		return err
 	}
 	if g.queue.len >= g.opts.MaxQueue && !g.displace(t.share) {
-		return errOverloaded.After(retryAfter(wait))
+		return errOverloaded.After(maxRetryAfter)
 	}
 	t.ready = make(chan error, 1)
-	t.patience = left - t.share.serviceTime
+	t.patience = t.deadline.Sub(now) - t.share.serviceTime.value
 	t.state = waiting
 	g.queue.push(t)
 	return nil
 }
 
-// displace makes room for a ticket of the share by refusing the newest of the
-// customer that waits with most, if that is another one.
+// displace makes room for a call of the share by refusing one of the customer
+// that has most calls waiting, if that is another one. A customer that fills
+// the queue thus fills it with its own calls only.
 func (g *Gate) displace(s *share) bool {
 	longest := g.queue.longest()
 	if longest == nil || longest == s || len(longest.waiting) <= len(s.waiting)+1 {
@@ -161,19 +153,20 @@
 	g.inUse++
 	t.state = running
 	t.started = now
-	t.charged = g.queue.charge(t.share)
+	t.level = g.inUse
+	g.queue.charge(t)
 }
 
-// dispatch fills free slots from the queue. Calls that waited too long for what
-// they have left are refused instead of started: they would only take a slot
-// from one that can still be answered.
+// dispatch fills free slots from the queue. Calls that have waited too long for
+// what they have left are refused instead of started: they would only take a
+// slot from one that can still be answered.
 func (g *Gate) dispatch(now time.Time) {
-	for g.inUse < g.slots {
-		t := g.queue.next()
+	for g.queue.len > 0 && g.inUse < g.limit.slots() {
+		t := g.next()
 		if t == nil {
 			return
 		}
-		if t.deadline.Sub(now) < t.share.serviceTime {
+		if t.deadline.Sub(now) < t.share.serviceTime.value {
 			g.refuse(t, errTooLate)
 			continue
 		}
@@ -183,6 +176,21 @@
 	}
 }
 
+// next returns the waiting ticket that goes next: of the customer with the
+// lowest tag among those that may start, the one with the earliest deadline.
+func (g *Gate) next() *Ticket {
+	var first *share
+	for _, s := range g.queue.active {
+		if (first == nil || s.tag < first.tag) && g.mayStart(s) {
+			first = s
+		}
+	}
+	if first == nil {
+		return nil
+	}
+	return first.waiting[0]
+}
+
 // wait blocks until the ticket has a slot, is refused, or its time is up.
 func (g *Gate) wait(ctx context.Context, t *Ticket) (*Ticket, error) {
 	timer := time.NewTimer(t.patience)
@@ -227,7 +235,7 @@
 func (g *Gate) SetSlots(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.slots = max(n, 1)
+	g.limit.declare(n)
 	g.dispatch(g.opts.Now())
 	g.publish()
 }
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -2,59 +2,286 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
 
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/gate"
 )
 
-func newGate(slots int) *gate.Gate {
+func newGate(slots, maxQueue int) *gate.Gate {
 	opts := gate.DefaultOptions()
-	opts.Slots = slots
+	opts.Slots, opts.MaxQueue = slots, maxQueue
 	return gate.New(opts)
 }
 
-func TestEnterQueuesAndRefusesAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := newGate(1)
-		first, err := g.Enter(t.Context(), "a", time.Second)
-		must.NoError(t, err)
+func mustEnter(t *testing.T, g *gate.Gate, customer string) *gate.Ticket {
+	t.Helper()
+	ticket, err := g.Enter(t.Context(), customer, time.Hour)
+	must.NoError(t, err)
+	return ticket
+}
+
+// enterLater enters in the background; the channel gives the error's kind.
+func enterLater(ctx context.Context, g *gate.Gate, customer string) <-chan errkind.Kind {
+	kind := make(chan errkind.Kind, 1)
+	go func() {
+		ticket, err := g.Enter(ctx, customer, time.Hour)
+		if err == nil {
+			ticket.Done(gate.Answered)
+		}
+		kind <- errkind.Of(err)
+	}()
+	synctest.Wait()
+	return kind
+}
 
+func TestRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(1, 10)
+		start := time.Now()
+		_, err := g.Enter(t.Context(), "a", 0)
+		must.Eq(t, errkind.DeadlineNotRun, errkind.Of(err))
+		running := mustEnter(t, g, "a")
 		_, err = g.Enter(t.Context(), "a", time.Millisecond)
 		must.Eq(t, errkind.DeadlineNotRun, errkind.Of(err))
+		_, err = g.Enter(t.Context(), "a", 7*time.Millisecond)
+		must.Eq(t, errkind.Overloaded, errkind.Of(err))
+		must.Positive(t, errkind.RetryAfterOf(err))
+		must.Eq(t, start, time.Now())
+		running.Done(gate.Answered)
+	})
+}
 
-		go func() {
-			time.Sleep(10 * time.Millisecond)
-			first.Done(gate.Answered)
-			first.Done(gate.Answered)
-		}()
-		second, err := g.Enter(t.Context(), "a", time.Second)
-		must.NoError(t, err)
-		must.Eq(t, 1, g.Load().InUse)
+// A call waits, its caller goes away, and the slot gets free at the same moment
+// or later. The slot is neither lost nor given twice.
+func TestCanceledWhileWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(1, 10)
+		running := mustEnter(t, g, "a")
+		ctx, cancel := context.WithCancel(t.Context())
+		kind := enterLater(ctx, g, "a")
+		must.Eq(t, 1, g.Load().Queued)
+		cancel()
+		must.Eq(t, errkind.Canceled, <-kind)
+		must.Eq(t, gate.Load{InUse: 1, Slots: 1, ServiceTime: 5 * time.Millisecond}, g.Load())
+		running.Done(gate.Answered)
+		running.Done(gate.Answered)
+		must.Eq(t, 0, g.Load().InUse)
+		for range 100 {
+			ctx, cancel := context.WithCancel(t.Context())
+			running := mustEnter(t, g, "a")
+			kind := enterLater(ctx, g, "a")
+			cancel()
+			running.Done(gate.Answered)
+			<-kind
+			must.Eq(t, 0, g.Load().InUse)
+		}
+	})
+}
 
+// The backend server has become slow while a call waited. What the call has left
+// is enough by the old estimate and not by the new one: it is refused, since it
+// would hold the slot for nothing.
+func TestTooLateAtItsTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(1, 10)
+		running := mustEnter(t, g, "a")
+		time.AfterFunc(90*time.Millisecond, func() { running.Done(gate.Answered) })
+		_, err := g.Enter(t.Context(), "a", 100*time.Millisecond)
+		must.Eq(t, errkind.DeadlineNotRun, errkind.Of(err))
+		must.Eq(t, 0, g.Load().InUse)
+	})
+}
+
+// A backend server leaves while calls run and wait. New calls are refused, the
+// others end as if nothing had happened, and only then the gate is idle.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(1, 10)
+		running := mustEnter(t, g, "a")
+		waiting := enterLater(t.Context(), g, "a")
 		g.Drain()
-		_, err = g.Enter(t.Context(), "a", time.Second)
-		must.Eq(t, errkind.Draining, errkind.Of(err))
-		second.Done(gate.Answered)
+		must.Eq(t, errkind.Draining, <-enterLater(t.Context(), g, "b"))
+		select {
+		case <-g.Idle():
+			t.Fatal("idle while a call runs")
+		default:
+		}
+		running.Done(gate.Answered)
+		must.Eq(t, errkind.None, <-waiting)
 		<-g.Idle()
 	})
 }
 
-func TestCanceledWaiterLeavesTheQueue(t *testing.T) {
+// One customer fills the queue, then another one's call arrives. It gets a place
+// and the first customer's newest call loses its own, not the other way round.
+func TestFullQueueDisplacesTheLongest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := newGate(1)
-		first, err := g.Enter(t.Context(), "a", time.Second)
-		must.NoError(t, err)
-		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
-		defer cancel()
-		_, err = g.Enter(ctx, "a", time.Second)
-		must.Eq(t, errkind.Canceled, errkind.Of(err))
-		must.Eq(t, 0, g.Load().Queued)
-		first.Done(gate.Answered)
+		g := newGate(1, 3)
+		running := mustEnter(t, g, "a")
+		var a []<-chan errkind.Kind
+		for range 3 {
+			a = append(a, enterLater(t.Context(), g, "a"))
+		}
+		must.Eq(t, errkind.Overloaded, <-enterLater(t.Context(), g, "a"))
+		b := enterLater(t.Context(), g, "b")
+		must.Eq(t, errkind.Overloaded, <-a[2])
+		running.Done(gate.Answered)
+		must.Eq(t, errkind.None, <-b)
+		must.Eq(t, errkind.None, <-a[0])
+		must.Eq(t, errkind.None, <-a[1])
+	})
+}
+
+// A customer's calls were slow once and the slots have been taken by others ever
+// since. The gate refuses its calls for the time they took then, but not forever.
+func TestEstimateIsPutToTheTest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(1, 10)
+		slow := mustEnter(t, g, "a")
+		time.Sleep(time.Second)
+		slow.Done(gate.Answered)
+		taken := mustEnter(t, g, "b")
+		enter := func() errkind.Kind {
+			_, err := g.Enter(t.Context(), "a", 50*time.Millisecond)
+			return errkind.Of(err)
+		}
+		must.Eq(t, errkind.DeadlineNotRun, enter())
+		start := time.Now()
+		for range 200 {
+			if enter(); time.Since(start) > 0 {
+				taken.Done(gate.Answered)
+				return
+			}
+		}
+		t.Fatal("never let in to wait")
+	})
+}
+
+// A customer's call has run for an hour, on its own at first. Now others wait for
+// the slot as well. The customer's next call goes after some of theirs, not after
+// an hour's worth.
+func TestDebtIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(1, 100)
+		long := mustEnter(t, g, "a")
+		time.Sleep(time.Hour)
+		for range 30 {
+			go func() {
+				ticket, err := g.Enter(context.Background(), "b", time.Hour)
+				must.NoError(t, err)
+				time.Sleep(time.Second)
+				ticket.Done(gate.Answered)
+			}()
+		}
+		a := enterLater(t.Context(), g, "a")
+		start := time.Now()
+		long.Done(gate.Answered)
+		must.Eq(t, errkind.None, <-a)
+		must.Less(t, 15*time.Second, time.Since(start))
+		g.Drain()
+		<-g.Idle()
+	})
+}
+
+func TestSlotsGrowAndShrink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(1, 10)
+		running := mustEnter(t, g, "a")
+		waiting := enterLater(t.Context(), g, "a")
+		g.SetSlots(2)
+		must.Eq(t, errkind.None, <-waiting)
+		g.SetSlots(1)
+		waiting = enterLater(t.Context(), g, "a")
+		must.Eq(t, 1, g.Load().Queued)
+		running.Done(gate.Answered)
+		must.Eq(t, errkind.None, <-waiting)
+	})
+}
+
+// Calls of several customers come, wait, give up and end in any order. Never
+// more run than there are slots, and in the end nothing is left behind.
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(rt, "slots")
+		calls := rapid.SliceOfN(rapid.IntRange(0, 1<<16), 1, 60).Draw(rt, "calls")
+		g := newGate(slots, rapid.IntRange(1, 8).Draw(rt, "maxQueue"))
+		synctest.Test(t, func(t *testing.T) {
+			var running, most atomic.Int64
+			var group sync.WaitGroup
+			for _, c := range calls {
+				time.Sleep(time.Duration(c%5) * time.Millisecond)
+				group.Go(func() {
+					ctx, cancel := context.WithTimeout(t.Context(), time.Duration(c%29+1)*time.Millisecond)
+					defer cancel()
+					ticket, err := g.Enter(ctx, fmt.Sprint(c%3), time.Duration(c%37+1)*time.Millisecond)
+					if err != nil {
+						return
+					}
+					most.Store(max(most.Load(), running.Add(1)))
+					time.Sleep(time.Duration(c%23) * time.Millisecond)
+					running.Add(-1)
+					ticket.Done(gate.Outcome(c%4 + 1))
+				})
+			}
+			group.Wait()
+			must.LessEq(t, int64(slots), most.Load())
+		})
 		must.Eq(t, 0, g.Load().InUse)
+		must.Eq(t, 0, g.Load().Queued)
 	})
 }
+
+func TestEnterAllocates(t *testing.T) {
+	g := newGate(10, 10)
+	ctx := context.Background()
+	must.LessEq(t, 1, testing.AllocsPerRun(1000, func() {
+		ticket, _ := g.Enter(ctx, "a", time.Second)
+		ticket.Done(gate.Answered)
+	}))
+}
+
+func BenchmarkEnter(b *testing.B) {
+	g := newGate(64, 1024)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		ctx := context.Background()
+		for pb.Next() {
+			if ticket, err := g.Enter(ctx, "a", time.Second); err == nil {
+				ticket.Done(gate.Answered)
+			}
+		}
+	})
+}
+
+// BenchmarkRefuse has all slots taken and a full queue of one customer in front.
+func BenchmarkRefuse(b *testing.B) {
+	for _, queued := range []int{0, 100, 1000} {
+		b.Run(fmt.Sprintf("queued=%d", queued), func(b *testing.B) {
+			g := newGate(1, queued)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if _, err := g.Enter(ctx, "a", time.Hour); err != nil {
+				b.Fatal(err)
+			}
+			for range queued {
+				go func() { _, _ = g.Enter(ctx, "a", time.Hour) }()
+			}
+			for g.Load().Queued < queued {
+				time.Sleep(time.Millisecond)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = g.Enter(ctx, "a", 2*time.Hour)
+			}
+		})
+	}
+}
--- a/gate/load.go
+++ b/gate/load.go
@@ -39,9 +39,9 @@
 func (g *Gate) publish() {
 	g.load.inUse.Store(int64(g.inUse))
 	g.load.queued.Store(int64(g.queue.len))
-	g.load.slots.Store(int64(g.slots))
+	g.load.slots.Store(int64(g.limit.slots()))
 	g.load.draining.Store(g.draining)
-	g.load.serviceTime.Store(int64(g.queue.serviceTime))
+	g.load.serviceTime.Store(int64(g.queue.serviceTime.value))
 	if g.draining && !g.isIdle && g.inUse == 0 && g.queue.len == 0 {
 		g.isIdle = true
 		close(g.idle)
--- a/gate/ticket.go
+++ b/gate/ticket.go
@@ -6,9 +6,11 @@
 type Outcome uint8
 
 const (
-	// Answered calls got the backend server's answer, whatever its status.
+	// Answered calls got the backend server's answer, whatever its status but
+	// for Shed.
 	Answered Outcome = iota + 1
-	// Shed calls were turned away by the backend server itself.
+	// Shed calls were turned away by the backend server itself for lack of
+	// room: status 503. A 429 is about the caller and counts as answered.
 	Shed
 	// Failed calls got no whole answer.
 	Failed
@@ -37,7 +39,12 @@
 	// The rest is guarded by the gate's mutex.
 	state   ticketState
 	started time.Time
+	// level is how many slots were in use from the start on, this one included.
+	level int
+	// charged is the slot time that the customer was charged at the start.
 	charged time.Duration
+	// quick is whether the customer was quick at the start.
+	quick bool
 }
 
 // Done gives the slot back. Only the first call has an effect.
@@ -51,7 +58,8 @@
 	}
 	t.state = ended
 	g.inUse--
-	g.queue.settle(t, now.Sub(t.started), o)
+	g.queue.settle(t, now, o)
+	g.limit.learn(o, t.level, now)
 	g.dispatch(now)
 	g.publish()
 }
