--- a/internal/standin/backendserver/execution.go
+++ b/internal/standin/backendserver/execution.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -30,7 +31,9 @@
 // come and a slot is free: from then on a real backend server may have effects,
 // so a call told not to have run must not show up here at all.
 type Execution struct {
-	// Seq numbers the executions of one process from 1.
+	// Boot sets one life of a server apart from the next, which may record into
+	// the same file. Seq numbers the executions of one life from 1.
+	Boot           uint64    `json:"boot"`
 	Seq            uint64    `json:"seq"`
 	Server         string    `json:"server"`
 	RequestID      string    `json:"request_id,omitempty"`
@@ -47,6 +50,7 @@
 // recorder keeps the executions.
 type recorder struct {
 	server string
+	boot   uint64
 	max    int
 	// lines gets each execution as a JSON line when it begins and again when it
 	// ends. It is written to without a buffer, so that a killed process leaves
@@ -60,13 +64,15 @@
 }
 
 func newRecorder(server string, maxKept int, lines io.Writer) *recorder {
-	return &recorder{server: server, max: maxKept, lines: lines}
+	// 53 bits survive JSON readers that keep numbers as floats.
+	return &recorder{server: server, boot: rand.Uint64() >> 11, max: maxKept, lines: lines}
 }
 
 func (r *recorder) begin(req *http.Request) Execution {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := Execution{
+		Boot:           r.boot,
 		Seq:            uint64(len(r.list)) + r.forgotten + 1,
 		Server:         r.server,
 		RequestID:      req.Header.Get(payload.HeaderRequestID),
--- a/internal/standin/backendserver/server_test.go
+++ b/internal/standin/backendserver/server_test.go
@@ -111,6 +111,7 @@
 	must.Eq(t, Completed, got[0].Outcome)
 	must.Len(t, 1, s.Executions(1).Executions)
 	must.Eq(t, 4, strings.Count(lines.String(), "\n"))
+	must.NotEq(t, got[0].Boot, New(opts).rec.boot)
 }
 
 // The caller goes away while its request runs, or before its body is whole.
