--- a/internal/standin/backendserver/announce.go
+++ b/internal/standin/backendserver/announce.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"log/slog"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -37,7 +38,7 @@
 
 func newAnnouncer(opts Options) *announcer {
 	return &announcer{
-		daemonURL: opts.DaemonURL,
+		daemonURL: strings.TrimRight(opts.DaemonURL, "/"),
 		client:    &http.Client{Timeout: announceTimeout},
 		logger:    opts.Logger,
 		body:      announce.Announcement{Service: opts.Service, Slots: opts.Slots},
--- a/internal/standin/backendserver/server_test.go
+++ b/internal/standin/backendserver/server_test.go
@@ -236,7 +236,7 @@
 func TestAnnounces(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		opts := fastOptions()
-		opts.DaemonURL = "http://daemon"
+		opts.DaemonURL = "http://daemon/"
 		a := newAnnouncer(opts)
 		a.setURL("http://127.0.0.1:1")
 		d := newDaemon()
--- a/internal/standin/caller/send.go
+++ b/internal/standin/caller/send.go
@@ -51,7 +51,7 @@
 // rewound: without it the transport would repeat a call with a key by itself
 // when a kept-alive connection breaks.
 func (s *sender) request(ctx context.Context, c *Call, shape Shape) (*http.Request, error) {
-	u := c.Target + c.Path
+	u := strings.TrimRight(c.Target, "/") + c.Path
 	if s.opts.AnswerBytes > 0 {
 		u = withSize(u, s.opts.AnswerBytes)
 	}
