Keep the membership right through pauses, cuts and restarts

- A daemon learns of its host's earlier lives before it becomes a member, goes above their incarnation and names their boots; an old process that wakes finds itself named and Run returns ErrSuperseded.
Ruled out: a life number (after the whole fleet has restarted, one table of old would stop a healthy process) and the larger boot (a coin toss that may pick the old).
- Suspects are held for up to 10 min while 30% of their zone or region is suspect or this daemon's own probes find nobody.
- Ruled out: counting an update heard back as passed on.

Seen failing without its safeguard, one by one (33 mutations), among them: pause ignored "others' tables hold a dead member"; no correlated hold and no degraded hold "count(Dead) is not 0"; hold ends abruptly "1 suspect expected"; no heal pings "not reached within 2m0s"; no lost contact "not reached within 5m0s"; no accept limit "expected 24 <= 10"; tombstones come back "expected to be nil"; earlier lives not told, only the last told, announced before join "ErrSuperseded not reached within 10s"; own host left out of the answer "floor 0, expected 100"; any target answers "not reached within 20s"; newcomer not in the pass "not reached within 15s"; no indirect probes "suspects"; nacks ignored "degraded"; no urgency "not reached within 800ms"; incarnation, boot, liveness not ordered "tables differ after 0 to 56 rapid runs".

--- a/membership/apply.go
+++ b/membership/apply.go
@@ -97,7 +97,7 @@
 	m.log.Warn("membership: refuting", "claim", r.liveness.String(), "incarnation", r.incarnation)
 	next := state{incarnation: r.incarnation + 1, boot: m.self.boot, liveness: Alive}
 	m.applyOwn(&record{host: m.self.host, state: next}, now)
-	m.queue.add(m.self.host, false, true)
+	m.spreadOwn(false)
 }
 
 // applyOtherLife answers a record of another process under this host's name.
@@ -148,5 +148,5 @@
 	m.self.floor = floor
 	m.self.member = nil
 	m.news(now)
-	m.queue.add(m.self.host, false, false)
+	m.spreadOwn(false)
 }
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -45,6 +45,10 @@
 	down   bool
 	paused bool
 	err    error
+	// sent is the latest datagram.
+	sent []byte
+	// fullAnswers counts the tables handed out.
+	fullAnswers int
 }
 
 const (
@@ -56,7 +60,7 @@
 func newFleet(t testing.TB, n int) *fleet {
 	f := &fleet{t: t, now: time.Unix(1000, 0), byAddr: map[netip.AddrPort]*node{}, rejected: map[RejectReason]int{}}
 	for i := range n {
-		f.start(i, uint64(i+1))
+		f.start(i, i, uint64(i+1))
 	}
 	return f
 }
@@ -64,6 +68,9 @@
 // newJoinedFleet returns n daemons whose tables are complete.
 func newJoinedFleet(t testing.TB, n int) *fleet {
 	f := newFleet(t, n)
+	for _, nd := range f.nodes {
+		nd.announce()
+	}
 	for _, nd := range f.nodes {
 		for _, other := range f.nodes {
 			e := other.self
@@ -76,9 +83,10 @@
 	return f
 }
 
-// start starts or restarts the daemon of host i.
-func (f *fleet) start(i int, boot uint64) *node {
-	nd := &node{f: f, index: i, addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)}
+// start starts or restarts the daemon of host i at an address.
+func (f *fleet) start(i, addr int, boot uint64) *node {
+	ip := netip.AddrFrom4([4]byte{10, 0, byte(addr >> 8), byte(addr)})
+	nd := &node{f: f, index: i, addr: netip.AddrPortFrom(ip, 7000)}
 	opts := DefaultOptions()
 	opts.Host = fmt.Sprintf("host-%04d", i)
 	opts.Boot = boot
@@ -94,6 +102,7 @@
 	nd.Membership = m
 	f.byAddr[nd.addr] = nd
 	if i < len(f.nodes) {
+		f.nodes[i].down = true
 		f.nodes[i] = nd
 	} else {
 		f.nodes = append(f.nodes, nd)
@@ -106,7 +115,9 @@
 	for _, c := range contacts {
 		addrs = append(addrs, nd.f.nodes[c].addr)
 	}
-	return nd.joinOnce(context.Background(), nd.remember(addrs))
+	joined := nd.joinOnce(context.Background(), nd.remember(addrs))
+	nd.announce()
+	return joined
 }
 
 // step moves the clock on by one tick.
@@ -197,6 +208,7 @@
 // WriteToUDPAddrPort is part of PacketConn.
 func (nd *node) WriteToUDPAddrPort(b []byte, addr netip.AddrPort) (int, error) {
 	must.LessEq(nd.f.t, MaxPacketBytes, len(b))
+	nd.sent = b
 	nd.f.packets++
 	nd.f.bytes += len(b)
 	if to := nd.f.byAddr[addr]; !nd.lost(to) {
@@ -237,4 +249,4 @@
 func (nd *node) Rejected(r RejectReason)  { nd.f.rejected[r]++ }
 func (nd *node) Probed(bool)              {}
 func (nd *node) Paused(time.Duration)     {}
-func (nd *node) Synced(int, int)          {}
+func (nd *node) Synced(_, out int)        { nd.fullAnswers += count(out >= fullSyncMembers) }
--- a/membership/join.go
+++ b/membership/join.go
@@ -28,6 +28,7 @@
 func (m *Membership) Join(ctx context.Context, contacts []netip.AddrPort) (int, error) {
 	contacts = m.remember(contacts)
 	if len(contacts) == 0 {
+		m.announce()
 		return 0, nil
 	}
 	delay := joinBaseDelay
@@ -35,7 +36,10 @@
 		if err := m.sleep(ctx, m.randomWait(delay)); err != nil {
 			return 0, errors.Wrap(err, "join")
 		}
-		if joined := m.joinOnce(ctx, contacts); joined > 0 {
+		joined := m.joinOnce(ctx, contacts)
+		// Also where nobody answered: the others may find this daemon first.
+		m.announce()
+		if joined > 0 {
 			m.log.Info("membership: joined", "exchanges", joined)
 			return joined, nil
 		}
@@ -105,7 +109,7 @@
 		m.sendPing(e.info.peerAddr, e.host, m.prober.nextSeq())
 	}
 	if c, ok := m.lostContact(); ok && !m.sync.want.IsValid() {
-		m.wantSync(c, now, now)
+		m.wantSync(c, now)
 	}
 }
 
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -56,8 +57,12 @@
 	lastGossip time.Time
 	// lastNews is when the table last changed.
 	lastNews   time.Time
+	nextReview time.Time
 	nextHeal   time.Time
 	nextExpiry time.Time
+	// announced is set once this daemon has tried to learn of its host's
+	// earlier lives; until then it is in nobody's table.
+	announced  bool
 	left       bool
 	superseded bool
 
@@ -81,7 +86,7 @@
 }
 
 // New returns a Membership that knows of itself alone. It neither sends nor
-// answers before Run.
+// answers before Run, and is no member before Join.
 func New(opts Options) (*Membership, error) {
 	if err := opts.check(); err != nil {
 		return nil, err
@@ -99,9 +104,10 @@
 	m.prober = newProber(m.rng.Uint32())
 	now := opts.Now()
 	m.sync = syncer{gap: syncGap, last: now}
-	self := record{
+	m.self = &entry{
 		host:  opts.Host,
 		state: state{incarnation: 1, boot: opts.Boot, liveness: Alive},
+		since: now,
 		info: &info{
 			revision:         1,
 			boot:             opts.Boot,
@@ -111,11 +117,7 @@
 			callerAddr:       netip.AddrPortFrom(opts.CallerAddr.Addr().Unmap(), opts.CallerAddr.Port()),
 		},
 	}
-	m.self, _ = m.table.merge(&self)
-	m.self.since = now
-	m.queue.add(m.self.host, true, true)
-	m.lastNews = now
-	m.stale.Store(true)
+	m.news(now)
 	return m, nil
 }
 
@@ -152,16 +154,41 @@
 		state: state{incarnation: incarnation, boot: m.self.boot, liveness: m.self.liveness},
 		info:  i,
 	}, now)
-	m.queue.add(m.self.host, true, true)
+	m.spreadOwn(true)
 }
 
 // applyOwn changes the daemon's own entry.
 func (m *Membership) applyOwn(r *record, now time.Time) {
-	m.table.merge(r)
+	if m.announced {
+		m.table.merge(r)
+	} else {
+		m.self.merge(r)
+	}
+	m.self.member = nil
 	m.self.since = now
 	m.news(now)
 }
 
+// spreadOwn tells the others of the daemon's own entry.
+func (m *Membership) spreadOwn(full bool) {
+	if m.announced {
+		m.queue.add(m.self.host, full, true)
+	}
+}
+
+// announce makes the daemon a member.
+func (m *Membership) announce() {
+	m.update(func(now time.Time) {
+		if m.announced {
+			return
+		}
+		m.announced = true
+		m.table.adopt(m.self)
+		m.news(now)
+		m.spreadOwn(true)
+	})
+}
+
 func sameAnnouncements(old, new []Announcement) bool {
 	return slices.EqualFunc(old, new, func(a, b Announcement) bool {
 		// A lower age means that the backend server is another one.
@@ -180,7 +207,8 @@
 		next.replaced = make([]uint64, maxReplaced)
 		probe.info = &next
 		size := proto.Size(encodeMember(&probe, true))
-		if a.Service == "" || len(a.Service) > maxNameBytes || len(fits) == maxAnnouncements || size > maxRecordBytes {
+		if a.Service == "" || len(a.Service) > maxNameBytes || len(fits) == maxAnnouncements || size > maxRecordBytes ||
+			!utf8.ValidString(a.Service) {
 			continue
 		}
 		fits = append(fits, a)
@@ -220,6 +248,9 @@
 func (m *Membership) Floor(host string) uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if host == m.self.host {
+		return m.self.highest()
+	}
 	if e := m.table.get(host); e != nil {
 		return e.highest()
 	}
@@ -232,7 +263,7 @@
 func (m *Membership) MaxOffset() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var highest uint64
+	highest := m.self.highest()
 	for _, e := range m.table.order {
 		highest = max(highest, e.highest())
 	}
@@ -287,7 +318,7 @@
 		m.left = true
 		next := state{incarnation: m.self.incarnation + 1, boot: m.self.boot, liveness: Left}
 		m.applyOwn(&record{host: m.self.host, state: next}, now)
-		m.queue.add(m.self.host, false, true)
+		m.spreadOwn(false)
 		m.log.Info("membership: leaving")
 	})
 	for !m.goodbyeSent() {
--- a/membership/options.go
+++ b/membership/options.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/netip"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -108,6 +109,8 @@
 		return errors.Newf("host must have 1 to %d bytes", maxNameBytes)
 	case len(o.AvailabilityZone) > maxNameBytes || len(o.Region) > maxNameBytes:
 		return errors.Newf("availability zone and region must have at most %d bytes", maxNameBytes)
+	case !utf8.ValidString(o.Host + o.AvailabilityZone + o.Region):
+		return errors.New("host, availability zone and region must be UTF-8")
 	case o.Boot == 0:
 		return errors.New("boot must not be 0")
 	case !o.PeerAddr.IsValid():
--- a/membership/packets.go
+++ b/membership/packets.go
@@ -152,13 +152,18 @@
 	return m.opts.RetransmitMult * int(math.Ceil(math.Log10(float64(m.table.usable+1))))
 }
 
+// backlogUpdates is how many updates fit into one packet, roughly.
+const backlogUpdates = 32
+
 // gossip passes news on to a few members: in each interval while there is any,
-// and at once for urgent news that this daemon has not passed on yet.
+// at once for urgent news that this daemon has not passed on yet, and more often
+// the more there is, up to once a tick. After a cut of a region of 300 members
+// the refutations would else take as long as a suspicion lasts.
 func (m *Membership) gossip(now time.Time) {
 	if m.queue.len() == 0 {
 		return
 	}
-	wait := m.opts.GossipInterval
+	wait := m.opts.GossipInterval / time.Duration(1+m.queue.len()/backlogUpdates)
 	if m.queue.urgent() {
 		wait = 0
 	}
--- a/membership/run.go
+++ b/membership/run.go
@@ -146,6 +146,6 @@
 	m.health.record(false)
 	m.health.record(false)
 	for _, e := range m.table.sample(m.rng, 1, m.isOther) {
-		m.wantSync(e.info.peerAddr, now, now)
+		m.wantSync(e.info.peerAddr, now)
 	}
 }
--- a/membership/suspicion.go
+++ b/membership/suspicion.go
@@ -9,6 +9,14 @@
 	// within the time one suspicion takes.
 	correlatedMin   = 2
 	correlatedShare = 30
+
+	// releaseFactor times the suspicion timeout is what a held suspect has left
+	// when the hold ends. After a cut some hundred members have to hear of their
+	// suspicion and to spread the refutation at once, which takes gossip longer
+	// than a single one.
+	releaseFactor = 5
+	// reviewInterval is how often suspicions are looked at.
+	reviewInterval = 200 * time.Millisecond
 )
 
 // place names a region, or one of its availability zones.
@@ -57,12 +65,12 @@
 // finds nobody, or that sees much of a zone or region suspect at once, rather
 // sees a cut: without this hold the other side would be declared dead piece by
 // piece and its backend servers lost to this side. Held members stay Suspect,
-// so that they are picked last. When the hold ends, each has the whole timeout
-// again, since after a cut the refutations take a moment to arrive.
+// so that they are picked last.
 func (m *Membership) reconcileSuspects(now time.Time) {
-	if m.table.suspects == 0 {
+	if m.table.suspects == 0 || now.Before(m.nextReview) {
 		return
 	}
+	m.nextReview = now.Add(reviewInterval)
 	counts := m.table.tally()
 	degraded := m.health.degraded()
 	for _, e := range m.table.order {
@@ -71,7 +79,7 @@
 		}
 		held := degraded || counts.correlated(e)
 		if held && now.Sub(e.suspectedAt) < m.opts.HoldTimeout {
-			e.deadline = now.Add(m.opts.SuspicionTimeout)
+			e.deadline = now.Add(releaseFactor * m.opts.SuspicionTimeout)
 			continue
 		}
 		if !now.Before(e.deadline) || held {
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -35,6 +35,9 @@
 type syncer struct {
 	want netip.AddrPort
 	due  time.Time
+	// unlessNews drops the exchange if news arrives before it is due: then the
+	// digests differed because gossip had reached the other one first.
+	unlessNews bool
 	// last is when an exchange was last planned, next the earliest time for the
 	// next one.
 	last time.Time
@@ -57,13 +60,17 @@
 		// Gossip is still under way, though not for good: one member that comes
 		// and goes must not keep the tables from being compared at all.
 	default:
-		m.wantSync(from, now.Add(m.jitter(syncQuiet)), now)
+		m.wantSync(from, now)
+		m.sync.due = now.Add(syncQuiet/2 + m.jitter(syncQuiet/2))
+		m.sync.unlessNews = now.Sub(m.lastNews) >= syncQuiet
 	}
 }
 
-func (m *Membership) wantSync(addr netip.AddrPort, due, now time.Time) {
+// wantSync plans an exchange at once.
+func (m *Membership) wantSync(addr netip.AddrPort, now time.Time) {
 	m.sync.want = addr
-	m.sync.due = due
+	m.sync.due = now
+	m.sync.unlessNews = false
 	m.sync.last = now
 	m.sync.next = now.Add(m.sync.gap)
 }
@@ -78,6 +85,10 @@
 	if !m.sync.want.IsValid() || now.Before(m.sync.due) {
 		return
 	}
+	if m.sync.unlessNews && m.lastNews.After(m.sync.last) {
+		m.sync.want = netip.AddrPort{}
+		return
+	}
 	select {
 	case m.syncWanted <- m.sync.want:
 		m.sync.want = netip.AddrPort{}
@@ -161,6 +172,7 @@
 	}
 	var answer *memberpb.Table
 	m.update(func(now time.Time) {
+		earlier := m.believed(remote)
 		m.takeTable(records, now)
 		buckets, _ := m.table.digests.differing(theirs)
 		if !m.admitSync(buckets, now) {
@@ -169,10 +181,22 @@
 			return
 		}
 		answer = m.encodeTable(buckets, now)
+		answer.Members = append(answer.Members, earlier...)
 	})
 	return answer
 }
 
+// believed returns what the table holds of the remote's own host. It need not
+// be in a bucket that differs, and a new life has to hear of the one before: of
+// its incarnation, to go above it, and of the offset that it had in force.
+func (m *Membership) believed(remote *memberpb.Table) []*memberpb.Member {
+	e := m.table.get(remote.GetHost())
+	if e == nil {
+		return nil
+	}
+	return []*memberpb.Member{encodeMember(e, e.boot != remote.GetBoot())}
+}
+
 // admitSync bounds the full answers per second. When a third of the fleet
 // restarts at once and asks the few contacts of its settings, these would spend
 // their time and network on tables alone; the rest are sent to others.
--- a/membership/table.go
+++ b/membership/table.go
@@ -82,12 +82,22 @@
 
 func (t *table) insert(host string) *entry {
 	e := &entry{host: host}
-	t.byHost[host] = e
-	i, _ := t.find(host)
-	t.order = slices.Insert(t.order, i, e)
+	t.place(e)
 	return e
 }
 
+// adopt puts in an entry that was made elsewhere.
+func (t *table) adopt(e *entry) {
+	t.place(e)
+	t.recount(state{}, e)
+}
+
+func (t *table) place(e *entry) {
+	i, _ := t.find(e.host)
+	t.order = slices.Insert(t.order, i, e)
+	t.byHost[e.host] = e
+}
+
 func (t *table) find(host string) (int, bool) {
 	return slices.BinarySearchFunc(t.order, host, func(e *entry, h string) int { return cmp.Compare(e.host, h) })
 }
