Keep every answer under an idempotency key true

Cause, found by review of the wiring: a request refused before its key was looked up (rate, overload, no configuration) was answered "not run", though an earlier request under the key may have run; a holder that lives but cannot be reached was told as gone; one failed ask ended as unknown at once. Now such refusals say "unknown", an unreachable holder is key_unresolved (a repeat is safe), the gate is asked until it answers or the time is up, and keys of callers' own making are taken where the settings say so (requests.own_keys).

--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -126,7 +126,9 @@
 	Kind Kind
 	// RetryAfter overrides the table's value when above zero.
 	RetryAfter time.Duration
-	cause      error
+	// doubt overrides a table's NotRun.
+	doubt bool
+	cause error
 }
 
 // New returns an error of a kind with a text for people.
@@ -151,6 +153,28 @@
 	return &c
 }
 
+// Doubt returns err with the promise taken back that the call has not run. It is
+// for a refusal of this request under a key that an earlier request may have run
+// under: the refusal is true, "not run" may not be.
+func Doubt(err error) error {
+	var e *Error
+	if !errors.As(err, &e) {
+		return err
+	}
+	c := *e
+	c.doubt = true
+	return &c
+}
+
+// RunOf returns whether the call that ended with err ran.
+func RunOf(err error) Run {
+	var e *Error
+	if errors.As(err, &e) && e.doubt {
+		return RunUnknown
+	}
+	return Of(err).Answer().Run
+}
+
 // Error returns the text without the kind.
 func (e *Error) Error() string { return e.cause.Error() }
 
--- a/errkind/errkind_test.go
+++ b/errkind/errkind_test.go
@@ -40,3 +40,13 @@
 	must.Eq(t, 7*time.Second, RetryAfterOf(plain.After(7*time.Second)))
 	must.Eq(t, Overloaded.Answer().RetryAfter, RetryAfterOf(plain))
 }
+
+func TestDoubt_TakesBackNotRun(t *testing.T) {
+	err := New(RateLimited, "over the rate").After(3 * time.Second)
+	must.Eq(t, NotRun, RunOf(err))
+	doubted := Doubt(err)
+	must.Eq(t, RunUnknown, RunOf(doubted))
+	must.Eq(t, RateLimited, Of(doubted))
+	must.Eq(t, 3*time.Second, RetryAfterOf(doubted))
+	must.NoError(t, Doubt(nil))
+}
--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -53,7 +53,7 @@
 func Write(w http.ResponseWriter, err error) {
 	kind := errkind.Of(err)
 	a := kind.Answer()
-	body, _ := json.Marshal(Body{Error: Detail{Kind: kind, Text: textOf(err), Run: a.Run}})
+	body, _ := json.Marshal(Body{Error: Detail{Kind: kind, Text: textOf(err), Run: errkind.RunOf(err)}})
 	body = append(body, '\n')
 
 	h := w.Header()
@@ -64,7 +64,7 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	h.Set("X-Content-Type-Options", "nosniff")
 	h.Set(HeaderError, string(kind))
-	h.Set(HeaderRun, string(a.Run))
+	h.Set(HeaderRun, string(errkind.RunOf(err)))
 	if after := errkind.RetryAfterOf(err); after > 0 {
 		h.Set(headerRetryAfter, strconv.FormatInt(wholeSeconds(after), 10))
 	}
--- /dev/null
+++ b/internal/daemon/address.go
@@ -0,0 +1,26 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/netip"
+)
+
+// peerAddr is the address that the other daemons are told.
+func (d *Daemon) peerAddr() netip.AddrPort {
+	if a, err := netip.ParseAddrPort(d.settings.Listen.AdvertisePeers); err == nil {
+		return a
+	}
+	return addrOf(d.ln.peers)
+}
+
+// dialFrom returns how sessions to other daemons are connected: from the address
+// that this one listens on for them. A host with several addresses would else
+// be seen under one of the kernel's choice, which filters in between may not
+// know.
+func dialFrom(ip netip.Addr) func(context.Context, netip.AddrPort) (net.Conn, error) {
+	d := net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0))}
+	return func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", addr.String())
+	}
+}
--- /dev/null
+++ b/internal/daemon/address_test.go
@@ -0,0 +1,40 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/internal/settings"
+)
+
+func TestPeerAddr(t *testing.T) {
+	s := settings.Default()
+	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0", Backend: "127.0.0.1:0"}
+	ln, err := listen(s.Listen)
+	must.NoError(t, err)
+	defer ln.close()
+	d := &Daemon{settings: &s, ln: ln}
+	must.Eq(t, ln.peers.Addr().String(), d.peerAddr().String())
+	s.Listen.AdvertisePeers = "10.9.2.3:7400"
+	must.Eq(t, "10.9.2.3:7400", d.peerAddr().String())
+}
+
+// A host has two addresses. Without a fixed local address the kernel takes the
+// first, and the other end sees a host that it does not know.
+func TestDialFromOwnAddress(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.2:0")
+	must.NoError(t, err)
+	defer ln.Close()
+	own := netip.MustParseAddr("127.0.0.3")
+	conn, err := dialFrom(own)(context.Background(), addrOf(ln))
+	must.NoError(t, err)
+	defer conn.Close()
+	seen, err := ln.Accept()
+	must.NoError(t, err)
+	defer seen.Close()
+	must.Eq(t, own, seen.RemoteAddr().(*net.TCPAddr).AddrPort().Addr())
+}
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -26,6 +26,7 @@
 	"github.com/crocuscross/crocuscross/internal/operator"
 	"github.com/crocuscross/crocuscross/internal/proxy/inbound"
 	"github.com/crocuscross/crocuscross/internal/proxy/outbound"
+	"github.com/crocuscross/crocuscross/internal/settings"
 	"github.com/crocuscross/crocuscross/internal/telemetry"
 	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/once"
@@ -60,6 +61,9 @@
 	gate       *gate.Gate
 	attempts   *once.Attempts
 	picker     *balance.Picker
+	keys       *once.Keys
+	ownKeys    once.OwnKeys
+	claimLoop  loop.Func
 
 	inbound     *inbound.Handler
 	outbound    *outbound.Handler
@@ -85,7 +89,9 @@
 		return nil, err
 	}
 	p.buildConfiguration(d)
-	p.buildCalls(d)
+	if err := p.buildCalls(d); err != nil {
+		return nil, err
+	}
 	p.buildOperators(d)
 	p.handle()
 	return p, nil
@@ -96,6 +102,7 @@
 func (p *parts) buildPeers(d *Daemon) {
 	opts := peer.DefaultPoolOptions()
 	opts.Meter = p.meter
+	opts.Dial = dialFrom(addrOf(d.ln.peers).Addr())
 	p.calls = peer.NewPool(opts)
 	p.control = peer.NewPool(opts)
 	server := peer.DefaultServerOptions()
@@ -114,7 +121,7 @@
 	o.Boot = d.boot
 	o.AvailabilityZone = s.AvailabilityZone
 	o.Region = s.Region
-	o.PeerAddr = addrOf(d.ln.peers)
+	o.PeerAddr = d.peerAddr()
 	o.CallerAddr = addrOf(d.ln.callers)
 	o.ProbeInterval = time.Duration(s.Membership.ProbeInterval)
 	o.ProbeTimeout = time.Duration(s.Membership.ProbeTimeout)
@@ -169,12 +176,12 @@
 	}
 	p.contacts = contacts.New(contacts.Options{
 		Board: d.board, Log: p.log.Stream(platform.StreamContacts), Host: d.settings.Host,
-		AvailabilityZone: d.settings.AvailabilityZone, PeerAddr: addrOf(d.ln.peers),
+		AvailabilityZone: d.settings.AvailabilityZone, PeerAddr: d.peerAddr(),
 		Logger: d.logger, Now: time.Now,
 	})
 }
 
-func (p *parts) buildCalls(d *Daemon) {
+func (p *parts) buildCalls(d *Daemon) error {
 	metrics := telemetry.NewCalls(d.registry)
 	p.gate = gate.New(gate.DefaultOptions())
 	attempts := once.DefaultAttemptsOptions(d.boot)
@@ -193,12 +200,13 @@
 	quotas.Peers = quotaPeers{p.control}
 	quotas.Logger = d.logger
 	p.quota = quota.New(quotas)
-	keys := once.DefaultKeysOptions(d.settings.Host, d.boot)
-	keys.Bounds.MaxRecords, keys.Bounds.MaxBytes, keys.MaxKeys = keptRecords, keptBytes, keysOut
+	if err := p.buildKeys(d); err != nil {
+		return err
+	}
 	p.outbound = outbound.NewHandler(outbound.Options{
 		Board: d.board, Pool: p.calls, Picker: p.picker, Quota: p.quota,
 		Budget: retry.NewBudget(retry.DefaultBudgetOptions()),
-		Keys:   once.NewKeys(keys), Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
+		Keys:   p.keys, OwnKeys: p.ownKeys, Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
 		Host: d.settings.Host, Boot: d.boot,
 		MaxBody: d.settings.Requests.MaxBodyBytes, MaxCalls: d.settings.Requests.MaxInFlight,
 	})
@@ -208,6 +216,28 @@
 		Work:    []drain.InFlight{p.inbound, p.outbound},
 		Refuse:  p.gate.Drain,
 	}
+	return nil
+}
+
+// buildKeys makes the tables of idempotency keys. Keys of callers' own making
+// need the platform's log and are off unless the settings ask for them.
+func (p *parts) buildKeys(d *Daemon) error {
+	o := once.DefaultKeysOptions(d.settings.Host, d.boot)
+	o.Bounds.MaxRecords, o.Bounds.MaxBytes, o.MaxKeys = keptRecords, keptBytes, keysOut
+	p.keys = once.NewKeys(o)
+	p.ownKeys = once.NoOwnKeys{}
+	p.claimLoop = func(ctx context.Context) error { <-ctx.Done(); return nil }
+	if d.settings.Requests.OwnKeys != settings.On {
+		return nil
+	}
+	claiming := once.DefaultClaimsOptions(p.log.Stream(once.StreamClaims), p.keys)
+	claiming.Logger = d.logger
+	claims, err := once.NewClaims(claiming)
+	if err != nil {
+		return err
+	}
+	p.ownKeys, p.claimLoop = claims, claims.Run
+	return nil
 }
 
 func (p *parts) buildOperators(d *Daemon) {
@@ -248,7 +278,7 @@
 		d.join, d.calls.Run, d.control.Run,
 		d.membership.Run, d.members.Run, d.backends.Run,
 		d.distribute.Run, d.apply.Run, d.announce.Run,
-		d.checkpoints.Run, d.contacts.Run,
+		d.checkpoints.Run, d.contacts.Run, d.claimLoop,
 		d.quota.Run, d.followQuota, d.followSlots,
 		d.self.Run, d.lifecycle.Run,
 	}
--- a/internal/proxy/inbound/once.go
+++ b/internal/proxy/inbound/once.go
@@ -50,7 +50,7 @@
 }
 
 func (c *call) recordFailure(id once.ID, err error) {
-	if errkind.Of(err).Answer().Run == errkind.NotRun {
+	if errkind.RunOf(err) == errkind.NotRun {
 		c.h.opts.Attempts.Cancel(id)
 		return
 	}
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -163,7 +163,7 @@
 // with: the latest, unless an earlier attempt may have run. "Not run" must not
 // be said of a call that did run once.
 func firstCertain(earlier, latest error) error {
-	if earlier == nil || errkind.Of(earlier).Answer().Run == errkind.NotRun {
+	if earlier == nil || errkind.RunOf(earlier) == errkind.NotRun {
 		return latest
 	}
 	return earlier
--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -37,6 +37,7 @@
 	Quota    *quota.Manager
 	Budget   *retry.Budget
 	Keys     *once.Keys
+	OwnKeys  once.OwnKeys
 	Tracer   trace.Tracer
 	Metrics  *telemetry.Calls
 	Logger   *slog.Logger
@@ -100,18 +101,19 @@
 }
 
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, start time.Time, inFlight int) error {
+	key := r.Header.Get(body.HeaderIdempotencyKey)
 	c, err := h.admit(r, start, inFlight)
 	if err != nil {
-		return err
+		return refusedWithKey(key, err)
 	}
 	defer c.grant.Done()
 	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline, errDeadline)
 	defer cancel()
 	if err := c.readBody(ctx, w, r); err != nil {
-		return err
+		return refusedWithKey(key, err)
 	}
-	if r.Header.Get(body.HeaderIdempotencyKey) != "" && c.terms.NonIdempotent {
-		return c.serveKeyed(ctx, w, r.Header.Get(body.HeaderIdempotencyKey))
+	if key != "" && c.terms.NonIdempotent {
+		return c.serveKeyed(ctx, w, key)
 	}
 	a, err := c.open(ctx)
 	if err != nil {
@@ -120,6 +122,16 @@
 	return a.writeTo(w)
 }
 
+// refusedWithKey is the error of a request that was refused before its key was
+// looked up. An earlier request under the key may have run, so a repeat must
+// not be told that the call was not run.
+func refusedWithKey(key string, err error) error {
+	if key == "" {
+		return err
+	}
+	return errkind.Doubt(err)
+}
+
 // admit finds the call's contract and route and holds it to its limits.
 func (h *Handler) admit(r *http.Request, start time.Time, inFlight int) (*call, error) {
 	if inFlight > h.opts.MaxCalls {
--- a/internal/proxy/outbound/keyed.go
+++ b/internal/proxy/outbound/keyed.go
@@ -30,12 +30,12 @@
 // serveKeyed runs a non-idempotent call under its key, at the daemon that
 // issued the key and nowhere else.
 func (c *call) serveKeyed(ctx context.Context, w http.ResponseWriter, header string) error {
-	key, err := once.ParseKey(header)
+	key, err := c.issuedKey(ctx, header)
 	if err != nil {
 		return err
 	}
 	if err := c.holdBody(ctx); err != nil {
-		return err
+		return errkind.Doubt(err)
 	}
 	host, boot := key.Holder()
 	if host == c.h.opts.Host && boot == c.h.opts.Boot {
@@ -45,7 +45,16 @@
 		}
 		return writeKept(w, ans)
 	}
-	return c.forwardKeyed(ctx, w, host, boot)
+	return c.forwardKeyed(ctx, w, key)
+}
+
+// issuedKey returns the key itself, or the issued one that stands for a key of
+// the caller's own making.
+func (c *call) issuedKey(ctx context.Context, header string) (once.Key, error) {
+	if once.IsIssued(header) {
+		return once.ParseKey(header)
+	}
+	return c.h.opts.OwnKeys.Claim(ctx, c.customer, header)
 }
 
 // holdBody reads the rest of a large body, which must be held to be told from
@@ -77,30 +86,26 @@
 	if err != nil || ans != nil {
 		return ans, err
 	}
+	// Ends nothing that has ended; without it, a panic would leave the key in
+	// progress for good.
+	defer exec.Unknown()
 	ctx, cancel := context.WithDeadlineCause(context.WithoutCancel(ctx), c.deadline, errDeadline)
 	defer cancel()
 	a, err := c.open(ctx)
 	if err != nil {
-		endFailed(exec, err)
+		if errkind.RunOf(err) == errkind.NotRun {
+			exec.NotRun()
+		}
 		return nil, err
 	}
 	ans, err = a.hold()
 	if err != nil {
-		exec.Unknown()
 		return nil, err
 	}
 	exec.Finish(ans)
 	return ans, nil
 }
 
-func endFailed(exec *once.Execution, err error) {
-	if errkind.Of(err).Answer().Run == errkind.NotRun {
-		exec.NotRun()
-		return
-	}
-	exec.Unknown()
-}
-
 // hold reads the whole answer.
 func (s *answered) hold() (*once.Answer, error) {
 	b, err := io.ReadAll(io.LimitReader(s.body, maxKeyedAnswer+1))
@@ -136,21 +141,22 @@
 	return head
 }
 
-// forwardKeyed sends the call to the daemon that issued its key. A holder that
-// is gone, or a link that breaks, leaves the outcome unknown: an earlier
-// request under the key may have run.
-func (c *call) forwardKeyed(ctx context.Context, w http.ResponseWriter, host string, boot uint64) error {
+// forwardKeyed sends the call to the daemon that issued its key. While that
+// daemon lives, a repeat under the key is safe and may find the outcome; once
+// it is gone, nobody knows whether an earlier request ran.
+func (c *call) forwardKeyed(ctx context.Context, w http.ResponseWriter, key once.Key) error {
+	host, boot := key.Holder()
 	m := c.h.opts.Board.Members.Load().Find(host)
-	if m == nil || m.Boot != boot {
+	if m == nil || m.Boot != boot || !m.Usable() {
 		return errkind.Newf(errkind.OutcomeUnknown, "the daemon on host %s that issued the key is gone", host)
 	}
 	st, err := c.h.opts.Pool.Open(ctx, m.PeerAddr, peerpb.Kind_KIND_KEYED_CALL)
 	if err != nil {
-		return errkind.Wrap(errkind.OutcomeUnknown, err, "reach the daemon that issued the key")
+		return unresolved(err)
 	}
 	defer st.Close()
 	defer st.BindContext(ctx)()
-	head, err := c.exchangeKeyed(ctx, st)
+	head, err := c.exchangeKeyed(ctx, st, key)
 	if err != nil {
 		return err
 	}
@@ -162,20 +168,23 @@
 	return nil
 }
 
-func (c *call) exchangeKeyed(ctx context.Context, st *peer.Stream) (*peerpb.AnswerHead, error) {
-	lost := func(err error) error {
-		return errkind.Wrap(errkind.OutcomeUnknown, err, "the link to the daemon that issued the key broke")
-	}
+func unresolved(err error) error {
+	return errkind.Wrap(errkind.KeyUnresolved, err, "the daemon that issued the key does not answer")
+}
+
+func (c *call) exchangeKeyed(ctx context.Context, st *peer.Stream, key once.Key) (*peerpb.AnswerHead, error) {
 	c.attempts = 1
-	if err := st.Queue(c.callHead(ctx, nil)); err != nil {
-		return nil, lost(err)
+	req := c.callHead(ctx, nil)
+	req.IdempotencyKey = key.String()
+	if err := st.Queue(req); err != nil {
+		return nil, unresolved(err)
 	}
 	if err := body.Send(st, c.heldBody(), int64(len(c.held))); err != nil {
-		return nil, lost(err)
+		return nil, unresolved(err)
 	}
 	head := new(peerpb.AnswerHead)
 	if err := st.RecvMax(head, maxAnswerHead); err != nil {
-		return nil, lost(err)
+		return nil, unresolved(err)
 	}
 	if head.GetErrorKind() != "" {
 		return nil, gateError(head)
@@ -211,17 +220,19 @@
 func (h *Handler) runForwarded(ctx context.Context, st *peer.Stream, head *peerpb.CallHead) (*once.Answer, error) {
 	deadline := time.Now().Add(time.Duration(head.GetRemainingMs()) * time.Millisecond)
 	_ = st.SetReadDeadline(deadline)
+	// What fails before the key is looked up says nothing of earlier requests
+	// under it.
 	held, err := io.ReadAll(io.LimitReader(body.NewReader(st), maxKeyedBody+1))
 	if err != nil || len(held) > maxKeyedBody {
-		return nil, errkind.New(errkind.BadRequest, "the forwarded call's body is not whole or too large")
-	}
-	key, err := once.ParseKey(fieldOf(head, body.HeaderIdempotencyKey))
-	if err != nil {
-		return nil, err
+		return nil, errkind.New(errkind.KeyUnresolved, "the forwarded call's body is not whole")
 	}
 	snap := h.opts.Board.Snapshot.Load()
 	if snap == nil {
-		return nil, errkind.New(errkind.NotReady, "the daemon that issued the key has no configuration in force")
+		return nil, errkind.New(errkind.KeyUnresolved, "the daemon that issued the key has no configuration in force")
+	}
+	key, err := once.ParseKey(head.GetIdempotencyKey())
+	if err != nil {
+		return nil, err
 	}
 	ctx, cancel := context.WithDeadlineCause(telemetry.WithTraceparent(ctx, head.GetTraceparent()), deadline, errDeadline)
 	defer cancel()
@@ -232,12 +243,3 @@
 	}
 	return c.runKeyed(ctx, key)
 }
-
-func fieldOf(head *peerpb.CallHead, name string) string {
-	for _, f := range head.GetFields() {
-		if f.GetName() == name {
-			return f.GetValue()
-		}
-	}
-	return ""
-}
--- a/internal/proxy/outbound/settle.go
+++ b/internal/proxy/outbound/settle.go
@@ -16,6 +16,9 @@
 // exchange, and up to 300 ms that it waits for an attempt that runs.
 const askTimeout = time.Second
 
+// askPause is the least time between two asks.
+const askPause = 50 * time.Millisecond
+
 // keptAnswer is an answer that a gate had kept.
 type keptAnswer struct {
 	head *peerpb.AnswerHead
@@ -41,34 +44,52 @@
 }
 
 // ask learns the outcome of a non-idempotent attempt over another stream; the
-// pool has connected anew if the session itself broke or was silent. The
-// gate bars an attempt that has not started, so that "not run" stays true; a
-// gate that cannot be asked leaves the outcome unknown.
+// pool has connected anew if the session itself broke or was silent. The gate
+// bars an attempt that has not started, so that "not run" stays true. It is
+// asked until it answers or the call's time is up: a gate that cannot be asked
+// leaves the outcome unknown.
 func (a *attempt) ask(ctx context.Context) (*keptAnswer, error) {
 	for {
 		ans, err := a.askOnce(ctx)
-		if err != nil {
+		if err != nil && a.gone() {
 			a.c.h.opts.Metrics.Ask(peerpb.Outcome_OUTCOME_UNKNOWN)
-			return nil, errkind.Wrap(errkind.OutcomeUnknown, err, "the backend server's host cannot be asked")
+			return nil, errkind.Wrap(errkind.OutcomeUnknown, err, "the backend server's host is gone")
+		}
+		if err == nil {
+			a.c.h.opts.Metrics.Ask(ans.GetOutcome())
+		}
+		if kept, kind, text := a.read(ans); kept != nil {
+			return kept, nil
+		} else if kind != errkind.None {
+			return nil, errkind.New(kind, text)
 		}
-		a.c.h.opts.Metrics.Ask(ans.GetOutcome())
-		switch ans.GetOutcome() {
-		case peerpb.Outcome_OUTCOME_NOT_RUN:
-			return nil, errkind.New(errkind.Unreachable, "the link broke before the call started")
-		case peerpb.Outcome_OUTCOME_RAN:
-			if ans.GetAnswer() == nil {
-				return nil, errkind.New(errkind.OutcomeUnknown, "the call ran, its answer is no longer kept")
-			}
-			return &keptAnswer{head: ans.GetAnswer(), body: bytes.NewReader(ans.GetBody())}, nil
-		case peerpb.Outcome_OUTCOME_RUNNING:
-			// The gate has waited for the attempt for a while already.
-			if ctx.Err() != nil {
-				return nil, contextKind(ctx, errkind.Deadline)
-			}
-		default:
-			return nil, errkind.New(errkind.OutcomeUnknown, "the backend server's host does not know the outcome")
+		if pause(ctx, askPause) != nil {
+			return nil, contextKind(ctx, errkind.Deadline)
+		}
+	}
+}
+
+// read returns the kept answer, or the kind of error that an outcome stands
+// for; neither while the outcome is open.
+func (a *attempt) read(ans *peerpb.AskAnswer) (*keptAnswer, errkind.Kind, string) {
+	switch ans.GetOutcome() {
+	case peerpb.Outcome_OUTCOME_NOT_RUN:
+		return nil, errkind.Unreachable, "the link broke before the call started"
+	case peerpb.Outcome_OUTCOME_UNKNOWN:
+		return nil, errkind.OutcomeUnknown, "the backend server's host does not know the outcome"
+	case peerpb.Outcome_OUTCOME_RAN:
+		if ans.GetAnswer() == nil {
+			return nil, errkind.OutcomeUnknown, "the call ran, its answer is no longer kept"
 		}
+		return &keptAnswer{head: ans.GetAnswer(), body: bytes.NewReader(ans.GetBody())}, errkind.None, ""
 	}
+	return nil, errkind.None, ""
+}
+
+// gone reports whether the life of the gate that the attempt went to has ended.
+func (a *attempt) gone() bool {
+	m := a.c.h.opts.Board.Members.Load().Find(a.server.Host)
+	return m == nil || m.Boot != a.server.Boot || !m.Usable()
 }
 
 func (a *attempt) askOnce(ctx context.Context) (*peerpb.AskAnswer, error) {
@@ -79,3 +100,15 @@
 	err := a.c.h.opts.Pool.Call(ctx, a.server.PeerAddr, peerpb.Kind_KIND_ASK, req, ans)
 	return ans, err
 }
+
+// pause waits for d; it fails where ctx is done before.
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -98,6 +98,11 @@
 	return f
 }
 
+func (f Field) optional() Field {
+	f.Required = false
+	return f
+}
+
 // Want tells what a right value looks like.
 func (f Field) Want() string {
 	switch f.Kind {
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -16,6 +16,8 @@
 		"HTTP for callers."),
 	address("listen.peers", "10.1.2.3:7400",
 		"TCP and UDP for the other daemons, which are told this address."),
+	address("listen.advertise_peers", "10.9.2.3:7400",
+		"What the other daemons are told in place of listen.peers, where they reach this host by a translated address.").optional(),
 	address("listen.operators", "10.1.2.3:7401",
 		"HTTP for operators: status, drain, metrics."),
 	address("listen.backend", "127.0.0.1:7402",
@@ -53,6 +55,8 @@
 		"How long a caller may take to send the header."),
 	integer("requests.max_in_flight", 4096, 1, 1<<20, "calls",
 		"Calls that this daemon holds at once."),
+	choice("requests.own_keys", []string{"off", "on"},
+		"Whether idempotency keys of callers' own making are taken, at the price of an append to the platform's log."),
 
 	duration("drain.timeout", 30*time.Second, 100*time.Millisecond, time.Hour,
 		"How long calls in flight may take to end in a graceful shutdown."),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,8 +42,9 @@
 	Host             string `json:"host"`
 	AvailabilityZone string `json:"availability_zone"`
 	Region           string `json:"region"`
-	// Listen addresses, as IP:port. Peers is used for TCP and UDP and told to
-	// the other daemons, so it must be reachable for them.
+	// Listen addresses, as IP:port. Peers is used for TCP and UDP and, unless
+	// AdvertisePeers is set, told to the other daemons, so it must be reachable
+	// for them.
 	Listen Listen `json:"listen"`
 	// Contacts are peer addresses of a few daemons to join by.
 	Contacts   []string   `json:"contacts"`
@@ -58,9 +59,11 @@
 
 // Listen holds one address for each kind of client.
 type Listen struct {
-	Callers   string `json:"callers"`
-	Peers     string `json:"peers"`
-	Operators string `json:"operators"`
+	Callers string `json:"callers"`
+	Peers   string `json:"peers"`
+	// AdvertisePeers is told to the other daemons in place of Peers.
+	AdvertisePeers string `json:"advertise_peers"`
+	Operators      string `json:"operators"`
 	// Backend is where the backend server beside the daemon announces itself.
 	Backend string `json:"backend"`
 }
@@ -93,6 +96,12 @@
 	OwnReadAfter Duration `json:"own_read_after"`
 }
 
+// Values of a switch.
+const (
+	Off = "off"
+	On  = "on"
+)
+
 // Requests bounds what callers may ask.
 type Requests struct {
 	MaxHeaderBytes int   `json:"max_header_bytes"`
@@ -101,6 +110,9 @@
 	HeaderTimeout Duration `json:"header_timeout"`
 	// MaxInFlight bounds the calls that this daemon holds at once.
 	MaxInFlight int `json:"max_in_flight"`
+	// OwnKeys is off or on. Each daemon that takes keys of callers' own making
+	// reads the claims of all.
+	OwnKeys string `json:"own_keys"`
 }
 
 // Drain bounds a graceful shutdown.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -149,6 +149,9 @@
 		if s.Trace.Endpoint == "" {
 			again = bytes.Replace(again, []byte(`"endpoint":"",`), nil, 1)
 		}
+		if s.Listen.AdvertisePeers == "" {
+			again = bytes.Replace(again, []byte(`"advertise_peers":"",`), nil, 1)
+		}
 		if s.Contacts == nil {
 			again = bytes.Replace(again, []byte(`"contacts":null`), []byte(`"contacts":[]`), 1)
 		}
