--- a/spread/plan.go
+++ b/spread/plan.go
@@ -28,7 +28,7 @@
 	// tree lists the other live daemons of the own availability zone in the
 	// order in which this daemon's tree is laid out.
 	tree []netip.AddrPort
-	// zones lists for each other availability zone its daemons by rank.
+	// zones lists for each other availability zone its first daemons by rank.
 	zones [][]netip.AddrPort
 }
 
@@ -41,8 +41,9 @@
 // newPlan ranks the members of a view.
 func newPlan(v *membership.View, readers int) *plan {
 	p := &plan{self: v.Self.PeerAddr, rank: notRanked}
-	byZone := make(map[string][]ranked)
-	tree := make([]ranked, 0, len(v.Members))
+	keep := max(readers, handoffTries)
+	zones := make(map[string]first)
+	var tree []ranked
 	for _, m := range v.Members {
 		if !m.Usable() {
 			continue
@@ -50,26 +51,39 @@
 		zone := m.AvailabilityZone
 		// A daemon that drains leaves soon; others take its turn now.
 		if !m.Draining {
-			byZone[zone] = append(byZone[zone], ranked{rendezvous(m.Host, readerSeed), m})
+			zones[zone] = zones[zone].with(ranked{rendezvous(m.Host, readerSeed), m}, keep)
 		}
 		if zone == v.Self.AvailabilityZone && m.Host != v.Self.Host {
 			tree = append(tree, ranked{rendezvous(m.Host, v.Self.Host), m})
 		}
 	}
-	p.tree = sortedAddrs(tree)
-	for zone, members := range byZone {
+	slices.SortFunc(tree, compareRanked)
+	p.tree = addrsOf(tree)
+	for zone, members := range zones {
 		if zone == v.Self.AvailabilityZone {
 			p.rank = rankOf(members, v.Self.Host, readers)
 			continue
 		}
-		p.zones = append(p.zones, sortedAddrs(members))
+		p.zones = append(p.zones, addrsOf(members))
 	}
 	return p
 }
 
-// rankOf returns the place of a host among the first readers of its zone.
-func rankOf(members []ranked, host string, readers int) int {
-	slices.SortFunc(members, compareRanked)
+// first holds the first few members by rank.
+type first []ranked
+
+// with returns f with r in its place and at most n members.
+func (f first) with(r ranked, n int) first {
+	i, _ := slices.BinarySearchFunc(f, r, compareRanked)
+	if i == n {
+		return f
+	}
+	f = slices.Insert(f, i, r)
+	return f[:min(n, len(f))]
+}
+
+// rankOf returns the place of a host among the readers of its zone.
+func rankOf(members first, host string, readers int) int {
 	for i, r := range members[:min(readers, len(members))] {
 		if r.member.Host == host {
 			return i
@@ -78,9 +92,8 @@
 	return notRanked
 }
 
-// sortedAddrs returns the peer addresses in order of hash.
-func sortedAddrs(members []ranked) []netip.AddrPort {
-	slices.SortFunc(members, compareRanked)
+// addrsOf returns the peer addresses in the same order.
+func addrsOf(members []ranked) []netip.AddrPort {
 	addrs := make([]netip.AddrPort, len(members))
 	for i, r := range members {
 		addrs[i] = r.member.PeerAddr
--- a/spread/pull.go
+++ b/spread/pull.go
@@ -277,7 +277,7 @@
 	if st == nil {
 		return answer
 	}
-	answer.Offset = st.Offset
+	answer.Offset, answer.Chain = st.Offset, st.Chain[:]
 	if m.GetFloorOnly() {
 		return answer
 	}
@@ -295,7 +295,7 @@
 		answer.Busy = true
 		return answer
 	}
-	if b, ok := s.history.after(m.GetOffset(), maxBatchBytes); ok {
+	if b, ok := s.history.after(m.GetOffset(), maxBatchBytes); ok && !m.GetWholeState() {
 		answer.Base, answer.Records = b.base, b.records
 	} else {
 		answer.State = st.Encode()
--- /dev/null
+++ b/spread/push_test.go
@@ -0,0 +1,173 @@
+package spread
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/fold"
+	"github.com/crocuscross/crocuscross/membership"
+	"github.com/crocuscross/crocuscross/peer"
+	"github.com/crocuscross/crocuscross/peerpb"
+)
+
+// A push continues other records than those folded here, as after a log that
+// was written anew. It is refused, reported and not passed on; the sender sees
+// to the daemons below.
+func TestDivergedPush(t *testing.T) {
+	n, relayed := lone(t)
+	n.Start(fold.Empty())
+	must.False(t, push(t, n, 0, fold.Chain{}, "a").GetDiverged())
+	must.Eq(t, 1, *relayed)
+	ack := push(t, n, 1, fold.Chain{1}, "b")
+	must.True(t, ack.GetDiverged())
+	must.Eq(t, 1, ack.GetOffset())
+	must.Eq(t, 1, *relayed)
+	must.StrContains(t, n.Status().Stuck, "do not follow")
+	must.True(t, push(t, n, 0, fold.Chain{}, "z").GetDiverged())
+	answer := n.servePull(&peerpb.Pull{Offset: 1, Chain: make([]byte, 32)})
+	must.True(t, answer.GetDiverged())
+	push(t, n, 1, n.State().Chain, "b")
+	must.Eq(t, 2, n.State().Offset)
+	must.Eq(t, "", n.Status().Stuck)
+}
+
+// An old program gets a push that it cannot fold. The daemons below it may run
+// a newer one, so it passes the push on.
+func TestUnknownRuleIsPassedOn(t *testing.T) {
+	n, relayed := lone(t)
+	n.Start(fold.Empty())
+	rec := change("a", 0)
+	rec.RuleVersion++
+	pushRecord(t, n, 0, fold.Chain{}, rec)
+	must.Eq(t, 0, n.State().Offset)
+	must.Eq(t, 1, *relayed)
+}
+
+// Two pushes overtake one another on the way. The later one waits for the
+// earlier one; nothing is pulled.
+func TestOvertakingPushes(t *testing.T) {
+	_, states := logOf(t, 2)
+	n, _ := lone(t)
+	n.Start(fold.Empty())
+	must.Eq(t, 0, push(t, n, 1, states[1].Chain, "1").GetOffset())
+	must.Eq(t, 2, push(t, n, 0, fold.Chain{}, "0").GetOffset())
+}
+
+// Many daemons pull at once. Those above the bound are told to ask another.
+func TestServedPullsAreBounded(t *testing.T) {
+	n, _ := lone(t)
+	n.Start(fold.Empty())
+	push(t, n, 0, fold.Chain{}, "a")
+	for range maxServedPulls {
+		n.serving <- struct{}{}
+	}
+	must.True(t, n.servePull(&peerpb.Pull{}).GetBusy())
+	<-n.serving
+	must.Len(t, 1, n.servePull(&peerpb.Pull{}).GetRecords())
+	must.SliceEmpty(t, n.servePull(&peerpb.Pull{FloorOnly: true}).GetRecords())
+}
+
+// A sender that waited too long sends the same push again. Passing it on again
+// would double the traffic at each level.
+func TestRepeatedPushIsPassedOnOnce(t *testing.T) {
+	n, relayed := lone(t)
+	n.Start(fold.Empty())
+	for range 3 {
+		push(t, n, 0, fold.Chain{}, "a")
+	}
+	must.Eq(t, 1, *relayed)
+}
+
+// A push to one daemon fails. Where the session may be dead and the daemon not,
+// the daemon is tried over a new one; the daemons below are reached in any case.
+func TestFailedPush(t *testing.T) {
+	part := []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")}
+	for _, tc := range []struct {
+		name string
+		err  error
+		ack  *peerpb.PushAck
+		want int
+	}{
+		{"silent session", context.DeadlineExceeded, nil, 3},
+		{"no connection", peer.ErrUnreachable, nil, 2},
+		{"refused", nil, &peerpb.PushAck{Diverged: true}, 2},
+	} {
+		n, relayed := lone(t)
+		n.opts.Peers = peersFunc(func(m *peerpb.Push) (*peerpb.PushAck, error) {
+			*relayed++
+			if len(m.GetTargets()) > 0 {
+				return tc.ack, tc.err
+			}
+			return &peerpb.PushAck{}, nil
+		})
+		n.pushPart(&peerpb.Push{}, part)
+		must.Eq(t, tc.want, *relayed, must.Sprint(tc.name))
+	}
+}
+
+// A digest reaches a whole zone that is behind. Each daemon pulls from the one
+// above it, not all from the root.
+func TestDigestNamesNearestSource(t *testing.T) {
+	n, _ := lone(t)
+	_, states := logOf(t, 1)
+	n.Start(states[1])
+	var source []byte
+	n.opts.Peers = peersFunc(func(m *peerpb.Push) (*peerpb.PushAck, error) {
+		source = m.GetSource()
+		return &peerpb.PushAck{}, nil
+	})
+	root := netip.MustParseAddrPort("10.0.0.1:1")
+	must.NoError(t, n.servePush(&peerpb.Push{Base: 1, Source: encodeAddr(root), Targets: encodeAddrs([]netip.AddrPort{root})},
+		func(*peerpb.PushAck) error { return nil }))
+	must.Eq(t, encodeAddr(n.plan.Load().self), source)
+}
+
+// peersFunc answers pushes.
+type peersFunc func(*peerpb.Push) (*peerpb.PushAck, error)
+
+func (f peersFunc) Push(_ context.Context, _ netip.AddrPort, m *peerpb.Push) (*peerpb.PushAck, error) {
+	return f(m)
+}
+
+func (f peersFunc) Pull(context.Context, netip.AddrPort, *peerpb.Pull) (*peerpb.PullAnswer, error) {
+	return nil, errors.New("no peer")
+}
+
+// lone returns a Spreader whose pushes are only counted.
+func lone(t *testing.T) (*Spreader, *int) {
+	relayed := new(int)
+	opts := DefaultOptions()
+	opts.Host = "host-0"
+	opts.Peers = peersFunc(func(*peerpb.Push) (*peerpb.PushAck, error) {
+		*relayed++
+		return &peerpb.PushAck{}, nil
+	})
+	s := New(opts)
+	self := &membership.Member{Host: "host-0", PeerAddr: netip.MustParseAddrPort("10.0.0.8:7000")}
+	s.SetView(&membership.View{Self: self})
+	return s, relayed
+}
+
+// push sends one record to s, to be passed on to one daemon.
+func push(t *testing.T, s *Spreader, base uint64, chain fold.Chain, id string) *peerpb.PushAck {
+	return pushRecord(t, s, base, chain, change(id, base))
+}
+
+func pushRecord(t *testing.T, s *Spreader, base uint64, chain fold.Chain, rec *configpb.Record) *peerpb.PushAck {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(rec)
+	must.NoError(t, err)
+	target := netip.MustParseAddrPort("10.0.0.9:7000")
+	var got *peerpb.PushAck
+	err = s.servePush(&peerpb.Push{
+		Base: base, BaseChain: chain[:], Root: "host-1", Targets: encodeAddrs([]netip.AddrPort{target}),
+		Records: sequencedFrom(base+1, data),
+	}, func(ack *peerpb.PushAck) error { got = ack; return nil })
+	must.NoError(t, err)
+	return got
+}
