Record each try of a call, and number it for the backend server

A proof that a call told "not run" has not run needs the tries one by one: the call's last word hides an earlier try's. Callers send X-Try, the record of executions keeps it, and the record of a call has a log of its tries with start, end, promise and the version that served it. A caller asks the next daemon for a key where one issues none, as it does with calls; the option Insist makes it repeat keyed calls whatever the answer says. TestTriesAreRecorded fails without the number in the header ("" instead of "1") and without Insist (1 try instead of 3); TestIssuedKeys without the loop over daemons ("not_sent" instead of "ok").

--- a/internal/standin/backendserver/execution.go
+++ b/internal/standin/backendserver/execution.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -33,10 +34,12 @@
 type Execution struct {
 	// Boot sets one life of a server apart from the next, which may record into
 	// the same file. Seq numbers the executions of one life from 1.
-	Boot           uint64    `json:"boot"`
-	Seq            uint64    `json:"seq"`
-	Server         string    `json:"server"`
-	RequestID      string    `json:"request_id,omitempty"`
+	Boot      uint64 `json:"boot"`
+	Seq       uint64 `json:"seq"`
+	Server    string `json:"server"`
+	RequestID string `json:"request_id,omitempty"`
+	// Try is the caller's own number of the try, 0 if it sent none.
+	Try            int       `json:"try,omitempty"`
 	IdempotencyKey string    `json:"idempotency_key,omitempty"`
 	Method         string    `json:"method"`
 	Path           string    `json:"path"`
@@ -69,6 +72,7 @@
 }
 
 func (r *recorder) begin(req *http.Request) Execution {
+	try, _ := strconv.Atoi(req.Header.Get(payload.HeaderTry))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := Execution{
@@ -76,6 +80,7 @@
 		Seq:            uint64(len(r.list)) + r.forgotten + 1,
 		Server:         r.server,
 		RequestID:      req.Header.Get(payload.HeaderRequestID),
+		Try:            try,
 		IdempotencyKey: req.Header.Get(headerIdempotencyKey),
 		Method:         req.Method,
 		Path:           req.URL.Path,
--- a/internal/standin/backendserver/server_test.go
+++ b/internal/standin/backendserver/server_test.go
@@ -41,6 +41,7 @@
 	must.NoError(t, err)
 	r.Header.Set(payload.HeaderRequestID, id)
 	r.Header.Set(headerIdempotencyKey, "key-"+id)
+	r.Header.Set(payload.HeaderTry, "3")
 	return r
 }
 
@@ -108,6 +109,7 @@
 	must.Len(t, 2, got)
 	must.Eq(t, "a", got[0].RequestID)
 	must.Eq(t, "key-a", got[0].IdempotencyKey)
+	must.Eq(t, 3, got[0].Try)
 	must.Eq(t, Completed, got[0].Outcome)
 	must.Len(t, 1, s.Executions(1).Executions)
 	must.Eq(t, 4, strings.Count(lines.String(), "\n"))
--- a/internal/standin/caller/call.go
+++ b/internal/standin/caller/call.go
@@ -46,10 +46,32 @@
 	Run     errkind.Run   `json:"run,omitempty"`
 	Latency time.Duration `json:"latency_ns"`
 	Error   string        `json:"error,omitempty"`
+	// Start is when the call was due.
+	Start time.Time `json:"start"`
+	// Log has one entry for each try.
+	Log []Try `json:"log"`
+}
+
+// Try is one try of a call as it is recorded. Its number is its place in the
+// log, from 1; an execution bears the same.
+type Try struct {
+	Target  string       `json:"target"`
+	Start   time.Time    `json:"start"`
+	End     time.Time    `json:"end"`
+	Verdict Verdict      `json:"verdict"`
+	Kind    errkind.Kind `json:"kind,omitempty"`
+	Run     errkind.Run  `json:"run,omitempty"`
+	// Config is the version that the daemon says it served the try with, 0 if it
+	// does not say.
+	Config uint64 `json:"config,omitempty"`
+	Error  string `json:"error,omitempty"`
 }
 
 // try is the outcome of one try.
 type try struct {
+	start, end time.Time
+	config     uint64
+
 	verdict    Verdict
 	status     int
 	kind       errkind.Kind
@@ -89,6 +111,10 @@
 	if t.err != nil {
 		c.Error = t.err.Error()
 	}
+	c.Log = append(c.Log, Try{
+		Target: c.Target, Start: t.start, End: t.end, Verdict: t.verdict,
+		Kind: t.kind, Run: t.run, Config: t.config, Error: c.Error,
+	})
 	if mayHaveRun(before) && t.notRun() {
 		c.Verdict = before
 	}
--- a/internal/standin/caller/caller_test.go
+++ b/internal/standin/caller/caller_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -250,6 +251,43 @@
 	c = once(t, opts, d.serve)
 	must.Eq(t, NotSent, c.Verdict)
 	must.Eq(t, errkind.Draining, c.Kind)
+
+	opts.Repeats = 1
+	d = &daemon{answers: []http.HandlerFunc{refuse(errkind.Draining), issue, backend().ServeHTTP}}
+	must.Eq(t, OK, once(t, opts, d.serve).Verdict)
+}
+
+// A proof needs each try by itself: what it was promised, and the number under
+// which a backend server would have run it.
+func TestTriesAreRecorded(t *testing.T) {
+	opts := post(options())
+	opts.Keys, opts.Repeats, opts.Insist = KeysOwn, 2, true
+	d := &daemon{answers: []http.HandlerFunc{
+		refuse(errkind.OutcomeUnknown), refuse(errkind.Barred),
+		func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Crocuscross-Config", "7")
+			backend().ServeHTTP(w, r)
+		},
+	}}
+	c := once(t, opts, d.serve)
+	must.Eq(t, OK, c.Verdict)
+	must.Len(t, 3, c.Log)
+	for i, want := range []struct {
+		verdict Verdict
+		run     errkind.Run
+		config  uint64
+	}{{Unknown, errkind.RunUnknown, 0}, {Refused, errkind.NotRun, 0}, {OK, "", 7}} {
+		got := c.Log[i]
+		must.Eq(t, want.verdict, got.Verdict)
+		must.Eq(t, want.run, got.Run)
+		must.Eq(t, want.config, got.Config)
+		must.Eq(t, strconv.Itoa(i+1), d.tries[i].Header.Get(payload.HeaderTry))
+		must.False(t, got.Start.Before(c.Start) || got.End.Before(got.Start))
+	}
+
+	opts.Insist = false
+	c = once(t, opts, refuse(errkind.OutcomeUnknown))
+	must.Len(t, 1, c.Log)
 }
 
 // The system hangs. An open loop goes on counting calls as they fall due and
--- a/internal/standin/caller/options.go
+++ b/internal/standin/caller/options.go
@@ -101,7 +101,10 @@
 	Repeats int
 	// RepeatDelay is the time before a repeat where the answer gives none.
 	RepeatDelay time.Duration
-	Keys        KeySource
+	// Insist repeats a call under a key also where the answer says that it will
+	// not help, as a caller without much sense does.
+	Insist bool
+	Keys   KeySource
 	// Record gets each call as a JSON line, if not nil.
 	Record io.Writer
 	// Seed makes the mix and the times repeatable.
--- a/internal/standin/caller/run.go
+++ b/internal/standin/caller/run.go
@@ -157,6 +157,7 @@
 		Method:    shape.Method,
 		Path:      shape.Path,
 		Target:    r.nextTarget(),
+		Start:     due,
 	}
 	if r.giveKey(ctx, c, shape) {
 		r.try(ctx, c, shape)
@@ -169,7 +170,7 @@
 	for {
 		t := r.sender.send(ctx, c, shape)
 		c.add(t)
-		if c.Tries > r.opts.Repeats || !t.mayHelp() || !t.safe(shape, c.IdempotencyKey) {
+		if c.Tries > r.opts.Repeats || !r.wants(c, t) || !t.safe(shape, c.IdempotencyKey) {
 			return
 		}
 		if !wait(ctx, max(t.retryAfter, r.opts.RepeatDelay)) {
@@ -179,8 +180,14 @@
 	}
 }
 
-// giveKey gives a non-idempotent call its key. It returns false where a daemon
-// would not issue one; the call is not sent then.
+// wants reports whether the caller would send the call again after a try.
+func (r *runner) wants(c *Call, t try) bool {
+	insists := r.opts.Insist && c.IdempotencyKey != "" && t.verdict != OK && t.verdict != Wrong
+	return insists || t.mayHelp()
+}
+
+// giveKey gives a non-idempotent call its key. It returns false where none of
+// the daemons asked would issue one; the call is not sent then.
 func (r *runner) giveKey(ctx context.Context, c *Call, shape Shape) bool {
 	if !shape.nonIdempotent() {
 		return true
@@ -189,14 +196,27 @@
 	case KeysOwn:
 		c.IdempotencyKey = "own-" + c.RequestID
 	case KeysIssued:
+		return r.askForKey(ctx, c)
+	}
+	return true
+}
+
+// askForKey asks one daemon after the other. Asking again is always safe: a key
+// that is not used has no effect.
+func (r *runner) askForKey(ctx context.Context, c *Call) bool {
+	for asked := 0; ; asked++ {
+		start := time.Now()
 		key, err := r.sender.issuedKey(ctx, c.Target)
-		if err != nil {
-			c.add(try{verdict: NotSent, kind: kindOf(err), run: errkind.NotRun, err: err})
+		if err == nil {
+			c.IdempotencyKey = key
+			return true
+		}
+		if asked == r.opts.Repeats || !wait(ctx, r.opts.RepeatDelay) {
+			c.add(try{start: start, end: time.Now(), verdict: NotSent, kind: kindOf(err), run: errkind.NotRun, err: err})
 			return false
 		}
-		c.IdempotencyKey = key
+		c.Target = r.nextTarget()
 	}
-	return true
 }
 
 // kindOf is errkind.Of without a kind for errors that came from no daemon.
--- a/internal/standin/caller/send.go
+++ b/internal/standin/caller/send.go
@@ -68,6 +68,7 @@
 	}
 	r.Header.Set(body.HeaderCustomer, s.opts.Customer)
 	r.Header.Set(payload.HeaderRequestID, c.RequestID)
+	r.Header.Set(payload.HeaderTry, strconv.Itoa(c.Tries+1))
 	if c.IdempotencyKey != "" {
 		r.Header.Set(body.HeaderIdempotencyKey, c.IdempotencyKey)
 	}
@@ -84,6 +85,13 @@
 
 // send makes one try of a call.
 func (s *sender) send(ctx context.Context, c *Call, shape Shape) try {
+	start := time.Now()
+	t := s.exchange(ctx, c, shape)
+	t.start, t.end = start, time.Now()
+	return t
+}
+
+func (s *sender) exchange(ctx context.Context, c *Call, shape Shape) try {
 	ctx, cancel := context.WithTimeout(ctx, s.opts.Timeout)
 	defer cancel()
 	r, err := s.request(ctx, c, shape)
@@ -109,6 +117,7 @@
 
 func (s *sender) judge(resp *http.Response, c *Call, shape Shape) try {
 	t := try{status: resp.StatusCode, kind: errkind.Kind(resp.Header.Get(answer.HeaderError))}
+	t.config, _ = strconv.ParseUint(resp.Header.Get(outbound.HeaderConfig), 10, 64)
 	if t.kind != errkind.None {
 		t.run = errkind.Run(resp.Header.Get(answer.HeaderRun))
 		t.err = answer.FromResponse(resp)
--- a/internal/standin/payload/payload.go
+++ b/internal/standin/payload/payload.go
@@ -13,6 +13,9 @@
 const (
 	// HeaderRequestID names a call; it is the same for all its attempts.
 	HeaderRequestID = "X-Request-Id"
+	// HeaderTry numbers a caller's tries of one call from 1, so that an execution
+	// can be told to be that of a try whose answer promised that it has not run.
+	HeaderTry = "X-Try"
 	// HeaderBodySHA256 is the hex digest of the request body that was received.
 	HeaderBodySHA256 = "X-Body-Sha256"
 )
