--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -94,26 +94,31 @@
 	return f
 }
 
-// run starts all nodes at the empty state, and stops them at the test's end.
+// run starts all live nodes at the empty state.
 func (f *fleet) run() {
-	var wg sync.WaitGroup
 	f.setViews()
 	for _, n := range f.nodes {
-		n.Start(fold.Empty())
-		ctx, cancel := context.WithCancel(context.Background())
-		n.stop = cancel
-		wg.Go(func() { _ = n.Run(ctx) })
-	}
-	f.t.(*testing.T).Cleanup(func() {
-		for _, n := range f.nodes {
-			n.stop()
+		if !n.dead.Load() {
+			n.run()
 		}
-		wg.Wait()
-		f.handlers.Wait()
-	})
+	}
 	synctest.Wait()
 }
 
+// run starts the node, and stops it at the test's end.
+func (n *node) run() {
+	n.Start(fold.Empty())
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	done := make(chan error)
+	go func() { done <- n.Run(ctx) }()
+	n.fleet.t.(*testing.T).Cleanup(func() {
+		cancel()
+		<-done
+		n.fleet.handlers.Wait()
+	})
+}
+
 // setViews tells the live nodes of one another.
 func (f *fleet) setViews() {
 	var members []*membership.Member
--- a/spread/pull.go
+++ b/spread/pull.go
@@ -270,7 +270,7 @@
 }
 
 // servePull answers with the records after an offset, or with the state where
-// the records are no longer remembered.
+// it is asked for or the records are no longer remembered.
 func (s *Spreader) servePull(m *peerpb.Pull) *peerpb.PullAnswer {
 	st := s.State()
 	answer := &peerpb.PullAnswer{Floor: s.opts.Floor(m.GetHost())}
@@ -285,7 +285,7 @@
 		answer.Diverged = true
 		return answer
 	}
-	if m.GetOffset() >= st.Offset {
+	if m.GetOffset() >= st.Offset && !m.GetWholeState() {
 		return answer
 	}
 	select {
--- a/spread/push_test.go
+++ b/spread/push_test.go
@@ -71,6 +71,9 @@
 	<-n.serving
 	must.Len(t, 1, n.servePull(&peerpb.Pull{}).GetRecords())
 	must.SliceEmpty(t, n.servePull(&peerpb.Pull{FloorOnly: true}).GetRecords())
+	whole := n.servePull(&peerpb.Pull{WholeState: true})
+	must.Eq(t, 1, whole.GetState().GetOffset())
+	must.Eq(t, n.State().Chain[:], whole.GetChain())
 }
 
 // A sender that waited too long sends the same push again. Passing it on again
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,7 +10,6 @@
 
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/membership"
-	"github.com/crocuscross/crocuscross/peer"
 )
 
 // One change in a calm fleet of the size to design for. All daemons get it by
@@ -239,20 +237,20 @@
 func TestStartedReaderSendsNoOldRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 20, 1, nil)
+		f.setViews()
+		late := f.readers("zone-0")[0]
+		late.dead.Store(true)
 		f.run()
 		offset := f.append(change("a", 0))
 		f.await(offset, time.Second)
 		time.Sleep(time.Second)
 		before := f.traffic.pushes.Load()
-		old := f.readers("zone-0")[0]
-		late := New(old.opts)
-		old.Spreader, old.inForce = late, atomic.Uint64{}
+		late.dead.Store(false)
 		f.setViews()
-		old.Start(fold.Empty())
 		f.probe()
-		f.nodes[0].fleet.handlers.Go(func() { _ = late.Run(t.Context()) })
+		late.run()
 		time.Sleep(time.Second)
-		must.Eq(t, offset, old.inForce.Load())
+		must.Eq(t, offset, late.inForce.Load())
 		must.Eq(t, before, f.traffic.pushes.Load())
 	})
 }
