--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -44,6 +44,10 @@
 		"Daemons of each availability zone that read the log. More converge more surely and cost reads at the source."),
 	integer("spread.fan_out", 6, 1, 64, "daemons",
 		"How many daemons each one passes new records to."),
+	choice("spread.mode", []string{"tree", "direct", "gossip"},
+		"How records reach the daemons: pushed along trees by a few readers, read by each daemon, or pulled after digests."),
+	choice("spread.redundancy", []string{"digest", "none", "eager"},
+		"What a zone's second reader sends once the first one's push has come: its offset, nothing, or the records anew."),
 	duration("spread.own_read_after", 30*time.Second, time.Second, time.Hour,
 		"How long a daemon hears nothing before it reads the log itself."),
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -91,6 +91,9 @@
 	ReadersPerZone int `json:"readers_per_zone"`
 	// FanOut is how many daemons each daemon passes new records to.
 	FanOut int `json:"fan_out"`
+	// Mode and Redundancy have the names of spread.Mode and spread.Redundancy.
+	Mode       string `json:"mode"`
+	Redundancy string `json:"redundancy"`
 	// OwnReadAfter is how long a daemon hears nothing before it reads the log
 	// itself.
 	OwnReadAfter Duration `json:"own_read_after"`
