Let a trial have several services, own programs and a network in between

Defaults are as before. A process that is started again appends to its log, so that the log of the life before is still there.

--- a/bench/procs/procs.go
+++ b/bench/procs/procs.go
@@ -95,7 +95,8 @@
 }
 
 func (g *Group) newProcess(name, program string, args []string) (*Process, error) {
-	log, err := os.Create(filepath.Join(g.dir, name+".log"))
+	// Appended to, so that the log of an earlier life is still there.
+	log, err := os.OpenFile(filepath.Join(g.dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return nil, errors.Wrap(err, "create log")
 	}
--- a/bench/trial/trial.go
+++ b/bench/trial/trial.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,8 +27,6 @@
 const Customer = "trial"
 
 const (
-	daemonProgram  = "bin/crocuscross"
-	standinProgram = "bin/standin"
 	// startLimit bounds the time until all daemons serve.
 	startLimit = 60 * time.Second
 	pollEvery  = 50 * time.Millisecond
@@ -39,28 +38,17 @@
 	portServer    = 7500
 )
 
-// Options describes a deployment.
-type Options struct {
-	Hosts, Zones int
-	// Service that all backend servers offer, under the path /.
-	Service string
-	// ServiceTime is how long a backend server takes for a call.
-	ServiceTime time.Duration
-	// Slots of each backend server; 0 means 10.
-	Slots int
-	// Contract for Customer; nil means one that does not bind.
-	Contract *configpb.Contract
-	// Record lets backend servers write their executions as JSON lines.
-	Record bool
-}
-
 // Host is one host of the deployment.
 type Host struct {
 	Name             string
 	AvailabilityZone string
 	IP               string
-	Daemon, Backend  *procs.Process
-	settings         string
+	// Advertised is the IP that the other daemons are told.
+	Advertised string
+	// Service of the backend server, empty if there is none.
+	Service         string
+	Daemon, Backend *procs.Process
+	settings        string
 }
 
 // Trial is a running deployment.
@@ -70,6 +58,8 @@
 	LogURL string
 	Dir    string
 	opts   Options
+	// published numbers the publishes of Publish.
+	published atomic.Uint64
 }
 
 // Start runs the processes and waits until every daemon has the first
@@ -79,7 +69,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "make a folder")
 	}
-	t := &Trial{Group: procs.NewGroup(dir), Dir: dir, opts: o}
+	t := &Trial{Group: procs.NewGroup(dir), Dir: dir, opts: o.withDefaults()}
 	if err := t.start(ctx); err != nil {
 		t.Group.KillAll()
 		return nil, errors.Wrapf(err, "start trial, logs in %s", dir)
@@ -94,32 +84,56 @@
 }
 
 func (t *Trial) start(ctx context.Context) error {
-	_, addr, err := t.Group.StartListening(ctx, "log", standinProgram, "log", "--listen", "127.0.0.1:0")
+	_, addr, err := t.Group.StartListening(ctx, "log", t.opts.Standin, "log", "--listen", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	t.LogURL = "http://" + addr
+	if err := t.startHosts(ctx); err != nil {
+		return err
+	}
+	offset, err := t.Publish(ctx, t.firstChanges()...)
+	if err != nil {
+		return err
+	}
+	return t.WaitInForce(ctx, offset, t.opts.Hosts)
+}
+
+func (t *Trial) startHosts(ctx context.Context) error {
 	for i := range t.opts.Hosts {
-		h := &Host{
-			Name:             fmt.Sprintf("host-%03d", i),
-			AvailabilityZone: fmt.Sprintf("zone-%d", i%t.opts.Zones),
-			IP:               fmt.Sprintf("127.20.%d.%d", i/250, i%250+1),
+		t.Hosts = append(t.Hosts, t.newHost(i))
+	}
+	if t.opts.Prepare != nil {
+		if err := t.opts.Prepare(t.Hosts); err != nil {
+			return err
 		}
-		t.Hosts = append(t.Hosts, h)
+	}
+	for _, h := range t.Hosts {
 		if err := t.StartDaemon(h); err != nil {
 			return err
 		}
+		if h.Service == "" {
+			continue
+		}
 		if err := t.StartBackend(ctx, h); err != nil {
 			return err
 		}
 	}
-	offset, err := t.Publish(ctx, t.firstChanges()...)
-	if err != nil {
-		return err
+	return nil
+}
+
+func (t *Trial) newHost(i int) *Host {
+	return &Host{
+		Name:             fmt.Sprintf("host-%03d", i),
+		AvailabilityZone: fmt.Sprintf("zone-%d", i%t.opts.Zones),
+		IP:               address(t.opts.Subnet, i),
+		Advertised:       address(t.opts.AdvertiseSubnet, i),
+		Service:          t.opts.ServiceOf(i),
 	}
-	return t.WaitInForce(ctx, offset, t.opts.Hosts)
 }
 
+func address(subnet string, i int) string { return fmt.Sprintf("%s.%d.%d", subnet, i/250, i%250+1) }
+
 // StartDaemon starts a host's daemon, also again after it has ended.
 func (t *Trial) StartDaemon(h *Host) error {
 	h.settings = filepath.Join(t.Dir, h.Name+".jsonc")
@@ -130,77 +144,35 @@
 	if err := os.WriteFile(h.settings, b, 0o600); err != nil {
 		return err
 	}
-	h.Daemon, err = t.Group.Start(h.Name+"-daemon", daemonProgram, "daemon", "--settings", h.settings)
+	h.Daemon, err = t.Group.Start(h.Name+"-daemon", t.opts.Daemon, "daemon", "--settings", h.settings)
 	return err
 }
 
 // StartBackend starts the backend server beside a host's daemon.
 func (t *Trial) StartBackend(ctx context.Context, h *Host) error {
 	args := []string{
-		"backend", "--service", t.opts.Service, "--name", h.Name,
-		"--slots", fmt.Sprint(t.slots()), "--service-time", t.opts.ServiceTime.String(),
+		"backend", "--service", h.Service, "--name", h.Name,
+		"--slots", fmt.Sprint(t.opts.Slots), "--service-time", t.opts.ServiceTime.String(),
 		"--announce", "http://" + h.addr(portBackend), "--listen", h.addr(portServer),
 	}
 	if t.opts.Record {
 		args = append(args, "--record", t.RecordFile(h))
 	}
 	var err error
-	h.Backend, _, err = t.Group.StartListening(ctx, h.Name+"-backend", standinProgram, args...)
+	h.Backend, _, err = t.Group.StartListening(ctx, h.Name+"-backend", t.opts.Standin, args...)
 	return err
 }
 
-func (t *Trial) slots() int {
-	if t.opts.Slots == 0 {
-		return 10
-	}
-	return t.opts.Slots
-}
-
 // RecordFile is where a host's backend server writes its executions.
 func (t *Trial) RecordFile(h *Host) string { return filepath.Join(t.Dir, h.Name+"-executions.jsonl") }
 
-// file mirrors the settings file; only what a trial sets.
-type file struct {
-	Host             string       `json:"host"`
-	AvailabilityZone string       `json:"availability_zone"`
-	Region           string       `json:"region"`
-	Listen           fileListen   `json:"listen"`
-	Contacts         []string     `json:"contacts"`
-	Platform         filePlatform `json:"platform"`
-}
-
-type fileListen struct {
-	Callers   string `json:"callers"`
-	Peers     string `json:"peers"`
-	Operators string `json:"operators"`
-	Backend   string `json:"backend"`
-}
+func (h *Host) addr(port int) string { return fmt.Sprintf("%s:%d", h.IP, port) }
 
-type filePlatform struct {
-	URL string `json:"url"`
-}
+// Peers is where the host's daemon listens for the others.
+func (h *Host) Peers() string { return h.addr(portPeers) }
 
-// settingsOf names the first host of each availability zone as a contact.
-func (t *Trial) settingsOf(h *Host) file {
-	f := file{
-		Host: h.Name, AvailabilityZone: h.AvailabilityZone, Region: "region",
-		Listen: fileListen{
-			Callers: h.addr(portCallers), Peers: h.addr(portPeers),
-			Operators: h.addr(portOperators), Backend: h.addr(portBackend),
-		},
-		Contacts: []string{},
-		Platform: filePlatform{URL: t.LogURL},
-	}
-	for i := range min(t.opts.Zones, t.opts.Hosts) {
-		contact := &Host{IP: fmt.Sprintf("127.20.0.%d", i+1)}
-		if contact.IP != h.IP {
-			f.Contacts = append(f.Contacts, contact.addr(portPeers))
-		}
-	}
-	return f
-}
-
-func (h *Host) addr(port int) string { return fmt.Sprintf("%s:%d", h.IP, port) }
+// Advertise is what the others are told in place of Peers.
+func (h *Host) Advertise() string { return fmt.Sprintf("%s:%d", h.Advertised, portPeers) }
 
 // Operators is the address of the host's operator listener.
 func (h *Host) Operators() string { return h.addr(portOperators) }
@@ -229,8 +201,12 @@
 	return urls
 }
 
-// firstChanges are one service, one route, one contract.
+// firstChanges are one service, one route, one contract, unless the options name
+// others.
 func (t *Trial) firstChanges() []*configpb.Change {
+	if t.opts.Changes != nil {
+		return t.opts.Changes
+	}
 	c := t.opts.Contract
 	if c == nil {
 		c = &configpb.Contract{Customer: Customer, RatePerSecond: 1e6, Burst: 1e6, MaxWaitMs: 5000}
@@ -247,7 +223,7 @@
 // Publish appends a bundle of changes and returns its offset.
 func (t *Trial) Publish(ctx context.Context, changes ...*configpb.Change) (uint64, error) {
 	data, err := fold.EncodeRecord(&configpb.Bundle{
-		PublishId: fmt.Sprintf("trial-%d", time.Now().UnixNano()), Author: "trial", Changes: changes,
+		PublishId: fmt.Sprintf("trial-%d", t.published.Add(1)), Author: "trial", Changes: changes,
 	})
 	if err != nil {
 		return 0, err
