Add recovery: what a daemon starts from, and the floor

A pure decision over what daemons answered, the log's bounds and the newest checkpoint, and a driver that asks, fetches, folds the tail and decides again in rounds with full jitter. The floor is the highest of what daemons heard of the host and, where the log can be read up to its end, its last record. Weighed for a log that is down: serve what any daemon has (a single lagging one would take the host back); wait for the log always (an outage of the platform becomes one of every restarted host); chosen: three answers or a majority of the daemons known of.

A state now carries the chain before its last record (fold.State.LastIs), so that whoever folds on from a state can tell whether the log still holds its last record.

Also found by the property tests: peers that answer but whose states cannot be had kept the driver from ever looking for a checkpoint; an empty state at hand could be served while peers had something in force.

Seen failing without their safeguards: floor of peers, floor of the earlier life under the same name, answers needed, log's end as floor, log that went back, offsets given out again, two histories met while folding, fetched state of a wrong history kept, unbroken tail, unreadable checkpoints taken for none, peer that restarted before handing out its state (the fetch repeats without end), record of a later rule, wait before the checkpoint is read.

--- a/fold/apply.go
+++ b/fold/apply.go
@@ -39,7 +39,7 @@
 	}
 	n := s.next()
 	n.Offset = offset
-	n.Chain = s.Chain.Extend(offset, data)
+	n.previous, n.Chain = s.Chain, s.Chain.Extend(offset, data)
 	n.recent.forget(offset)
 	if !readable {
 		return n, Verdict{Offset: offset, Reasons: []string{"the record cannot be read"}}, nil
--- a/fold/codec.go
+++ b/fold/codec.go
@@ -22,7 +22,12 @@
 // equal messages. The message shares the state's resources and must not be
 // changed.
 func (s *State) Encode() *configpb.State {
-	m := &configpb.State{Offset: s.Offset, Chain: slices.Clone(s.Chain[:]), RuleVersion: s.rule}
+	m := &configpb.State{
+		Offset:        s.Offset,
+		Chain:         slices.Clone(s.Chain[:]),
+		PreviousChain: slices.Clone(s.previous[:]),
+		RuleVersion:   s.rule,
+	}
 	for _, kind := range kinds {
 		for _, e := range s.Entries(kind) {
 			m.Entries = append(m.Entries, &configpb.Entry{
@@ -63,12 +68,8 @@
 	s := Empty()
 	s.Offset = m.GetOffset()
 	s.rule = m.GetRuleVersion()
-	if len(m.GetChain()) != len(s.Chain) {
-		return nil, errors.Wrap(ErrBadState, "chain digest length")
-	}
-	copy(s.Chain[:], m.GetChain())
-	if (s.Offset == 0) != (s.Chain == Chain{}) {
-		return nil, errors.Wrap(ErrBadState, "chain digest does not suit the offset")
+	if err := s.decodeChains(m); err != nil {
+		return nil, err
 	}
 	if err := s.decodeEntries(m.GetEntries()); err != nil {
 		return nil, err
@@ -82,6 +83,17 @@
 	return s, nil
 }
 
+func (s *State) decodeChains(m *configpb.State) error {
+	if len(m.GetChain()) != len(s.Chain) || len(m.GetPreviousChain()) != len(s.previous) {
+		return errors.Wrap(ErrBadState, "chain digest length")
+	}
+	s.Chain, s.previous = Chain(m.GetChain()), Chain(m.GetPreviousChain())
+	if (s.Offset == 0) != (s.Chain == Chain{}) || (s.Offset <= 1) != (s.previous == Chain{}) {
+		return errors.Wrap(ErrBadState, "chain digest does not suit the offset")
+	}
+	return nil
+}
+
 func (s *State) decodeEntries(list []*configpb.Entry) error {
 	if len(list) > MaxResources {
 		return errors.Wrapf(ErrBadState, "%d resources", len(list))
--- a/fold/fuzz_test.go
+++ b/fold/fuzz_test.go
@@ -11,8 +11,12 @@
 
 // harms are ways in which a serialized state can contradict itself.
 var harms = map[string]func(m *configpb.State){
-	"short chain":             func(m *configpb.State) { m.Chain = m.Chain[1:] },
-	"chain without offset":    func(m *configpb.State) { m.Reset(); m.Chain = make([]byte, 32); m.Chain[0] = 1 },
+	"short chain": func(m *configpb.State) { m.Chain = m.Chain[1:] },
+	"chain without offset": func(m *configpb.State) {
+		m.Offset, m.Entries, m.Verdicts, m.Deletions, m.PreviousChain = 0, nil, nil, nil, make([]byte, 32)
+	},
+	"short previous chain":    func(m *configpb.State) { m.PreviousChain = nil },
+	"no previous chain":       func(m *configpb.State) { m.PreviousChain = make([]byte, 32) },
 	"entry twice":             func(m *configpb.State) { m.Entries = append(m.Entries, m.Entries[0]) },
 	"entry without resource":  func(m *configpb.State) { m.Entries = append(m.Entries, nil) },
 	"route without service":   func(m *configpb.State) { m.Entries = m.Entries[1:] },
--- a/fold/state.go
+++ b/fold/state.go
@@ -88,6 +88,8 @@
 	Offset uint64
 	Chain  Chain
 
+	// previous is the chain before the last record.
+	previous Chain
 	// rule is the highest rule version among the records folded.
 	rule    uint32
 	entries cowMap[Key, *Entry]
@@ -106,6 +108,13 @@
 	return e
 }
 
+// LastIs reports whether data is the record that the state folded last. A log
+// that lost its end and gave offsets out again holds another record there;
+// whoever folds on from a state must ask first, or would mix two histories.
+func (s *State) LastIs(data []byte) bool {
+	return s.Offset > 0 && s.previous.Extend(s.Offset, data) == s.Chain
+}
+
 // Len returns the number of resources in force.
 func (s *State) Len() int { return s.entries.len() }
 
--- /dev/null
+++ b/recovery/round.go
@@ -0,0 +1,265 @@
+package recovery
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocuscross/crocuscross/checkpoint"
+	"github.com/crocuscross/crocuscross/fold"
+)
+
+// readLimit is the most records of one read.
+const readLimit = 256
+
+// errBehind means that a daemon's state is older than the daemon had said.
+var errBehind = errors.New("state is older than announced")
+
+// recoverer holds what is kept from one round to the next.
+type recoverer struct {
+	opts Options
+	// state is the highest state at hand, nil if there is none, and from where
+	// it was got.
+	state *fold.State
+	from  Origin
+	// blocked is the offset of a record that needs a newer program, 0 if none
+	// has been met.
+	blocked uint64
+	// staggered is whether the wait before the checkpoint is read is over.
+	staggered bool
+	// scanner goes on where it stopped, so that a later round reads only what
+	// is new. loaded is the state of the checkpoint found.
+	scanner *checkpoint.Scanner
+	found   *checkpoint.Found
+	loaded  *fold.State
+	// noted is the problem logged last.
+	noted Problem
+}
+
+func newRecoverer(opts Options) *recoverer {
+	r := &recoverer{opts: opts, scanner: checkpoint.NewScanner(opts.Checkpoints)}
+	r.reset()
+	return r
+}
+
+// reset forgets all but what the daemon had in force when it began.
+func (r *recoverer) reset() {
+	r.state, r.from = r.opts.Own, FromNowhere
+	if r.state != nil {
+		r.from = FromOwn
+	}
+}
+
+// round asks, decides, fetches and catches up once. Where the decision returned
+// says so, the state at hand may be served.
+func (r *recoverer) round(ctx context.Context) Decision {
+	in := r.gather(ctx)
+	d := r.settle(ctx, &in)
+	if d.CatchUp {
+		r.catchUp(ctx, &in, d.Floor)
+		d = r.decide(&in)
+	}
+	if d.Problem == ProblemForked {
+		// Whatever was fetched may be of the wrong history, and was never in
+		// force here.
+		r.reset()
+	}
+	return d
+}
+
+// gather asks the daemons first and the log second: a version that a daemon
+// has in force is then below the log's end, or the log went back.
+func (r *recoverer) gather(ctx context.Context) Input {
+	in := Input{Host: r.opts.Host, MinAnswers: r.opts.MinAnswers}
+	askCtx, cancel := context.WithTimeout(ctx, r.opts.AskTimeout)
+	defer cancel()
+	in.Hearing = r.opts.Peers.Ask(askCtx)
+	in.Hearing.Answers = slices.Clone(in.Hearing.Answers)
+
+	logCtx, cancelLog := context.WithTimeout(ctx, r.opts.LogTimeout)
+	defer cancelLog()
+	bounds, err := r.opts.Config.Bounds(logCtx)
+	in.Log = LogFacts{Readable: err == nil, Bounds: bounds}
+	r.setOwn(&in)
+	return in
+}
+
+// decide decides with the state at hand.
+func (r *recoverer) decide(in *Input) Decision {
+	r.setOwn(in)
+	return Decide(*in)
+}
+
+func (r *recoverer) setOwn(in *Input) {
+	if r.state == nil {
+		return
+	}
+	own := PositionOf(r.state)
+	in.Own = &own
+	in.Log.Blocked = r.blocked == own.Offset+1
+}
+
+// findCheckpoint looks for the newest checkpoint that can be used. A failure
+// counts as the log being down, never as there being none.
+func (r *recoverer) findCheckpoint(ctx context.Context, facts *LogFacts) {
+	ctx, cancel := context.WithTimeout(ctx, r.opts.FetchTimeout)
+	defer cancel()
+	if err := r.loadCheckpoint(ctx); err != nil {
+		r.opts.Logger.Debug("recovery: checkpoint not read", "error", err)
+		facts.Readable = false
+		return
+	}
+	facts.Looked = true
+	if r.loaded != nil {
+		p := PositionOf(r.loaded)
+		facts.Checkpoint = &p
+	}
+}
+
+func (r *recoverer) loadCheckpoint(ctx context.Context) error {
+	if err := r.scanner.Scan(ctx); err != nil {
+		return err
+	}
+	if newest := r.scanner.Newest(); newest != nil && newest == r.found {
+		return nil
+	}
+	st, err := r.scanner.Load(ctx)
+	if err != nil && !errors.Is(err, checkpoint.ErrNone) {
+		return err
+	}
+	r.found, r.loaded = r.scanner.Newest(), st
+	return nil
+}
+
+// settle decides, gets what the decision asks for and decides again, until the
+// state to start from is at hand or cannot be had. Each step adds a fact or
+// rules out a daemon, so it ends.
+func (r *recoverer) settle(ctx context.Context, in *Input) Decision {
+	for {
+		d := r.decide(in)
+		switch {
+		case d.LookForCheckpoint:
+			if r.mustStagger(in) {
+				return d
+			}
+			r.findCheckpoint(ctx, &in.Log)
+		case d.Problem == ProblemForked, d.Start.From == FromNowhere, d.Start.From == FromOwn:
+			return d
+		default:
+			r.fetch(ctx, in, d.Start)
+		}
+	}
+}
+
+// mustStagger reports whether to wait before the checkpoint is read, once.
+func (r *recoverer) mustStagger(in *Input) bool {
+	if r.staggered || in.Hearing.Known == 0 || in.Log.Bounds.End == 1 {
+		return false
+	}
+	r.staggered = true
+	return true
+}
+
+// fetch takes over a state, or rules out the daemon that cannot give it.
+func (r *recoverer) fetch(ctx context.Context, in *Input, from Start) {
+	st, err := r.stateOf(ctx, from)
+	if err == nil {
+		r.state, r.from = st, from.From
+		return
+	}
+	r.opts.Logger.Debug("recovery: state not fetched", "host", from.Host, "error", err)
+	for i, a := range in.Hearing.Answers {
+		if a.Host == from.Host {
+			in.Hearing.Answers[i].Unusable = true
+		}
+	}
+}
+
+func (r *recoverer) stateOf(ctx context.Context, s Start) (*fold.State, error) {
+	switch s.From {
+	case FromCheckpoint:
+		return r.loaded, nil
+	case FromScratch:
+		return fold.Empty(), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.opts.FetchTimeout)
+	defer cancel()
+	st, err := r.opts.Peers.State(ctx, s.Host)
+	if err != nil {
+		return nil, err
+	}
+	if st.Offset < s.Offset {
+		return nil, errors.Wrapf(errBehind, "%d instead of %d", st.Offset, s.Offset)
+	}
+	return st, nil
+}
+
+// verifyLog reports whether the log holds the record that the state at hand
+// folded last. A log that lost its end and has grown beyond the state since is
+// told by nothing else: folding on would mix two histories.
+func (r *recoverer) verifyLog(ctx context.Context, facts *LogFacts) bool {
+	at := r.state.Offset
+	if at < facts.Bounds.First {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.opts.LogTimeout)
+	defer cancel()
+	records, err := r.opts.Config.Read(ctx, at, 1, 0)
+	if err != nil || len(records) == 0 {
+		facts.Readable = false
+		return false
+	}
+	facts.Rewritten = !r.state.LastIs(records[0].Data)
+	return !facts.Rewritten
+}
+
+// catchUp folds the log's records up to an offset and notes in the input why
+// that was not possible. What was folded until then is kept.
+func (r *recoverer) catchUp(ctx context.Context, in *Input, to uint64) {
+	if !r.verifyLog(ctx, &in.Log) {
+		return
+	}
+	chains := in.chains()
+	for r.state.Offset < to {
+		err := r.readSome(ctx, to, chains)
+		if err == nil {
+			continue
+		}
+		r.opts.Logger.Debug("recovery: log's tail not folded", "error", err)
+		var unknown *fold.UnknownRuleError
+		if errors.As(err, &unknown) {
+			r.blocked = unknown.Offset
+		}
+		var fork *fold.ForkError
+		in.Forked = errors.As(err, &fork)
+		return
+	}
+}
+
+// readSome folds the next records and compares the chain with all that is known
+// on the way.
+func (r *recoverer) readSome(ctx context.Context, to uint64, chains map[uint64]fold.Chain) error {
+	ctx, cancel := context.WithTimeout(ctx, r.opts.LogTimeout)
+	defer cancel()
+	from := r.state.Offset + 1
+	limit := int(min(readLimit, to-r.state.Offset))
+	records, err := r.opts.Config.Read(ctx, from, limit, 0)
+	if err != nil {
+		return err
+	}
+	if len(records) == 0 {
+		return errors.Newf("log lacks record %d", from)
+	}
+	for _, rec := range records {
+		st, _, err := fold.Apply(r.state, rec.Offset, rec.Data)
+		if err != nil {
+			return err
+		}
+		if theirs, ok := chains[st.Offset]; ok && theirs != st.Chain {
+			return &fold.ForkError{Offset: st.Offset, Ours: st.Chain, Theirs: theirs}
+		}
+		r.state = st
+	}
+	return nil
+}
