Let callers use keys that they were issued before, and find a quota's owner

make faults needs both to hit a daemon in a role: keys issued by a daemon before it is paused, used through others meanwhile and after it wakes; and the owner of a customer's quota, which no status tells.

--- a/internal/standin/caller/caller_test.go
+++ b/internal/standin/caller/caller_test.go
@@ -252,7 +252,10 @@
 	must.Eq(t, NotSent, c.Verdict)
 	must.Eq(t, errkind.Draining, c.Kind)
 
-	opts.Repeats = 1
+	opts.Keys, opts.GivenKeys = KeysGiven, []string{"given-1"}
+	must.Eq(t, "given-1", once(t, opts, backend().ServeHTTP).IdempotencyKey)
+
+	opts.Keys, opts.Repeats = KeysIssued, 1
 	d = &daemon{answers: []http.HandlerFunc{refuse(errkind.Draining), issue, backend().ServeHTTP}}
 	must.Eq(t, OK, once(t, opts, d.serve).Verdict)
 }
@@ -342,7 +345,7 @@
 	for name, change := range map[string]func(*Options){
 		"targets": func(o *Options) { o.Targets = nil }, "count": func(o *Options) { o.Count = MaxCount + 1 },
 		"duration": func(o *Options) { o.Duration = 2 * MaxDuration }, "concurrency": func(o *Options) { o.Concurrency = 0 },
-		"keys": func(o *Options) { o.Keys = "?" }, "calls": func(o *Options) { o.Mix = nil },
+		"keys": func(o *Options) { o.Keys = "?" }, "keys are given": func(o *Options) { o.Keys = KeysGiven }, "calls": func(o *Options) { o.Mix = nil },
 		"timeout": func(o *Options) { o.Timeout = 0 }, "rate": func(o *Options) { o.Rate = -1 },
 	} {
 		opts := options("http://127.0.0.1:1")
--- a/internal/standin/caller/options.go
+++ b/internal/standin/caller/options.go
@@ -24,6 +24,8 @@
 	KeysIssued KeySource = "issued"
 	// KeysOwn makes them up.
 	KeysOwn KeySource = "own"
+	// KeysGiven takes those of the options in turn.
+	KeysGiven KeySource = "given"
 )
 
 // Upper bounds of a run, so that a slip of the keyboard does not load a machine
@@ -105,6 +107,8 @@
 	// not help, as a caller without much sense does.
 	Insist bool
 	Keys   KeySource
+	// GivenKeys are at least as many as Count where Keys is KeysGiven.
+	GivenKeys []string
 	// Record gets each call as a JSON line, if not nil.
 	Record io.Writer
 	// Seed makes the mix and the times repeatable.
@@ -144,8 +148,17 @@
 		return errors.Newf("timeout must be above 0, not %s", o.Timeout)
 	case o.BodyBytes < 0 || o.AnswerBytes < 0 || o.Repeats < 0:
 		return errors.New("sizes and repeats must not be below 0")
+	case o.Keys == KeysGiven:
+		return o.checkGiven()
 	case o.Keys != KeysNone && o.Keys != KeysIssued && o.Keys != KeysOwn:
 		return errors.Newf("keys must be %s, %s or %s, not %q", KeysNone, KeysIssued, KeysOwn, o.Keys)
 	}
 	return nil
 }
+
+func (o Options) checkGiven() error {
+	if len(o.GivenKeys) < o.Count {
+		return errors.Newf("%d keys are given for %d calls", len(o.GivenKeys), o.Count)
+	}
+	return nil
+}
--- a/internal/standin/caller/run.go
+++ b/internal/standin/caller/run.go
@@ -159,7 +159,7 @@
 		Target:    r.nextTarget(),
 		Start:     due,
 	}
-	if r.giveKey(ctx, c, shape) {
+	if r.giveKey(ctx, c, shape, n) {
 		r.try(ctx, c, shape)
 	}
 	c.Latency = time.Since(due)
@@ -188,13 +188,15 @@
 
 // giveKey gives a non-idempotent call its key. It returns false where none of
 // the daemons asked would issue one; the call is not sent then.
-func (r *runner) giveKey(ctx context.Context, c *Call, shape Shape) bool {
+func (r *runner) giveKey(ctx context.Context, c *Call, shape Shape, n int64) bool {
 	if !shape.nonIdempotent() {
 		return true
 	}
 	switch r.opts.Keys {
 	case KeysOwn:
 		c.IdempotencyKey = "own-" + c.RequestID
+	case KeysGiven:
+		c.IdempotencyKey = r.opts.GivenKeys[n-1]
 	case KeysIssued:
 		return r.askForKey(ctx, c)
 	}
--- /dev/null
+++ b/quota/lookup.go
@@ -0,0 +1,12 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/crocuscross/crocuscross/membership"
+)
+
+// Owner returns the daemon that owns a customer in a view, nil if there is none.
+func Owner(view *membership.View, customer string) *membership.Member {
+	return newFleet(view, time.Now()).owner(customer)
+}
