--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 BUILDINFO := github.com/crocuscross/crocuscross/internal/buildinfo
 LDFLAGS := -X $(BUILDINFO).version=$(VERSION) -X $(BUILDINFO).commit=$(COMMIT)
 
-.PHONY: build generate test lint bench fmt demo latency
+.PHONY: build generate test lint bench fmt demo latency fleet
 
 build:
 	$(GO) build -trimpath -ldflags '$(LDFLAGS)' -o $(BIN)/crocuscross ./cmd/crocuscross
@@ -35,3 +35,9 @@
 # backend servers directly.
 latency: build
 	$(GO) run ./bench/latency $(ARGS)
+
+# How configuration spreads over N daemons: time until in force, control bytes,
+# reads at the source, processor time and memory.
+N ?= 100
+fleet: build
+	$(GO) run ./bench/fleet --daemons $(N) $(ARGS)
