--- a/checkpoint/keeper.go
+++ b/checkpoint/keeper.go
@@ -25,12 +25,17 @@
 	Logger *slog.Logger
 }
 
-// DefaultKeeperOptions go with DefaultPolicy.
-func DefaultKeeperOptions() KeeperOptions {
+// checksPerAge is how often a candidate looks while a checkpoint is not due. It
+// bounds by how much an age is misjudged.
+const checksPerAge = 60
+
+// DefaultKeeperOptions suit a platform that keeps records for a time.
+func DefaultKeeperOptions(retention time.Duration) KeeperOptions {
+	policy := PolicyFor(retention)
 	return KeeperOptions{
-		Policy: DefaultPolicy(),
+		Policy: policy,
 		Writer: DefaultWriterOptions(),
-		Check:  time.Minute,
+		Check:  policy.MaxAge / checksPerAge,
 		Now:    time.Now,
 		Jitter: rand.Float64,
 		Logger: slog.New(slog.DiscardHandler),
--- a/checkpoint/policy.go
+++ b/checkpoint/policy.go
@@ -49,14 +49,27 @@
 	TurnLength time.Duration
 }
 
-// DefaultPolicy suits a retention of three hours or more.
-func DefaultPolicy() Policy {
+const (
+	// A checkpoint is written again after a quarter of the retention: the
+	// writers of two more quarters may fail before it is lost.
+	agesPerRetention = 4
+	// intervalsPerAge keeps a burst of changes from filling the stream, which
+	// every daemon that starts without peers reads.
+	intervalsPerAge = 12
+	// turnsPerAge leaves all candidates their turns long before the next
+	// checkpoint is due.
+	turnsPerAge = 360
+)
+
+// PolicyFor returns the policy for a platform that keeps records for a time.
+func PolicyFor(retention time.Duration) Policy {
+	maxAge := retention / agesPerRetention
 	return Policy{
 		EveryRecords: 500,
-		MaxAge:       time.Hour,
-		MinInterval:  5 * time.Minute,
+		MaxAge:       maxAge,
+		MinInterval:  maxAge / intervalsPerAge,
 		Candidates:   4,
-		TurnLength:   10 * time.Second,
+		TurnLength:   maxAge / turnsPerAge,
 	}
 }
 
--- a/checkpoint/policy_test.go
+++ b/checkpoint/policy_test.go
@@ -16,7 +16,7 @@
 )
 
 func TestDue(t *testing.T) {
-	p := DefaultPolicy()
+	p := PolicyFor(4 * time.Hour)
 	seen := func(offset uint64, age time.Duration) *Sighting { return &Sighting{offset, age, true} }
 	for name, tc := range map[string]struct {
 		s    Situation
@@ -45,7 +45,7 @@
 // Whatever the fleet, the same few hosts look at the stream as long as few
 // records come, each at a time of its own; then it is others' turn.
 func TestTurnsAreFewAndGoAround(t *testing.T) {
-	p := DefaultPolicy()
+	p := PolicyFor(4 * time.Hour)
 	rapid.Check(t, func(t *rapid.T) {
 		var hosts []string
 		for i := range rapid.IntRange(1, 300).Draw(t, "hosts") {
@@ -109,7 +109,7 @@
 
 // restart replaces a host's keeper by one that knows nothing.
 func (f *keepers) restart(i int) {
-	opts := DefaultKeeperOptions()
+	opts := DefaultKeeperOptions(keeperRetention)
 	opts.Writer = options()
 	opts.Writer.NewID = func() uint64 { return uint64(f.now.UnixNano()) }
 	opts.Now = func() time.Time { return f.now }
@@ -233,12 +233,12 @@
 		f := newKeepers(2)
 		f.publish()
 		first, second := f.list[0], f.list[1]
-		if wait, _ := DefaultPolicy().Turn(f.hosts[0], f.hosts, f.state.Offset, 0); wait > 0 {
+		if wait, _ := PolicyFor(keeperRetention).Turn(f.hosts[0], f.hosts, f.state.Offset, 0); wait > 0 {
 			first, second = second, first
 		}
 		wait, err := second.Step(t.Context(), f.state, f.hosts)
 		must.NoError(t, err)
-		must.Eq(t, DefaultPolicy().TurnLength, wait)
+		must.Eq(t, PolicyFor(keeperRetention).TurnLength, wait)
 		if !firstDies {
 			_, err = first.Step(t.Context(), f.state, f.hosts)
 			must.NoError(t, err)
--- a/fold/bench_test.go
+++ b/fold/bench_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/platform"
 )
 
 // fleetState returns a state of n resources in the proportion of the size that
@@ -70,6 +71,32 @@
 	}
 }
 
+// BenchmarkApplyAll catches up on records that revise one contract after
+// another.
+func BenchmarkApplyAll(b *testing.B) {
+	const records = 1000
+	for _, n := range sizes {
+		s := fleetState(n)
+		contracts := s.Entries(KindContract)
+		var tail []platform.Record
+		last := s
+		for i := range records {
+			e := last.Get(contracts[i%len(contracts)].Key)
+			data := bundle(fmt.Sprintf("%036d", last.Offset), "operator@example.org", set(e.Resource, e.Revision))
+			tail = append(tail, platform.Record{Offset: last.Offset + 1, Data: data})
+			last, _, _ = Apply(last, last.Offset+1, data)
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if got, _, err := ApplyAll(s, tail); err != nil || got.Chain != last.Chain {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
 func BenchmarkDecode(b *testing.B) {
 	for _, n := range sizes {
 		m := fleetState(n).Encode()
