--- a/snapshot/bench_test.go
+++ b/snapshot/bench_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/crocuscross/crocuscross/backend"
 	"github.com/crocuscross/crocuscross/configpb"
 	"github.com/crocuscross/crocuscross/fold"
 )
@@ -63,10 +65,29 @@
 			for b.Loop() {
 				Build(prev, next, known)
 			}
+			b.ReportMetric(float64(heapOf(st, known)), "heap-bytes")
 		})
 	}
 }
 
+// heapOf returns the live heap that a snapshot holds beside its state, in
+// bytes.
+func heapOf(st *fold.State, known *backend.Set) int64 {
+	before := liveHeap()
+	s := Build(nil, st, known)
+	after := liveHeap()
+	runtime.KeepAlive(s)
+	return after - before
+}
+
+func liveHeap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 func BenchmarkBuildForBackends(b *testing.B) {
 	for _, n := range sizes {
 		st, names := fleet(n)
