Keep verdicts apart from the toolchain's Unicode tables

Which characters a name may have, and how an author is quoted in a reason, came from package unicode and from %q, whose tables change with the Go release. In a fleet of two builds one daemon could have accepted what another rejected. The ranges are written out now and texts are quoted as they are.

--- a/fold/check.go
+++ b/fold/check.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"unicode"
 
 	"github.com/crocuscross/crocuscross/configpb"
 )
@@ -86,9 +85,16 @@
 func validPublishID(id string) bool { return id != "" && len(id) <= maxPublishID }
 
 func printable(text string, maxBytes int) bool {
-	return len(text) <= maxBytes && !strings.ContainsFunc(text, unicode.IsControl)
+	return len(text) <= maxBytes && !strings.ContainsFunc(text, isControl)
 }
 
+// isControl has its ranges written out, and texts are quoted as they are: the
+// tables of package unicode change with the toolchain, and daemons of different
+// builds must reach the same verdict.
+func isControl(c rune) bool { return c < ' ' || c >= 0x7f && c < 0xa0 }
+
+func isBlankOrControl(c rune) bool { return c == ' ' || isControl(c) }
+
 // reasons collects why a bundle is rejected.
 type reasons []string
 
@@ -115,15 +121,13 @@
 		r.addf("a %s's name must have 1 to %d bytes", k.Kind, MaxNameBytes)
 		return false
 	}
-	if strings.ContainsFunc(k.Name, blankOrControl) {
+	if strings.ContainsFunc(k.Name, isBlankOrControl) {
 		r.addf("a %s's name must have no blanks or control characters", k.Kind)
 		return false
 	}
 	return true
 }
 
-func blankOrControl(c rune) bool { return unicode.IsSpace(c) || unicode.IsControl(c) }
-
 func (r *reasons) checkResource(k Key, res *configpb.Resource) {
 	switch k.Kind {
 	case KindRoute:
--- a/fold/checkstate.go
+++ b/fold/checkstate.go
@@ -43,18 +43,25 @@
 	case e == nil && c.GetDelete():
 		r.addf("%s does not exist and cannot be deleted", k)
 	case e != nil && e.Revision != c.GetReplaces():
-		r.addf("%s is at revision %d by %q, the change replaces revision %d", k, e.Revision, e.Author, c.GetReplaces())
+		r.addf("%s is at revision %d by %s, the change replaces revision %d", k, e.Revision, named(e.Author), c.GetReplaces())
 	}
 }
 
 func (r *reasons) addMissing(s *State, k Key, replaces uint64) {
 	if d, ok := s.recent.deletion(k); ok {
-		r.addf("%s was deleted at revision %d by %q, the change replaces revision %d", k, d.Offset, d.Author, replaces)
+		r.addf("%s was deleted at revision %d by %s, the change replaces revision %d", k, d.Offset, named(d.Author), replaces)
 		return
 	}
 	r.addf("%s does not exist, the change replaces revision %d", k, replaces)
 }
 
+func named(author string) string {
+	if author == "" {
+		return "an unnamed author"
+	}
+	return author
+}
+
 // checkReferences rejects a bundle that would leave a route without its
 // service or two routes with one prefix. The state fulfils both, so only what
 // the bundle touches is looked at.
--- a/fold/example_test.go
+++ b/fold/example_test.go
@@ -45,6 +45,6 @@
 	// Output:
 	// p-1 true []
 	// p-2 true []
-	// p-3 false [contract harbour-garage is at revision 2 by "ann", the change replaces revision 1]
+	// p-3 false [contract harbour-garage is at revision 2 by ann, the change replaces revision 1]
 	// contract harbour-garage at revision 2 with rate 120
 }
--- a/fold/state.go
+++ b/fold/state.go
@@ -12,7 +12,8 @@
 	"github.com/crocuscross/crocuscross/configpb"
 )
 
-// RuleVersion is the latest rule that this package knows.
+// RuleVersion is the latest rule that this package knows. Any change of what a
+// record means, a new field or another bound included, needs a new rule.
 const RuleVersion = 1
 
 // ResourceKind is one of the three kinds of resource.
