--- a/internal/standin/caller/caller_test.go
+++ b/internal/standin/caller/caller_test.go
@@ -67,6 +67,19 @@
 	return opts
 }
 
+// One daemon refuses all. Whatever turns other calls take meanwhile, a repeat
+// goes to another daemon.
+func TestRepeatsGoElsewhere(t *testing.T) {
+	bad, good := httptest.NewServer(refuse(errkind.Barred)), httptest.NewServer(backend())
+	defer bad.Close()
+	defer good.Close()
+	opts := options(bad.URL, good.URL)
+	opts.Count, opts.Concurrency, opts.Repeats = 100, 10, 1
+	s, err := Run(t.Context(), opts)
+	must.NoError(t, err)
+	must.Eq(t, 100, s.Count(OK))
+}
+
 // Both loops end by their count, every answer verifies against a backend server
 // that runs each call once.
 func TestLoops(t *testing.T) {
--- a/internal/standin/caller/options.go
+++ b/internal/standin/caller/options.go
@@ -75,7 +75,7 @@
 // Options describes one run.
 type Options struct {
 	// Targets are the caller listeners of daemons, as URLs. Calls take them in
-	// turn, and each repeat takes the next one.
+	// turn, and each repeat takes the next one that the call has not tried yet.
 	Targets  []string
 	Customer string
 	Mix      []Shape
--- a/internal/standin/caller/run.go
+++ b/internal/standin/caller/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -149,6 +150,18 @@
 	return r.opts.Targets[i%uint64(len(r.opts.Targets))]
 }
 
+// otherTarget returns a target that a call has not tried yet, as long as there is
+// one: a caller that comes back to a daemon that is gone, while others are
+// there, fails for its own fault.
+func (r *runner) otherTarget(tried []string) string {
+	for range r.opts.Targets {
+		if target := r.nextTarget(); !slices.Contains(tried, target) {
+			return target
+		}
+	}
+	return r.nextTarget()
+}
+
 // call sends one call, again where that may help and is safe, and records it.
 func (r *runner) call(ctx context.Context, n int64, due time.Time) {
 	shape := r.shape()
@@ -167,6 +180,7 @@
 }
 
 func (r *runner) try(ctx context.Context, c *Call, shape Shape) {
+	var tried []string
 	for {
 		t := r.sender.send(ctx, c, shape)
 		c.add(t)
@@ -176,7 +190,8 @@
 		if !wait(ctx, max(t.retryAfter, r.opts.RepeatDelay)) {
 			return
 		}
-		c.Target = r.nextTarget()
+		tried = append(tried, c.Target)
+		c.Target = r.otherTarget(tried)
 	}
 }
 
@@ -206,18 +221,20 @@
 // askForKey asks one daemon after the other. Asking again is always safe: a key
 // that is not used has no effect.
 func (r *runner) askForKey(ctx context.Context, c *Call) bool {
-	for asked := 0; ; asked++ {
+	var asked []string
+	for {
 		start := time.Now()
 		key, err := r.sender.issuedKey(ctx, c.Target)
 		if err == nil {
 			c.IdempotencyKey = key
 			return true
 		}
-		if asked == r.opts.Repeats || !wait(ctx, r.opts.RepeatDelay) {
+		if len(asked) == r.opts.Repeats || !wait(ctx, r.opts.RepeatDelay) {
 			c.add(try{start: start, end: time.Now(), verdict: NotSent, kind: kindOf(err), run: errkind.NotRun, err: err})
 			return false
 		}
-		c.Target = r.nextTarget()
+		asked = append(asked, c.Target)
+		c.Target = r.otherTarget(asked)
 	}
 }
 
