--- a/bench/trial/settings.go
+++ b/bench/trial/settings.go
@@ -30,7 +30,7 @@
 // settingsOf names the first host of each availability zone as a contact.
 func (t *Trial) settingsOf(h *Host) file {
 	f := file{
-		Host: h.Name, AvailabilityZone: h.AvailabilityZone, Region: "region",
+		Host: h.Name, AvailabilityZone: h.AvailabilityZone, Region: Region,
 		Listen: fileListen{
 			Callers: h.addr(portCallers), Peers: h.addr(portPeers),
 			Operators: h.addr(portOperators), Backend: h.addr(portBackend),
--- a/bench/trial/trial.go
+++ b/bench/trial/trial.go
@@ -26,6 +26,9 @@
 // Customer has a contract that does not bind in a measurement.
 const Customer = "trial"
 
+// Region of all hosts.
+const Region = "region"
+
 const (
 	// startLimit bounds the time until all daemons serve.
 	startLimit = 60 * time.Second
@@ -244,6 +247,10 @@
 	for {
 		got := 0
 		for _, h := range t.Hosts {
+			if !h.Daemon.Running() {
+				// Another deployment may hold its addresses and answer for it.
+				return errors.Newf("the daemon of %s has ended", h.Name)
+			}
 			if s, err := t.Status(ctx, h); err == nil && s.GetOffset() >= offset && len(s.GetWithheldRoutes()) == 0 {
 				got++
 			}
