Recover before serving, join twice, start a new customer with a full pool

Three causes, each seen on real processes or in internal/daemon: - A daemon served from the empty state at its start. Ruled out: settling (a new customer does not settle); waiting longer in AdmitWait (hides the burst that the contract grants). Also: errors are logged without their stacks.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,6 +42,9 @@
 	boot     uint64
 	board    *blackboard.Board
 	ln       *listeners
+	// joined is closed once another daemon has answered.
+	joined     chan struct{}
+	joinedOnce sync.Once
 	*parts
 
 	callers, operators, backend *http.Server
@@ -81,6 +85,7 @@
 		boot:     rand.Uint64() | 1,
 		board:    &blackboard.Board{},
 		ln:       ln,
+		joined:   make(chan struct{}),
 	}
 	d.parts, err = d.build()
 	if err != nil {
@@ -126,22 +131,6 @@
 	watchInput(d.backend, "backend", d.meter, d.logger)
 }
 
-// join finds the other daemons, learns the floor, and begins to serve.
-func (d *Daemon) join(life context.Context) error {
-	contacts, err := parseContacts(d.settings.Contacts)
-	if err != nil {
-		return err
-	}
-	if err := d.recover(life, contacts); err != nil {
-		if life.Err() != nil {
-			return nil
-		}
-		return err
-	}
-	d.lifecycle.Serving()
-	return nil
-}
-
 // drain shuts down gracefully: the others are told first, then the work in
 // flight ends. Callers that keep connections are told to close them.
 func (d *Daemon) drain(reason string) {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -45,6 +45,7 @@
 
 type testDaemon struct {
 	*Daemon
+	ctx  context.Context
 	stop context.CancelFunc
 	done chan error
 }
@@ -58,11 +59,37 @@
 	for range n {
 		f.start()
 	}
+	f.joined()
 	return f
 }
 
+// joined waits until all daemons know each other and have the empty
+// configuration in force. What is published after that is new to a fleet that is
+// whole, so that quota has nothing to settle: while owners move, a customer gets
+// a fiftieth of its rate for a few seconds (see package quota).
+func (f *testFleet) joined() {
+	f.t.Helper()
+	f.eventually("every daemon knows all", func() bool {
+		for _, d := range f.daemons {
+			v := d.board.Members.Load()
+			if v == nil || len(v.Live()) != len(f.daemons) || d.board.Snapshot.Load() == nil {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // start adds a daemon that joins by the first one.
 func (f *testFleet) start() *testDaemon {
+	f.t.Helper()
+	d := f.build()
+	f.run(d)
+	return d
+}
+
+// build makes a daemon whose listeners are bound and that does not run yet.
+func (f *testFleet) build() *testDaemon {
 	f.t.Helper()
 	s := settings.Default()
 	s.Host = fmt.Sprintf("host-%d", len(f.daemons))
@@ -78,16 +105,19 @@
 	d, err := New(ctx, &s)
 	must.NoError(f.t, err)
 	d.lifecycle.Quiet = testQuiet
-	td := &testDaemon{Daemon: d, stop: stop, done: make(chan error, 1)}
-	go func() { td.done <- d.Run(ctx) }()
-	f.t.Cleanup(func() {
-		stop()
-		must.NoError(f.t, <-td.done)
-	})
+	td := &testDaemon{Daemon: d, ctx: ctx, stop: stop, done: make(chan error, 1)}
 	f.daemons = append(f.daemons, td)
 	return td
 }
 
+func (f *testFleet) run(d *testDaemon) {
+	go func() { d.done <- d.Run(d.ctx) }()
+	f.t.Cleanup(func() {
+		d.stop()
+		must.NoError(f.t, <-d.done)
+	})
+}
+
 // put publishes changes and returns the record's offset.
 func (f *testFleet) put(changes ...*configpb.Change) uint64 {
 	f.t.Helper()
@@ -405,3 +435,20 @@
 	}
 	return n
 }
+
+// All daemons of a fleet start at the same moment, each with the others as
+// contacts. The first exchanges find only empty tables, since nobody is a member
+// yet; status would show a part of the fleet for half a minute.
+func TestDaemon_FleetThatStartsAtOnceIsWhole(t *testing.T) {
+	f := newFleet(t, 0)
+	const size = 8
+	var addrs []string
+	for range size {
+		addrs = append(addrs, f.build().ln.peers.Addr().String())
+	}
+	for _, d := range f.daemons {
+		d.settings.Contacts = addrs
+		f.run(d)
+	}
+	f.joined()
+}
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -13,6 +12,7 @@
 	"github.com/crocuscross/crocuscross/checkpoint"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/gate"
+	"github.com/crocuscross/crocuscross/internal/buildinfo"
 	"github.com/crocuscross/crocuscross/internal/controller/announce"
 	"github.com/crocuscross/crocuscross/internal/controller/apply"
 	"github.com/crocuscross/crocuscross/internal/controller/backends"
@@ -145,6 +145,9 @@
 	o.Peers = spread.NewPoolPeers(p.control)
 	o.ReadersPerZone = s.ReadersPerZone
 	o.FanOut = s.FanOut
+	// The settings have let in known names only.
+	_ = o.Mode.UnmarshalText([]byte(s.Mode))
+	_ = o.Redundancy.UnmarshalText([]byte(s.Redundancy))
 	o.OwnReadAfter = time.Duration(s.OwnReadAfter)
 	o.ReadWait = time.Duration(d.settings.Platform.ReadWait)
 	o.Floor = p.membership.Floor
@@ -167,7 +170,7 @@
 // buildStreams makes the parts that keep streams of the project's own in the
 // platform's log.
 func (p *parts) buildStreams(d *Daemon) {
-	keeping := checkpoint.DefaultKeeperOptions()
+	keeping := checkpoint.DefaultKeeperOptions(time.Duration(d.settings.Platform.Retention))
 	keeping.Logger = d.logger
 	p.checkpoints = &checkpoints.Controller{
 		Board: d.board, Logger: d.logger,
@@ -243,7 +246,7 @@
 func (p *parts) buildOperators(d *Daemon) {
 	p.self = fleet.NewSelf(fleet.SelfOptions{
 		Board: d.board, Host: d.settings.Host, AvailabilityZone: d.settings.AvailabilityZone,
-		Version: version(), Now: time.Now,
+		Version: buildinfo.Get().String(), Now: time.Now,
 	})
 	o := fleet.DefaultOptions()
 	o.Board, o.Self, o.Peers, o.Drain, o.Logger = d.board, p.self, p.control, p.lifecycle.Drain, d.logger
@@ -275,7 +278,7 @@
 		func(context.Context) error { return serve(d.operators, d.ln.operators) },
 		func(context.Context) error { return serve(d.backend, d.ln.backend) },
 		func(context.Context) error { return serve(d.callers, d.ln.callers) },
-		d.join, d.calls.Run, d.control.Run,
+		d.joinFleet, d.recoverConfiguration, d.calls.Run, d.control.Run,
 		d.membership.Run, d.members.Run, d.backends.Run,
 		d.distribute.Run, d.apply.Run, d.announce.Run,
 		d.checkpoints.Run, d.contacts.Run, d.claimLoop,
@@ -318,11 +321,3 @@
 		}
 	}
 }
-
-// version returns the program's version for status.
-func version() string {
-	if info, ok := debug.ReadBuildInfo(); ok {
-		return info.Main.Version
-	}
-	return ""
-}
--- a/internal/daemon/recover.go
+++ b/internal/daemon/recover.go
@@ -2,18 +2,193 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
+	"github.com/crocuscross/crocuscross/membership"
+	"github.com/crocuscross/crocuscross/peerpb"
+	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/recovery"
+	"github.com/crocuscross/crocuscross/spread"
+)
+
+const (
+	// joinPatience is how long a start waits for other daemons before it goes
+	// on to recover; the join itself goes on.
+	joinPatience = 3 * time.Second
+	// joinRound is how long one set of contacts is tried before the contacts
+	// stream is read again.
+	joinRound = 15 * time.Second
+	// rejoinAfter is the mean wait before the next join.
+	rejoinAfter = 500 * time.Millisecond
+	// findTimeout bounds the read of the contacts stream.
+	findTimeout = 2 * time.Second
+	// askFanOut is how many daemons are asked for the floor in one round.
+	askFanOut = 6
 )
 
-// recover joins the fleet and learns what this host had in force before.
-func (d *Daemon) recover(ctx context.Context, contacts []netip.AddrPort) error {
-	if _, err := d.membership.Join(ctx, contacts); err != nil {
+// joinFleet finds the other daemons, by the settings' contacts and those in
+// the platform's log. A fleet that starts all at once joins by contacts that
+// know nobody yet themselves, and a daemon that took their empty tables for the
+// fleet would be alone until the next heal. So each joins a second time a moment
+// later, when the contacts are members, and goes on while it is alone.
+func (d *Daemon) joinFleet(ctx context.Context) error {
+	configured, err := parseContacts(d.settings.Contacts)
+	if err != nil {
 		return err
 	}
-	d.board.Floor.Store(&blackboard.Floor{Offset: d.membership.Floor(d.settings.Host), Known: true})
-	d.spreader.Start(fold.Empty())
+	for joins := 0; ctx.Err() == nil; {
+		n, err := d.joinOnce(ctx, configured)
+		if err != nil {
+			d.logger.Warn("daemon: no contact answers", "error", err)
+			continue
+		}
+		joins++
+		d.joinedOnce.Do(func() { close(d.joined) })
+		alone := n > 0 && len(d.membership.View().Live()) <= 1
+		if joins > 1 && !alone {
+			return nil
+		}
+		sleep(ctx, rejoinAfter/2+rand.N(rejoinAfter))
+	}
 	return nil
 }
+
+func (d *Daemon) joinOnce(ctx context.Context, configured []netip.AddrPort) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, joinRound)
+	defer cancel()
+	return d.membership.Join(ctx, d.withFound(ctx, configured))
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// withFound adds the contacts found in the platform's log.
+func (d *Daemon) withFound(ctx context.Context, configured []netip.AddrPort) []netip.AddrPort {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	found, err := d.contacts.Find(ctx)
+	if err != nil {
+		d.logger.Info("daemon: contacts stream not read", "error", err)
+	}
+	return append(found, configured...)
+}
+
+// recoverConfiguration learns what this host had in force before, gets a state that
+// is no older, and begins to serve.
+func (d *Daemon) recoverConfiguration(ctx context.Context) error {
+	patience := time.NewTimer(joinPatience)
+	defer patience.Stop()
+	select {
+	case <-d.joined:
+	case <-patience.C:
+	case <-ctx.Done():
+		return nil
+	}
+	o := recovery.DefaultOptions()
+	o.Host = d.settings.Host
+	o.Peers = recoveryPeers{d}
+	o.Config = d.log.Stream(platform.StreamConfig)
+	o.Checkpoints = d.log.Stream(platform.StreamCheckpoints)
+	o.Report = d.reportRecovery
+	o.Logger = d.logger
+	r, err := recovery.Recover(ctx, o)
+	if err != nil {
+		return err
+	}
+	d.logger.Info("daemon: recovered", "offset", r.State.Offset, "floor", r.Floor, "from", r.From.String())
+	d.board.Floor.Store(&blackboard.Floor{Offset: r.Floor, Known: true, Reason: string(r.Problem)})
+	d.spreader.Start(r.State)
+	d.lifecycle.Serving()
+	return nil
+}
+
+func (d *Daemon) reportRecovery(dec recovery.Decision) {
+	d.board.Floor.Store(&blackboard.Floor{Offset: dec.Floor, Reason: string(dec.Problem)})
+}
+
+// recoveryPeers asks other daemons on behalf of a recovery.
+type recoveryPeers struct{ d *Daemon }
+
+// Ask implements recovery.Peers with a few daemons drawn from all availability
+// zones.
+func (p recoveryPeers) Ask(ctx context.Context) recovery.Hearing {
+	others := p.others()
+	h := recovery.Hearing{Known: len(others)}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, m := range others[:min(askFanOut, len(others))] {
+		wg.Go(func() {
+			a, err := p.askOne(ctx, m)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			h.Answers = append(h.Answers, a)
+		})
+	}
+	wg.Wait()
+	return h
+}
+
+// others are the daemons that have not left; those believed dead may be alive
+// beyond a cut.
+func (p recoveryPeers) others() []*membership.Member {
+	var others []*membership.Member
+	for _, m := range p.d.membership.View().Members {
+		if m.Host != p.d.settings.Host && m.Liveness != membership.Left {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
+func (p recoveryPeers) askOne(ctx context.Context, m *membership.Member) (recovery.Answer, error) {
+	host := p.d.settings.Host
+	ans, err := p.pull(ctx, m, &peerpb.Pull{Host: host, FloorOnly: true})
+	if err != nil {
+		return recovery.Answer{}, err
+	}
+	a := recovery.Answer{
+		Host:     m.Host,
+		Position: recovery.Position{Offset: ans.GetOffset()},
+		// What the tables told at the join counts as well.
+		Floor: max(ans.GetFloor(), p.d.membership.Floor(host)),
+	}
+	copy(a.Chain[:], ans.GetChain())
+	return a, nil
+}
+
+func (p recoveryPeers) pull(ctx context.Context, m *membership.Member, req *peerpb.Pull) (*peerpb.PullAnswer, error) {
+	return spread.NewPoolPeers(p.d.control).Pull(ctx, m.PeerAddr, req)
+}
+
+// State implements recovery.Peers.
+func (p recoveryPeers) State(ctx context.Context, host string) (*fold.State, error) {
+	m := p.d.membership.View().Find(host)
+	if m == nil {
+		return nil, errors.Newf("host %s is not known", host)
+	}
+	ans, err := p.pull(ctx, m, &peerpb.Pull{Host: p.d.settings.Host, WholeState: true})
+	if err != nil {
+		return nil, err
+	}
+	if ans.GetState() == nil {
+		return nil, errors.Newf("host %s gave no state", host)
+	}
+	return fold.Decode(ans.GetState())
+}
--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -172,8 +172,8 @@
 // noRoute tells a route that waits for its backend servers from one that does
 // not exist.
 func noRoute(snap *snapshot.Snapshot, path string) error {
-	if len(snap.Withheld) > 0 {
-		return errkind.Newf(errkind.NoBackend, "no route for %s is in force, %d wait for a backend server", path, len(snap.Withheld))
+	if snap.Withholds(path) {
+		return errkind.Newf(errkind.NoBackend, "the route for %s waits for its first backend server", path)
 	}
 	return errkind.Newf(errkind.NoRoute, "no route for %s", path)
 }
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -32,6 +32,8 @@
 		"Bounds one append; after it the outcome is unknown."),
 	duration("platform.read_wait", 10*time.Second, 100*time.Millisecond, time.Minute,
 		"How long a read waits for new records."),
+	duration("platform.retention", 24*time.Hour, time.Minute, 365*24*time.Hour,
+		"How long the platform keeps a record, at least. Checkpoints are written well within it."),
 
 	duration("membership.probe_interval", time.Second, 50*time.Millisecond, 10*time.Second,
 		"Time between two probes of other daemons."),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -75,6 +75,8 @@
 	AppendTimeout Duration `json:"append_timeout"`
 	// ReadWait is how long a read waits for new records.
 	ReadWait Duration `json:"read_wait"`
+	// Retention is how long the platform keeps a record, at least.
+	Retention Duration `json:"retention"`
 }
 
 // Membership tunes the probes between daemons.
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -16,7 +16,7 @@
 	if err := l.UnmarshalText([]byte(level)); err != nil {
 		return nil, errors.Wrap(err, "log level")
 	}
-	opts := &slog.HandlerOptions{Level: l}
+	opts := &slog.HandlerOptions{Level: l, ReplaceAttr: shortErrors}
 	switch format {
 	case "text":
 		return slog.New(slog.NewTextHandler(w, opts)), nil
@@ -25,3 +25,12 @@
 	}
 	return nil, errors.Newf("log format %q is neither text nor json", format)
 }
+
+// shortErrors logs an error's text alone; the handlers would print the stack
+// that the errors library keeps, a page for each line.
+func shortErrors(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
+}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -32,7 +32,7 @@
 // since the ledger opened.
 func newLedger(opts Options, contract amount, opensAt, now time.Duration) *ledger {
 	l := &ledger{opts: opts, contract: contract, byHolder: map[holderID]*entry{}, opensAt: opensAt}
-	l.pool.at = min(now, max(opensAt, 0))
+	l.pool.at = min(now, opensAt)
 	return l
 }
 
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -64,15 +64,23 @@
 		if o.contracts[customer] != nil || o.fleet == nil {
 			continue
 		}
-		opensAt := now
+		// The pool of a customer that is new to the fleet is full: its first
+		// calls come after a quiet time. Filled from now on only, it would
+		// refuse them.
+		opensAt := now - fillTime(contractAmount(c))
 		if first {
-			opensAt += o.opts.settleTime()
+			opensAt = now + o.opts.settleTime()
 		}
 		o.reassign(customer, opensAt, now)
 	}
 	o.contracts = contracts
 }
 
+// fillTime is how long the rate of a contract takes to fill its burst.
+func fillTime(contract amount) time.Duration {
+	return time.Duration(min(contract.burst/contract.rate*float64(time.Second), float64(maxInterval)))
+}
+
 // reassign notes whether the customer is owned; a ledger that is taken up anew
 // settles until opensAt.
 func (o *owner) reassign(customer string, opensAt, now time.Duration) {
