Do not take a lookup for unsent that the transport repeated

The transport repeats an idempotent request when a kept-alive connection breaks; with the daemon gone the second connection is refused, and its error hid that the first request went out. TestBrokenConnectionIsNotUnsent fails without it: 0 unknown instead of 1.

--- a/internal/standin/caller/caller_test.go
+++ b/internal/standin/caller/caller_test.go
@@ -233,6 +233,28 @@
 	must.Eq(t, 2, requests.Load())
 }
 
+// A daemon dies under a lookup on a kept-alive connection. The transport sends it
+// again by itself and cannot connect; the lookup may have run all the same.
+func TestBrokenConnectionIsNotUnsent(t *testing.T) {
+	var srv *httptest.Server
+	var requests atomic.Int32
+	b := backend()
+	srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if requests.Add(1) == 2 {
+			_ = srv.Listener.Close()
+			panic(http.ErrAbortHandler)
+		}
+		b.ServeHTTP(w, r)
+	}))
+	defer srv.Close()
+	opts := options(srv.URL)
+	opts.Count, opts.Concurrency = 2, 1
+	s, err := Run(t.Context(), opts)
+	must.NoError(t, err)
+	must.Eq(t, 1, s.Count(OK))
+	must.Eq(t, 1, s.Count(Unknown))
+}
+
 // The first try may have run, the second is refused as not run. The caller
 // knows no more of the call than after the first.
 func TestEarlierTryCounts(t *testing.T) {
--- a/internal/standin/caller/send.go
+++ b/internal/standin/caller/send.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
@@ -98,18 +99,25 @@
 	if err != nil {
 		return try{verdict: NotSent, err: err}
 	}
+	// The transport repeats an idempotent request by itself when a kept-alive
+	// connection breaks under it. If nothing listens any more it fails to dial
+	// then, though the request has been sent before.
+	sent := false
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		WroteHeaders: func() { sent = true },
+	}))
 	resp, err := s.client.Do(r)
 	if err != nil {
-		return try{verdict: failure(err), err: err}
+		return try{verdict: failure(err, sent), err: err}
 	}
 	defer resp.Body.Close()
 	return s.judge(resp, c, shape)
 }
 
 // failure tells a connection that was never made from one that broke.
-func failure(err error) Verdict {
+func failure(err error, sent bool) Verdict {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if !sent && errors.As(err, &op) && op.Op == "dial" {
 		return NotSent
 	}
 	return Unknown
