--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -452,3 +452,23 @@
 	}
 	f.joined()
 }
+
+// The first calls of a customer that was published a moment ago come in one go
+// to one host. They find the contract's burst, less what the other hosts keep
+// for themselves: the owner's pool of a new customer begins full. Where it was
+// filled from the first claim on, all ten got 429.
+func TestDaemon_NewCustomerHasItsBurst(t *testing.T) {
+	f := newFleet(t, 4)
+	f.announceBackend(f.daemons[3], "sign-feed", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	f.converged(f.put(service("sign-feed"), route("signs", "/signs", "sign-feed")), 1)
+	c := garage()
+	c.RatePerSecond, c.Burst = 5, 10
+	f.converged(f.put(contract(c, 0)), 1)
+	answered := 0
+	for range 10 {
+		if f.call(f.daemons[0], http.MethodGet, "/signs/1", "", nil).StatusCode == http.StatusOK {
+			answered++
+		}
+	}
+	must.GreaterEq(t, 8, answered)
+}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -32,6 +32,9 @@
 // since the ledger opened.
 func newLedger(opts Options, contract amount, opensAt, now time.Duration) *ledger {
 	l := &ledger{opts: opts, contract: contract, byHolder: map[holderID]*entry{}, opensAt: opensAt}
+	// Open before the pool is filled for the first time: the share of a ledger
+	// that settles would make that a fiftieth of the burst.
+	l.open = now >= opensAt
 	l.pool.at = min(now, opensAt)
 	return l
 }
