Serve profiles to operators, and take answer buffers from a pool

A profile at 1,500 calls/s over four daemons (machine at load 19): 21% of a core for each daemon, no function above 3% but system calls (15%). Each call allocated a 32 KB buffer to copy its answer.

--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -19,6 +19,7 @@
 	pathMetrics     = "/metrics"
 	pathHealthz     = "/healthz"
 	pathReadyz      = "/readyz"
+	pathProfiles    = "/debug/pprof"
 )
 
 // Bounds of what operators may ask.
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"net/http"
+	"net/http/pprof"
 	"strconv"
 	"time"
 
@@ -52,9 +53,25 @@
 	r.GET(pathMetrics, bunrouter.HTTPHandler(opts.Metrics))
 	r.GET(pathHealthz, h.healthz)
 	r.GET(pathReadyz, h.readyz)
+	routeProfiles(r)
 	return r
 }
 
+// routeProfiles serves the Go runtime's profiles, for an operator who wants to
+// know what a daemon spends its time or memory on.
+func routeProfiles(r *bunrouter.Router) {
+	for path, serve := range map[string]http.HandlerFunc{
+		pathProfiles + "/profile": pprof.Profile,
+		pathProfiles + "/trace":   pprof.Trace,
+		pathProfiles + "/cmdline": pprof.Cmdline,
+	} {
+		r.GET(path, bunrouter.HTTPHandlerFunc(serve))
+	}
+	for _, name := range []string{"heap", "allocs", "goroutine", "mutex", "block"} {
+		r.GET(pathProfiles+"/"+name, bunrouter.HTTPHandler(pprof.Handler(name)))
+	}
+}
+
 type handler struct {
 	opts Options
 }
--- a/internal/proxy/outbound/answer.go
+++ b/internal/proxy/outbound/answer.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -22,6 +23,8 @@
 // copyBytes is how much of an answer is held at once.
 const copyBytes = 32 << 10
 
+var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+
 // writeTo streams the answer to the caller.
 func (s *answered) writeTo(w http.ResponseWriter) error {
 	c := s.a.c
@@ -48,10 +51,11 @@
 // copyFlushing copies a body. One without a known length is flushed chunk by
 // chunk, so that a caller sees each part when it comes.
 func copyFlushing(w http.ResponseWriter, src io.Reader, flush bool) error {
-	buf := make([]byte, copyBytes)
+	buf := copyBuffers.Get().(*[copyBytes]byte)
+	defer copyBuffers.Put(buf)
 	rc := http.NewResponseController(w)
 	for {
-		n, err := src.Read(buf)
+		n, err := src.Read(buf[:])
 		if n > 0 {
 			if _, werr := w.Write(buf[:n]); werr != nil {
 				return errors.Wrap(werr, "write to the caller")
