Test the ask over a new connection on a link that goes silent

A hold's connection goes silent while it runs, or before it is sent, and new connections work (relay between the daemons' sessions). The caller gets the hold's own answer; the hold runs once. The sessions for calls are dialed by a function that tests can replace.

--- a/internal/daemon/address.go
+++ b/internal/daemon/address.go
@@ -14,11 +14,14 @@
 	return addrOf(d.ln.peers)
 }
 
+// dialFunc connects a session to another daemon.
+type dialFunc = func(context.Context, netip.AddrPort) (net.Conn, error)
+
 // dialFrom returns how sessions to other daemons are connected: from the address
 // that this one listens on for them. A host with several addresses would else
 // be seen under one of the kernel's choice, which filters in between may not
 // know.
-func dialFrom(ip netip.Addr) func(context.Context, netip.AddrPort) (net.Conn, error) {
+func dialFrom(ip netip.Addr) dialFunc {
 	d := net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0))}
 	return func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 		return d.DialContext(ctx, "tcp", addr.String())
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,6 +42,8 @@
 	boot     uint64
 	board    *blackboard.Board
 	ln       *listeners
+	// dialCalls connects the sessions that carry calls.
+	dialCalls dialFunc
 	// joined is closed once another daemon has answered.
 	joined     chan struct{}
 	joinedOnce sync.Once
@@ -61,6 +63,21 @@
 
 // New binds the listeners and builds the parts; nothing runs yet.
 func New(ctx context.Context, s *settings.Settings) (*Daemon, error) {
+	ln, err := listen(s.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	d, err := newDaemon(ctx, s, ln, dialFrom(addrOf(ln.peers).Addr()))
+	if err != nil {
+		ln.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// newDaemon builds a daemon on bound listeners; dial connects the sessions that
+// carry calls.
+func newDaemon(ctx context.Context, s *settings.Settings, ln *listeners, dial dialFunc) (*Daemon, error) {
 	logger, err := telemetry.NewLogger(os.Stderr, s.Log.Level, s.Log.Format)
 	if err != nil {
 		return nil, err
@@ -72,27 +89,20 @@
 	if err != nil {
 		return nil, err
 	}
-	ln, err := listen(s.Listen)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen")
-	}
 	d := &Daemon{
-		settings: s,
-		logger:   logger.With("host", s.Host),
-		tracer:   tracer,
-		flush:    flush,
-		registry: telemetry.NewRegistry(),
-		boot:     rand.Uint64() | 1,
-		board:    &blackboard.Board{},
-		ln:       ln,
-		joined:   make(chan struct{}),
+		dialCalls: dial,
+		settings:  s,
+		logger:    logger.With("host", s.Host),
+		tracer:    tracer,
+		flush:     flush,
+		registry:  telemetry.NewRegistry(),
+		boot:      rand.Uint64() | 1,
+		board:     &blackboard.Board{},
+		ln:        ln,
+		joined:    make(chan struct{}),
 	}
 	d.parts, err = d.build()
-	if err != nil {
-		ln.close()
-		return nil, err
-	}
-	return d, nil
+	return d, err
 }
 
 // Run starts the parts, serves until ctx is done, and shuts down gracefully.
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -41,6 +42,8 @@
 	logURL  string
 	daemons []*testDaemon
 	publish int
+	// dial connects the sessions that carry calls.
+	dial dialFunc
 }
 
 type testDaemon struct {
@@ -52,7 +55,7 @@
 
 func newFleet(t *testing.T, n int) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, log: memlog.New(memlog.DefaultOptions())}
+	f := &testFleet{t: t, log: memlog.New(memlog.DefaultOptions()), dial: dialFrom(netip.MustParseAddr("127.0.0.1"))}
 	srv := httptest.NewServer(logserver.New(f.log))
 	t.Cleanup(srv.Close)
 	f.logURL = srv.URL
@@ -102,7 +105,9 @@
 		s.Contacts = []string{f.daemons[0].ln.peers.Addr().String()}
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	d, err := New(ctx, &s)
+	ln, err := listen(s.Listen)
+	must.NoError(f.t, err)
+	d, err := newDaemon(ctx, &s, ln, f.dial)
 	must.NoError(f.t, err)
 	d.lifecycle.Quiet = testQuiet
 	td := &testDaemon{Daemon: d, ctx: ctx, stop: stop, done: make(chan error, 1)}
--- /dev/null
+++ b/internal/daemon/link_test.go
@@ -0,0 +1,77 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/internal/answer"
+	"github.com/crocuscross/crocuscross/internal/standin/relay"
+)
+
+// setUpBehindRelay is a fleet of two whose sessions for calls go through a
+// relay to the second daemon, the one with the backend server.
+func setUpBehindRelay(t *testing.T, h http.Handler) (*testFleet, *atomic.Pointer[relay.Relay]) {
+	t.Helper()
+	f := newFleet(t, 0)
+	r := &atomic.Pointer[relay.Relay]{}
+	f.dial = func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+		if r.Load() == nil {
+			link, err := relay.Listen(addr.String())
+			if err != nil {
+				return nil, err
+			}
+			r.Store(link)
+			t.Cleanup(func() { _ = link.Close() })
+		}
+		return net.Dial("tcp", r.Load().Addr().String())
+	}
+	f.start()
+	f.start()
+	f.joined()
+	f.announceBackend(f.daemons[1], "sign-feed", h)
+	f.converged(f.put(service("sign-feed"), route("signs", "/signs", "sign-feed"), contract(garage(), 0)), 1)
+	return f, r
+}
+
+// A permit hold runs while the connection that it came by goes silent, and new
+// connections work. The caller gets the hold's own answer within its time: the
+// watch finds the silence, and the gate is asked over a new connection. Without
+// the ask the caller would be told nothing better than "unknown".
+func TestLink_AnswerComesOverANewConnection(t *testing.T) {
+	var runs atomic.Int64
+	var link *atomic.Pointer[relay.Relay]
+	var f *testFleet
+	f, link = setUpBehindRelay(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		link.Load().ForgetOpen()
+		_, _ = io.WriteString(w, "held")
+	}))
+	resp := f.call(f.daemons[0], http.MethodPost, "/signs/hold", "space 12", nil)
+	must.Eq(t, http.StatusOK, resp.StatusCode, must.Sprint(resp.Header))
+	must.Eq(t, "held", readAll(t, resp.Body))
+	must.Eq(t, 1, runs.Load())
+}
+
+// The connection goes silent before a hold is sent on it. The gate has never seen
+// the attempt, bars it, and the hold is sent again: it runs once.
+func TestLink_UnseenAttemptIsBarredAndSentAgain(t *testing.T) {
+	var runs atomic.Int64
+	f, link := setUpBehindRelay(t, counting(&runs))
+	must.Eq(t, http.StatusOK, f.call(f.daemons[0], http.MethodPost, "/signs/hold", "space 12", nil).StatusCode)
+	link.Load().ForgetOpen()
+	resp := f.call(f.daemons[0], http.MethodPost, "/signs/hold", "space 13", nil)
+	if resp.StatusCode != http.StatusOK {
+		// There is no other backend server to send it to.
+		must.Eq(t, "no", resp.Header.Get(answer.HeaderRun), must.Sprint(resp.Header))
+		must.Eq(t, 1, runs.Load())
+		return
+	}
+	must.Eq(t, 2, runs.Load())
+}
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -102,8 +102,9 @@
 func (p *parts) buildPeers(d *Daemon) {
 	opts := peer.DefaultPoolOptions()
 	opts.Meter = p.meter
-	opts.Dial = dialFrom(addrOf(d.ln.peers).Addr())
+	opts.Dial = d.dialCalls
 	p.calls = peer.NewPool(opts)
+	opts.Dial = dialFrom(addrOf(d.ln.peers).Addr())
 	p.control = peer.NewPool(opts)
 	server := peer.DefaultServerOptions()
 	server.Meter = p.meter
