Let a backend server withdraw no announcement but its own

An old backend server that ended after its successor had announced itself took the successor out of the routes for up to a second.

--- a/internal/controller/announce/announce.go
+++ b/internal/controller/announce/announce.go
@@ -25,6 +25,9 @@
 	// TTL is how long an announcement holds without renewal.
 	TTL = 5 * time.Second
 
+	// paramURL names the backend server that withdraws.
+	paramURL = "url"
+
 	maxRequestBytes = 64 << 10
 	maxSlots        = 100_000
 	checkInterval   = 500 * time.Millisecond
@@ -112,9 +115,13 @@
 	return n
 }
 
-func (c *Controller) withdraw(w http.ResponseWriter, _ bunrouter.Request) error {
+// withdraw ends the announcement of the URL given, or any without one. A backend
+// server that ends after its successor has announced itself would else take the
+// successor's announcement away.
+func (c *Controller) withdraw(w http.ResponseWriter, r bunrouter.Request) error {
+	whose := r.URL.Query().Get(paramURL)
 	c.Board.Local.Update(func(old *blackboard.LocalBackend) *blackboard.LocalBackend {
-		if old == nil || old.Service == "" {
+		if old == nil || old.Service == "" || whose != "" && whose != old.URL {
 			return old
 		}
 		c.Logger.Info("announce: backend server left", "service", old.Service)
--- a/internal/standin/backendserver/announce.go
+++ b/internal/standin/backendserver/announce.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"log/slog"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -113,7 +114,7 @@
 	case withdrawn:
 		return nil
 	case left:
-		err := a.send(ctx, http.MethodDelete, nil)
+		err := a.send(ctx, http.MethodDelete, "?url="+url.QueryEscape(body.URL), nil)
 		a.mu.Lock()
 		a.withdrawn = a.left && err == nil
 		a.mu.Unlock()
@@ -123,11 +124,11 @@
 	if err != nil {
 		return errors.Wrap(err, "announce")
 	}
-	return a.send(ctx, http.MethodPut, raw)
+	return a.send(ctx, http.MethodPut, "", raw)
 }
 
-func (a *announcer) send(ctx context.Context, method string, body []byte) error {
-	req, err := http.NewRequestWithContext(ctx, method, a.daemonURL+announce.Path, bytes.NewReader(body))
+func (a *announcer) send(ctx context.Context, method, query string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, method, a.daemonURL+announce.Path+query, bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, "announce")
 	}
