Make a start of many daemons settle in seconds

A joiner becomes a member within its first exchange and tells its contact of itself in the second message: two daemons that start by each other alone did not meet before one looked for lost contacts. A daemon that found its contacts only busy stays out, since it has not heard of its earlier life. Two to four seconds after the start it makes one more exchange, for the news that went round before the others had heard of it.

--- a/membership/apply.go
+++ b/membership/apply.go
@@ -13,8 +13,8 @@
 	fromGossip source = iota
 	// fromSync records are passed on as well.
 	fromSync
-	// fromJoin records make up most of the table of a daemon that has just
-	// started; the others know them already.
+	// fromJoin records are what a daemon learns as it starts; to pass all of
+	// them on would tell the others what they have told it.
 	fromJoin
 )
 
--- a/membership/codec_test.go
+++ b/membership/codec_test.go
@@ -15,7 +15,7 @@
 	f := newFleet(t, 1)
 	nd := f.nodes[0]
 	nd.SetLocal([]Announcement{{Service: "sign-feed", Slots: 10, Age: time.Minute}}, false)
-	nd.announce()
+	nd.update(nd.announce)
 	nd.update(func(time.Time) {
 		nd.sendPing(nd.addr, "host-0001", 7)
 		must.Len(t, 1, nd.outbox)
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -39,12 +39,15 @@
 // node is one daemon with its ends of the network.
 type node struct {
 	*Membership
-	f      *fleet
-	index  int
-	addr   netip.AddrPort
-	down   bool
-	paused bool
-	err    error
+	f         *fleet
+	index     int
+	addr      netip.AddrPort
+	down      bool
+	paused    bool
+	err       error
+	joinBy    []netip.AddrPort
+	joinDue   time.Time
+	joinDelay time.Duration
 	// sent is the latest datagram.
 	sent []byte
 	// fullAnswers counts the tables handed out.
@@ -69,7 +72,7 @@
 func newJoinedFleet(t testing.TB, n int) *fleet {
 	f := newFleet(t, n)
 	for _, nd := range f.nodes {
-		nd.announce()
+		nd.update(nd.announce)
 	}
 	for _, nd := range f.nodes {
 		for _, other := range f.nodes {
@@ -77,6 +80,7 @@
 			nd.apply(&record{host: e.host, state: e.state, info: e.info}, fromJoin, f.now)
 		}
 		nd.queue = newQueue()
+		nd.sync.settle = time.Time{}
 		nd.lastNews = f.now.Add(-time.Minute)
 		nd.changed = false
 	}
@@ -110,13 +114,26 @@
 	return nd
 }
 
+// join does what Join does, with the waits on the virtual clock, and returns the
+// exchanges of the first attempt.
 func (nd *node) join(contacts ...int) int {
-	var addrs []netip.AddrPort
 	for _, c := range contacts {
-		addrs = append(addrs, nd.f.nodes[c].addr)
+		nd.joinBy = append(nd.joinBy, nd.f.nodes[c].addr)
 	}
-	joined := nd.joinOnce(context.Background(), nd.remember(addrs))
-	nd.announce()
+	nd.joinDelay = joinBaseDelay
+	return nd.tryJoin()
+}
+
+func (nd *node) tryJoin() int {
+	joined, busy := nd.joinOnce(context.Background(), nd.remember(nd.joinBy))
+	if !busy {
+		nd.update(nd.announce)
+	}
+	if joined > 0 {
+		nd.joinBy = nil
+	}
+	nd.joinDue = nd.f.now.Add(nd.randomWait(nd.joinDelay))
+	nd.joinDelay = min(2*nd.joinDelay, joinMaxDelay)
 	return joined
 }
 
@@ -127,6 +144,9 @@
 		if nd.down || nd.paused || nd.err != nil {
 			continue
 		}
+		if len(nd.joinBy) > 0 && !f.now.Before(nd.joinDue) {
+			nd.tryJoin()
+		}
 		nd.err = nd.tick()
 		select {
 		case addr := <-nd.syncWanted:
--- a/membership/join.go
+++ b/membership/join.go
@@ -28,7 +28,7 @@
 func (m *Membership) Join(ctx context.Context, contacts []netip.AddrPort) (int, error) {
 	contacts = m.remember(contacts)
 	if len(contacts) == 0 {
-		m.announce()
+		m.update(m.announce)
 		return 0, nil
 	}
 	delay := joinBaseDelay
@@ -36,9 +36,11 @@
 		if err := m.sleep(ctx, m.randomWait(delay)); err != nil {
 			return 0, errors.Wrap(err, "join")
 		}
-		joined := m.joinOnce(ctx, contacts)
-		// Also where nobody answered: the others may find this daemon first.
-		m.announce()
+		joined, busy := m.joinOnce(ctx, contacts)
+		if !busy {
+			// Also where nobody answered: the others may find this daemon first.
+			m.update(m.announce)
+		}
 		if joined > 0 {
 			m.log.Info("membership: joined", "exchanges", joined)
 			return joined, nil
@@ -73,16 +75,17 @@
 	return others
 }
 
-// joinOnce asks the contacts in turn, and those that busy ones name instead.
-func (m *Membership) joinOnce(ctx context.Context, contacts []netip.AddrPort) int {
+// joinOnce asks the contacts in turn, and those that busy ones name instead. It
+// reports how many answered, and whether all that did were busy.
+func (m *Membership) joinOnce(ctx context.Context, contacts []netip.AddrPort) (joined int, busy bool) {
 	asked := slices.Clone(contacts)
-	joined := 0
 	for i := 0; i < min(len(asked), joinTries) && joined < joinContacts && ctx.Err() == nil; i++ {
 		instead, err := m.exchange(ctx, asked[i])
 		if err == nil {
 			joined++
 			continue
 		}
+		busy = busy || errors.Is(err, errBusy)
 		m.log.Debug("membership: contact did not help", "error", err)
 		for _, c := range instead {
 			if !slices.Contains(asked, c) && c != m.opts.PeerAddr {
@@ -90,7 +93,7 @@
 			}
 		}
 	}
-	return joined
+	return joined, busy && joined == 0
 }
 
 // heal looks now and then for those on the other side of a cut. A ping to a
--- /dev/null
+++ b/membership/offsets.go
@@ -0,0 +1,73 @@
+package membership
+
+// SetOffset sets the configuration offset in force that each probe and answer
+// tells.
+func (m *Membership) SetOffset(offset uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.raiseOffset(m.self, offset)
+}
+
+// NoteOffset records the offset that a member was heard to have in force by
+// another way than probes, such as a push or pull of configuration.
+func (m *Membership) NoteOffset(host string, boot, offset uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e := m.table.get(host); e != nil && e.boot == boot {
+		m.raiseOffset(e, offset)
+	}
+}
+
+func (m *Membership) raiseOffset(e *entry, offset uint64) {
+	if offset <= e.offset {
+		return
+	}
+	e.offset = offset
+	e.member = nil
+	m.stale.Store(true)
+}
+
+// Floor returns the highest offset that any life of the host is known to have
+// had in force, 0 if none is.
+func (m *Membership) Floor(host string) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if host == m.self.host {
+		return m.self.highest()
+	}
+	if e := m.table.get(host); e != nil {
+		return e.highest()
+	}
+	return 0
+}
+
+// MaxOffset returns the highest offset that any host is known to have had in
+// force. A host's own floor may be known only to those that it probed last; in
+// a fleet whose daemons do not lag, this one is no lower.
+func (m *Membership) MaxOffset() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	highest := m.self.highest()
+	for _, e := range m.table.order {
+		highest = max(highest, e.highest())
+	}
+	return highest
+}
+
+// OnHeard sets the function that is called with the offset in each packet from
+// a known member. It must be set before Run and must not block.
+func (m *Membership) OnHeard(f HeardFunc) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.onHeard = f
+}
+
+// hear notes the sender's offset.
+func (m *Membership) hear(pkt *packet) {
+	e := m.table.get(pkt.GetHost())
+	if e == nil || e.boot != pkt.GetBoot() || !e.complete() {
+		return
+	}
+	m.raiseOffset(e, pkt.GetOffset())
+	m.heard = append(m.heard, heardOffset{e.host, e.info.peerAddr, pkt.GetOffset()})
+}
--- a/membership/packets.go
+++ b/membership/packets.go
@@ -41,16 +41,6 @@
 	})
 }
 
-// hear notes the sender's offset.
-func (m *Membership) hear(pkt *packet) {
-	e := m.table.get(pkt.GetHost())
-	if e == nil || e.boot != pkt.GetBoot() || !e.complete() {
-		return
-	}
-	m.raiseOffset(e, pkt.GetOffset())
-	m.heard = append(m.heard, heardOffset{e.host, e.info.peerAddr, pkt.GetOffset()})
-}
-
 func (m *Membership) answer(pkt *packet, from netip.AddrPort, now time.Time) {
 	switch pkt.kind {
 	case PacketPing:
--- a/membership/protocol_test.go
+++ b/membership/protocol_test.go
@@ -16,12 +16,24 @@
 // part of the table that its contacts have by then; gossip and the comparison
 // of digests bring the rest, so callers see the whole fleet within seconds.
 func TestColdStart(t *testing.T) {
-	const n = 64
+	const n = 128
 	f := newFleet(t, n)
 	for _, nd := range f.nodes {
 		nd.join(0, 1, 2)
 	}
-	f.run(10*time.Second, func() bool { return f.agree(n) })
+	f.run(6*time.Second, func() bool { return f.agree(n) })
+}
+
+// Two daemons start at the same moment and have each other as their only
+// contact. The one asked knows nobody and is no member itself yet; the one that
+// asks must be known to it all the same, or the two would not meet until one
+// looks for lost contacts half a minute later.
+func TestTwoStartByEachOther(t *testing.T) {
+	f := newFleet(t, 2)
+	must.Eq(t, 1, f.nodes[0].join(1))
+	must.NotNil(t, f.nodes[1].table.get(f.nodes[0].self.host))
+	f.nodes[1].join(0)
+	f.run(time.Second, func() bool { return f.agree(2) })
 }
 
 // A daemon dies. One of the others probes it in vain, asks three more to try,
@@ -118,6 +130,21 @@
 	must.Eq(t, 0, nd.count(Suspect))
 }
 
+// A daemon hears nothing while a drain goes round. Nobody repeats the news, but
+// the digests in the probes differ from then on, and it has it from an exchange.
+func TestMissedNewsIsMadeUpFor(t *testing.T) {
+	const n = 64
+	f := newJoinedFleet(t, n)
+	f.runFor(2*time.Second, nil)
+	src, deaf := f.nodes[1], f.nodes[2]
+	f.cut = func(_, to *node) bool { return to == deaf }
+	src.SetLocal(nil, true)
+	f.runFor(2*time.Second, nil)
+	f.cut = nil
+	must.False(t, deaf.View().Find(src.self.host).Draining)
+	f.run(15*time.Second, func() bool { return deaf.View().Find(src.self.host).Draining && f.agree(n) })
+}
+
 // One daemon hears of a change before another, and their digests differ for a
 // moment. That alone must not lead to an exchange of tables.
 func TestNoExchangeWhileNewsSpreads(t *testing.T) {
@@ -222,14 +249,14 @@
 	f.run(2*time.Minute, func() bool { return f.agree(n) })
 }
 
-// Two fleets that started apart know nothing of each other. One daemon has a
-// contact in the other fleet, and that is enough to make them one.
+// Two fleets that started apart know nothing of each other, and each daemon has
+// joined its own. That they have contacts in the other makes them one.
 func TestSeparateFleetsMerge(t *testing.T) {
 	const n = 32
 	f := newFleet(t, n)
 	f.cut = func(from, to *node) bool { return from.index < n/2 != (to.index < n/2) }
 	for _, nd := range f.nodes {
-		nd.join(0, n/2)
+		nd.join(0, 1, n/2, n/2+1)
 	}
 	f.runFor(20*time.Second, nil)
 	must.Eq(t, n/2, f.nodes[0].table.usable)
@@ -267,17 +294,22 @@
 // wakes, finds itself replaced and stops; were it to outbid the new one, the
 // host would be lost.
 func TestNewLifeReplacesOldOne(t *testing.T) {
-	const n, host = 16, 4
+	const n, host, elsewhere = 16, 4, 100
+	t.Run("same address first", func(t *testing.T) { testNewLives(t, n, host, []int{host, elsewhere}) })
+	t.Run("other address first", func(t *testing.T) { testNewLives(t, n, host, []int{elsewhere, elsewhere + 1}) })
+}
+
+func testNewLives(t *testing.T, n, host int, addrs []int) {
 	f := newJoinedFleet(t, n)
 	first := f.nodes[host]
 	first.SetOffset(100)
 	f.runFor(30*time.Second, nil)
 	first.paused = true
 	var last *node
-	for life, addr := range []int{host, 100} {
+	for life, addr := range addrs {
 		last = f.start(host, addr, uint64(1000+life))
 		f.runFor(15*time.Second, nil)
-		last.join(1, 2)
+		last.join(1)
 		must.Eq(t, 100, last.Floor(last.self.host))
 		f.run(2*time.Second, func() bool { return f.agree(n) })
 	}
@@ -295,6 +327,24 @@
 	}
 }
 
+// A host restarts while all who could tell it of its earlier life are busy. It
+// must not become a member before it has heard: it would start below the offset
+// that it had in force, and take an incarnation that the earlier life had.
+func TestNoMemberBeforeItsEarlierLifeIsKnown(t *testing.T) {
+	const n = fullSyncMembers + 1
+	f := newJoinedFleet(t, n)
+	for _, nd := range f.nodes {
+		nd.NoteOffset("host-0004", 5, 100)
+		nd.sync.tokens, nd.sync.refilled = 0, f.now
+	}
+	again := f.start(4, 4, 1000)
+	must.Zero(t, again.join(0, 1, 2))
+	must.False(t, again.announced)
+	f.run(5*time.Second, func() bool { return again.announced })
+	must.Eq(t, 100, again.Floor("host-0004"))
+	f.run(5*time.Second, func() bool { return f.agree(n) })
+}
+
 // Backend servers are about to leave while ten other changes a second go round.
 // Every daemon must know within 800 ms, which leaves more than half of the 2 s
 // for what the daemon does with it. The fleet is still again after that: no
--- a/membership/run.go
+++ b/membership/run.go
@@ -145,7 +145,5 @@
 	}
 	m.health.record(false)
 	m.health.record(false)
-	for _, e := range m.table.sample(m.rng, 1, m.isOther) {
-		m.wantSync(e.info.peerAddr, now)
-	}
+	m.syncWithAny(now)
 }
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -21,6 +21,10 @@
 	// led to. It doubles up to syncMaxGap while exchanges change nothing.
 	syncGap    = 5 * time.Second
 	syncMaxGap = time.Minute
+	// settleTime is the least time from a start to the exchange that makes up
+	// for what went round between the first one and the time when the others
+	// had heard of the newcomer and sent it their news.
+	settleTime = 2 * time.Second
 	// syncRounds bounds the messages of one exchange: one to learn, one to
 	// teach.
 	syncRounds = 2
@@ -38,6 +42,9 @@
 	// unlessNews drops the exchange if news arrives before it is due: then the
 	// digests differed because gossip had reached the other one first.
 	unlessNews bool
+	// settle is when a daemon that has just started makes one more exchange,
+	// zero once it has.
+	settle time.Time
 	// last is when an exchange was last planned, next the earliest time for the
 	// next one.
 	last time.Time
@@ -75,6 +82,13 @@
 	m.sync.next = now.Add(m.sync.gap)
 }
 
+// syncWithAny plans an exchange with a random member.
+func (m *Membership) syncWithAny(now time.Time) {
+	for _, e := range m.table.sample(m.rng, 1, m.isOther) {
+		m.wantSync(e.info.peerAddr, now)
+	}
+}
+
 // jitter returns a random part of d.
 func (m *Membership) jitter(d time.Duration) time.Duration {
 	return time.Duration(m.rng.Int64N(int64(d) + 1))
@@ -82,6 +96,10 @@
 
 // reconcileSync hands a due exchange to the loop that runs them.
 func (m *Membership) reconcileSync(now time.Time) {
+	if !m.sync.settle.IsZero() && !now.Before(m.sync.settle) {
+		m.sync.settle = time.Time{}
+		m.syncWithAny(now)
+	}
 	if !m.sync.want.IsValid() || now.Before(m.sync.due) {
 		return
 	}
@@ -127,7 +145,9 @@
 }
 
 // learn takes an answer in and returns the buckets in which this table still
-// differs, hence holds more.
+// differs, hence holds more. A daemon that has just started becomes a member
+// here, so that the second message of its first exchange tells of it: of two
+// that start by each other alone, neither would know whom to tell otherwise.
 func (m *Membership) learn(answer *memberpb.Table) (push [bucketCount]bool, more bool) {
 	records, theirs, rej := decodeTable(answer)
 	if rej != nil {
@@ -137,7 +157,12 @@
 	}
 	m.update(func(now time.Time) {
 		before := m.table.digests
-		m.takeTable(records, now)
+		from := fromSync
+		if !m.announced {
+			from = fromJoin
+		}
+		m.takeTable(records, from, now)
+		m.announce(now)
 		if m.table.digests == before {
 			m.sync.gap = min(2*m.sync.gap, syncMaxGap)
 		} else {
@@ -148,13 +173,8 @@
 	return push, more
 }
 
-// takeTable applies the records of an exchange. A daemon that learns most of
-// its table has just started and need not tell the others what they told it.
-func (m *Membership) takeTable(records []record, now time.Time) {
-	from := fromSync
-	if len(records) > len(m.table.order) {
-		from = fromJoin
-	}
+// takeTable applies the records of an exchange.
+func (m *Membership) takeTable(records []record, from source, now time.Time) {
 	for i := range records {
 		m.apply(&records[i], from, now)
 	}
@@ -173,7 +193,7 @@
 	var answer *memberpb.Table
 	m.update(func(now time.Time) {
 		earlier := m.believed(remote)
-		m.takeTable(records, now)
+		m.takeTable(records, fromSync, now)
 		buckets, _ := m.table.digests.differing(theirs)
 		if !m.admitSync(buckets, now) {
 			m.opts.Meter.Rejected(RejectBusy)
