--- a/bench/checker/records.go
+++ b/bench/checker/records.go
@@ -107,7 +107,8 @@
 // Stop is a planned stop of hosts, with nothing else going wrong meanwhile.
 type Stop struct {
 	Hosts []string
-	// From the first word of the stop To the end of the last process.
+	// From the first word of the stop To a time after the end of the last
+	// process when the calls that it met have ended.
 	From, To time.Time
 }
 
