--- a/quota/account.go
+++ b/quota/account.go
@@ -22,7 +22,7 @@
 	// arrivals counts calls, refused ones included.
 	arrivals atomic.Int64
 	inFlight atomic.Int64
-	// peak of inFlight since the last claim, refused calls included.
+	// peak of inFlight since the last tick, refused calls included.
 	peak atomic.Int64
 	// unleased counts calls admitted out of the spare.
 	unleased atomic.Int64
@@ -52,6 +52,9 @@
 	reported float64
 	// failures counts claims without an answer in a row.
 	failures int
+	// tickPeak is the peak of the last tick, claimPeak that since the latest
+	// claim.
+	tickPeak, claimPeak int64
 	// lastArrivals and lastArrivalAt tell how long the customer has been idle.
 	lastArrivals  int64
 	lastArrivalAt time.Duration
@@ -116,17 +119,14 @@
 	return leased && (l.prepaid.Load() > 0 || l.nextToken(now) == 0)
 }
 
-// retryAfter returns when a refused call finds a token, provided that the calls
-// refused before it return when they were told to, and none in between.
+// retryAfter returns when a refused call finds a token: those refused before it
+// have been told to return one after another, at the rate that new calls leave.
 func (a *account) retryAfter(now time.Duration) time.Duration {
 	l, leased := a.current(now)
-	if !leased {
+	interval := intervalOf(l.returnRate)
+	if !leased || interval == 0 {
 		return retryWithoutLease
 	}
-	interval := intervalOf(max(l.expectedRate, l.rate))
-	if interval == 0 {
-		return maxRetryAfter
-	}
 	first := now + min(l.nextToken(now), interval)
 	for {
 		old := a.promised.Load()
--- a/quota/claim.go
+++ b/quota/claim.go
@@ -35,7 +35,7 @@
 		return true
 	}
 	l := a.lease.Load()
-	return l.valid(now) && l.slotsContended && a.idleSlots(l) > 0
+	return l.valid(now) && l.slotsContended && int64(l.slots) > a.tickPeak
 }
 
 // useAlone takes a pooled rate into use here once the owner has not answered
@@ -43,13 +43,14 @@
 func (a *account) useAlone(now time.Duration) {
 	l := a.lease.Load()
 	if a.failures > 0 && !a.asking && l.valid(now) && l.pooled && !l.local && now >= l.loan.until {
-		a.lease.Store(l.cutOff(now))
+		a.lease.Store(l.alone(now))
 	}
 }
 
-// idleSlots returns how many slots no call has used since the last claim.
-func (a *account) idleSlots(l *lease) int64 {
-	return int64(l.slots) - max(a.peak.Load(), a.inFlight.Load())
+// samplePeak notes the calls in flight of the last tick.
+func (a *account) samplePeak() {
+	a.tickPeak = a.peak.Swap(a.inFlight.Load())
+	a.claimPeak = max(a.claimPeak, a.tickPeak)
 }
 
 // claim tells the owner what the account uses and wants. What it does not need
@@ -70,15 +71,20 @@
 		Unleased: uint32(a.unleased.Swap(0)),
 	}
 	a.wanting = false
-	c.InUse = a.takePeak(now)
-	held := a.giveBack(now, float64(c.InUse))
+	l := a.lease.Load()
+	contended := l.valid(now) && l.slotsContended
+	c.InUse = a.slotsWanted(contended)
+	a.claimPeak = 0
+	held := a.giveBack(now, float64(c.InUse), contended)
 	if held == nil {
 		c.Held = amount{slots: a.slotsInFlight()}.proto()
 		return c
 	}
 	c.Held = held.max(amount{slots: a.slotsInFlight()}).proto()
 	c.GrantedBy = held.grantedBy
-	c.Pooled = held.lend(owner, now)
+	// An owner that has just failed to answer is lent nothing again, or the time
+	// until the rate may be used here would never end.
+	c.Pooled = a.failures == 0 && held.lend(owner, now)
 	if held.grantedBy != owner {
 		c.Origin = held.origin.proto(now)
 	}
@@ -113,23 +119,27 @@
 	return float64(a.inFlight.Load())
 }
 
-// takePeak returns the calls in flight to be reported, and starts a new peak. A
-// customer that calls now and then keeps a slot, unless others wait for it.
-func (a *account) takePeak(now time.Duration) uint32 {
+// slotsWanted returns the calls in flight to be reported: the most since the
+// latest claim, and one at least for a customer that calls now and then. Where
+// others wait for slots, only what is in use right now counts.
+func (a *account) slotsWanted(contended bool) uint32 {
 	if a.contract.MaxConcurrent == 0 {
 		return 0
 	}
-	peak := a.peak.Swap(a.inFlight.Load())
-	l := a.lease.Load()
-	if peak == 0 && a.reported > 0 && !(l.valid(now) && l.slotsContended) {
-		peak = 1
+	recent := max(a.tickPeak, a.peak.Load())
+	if contended {
+		return uint32(recent)
 	}
-	return uint32(peak)
+	wanted := max(a.claimPeak, recent)
+	if wanted == 0 && a.reported > 0 {
+		wanted = 1
+	}
+	return uint32(wanted)
 }
 
 // giveBack shrinks the lease to what the account has use for and returns it,
 // nil if there is none.
-func (a *account) giveBack(now time.Duration, inUse float64) *lease {
+func (a *account) giveBack(now time.Duration, slots float64, contended bool) *lease {
 	l := a.lease.Load()
 	if !l.valid(now) {
 		return nil
@@ -139,7 +149,10 @@
 		keep.rate = want
 		keep.burst = min(keep.burst, wantedBurst(want))
 	}
-	keep.slots = min(keep.slots, wantedSlots(inUse))
+	if !contended {
+		slots = wantedSlots(slots)
+	}
+	keep.slots = min(keep.slots, slots)
 	if keep != l.amount {
 		l = l.shrunk(now, keep)
 		a.lease.Store(l)
--- a/quota/compare_test.go
+++ b/quota/compare_test.go
@@ -116,6 +116,8 @@
 	return w.daemons[index]
 }
 
+var watch func(*world)
+
 // result of one run. usable is the share of what one bucket for the whole fleet
 // would have admitted; excess is by how much the calls of the worst window went
 // over the contracted rate; messages are per second; authority is the largest
@@ -143,6 +145,9 @@
 	for w.now < simWarm+simLength {
 		w.runUntil(w.now + 100*time.Millisecond)
 		authority = max(authority, w.authority(c)/c.Rate)
+		if watch != nil {
+			watch(w)
+		}
 	}
 	return result{
 		authority: authority,
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -1,6 +1,15 @@
 package quota
 
-import "time"
+import (
+	"time"
+
+	"github.com/crocuscross/crocuscross/quota/quotapb"
+)
+
+// maxUnheard is how many answers to a holder may be lost in a row before it is
+// granted nothing, as it could not use it: requests may still arrive where
+// answers do not. The empty lease that it then gets shows whether they do again.
+const maxUnheard = 2
 
 // holderID is one process.
 type holderID struct {
@@ -15,31 +24,60 @@
 	// held is what the holder told to use, granted what it was answered. The
 	// answer may be lost or be on its way, so both count.
 	held, granted amount
-	// pooled is whether the rate feeds the pool: the holder said that it
-	// leaves it there, and was answered that it shall.
-	pooled bool
+	// leaves is whether the holder leaves its rate to the pool, and pooled
+	// whether the rate feeds the pool: the holder was answered that it shall.
+	leaves, pooled bool
 	// lentUntil is when that ends, unless the holder claims again.
 	lentUntil time.Duration
 	expires   time.Duration
 	demand    float64
 	inUse     float64
+	// unheard counts claims in a row that show no answer to have arrived.
+	unheard int
 	// seen is whether membership has shown this process on its host. If it
 	// then shows another, this one is gone.
 	seen bool
-	// frozen entries are those of a lost region.
-	frozen bool
+	// cutOff entries are those of a region that is taken to be cut off.
+	cutOff bool
 }
 
 // charged returns what the holder may be using.
 func (e *entry) charged() amount { return e.held.max(e.granted) }
 
+// report takes over what the holder tells. seen is whether membership shows the
+// process.
+func (e *entry) report(sequence, self uint64, seen bool, c *quotapb.Claim) {
+	if c.GetGrantedBy() == self {
+		e.unheard = 0
+	} else if e.sequence > 0 {
+		e.unheard++
+	}
+	e.sequence = sequence
+	e.held, e.granted = amountFromProto(c.GetHeld()), amount{}
+	e.leaves = c.GetPooled() || e.held.rate == 0
+	e.pooled = false
+	e.demand, e.inUse = sane(c.GetDemand()), float64(c.GetInUse())
+	if e.unheard >= maxUnheard {
+		e.demand, e.inUse = 0, 0
+	}
+	e.seen = e.seen || seen
+}
+
+// answer notes what the holder is told.
+func (e *entry) answer(granted amount, now, expires time.Duration) {
+	e.granted = granted
+	e.pooled = e.leaves && granted.burst == 0
+	e.lentUntil = now + lendTime
+	e.expires = expires
+}
+
 // totals sums up entries.
 type totals struct {
 	charged amount
 	// feeding is the part of the charged rate that feeds the pool.
 	feeding float64
-	// frozen is the part that belongs to lost regions.
-	frozen amount
+	// cutOff is the part that belongs to regions taken to be cut off.
+	cutOff amount
 	crowd
 }
 
@@ -49,8 +87,8 @@
 	if e.pooled {
 		t.feeding += c.rate
 	}
-	if e.frozen {
-		t.frozen = t.frozen.plus(c)
+	if e.cutOff {
+		t.cutOff = t.cutOff.plus(c)
 		return
 	}
 	t.demand += e.demand
@@ -66,8 +104,8 @@
 	if e.pooled {
 		t.feeding -= c.rate
 	}
-	if e.frozen {
-		t.frozen = t.frozen.minus(c)
+	if e.cutOff {
+		t.cutOff = t.cutOff.minus(c)
 		return
 	}
 	t.demand -= e.demand
--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -14,6 +14,9 @@
 	// that does not answer.
 	firstBackoff = 250 * time.Millisecond
 	maxBackoff   = 2 * time.Second
+	// minReturnShare of what a holder may expect is promised to calls that
+	// return, also where new calls alone want more than there is.
+	minReturnShare = 0.25
 )
 
 // ask is one exchange with an owner.
@@ -80,6 +83,7 @@
 		}
 		kept = append(kept, a)
 		a.demand.observe(a.arrivals.Load(), now)
+		a.samplePeak()
 		a.useAlone(now)
 		if a.drifted(now) {
 			a.nextClaim = now
@@ -133,7 +137,7 @@
 	if len(asks) == 0 {
 		return nil
 	}
-	soon := now + h.opts.RenewInterval/contendedDivisor
+	soon := now + h.opts.RenewInterval/batchDivisor
 	for _, a := range h.active {
 		if a.owner == nil || a.asking {
 			continue
@@ -168,11 +172,19 @@
 	leases := answer.GetLeases()
 	for i, a := range q.accounts {
 		a.asking = false
-		if err != nil || i >= len(leases) {
-			a.lease.Load().endLoan(q.owner.Boot, now+lendTime+lendMargin)
+		c := q.request.GetClaims()[i]
+		switch {
+		case err != nil || i >= len(leases):
+			if c.GetPooled() {
+				a.lease.Load().endLoan(q.owner.Boot, now+lendTime+lendMargin)
+			}
 			h.unanswered(a, now)
-		} else {
-			h.answered(a, q, q.request.GetClaims()[i], leases[i], answer.GetBoot(), now)
+		case leases[i].GetVerdict() != quotapb.Verdict_VERDICT_GRANTED:
+			// An owner that serves nobody fills no pool either.
+			a.lease.Load().endLoan(answer.GetBoot(), now)
+			h.unanswered(a, now)
+		default:
+			h.answered(a, q.sentAt, c, leases[i], answer.GetBoot(), now)
 		}
 		close(q.rounds[i].done)
 	}
@@ -187,41 +199,43 @@
 }
 
 // answered takes over a lease.
-func (h *holder) answered(a *account, q *ask, c *quotapb.Claim, p *quotapb.Lease, owner uint64, now time.Duration) {
-	if p.GetVerdict() != quotapb.Verdict_VERDICT_GRANTED {
-		// An owner that serves nobody fills no pool either.
-		a.lease.Load().endLoan(owner, now)
-		h.unanswered(a, now)
-		return
-	}
-	a.lease.Load().endLoan(owner, now+lendTime+lendMargin)
+func (h *holder) answered(a *account, sentAt time.Duration, c *quotapb.Claim, p *quotapb.Lease, owner uint64, now time.Duration) {
+	prev, l := a.lease.Load(), leaseFromProto(c, p, owner, sentAt, now)
+	prev.endLoan(owner, now+lendTime+lendMargin)
+	l.succeed(prev, now)
+	waiting := min(p.GetTokens(), c.GetNeed())
+	l.prepaid.Add(int64(waiting))
+	if extra := p.GetTokens() - waiting; extra > 0 {
+		l.fill(now, l.level(now)+float64(extra))
+	}
+	a.lease.Store(l)
+
 	a.failures = 0
 	renew := time.Duration(p.GetRenewAfterMs()) * time.Millisecond
 	a.nextClaim = now + renew - h.jitter(renew/5)
-	expires := q.sentAt + time.Duration(p.GetLeaseMs())*time.Millisecond
+	a.notBefore.Store(0)
+	if p.GetTokens() < c.GetNeed() {
+		// The pool is empty; asking again at once would bring nothing.
+		a.notBefore.Store(int64(now + missGap))
+	}
+}
+
+// leaseFromProto returns the lease that was granted for a claim, with an empty
+// bucket.
+func leaseFromProto(c *quotapb.Claim, p *quotapb.Lease, owner uint64, sentAt, now time.Duration) *lease {
+	expires := sentAt + time.Duration(p.GetLeaseMs())*time.Millisecond
 	l := newLease(amountFromProto(p.GetGranted()), !p.GetPooled(), now, expires)
 	l.pooled = p.GetPooled()
 	l.grantedBy = owner
+	if l.pooled {
+		l.loan = loan{to: owner, until: now + lendTime + lendMargin}
+	}
 	l.origin = origin{
 		charged:      amountFromProto(c.GetHeld()).max(l.amount),
 		chargedToAll: amountFromProto(p.GetChargedToAll()),
 		at:           now,
 	}
-	l.expectedRate = p.GetExpectedRate()
+	l.returnRate = max(p.GetExpectedRate()-c.GetDemand(), minReturnShare*p.GetExpectedRate())
 	l.slotsContended = p.GetSlotsContended()
-	if l.pooled {
-		l.loan = loan{to: owner, until: now + lendTime + lendMargin}
-	}
-	l.succeed(a.lease.Load(), now)
-	waiting := min(p.GetTokens(), c.GetNeed())
-	l.prepaid.Add(int64(waiting))
-	if extra := p.GetTokens() - waiting; extra > 0 {
-		l.fill(now, l.level(now)+float64(extra))
-	}
-	a.lease.Store(l)
-	a.notBefore.Store(0)
-	if p.GetTokens() < c.GetNeed() {
-		// The pool is empty; asking again at once would bring nothing.
-		a.notBefore.Store(int64(now + missGap))
-	}
+	return l
 }
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -8,9 +8,12 @@
 	"github.com/crocuscross/crocuscross/membership"
 )
 
-// fleet is what a membership view says about ownership, at one time.
+// fleet is what a membership view says about ownership, at one time. Times are
+// counted from the start of the Manager.
 type fleet struct {
-	view *membership.View
+	view  *membership.View
+	start time.Time
+	at    time.Duration
 	// candidates may own customers: members that are heard and not draining.
 	candidates []candidate
 	// known is the number of members, less those that left or have not been
@@ -18,12 +21,15 @@
 	known int
 	// heardShare of the known members, 0 to 1.
 	heardShare float64
-	// lostRegions are those of which no member is heard.
+	// lostRegions are those of which next to no member is heard.
 	lostRegions map[string]bool
+	// rejoining are regions that were lost, with the time at which all of their
+	// holders have reported.
+	rejoining map[string]time.Duration
 	// isolated is whether at most half of the own region is heard.
 	isolated bool
-	// changesAt is when time alone will change the fleet; zero if it will not.
-	changesAt time.Time
+	// changesAt is when time alone will change the fleet.
+	changesAt time.Duration
 }
 
 type candidate struct {
@@ -34,18 +40,20 @@
 // regionCount counts members of one region.
 type regionCount struct{ known, heard int }
 
-func newFleet(view *membership.View, now time.Time) *fleet {
-	f := &fleet{view: view, lostRegions: map[string]bool{}}
+// newFleet reads a view. prev is the fleet before, nil if there is none;
+// rejoinTime is how long a region that was lost is rejoining.
+func newFleet(view *membership.View, start time.Time, now time.Duration, prev *fleet, rejoinTime time.Duration) *fleet {
+	f := &fleet{view: view, start: start, at: now, lostRegions: map[string]bool{}, changesAt: never}
 	regions := map[string]regionCount{}
 	heard := 0
 	for _, m := range view.Members {
-		if m.Liveness == membership.Left || forgotten(m, now) {
+		if m.Liveness == membership.Left || f.forgotten(m) {
 			continue
 		}
 		f.known++
 		r := regions[m.Region]
 		r.known++
-		if f.hears(m, now) {
+		if f.hears(m) {
 			heard++
 			r.heard++
 			if !m.Draining {
@@ -55,37 +63,57 @@
 		regions[m.Region] = r
 	}
 	for name, r := range regions {
-		if r.heard == 0 {
+		if lostShare*r.heard <= r.known {
 			f.lostRegions[name] = true
 		}
 	}
 	f.heardShare = float64(heard) / float64(max(1, f.known))
 	own := regions[view.Self.Region]
 	f.isolated = own.known > 1 && own.heard*2 <= own.known
+	f.follow(prev, rejoinTime)
 	return f
 }
 
+// follow notes which regions are heard again.
+func (f *fleet) follow(prev *fleet, rejoinTime time.Duration) {
+	if prev == nil {
+		return
+	}
+	f.rejoining = map[string]time.Duration{}
+	for region, until := range prev.rejoining {
+		if f.at < until && !f.lostRegions[region] {
+			f.rejoining[region] = until
+		}
+	}
+	for region := range prev.lostRegions {
+		if !f.lostRegions[region] {
+			f.rejoining[region] = f.at + rejoinTime
+		}
+	}
+}
+
+// since returns when the member's state changed last.
+func (f *fleet) since(m *membership.Member) time.Duration { return m.Since.Sub(f.start) }
+
 // hears reports whether the member counts as heard, and notes when that will
 // change by itself.
-func (f *fleet) hears(m *membership.Member, now time.Time) bool {
+func (f *fleet) hears(m *membership.Member) bool {
 	switch m.Liveness {
 	case membership.Alive:
 		return true
 	case membership.Suspect:
-		end := m.Since.Add(suspectGrace)
-		if !now.Before(end) {
+		end := f.since(m) + suspectGrace
+		if f.at >= end {
 			return false
 		}
-		if f.changesAt.IsZero() || end.Before(f.changesAt) {
-			f.changesAt = end
-		}
+		f.changesAt = min(f.changesAt, end)
 		return true
 	}
 	return false
 }
 
-func forgotten(m *membership.Member, now time.Time) bool {
-	return m.Liveness != membership.Alive && now.Sub(m.Since) >= lossMemory
+func (f *fleet) forgotten(m *membership.Member) bool {
+	return m.Liveness != membership.Alive && f.at-f.since(m) >= lossMemory
 }
 
 // owner returns the member that owns a customer, nil if there is none.
@@ -144,13 +172,19 @@
 	return ""
 }
 
-// lost reports whether a host is in a region that is taken to be cut off.
+// lost reports whether a host is not heard and in a region that is taken to be
+// cut off.
 func (f *fleet) lost(host string) bool {
 	if len(f.lostRegions) == 0 {
 		return false
 	}
 	m := f.view.Find(host)
-	return m != nil && f.lostRegions[m.Region]
+	return m != nil && f.lostRegions[m.Region] && !f.hears(m)
+}
+
+// rejoins reports whether a host is in a region that was lost until lately.
+func (f *fleet) rejoins(host string, now time.Duration) bool {
+	return len(f.rejoining) > 0 && now < f.rejoining[f.region(host)]
 }
 
 // mix spreads a hash over all bits (the finalizer of MurmurHash3).
--- a/quota/lease.go
+++ b/quota/lease.go
@@ -34,8 +34,9 @@
 	grantedBy uint64
 	loan      loan
 	origin    origin
-	// expectedRate in calls per second, tokens from the owner's pool included.
-	expectedRate float64
+	// returnRate in calls per second is what is left for calls that were
+	// refused and return.
+	returnRate float64
 	// slotsContended asks for idle slots back.
 	slotsContended bool
 
@@ -199,9 +200,9 @@
 	return s
 }
 
-// cutOff returns a pooled lease for use without the pool. Its bucket starts
+// alone returns a pooled lease for use without the pool. Its bucket starts
 // empty, as the rate has filled the pool until now, and holds one call.
-func (l *lease) cutOff(now time.Duration) *lease {
+func (l *lease) alone(now time.Duration) *lease {
 	s := l.copyWith(now, l.amount)
 	s.local = true
 	s.capacity = max(s.capacity, s.interval)
@@ -216,7 +217,7 @@
 	s.grantedBy = l.grantedBy
 	s.loan = l.loan
 	s.origin = l.origin
-	s.expectedRate = l.expectedRate
+	s.returnRate = l.returnRate
 	s.slotsContended = l.slotsContended
 	return s
 }
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -18,7 +17,8 @@
 	sum      totals
 	pool     pool
 	earlier  earlierOwners
-	thaws    thaws
+	// rejoining is what was leased in regions that are heard again.
+	rejoining rejoining
 
 	// opensAt is when the ledger stops to settle, at the earliest.
 	opensAt time.Duration
@@ -45,9 +45,7 @@
 	l.opensAt = opensAt
 	l.open = false
 	for _, e := range l.entries {
-		l.sum.remove(e)
-		e.pooled = false
-		l.sum.add(e)
+		l.change(e, func() { e.pooled = false })
 	}
 	l.known = l.sum.charged
 	l.pool = pool{at: now}
@@ -55,41 +53,54 @@
 
 // claim answers one claim.
 func (l *ledger) claim(now time.Duration, f *fleet, self uint64, id holderID, sequence uint64, c *quotapb.Claim) *quotapb.Lease {
-	e := l.byHolder[id]
-	if e != nil && sequence <= e.sequence {
+	if e := l.byHolder[id]; e != nil && sequence <= e.sequence {
 		return &quotapb.Lease{Verdict: quotapb.Verdict_VERDICT_STALE}
 	}
-	if e == nil {
-		e = &entry{holder: id}
-		l.entries, l.byHolder[id] = append(l.entries, e), e
-		l.sum.add(e)
-	}
 	l.advance(now, f)
+	l.rejoin(now, f)
 	l.pool.repay(float64(c.GetUnleased()), l.contract.burst)
 
-	l.sum.remove(e)
+	e := l.entry(id)
 	before := e.charged()
-	e.report(sequence, f.runs(id.host, id.boot), c)
-	if by := c.GetGrantedBy(); by != 0 && by != self {
-		if !l.thaws.report(f.region(id.host), e.held, now) {
-			l.earlier.report(by, id, c.GetOrigin(), now, now+l.opts.ownerLeaseTime())
+	l.change(e, func() { e.report(sequence, self, f.runs(id.host, id.boot), c) })
+	l.locate(now, f, e, before, self, c)
+	granted := l.grant(l.limit(now, f), e)
+	l.change(e, func() { e.answer(granted, now, now+l.opts.ownerLeaseTime()) })
+	return l.lease(now, f, e, c.GetNeed())
+}
+
+// locate finds out where a holder has its lease from, and so what is charged for
+// it already.
+func (l *ledger) locate(now time.Duration, f *fleet, e *entry, before amount, self uint64, c *quotapb.Claim) {
+	by := c.GetGrantedBy()
+	foreign := by != 0 && by != self
+	switch {
+	case f.rejoins(e.holder.host, now):
+		if foreign || before == (amount{}) {
+			l.rejoining.report(e.held)
 		}
+	case foreign && !f.lost(e.holder.host):
+		l.earlier.report(by, e.holder, c.GetOrigin(), now, now+l.opts.ownerLeaseTime())
 		l.adopt(e.held.minus(before).atLeastZero())
 	}
-	l.grant(now, f, e, c.GetPooled() || e.held.rate == 0)
-	l.sum.add(e)
-	return l.lease(now, f, e, c.GetNeed())
 }
 
-// report takes over what the holder tells.
-func (e *entry) report(sequence uint64, seen bool, c *quotapb.Claim) {
-	e.sequence = sequence
-	e.held = amountFromProto(c.GetHeld())
-	e.granted = amount{}
-	e.demand = sane(c.GetDemand())
-	e.inUse = float64(c.GetInUse())
-	e.seen = e.seen || seen
-	e.frozen = false
+// entry returns the entry of a holder and makes it if need be.
+func (l *ledger) entry(id holderID) *entry {
+	e := l.byHolder[id]
+	if e == nil {
+		e = &entry{holder: id}
+		l.entries, l.byHolder[id] = append(l.entries, e), e
+		l.sum.add(e)
+	}
+	return e
+}
+
+// change changes an entry and the sums with it.
+func (l *ledger) change(e *entry, f func()) {
+	l.sum.remove(e)
+	f()
+	l.sum.add(e)
 }
 
 // adopt takes over authority that an earlier owner granted.
@@ -102,42 +113,36 @@
 // grant decides what the holder gets. The sum of all that is charged rises
 // above the limit in no case: a holder gets more than it holds only out of what
 // is free.
-func (l *ledger) grant(now time.Duration, f *fleet, e *entry, leaves bool) {
-	all := l.sum.crowd
-	all.demand += e.demand
-	all.inUse += e.inUse
-	if e.demand > 0 {
-		all.holders++
-	}
-	burst := fairBurst(l.contract.burst, e.held.burst, e.demand, all)
-	target := fairShare(l.available(now, f), burst, e.demand, e.inUse, all)
-	limit := l.limit(now, f)
-	limit.burst = min(limit.burst, localBurst(l.contract.burst))
-	room := limit.minus(l.sum.charged).max(e.held)
-	e.granted = target.min(room).atLeastZero().wholeSlots()
-	if near(e.granted.rate, e.held.rate) {
-		e.granted.rate = min(e.held.rate, max(0, room.rate))
-	}
-	if e.granted.burst < minLocalBurst {
-		e.granted.burst = 0
-	}
-	e.pooled = leaves && e.granted.burst == 0
-	e.lentUntil = now + lendTime
-	e.expires = now + l.opts.ownerLeaseTime()
+func (l *ledger) grant(limit amount, e *entry) amount {
+	d := l.division(limit)
+	limit.burst = min(limit.burst, d.localBurst())
+	room := limit.minus(l.sum.charged).atLeastZero().plus(e.held)
+	granted := d.share(e.demand, e.inUse, e.held.burst).min(room).wholeSlots()
+	if near(granted.rate, e.held.rate) {
+		granted.rate = e.held.rate
+	}
+	if granted.burst < minLocalBurst {
+		granted.burst = 0
+	}
+	return granted
+}
+
+// division divides the limit among the holders that can be heard.
+func (l *ledger) division(limit amount) *division {
+	return &division{available: limit.minus(l.sum.cutOff).atLeastZero(), burst: l.contract.burst, all: l.sum.crowd}
 }
 
 // lease puts the grant into words, with tokens from the pool for calls that
 // wait.
 func (l *ledger) lease(now time.Duration, f *fleet, e *entry, need uint32) *quotapb.Lease {
-	available := l.available(now, f)
-	contended := wantedRate(l.sum.demand) > contendedShare*available.rate
-	slotsContended := l.contract.slots > 0 && wantedSlots(l.sum.inUse) > contendedShare*available.slots
+	d := l.division(l.limit(now, f))
 	pooled := e.granted.burst == 0
+	slotsContended := l.contract.slots > 0 && d.slotsContended()
 	renew := l.opts.RenewInterval
 	if pooled {
 		renew = min(renew, pooledRenewal)
 	}
-	if slotsContended || contended && !pooled {
+	if slotsContended || d.contended() && !pooled {
 		renew = min(renew, l.opts.contendedRenewal())
 	}
 	return &quotapb.Lease{
@@ -145,25 +150,24 @@
 		Granted:        e.granted.proto(),
 		LeaseMs:        uint32(l.opts.LeaseTime.Milliseconds()),
 		Pooled:         pooled,
-		Tokens:         l.tokens(e, need, contended),
-		ExpectedRate:   l.expectedRate(available.rate, e),
+		Tokens:         l.tokens(e, need, d.contended()),
+		ExpectedRate:   d.expectedRate(e.demand),
 		RenewAfterMs:   uint32(renew.Milliseconds()),
 		ChargedToAll:   l.sum.charged.proto(),
 		SlotsContended: slotsContended,
 	}
 }
 
-// available returns what is there for the holders that can be heard.
-func (l *ledger) available(now time.Duration, f *fleet) amount {
-	return l.limit(now, f).minus(l.sum.frozen).atLeastZero()
-}
-
-// tokens takes from the pool what calls wait for and, while there is plenty,
-// what fills the holder's bucket, so that the next calls need not ask.
+// tokens takes from the pool what calls wait for; what belongs into the bucket
+// that the holder has been given; and, while there is plenty, what fills the
+// bucket, so that the next calls need not ask.
 func (l *ledger) tokens(e *entry, need uint32, contended bool) uint32 {
 	n := l.pool.take(need)
-	if fill := math.Floor(e.granted.burst); need > 0 && !contended && l.pool.level-fill >= l.poolCapacity()/2 {
-		n += l.pool.take(uint32(fill))
+	if over := l.pool.level - l.poolCapacity(); over > 0 && e.granted.burst > e.held.burst {
+		n += l.pool.take(uint32(min(over, e.granted.burst-e.held.burst)))
+	}
+	if need > 0 && !contended && l.pool.level-e.granted.burst >= l.poolCapacity()/2 {
+		n += l.pool.take(uint32(e.granted.burst))
 	}
 	return n
 }
@@ -171,13 +175,6 @@
 // poolCapacity returns how much the pool may store.
 func (l *ledger) poolCapacity() float64 { return max(1, l.contract.burst-l.sum.charged.burst) }
 
-func (l *ledger) expectedRate(available float64, e *entry) float64 {
-	if e.demand == 0 {
-		return 0
-	}
-	return available * e.demand / l.sum.demand
-}
-
 // limit returns how much may be granted in sum.
 func (l *ledger) limit(now time.Duration, f *fleet) amount {
 	full := l.contract
@@ -187,7 +184,7 @@
 	if !l.open {
 		return l.known.plus(l.contract.scale(settlingShare * f.heardShare)).min(full)
 	}
-	return full.minus(l.earlier.silent(now)).minus(l.thaws.rest(now)).atLeastZero()
+	return full.minus(l.earlier.silent(now)).minus(l.rejoining.rest(now)).atLeastZero()
 }
 
 // poolRate returns what fills the pool: what is neither leased nor held in
@@ -196,33 +193,44 @@
 	return max(0, l.limit(now, f).rate-l.sum.charged.rate+l.sum.feeding)
 }
 
-// advance brings pool and settling up to now. Holders have had the time to
-// report when the ledger opens; while a region is lost they have not, and they
-// are given the time once it is heard again.
+// advance brings settling and pool up to now. Holders have had the time to
+// report when the ledger opens; while a region is cut off they have not, and
+// they are given the time once it is heard again.
 func (l *ledger) advance(now time.Duration, f *fleet) {
-	l.pool.refill(now, l.poolRate(now, f), l.poolCapacity())
 	if !l.open && len(f.lostRegions) > 0 {
 		l.opensAt = max(l.opensAt, now+l.opts.settleTime())
 	}
 	l.open = l.open || now >= l.opensAt
+	l.pool.refill(now, l.poolRate(now, f), l.poolCapacity())
 }
 
 // sweep drops the leases that have ended.
 func (l *ledger) sweep(now time.Duration, f *fleet) {
 	l.advance(now, f)
+	l.rejoin(now, f)
 	l.sum = totals{}
-	l.entries = slices.DeleteFunc(l.entries, func(e *entry) bool {
-		if l.gone(now, f, e) {
-			delete(l.byHolder, e.holder)
-			return true
-		}
+	l.drop(func(e *entry) bool { return l.gone(now, f, e) })
+	for _, e := range l.entries {
+		e.cutOff = f.lost(e.holder.host)
 		e.pooled = e.pooled && now < e.lentUntil
 		l.sum.add(e)
-		return false
+	}
+}
+
+// drop removes entries without care for the sums.
+func (l *ledger) drop(match func(*entry) bool) {
+	l.entries = slices.DeleteFunc(l.entries, func(e *entry) bool {
+		if !match(e) {
+			return false
+		}
+		delete(l.byHolder, e.holder)
+		return true
 	})
 }
 
-// gone reports whether nothing of a lease can be in use any more.
+// gone reports whether nothing of a lease can be in use any more. A lease in a
+// region that is cut off has not ended when its time is up, as there may be
+// another owner who renews it.
 func (l *ledger) gone(now time.Duration, f *fleet, e *entry) bool {
 	id := e.holder
 	if f.runs(id.host, id.boot) {
@@ -230,14 +238,23 @@
 	} else if e.seen && f.moved(id.host, id.boot) {
 		return true
 	}
-	lost := f.lost(id.host)
-	if e.frozen && !lost {
-		// The owner on the other side renews until it has heard of this one.
-		l.thaws.add(f.region(id.host), e.charged(), now+l.opts.settleTime()+l.opts.ownerLeaseTime())
-		return true
+	return now >= e.expires && !f.lost(id.host)
+}
+
+// rejoin takes the leases of a region that was cut off into one sum, as their
+// holders are heard again and tell what they have now.
+func (l *ledger) rejoin(now time.Duration, f *fleet) {
+	if l.sum.cutOff == (amount{}) {
+		return
 	}
-	e.frozen = lost && now >= e.expires
-	return !lost && now >= e.expires
+	l.drop(func(e *entry) bool {
+		if !e.cutOff || f.lost(e.holder.host) {
+			return false
+		}
+		l.sum.remove(e)
+		l.rejoining.add(e.charged(), now+l.opts.rejoinTime())
+		return true
+	})
 }
 
 // idle reports whether the ledger says no more than a new one would.
--- a/quota/manager.go
+++ b/quota/manager.go
@@ -62,12 +62,12 @@
 	if view == nil || view.Self == nil {
 		return
 	}
-	m.setFleet(newFleet(view, m.opts.Now()))
+	m.setView(view, m.now())
 }
 
-func (m *Manager) setFleet(f *fleet) {
+func (m *Manager) setView(view *membership.View, now time.Duration) {
+	f := newFleet(view, m.start, now, m.fleet.Load(), m.opts.rejoinTime())
 	m.fleet.Store(f)
-	now := m.now()
 	m.owner.setFleet(f, now)
 	m.holder.setFleet(f, now)
 }
@@ -139,8 +139,8 @@
 // step does what is due on both sides and returns the exchanges to be made with
 // other daemons; those with this daemon itself are done.
 func (m *Manager) step(now time.Duration) []*ask {
-	if f := m.fleet.Load(); f != nil && !f.changesAt.IsZero() && !m.opts.Now().Before(f.changesAt) {
-		m.setFleet(newFleet(f.view, m.opts.Now()))
+	if f := m.fleet.Load(); f != nil && now >= f.changesAt {
+		m.setView(f.view, now)
 	}
 	m.owner.beat(now)
 	asks := m.holder.step(now)
--- a/quota/options.go
+++ b/quota/options.go
@@ -36,17 +36,25 @@
 	// suspectGrace is how long a suspect member counts as heard. It is longer
 	// than the usual suspicion, so that one false alarm moves no ownership.
 	suspectGrace = time.Second
+	// lostShare of the members of a region, as a divisor: a region of which no
+	// more are heard is taken to be cut off. It is more than none, since the
+	// silence of the last members is noticed some seconds after that of the
+	// first, and less than the zones left of a region that lost one.
+	lostShare = 4
 	// lossMemory is how long members that are not heard count as possibly cut
 	// off.
 	lossMemory = 30 * time.Minute
 
 	// contendedDivisor shortens the renew interval where demand exceeds the
 	// contract.
-	contendedDivisor = 5
+	contendedDivisor = 2
+	// batchDivisor is the part of the renew interval by which a claim goes out
+	// early with one that is due to the same owner.
+	batchDivisor = 5
 	// pooledRenewal keeps a rate lent to the pool.
 	pooledRenewal = 2 * time.Second
 	// settleDivisor is the part of the lease time that a new owner settles.
-	settleDivisor = 5
+	settleDivisor = 3
 	// reportDivisor is the part of the lease time over which holders spread
 	// their first claims to a new owner.
 	reportDivisor = 15
@@ -104,6 +112,10 @@
 func (o Options) settleTime() time.Duration       { return o.LeaseTime / settleDivisor }
 func (o Options) reportSpread() time.Duration     { return o.LeaseTime / reportDivisor }
 
+// rejoinTime is how long a region that was cut off may use leases of an owner on
+// its side: until all daemons know of the others again, and a lease longer.
+func (o Options) rejoinTime() time.Duration { return o.settleTime() + o.ownerLeaseTime() }
+
 // ownerLeaseTime is how long the owner charges a lease: a little longer than
 // the holder uses it, for clocks that run at different speeds.
 func (o Options) ownerLeaseTime() time.Duration { return o.LeaseTime + o.LeaseTime/64 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -62,6 +62,14 @@
 	must.NoError(t, err)
 }
 
+// Calls in flight outlive the lease that they were admitted from. The holder
+// tells them even without a lease, or the owner would grant their slots again.
+func TestAccount_tellsCallsInFlight(t *testing.T) {
+	a := newAccount(&snapshot.Contract{Customer: "acme", MaxConcurrent: 5})
+	a.inFlight.Store(3)
+	must.Eq(t, 3, a.claim(0, 1, newRound()).GetHeld().GetSlots())
+}
+
 func TestManager_Run(t *testing.T) {
 	m := New(Options{Host: "a"})
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/quota/run_test.go
@@ -0,0 +1,122 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/membership"
+	"github.com/crocuscross/crocuscross/quota/quotapb"
+	"github.com/crocuscross/crocuscross/snapshot"
+)
+
+// localPeers hands requests to Managers of this process, 1 ms away.
+type localPeers struct {
+	from     string
+	managers map[string]*Manager
+	silent   bool
+}
+
+func (p *localPeers) Ask(ctx context.Context, owner *membership.Member, req *quotapb.Request) (*quotapb.Answer, error) {
+	if p.silent {
+		<-ctx.Done()
+		return nil, errors.Wrap(ctx.Err(), "ask owner")
+	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(time.Millisecond):
+	}
+	return p.managers[owner.Host].Serve(ctx, p.from, req), nil
+}
+
+// fleetOf runs Managers in a synctest bubble until the test ends, and returns
+// one that does not own the customer, with its network.
+func fleetOf(t *testing.T, c *snapshot.Contract, hosts ...string) (*Manager, *localPeers) {
+	view := &membership.View{}
+	managers := map[string]*Manager{}
+	peers := map[string]*localPeers{}
+	for i, host := range hosts {
+		view.Members = append(view.Members, &membership.Member{
+			Host: host, Boot: uint64(i + 1), Liveness: membership.Alive, Since: time.Now(),
+		})
+		peers[host] = &localPeers{from: host, managers: managers}
+		managers[host] = New(Options{Host: host, Peers: peers[host]})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	var stranger string
+	for i, host := range hosts {
+		m := managers[host]
+		m.SetView(&membership.View{Self: view.Members[i], Members: view.Members})
+		m.SetContracts(map[string]*snapshot.Contract{c.Customer: c})
+		running.Go(func() { test.NoError(t, m.Run(ctx)) })
+		if !m.fleet.Load().ownsSelf(c.Customer) {
+			stranger = host
+		}
+	}
+	time.Sleep(DefaultLeaseTime)
+	return managers[stranger], peers[stranger]
+}
+
+// A customer that has been idle sends its burst to one daemon at once. None of
+// the calls has a token there; they wait for the owner's pool and are admitted a
+// round trip or two later. One may be left out, as a part of a token may lie on
+// either side. The next calls are refused.
+func TestAdmitWait_getsBurstFromThePool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &snapshot.Contract{Customer: "acme", Rate: 10, Burst: 50}
+		m, _ := fleetOf(t, c, "a", "b", "c")
+		start := time.Now()
+		var wg sync.WaitGroup
+		var admitted atomic.Int64
+		for range int(c.Burst) {
+			wg.Go(func() {
+				if g, err := m.AdmitWait(t.Context(), c); err == nil {
+					admitted.Add(1)
+					g.Done()
+				}
+			})
+		}
+		wg.Wait()
+		must.GreaterEq(t, int64(c.Burst)-1, admitted.Load())
+		must.LessEq(t, 10*time.Millisecond, time.Since(start))
+		_, _ = m.Admit(c)
+		_, err := m.Admit(c)
+		must.Eq(t, errkind.RateLimited, errkind.Of(err))
+		must.Positive(t, errkind.RetryAfterOf(err))
+	})
+}
+
+// The owner does not answer. A call without a lease waits no longer than
+// admitWait and is refused; one whose caller goes away leaves at once.
+func TestAdmitWait_isBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &snapshot.Contract{Customer: "acme", Rate: 1, Burst: 1}
+		m, peers := fleetOf(t, c, "a", "b", "c")
+		peers.silent = true
+		start := time.Now()
+		_, err := m.AdmitWait(t.Context(), c)
+		must.Eq(t, errkind.RateLimited, errkind.Of(err))
+		must.Eq(t, admitWait, time.Since(start))
+		time.Sleep(10 * time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		start = time.Now()
+		_, err = m.AdmitWait(ctx, c)
+		must.Eq(t, errkind.RateLimited, errkind.Of(err))
+		must.Zero(t, time.Since(start))
+	})
+}
--- a/quota/share.go
+++ b/quota/share.go
@@ -16,9 +16,11 @@
 	// spareBurst is how much more there must be for each holder before one that
 	// has no bucket gets one.
 	spareBurst = 0.25
-	// localBurstShare is the part of the contract's burst that buckets at the
-	// holders may have; the owner's pool has the rest.
-	localBurstShare = 0.65
+	// calmBurstShare is the part of the contract's burst that buckets at the
+	// holders may have; the owner's pool has the rest. contendedBurstShare is
+	// the same where the pool is drawn on more, and a small one would overflow.
+	calmBurstShare      = 0.85
+	contendedBurstShare = 0.65
 	// contendedShare of the contract that is wanted makes it contended.
 	contendedShare = 0.9
 	// nearShare is the change of a rate that is not worth making.
@@ -59,61 +61,89 @@
 	holders float64
 }
 
-// localBurst returns how much of a contract's burst may lie in buckets. The
-// pool keeps room for one call at least.
-func localBurst(burst float64) float64 {
-	return max(0, min(localBurstShare*burst, burst-1))
+// division divides what there is of a contract among all holders.
+type division struct {
+	available amount
+	// burst of the contract.
+	burst float64
+	all   crowd
 }
 
-// fairShare returns the part of the available amount that a holder should have.
+// contended reports whether holders want about as much as there is.
+func (d *division) contended() bool {
+	return wantedRate(d.all.demand) > contendedShare*d.available.rate
+}
+
+func (d *division) slotsContended() bool {
+	return wantedSlots(d.all.inUse) > contendedShare*d.available.slots
+}
+
+// localBurst returns how much of the burst may lie in buckets at the holders.
+// The pool keeps room for one call at least.
+func (d *division) localBurst() float64 {
+	share := calmBurstShare
+	if d.contended() {
+		share = contendedBurstShare
+	}
+	return max(0, min(share*d.burst, d.burst-1))
+}
+
+// share returns what a holder should have that is one of all and holds a bucket
+// already, or none.
 //
 // Where demand exceeds what is there, holders get it in proportion to their
 // demand, but for a remainder: a bucket that overflows now and then loses what
-// the pool would give to another. The fuller the buckets are on average the
-// larger the remainder, and a small bucket overflows more often.
-func fairShare(available amount, burst, demand, inUse float64, all crowd) amount {
-	return amount{
-		rate:  fairRate(available.rate, burst, demand, all),
-		burst: burst,
-		slots: fairSlots(available.slots, inUse, all),
-	}
+// the pool would give to another. A small bucket overflows more often, so the
+// remainder is larger.
+func (d *division) share(demand, inUse, heldBurst float64) amount {
+	burst := d.burstShare(demand, heldBurst)
+	return amount{rate: d.rateShare(demand, burst), burst: burst, slots: d.slotShare(inUse)}
 }
 
-// fairBurst returns the bucket of a holder, 0 where the burst does not give
+// burstShare returns the size of the bucket, 0 where the burst does not give
 // each holder minLocalBurst.
 //
 // A holder that has none gets one only where there is room to spare: going to
 // and fro costs the rate that is charged for both uses at once.
-func fairBurst(burst, held, demand float64, all crowd) float64 {
-	free := localBurst(burst) - minLocalBurst*all.holders
-	if held == 0 && free < spareBurst*all.holders || free < 0 || demand == 0 {
+func (d *division) burstShare(demand, held float64) float64 {
+	free := d.localBurst() - minLocalBurst*d.all.holders
+	if held == 0 && free < spareBurst*d.all.holders || free < 0 || demand == 0 {
 		return 0
 	}
-	return min(wantedBurst(wantedRate(demand)), minLocalBurst+free*demand/all.demand)
+	return min(wantedBurst(wantedRate(demand)), minLocalBurst+free*demand/d.all.demand)
 }
 
-func fairRate(rate, burst, demand float64, all crowd) float64 {
+func (d *division) rateShare(demand, burst float64) float64 {
 	if demand == 0 {
 		return 0
 	}
-	share := rate / all.demand
+	share := d.available.rate / d.all.demand
 	if burst > 0 {
 		share = localShare(burst)*min(1, share) + max(0, share-1)
 	}
 	return demand * min(rateHeadroom, share)
 }
 
-// localShare returns the part of its demand that a holder with a bucket gets as
-// a rate of its own, so that about 2 % of it is lost to overflow.
-func localShare(burst float64) float64 {
-	return max(0, 1-1.25/burst)
-}
-
-// fairSlots returns whole slots; one at least to a holder that needs any.
-func fairSlots(slots, inUse float64, all crowd) float64 {
+// slotShare returns whole slots; one at least to a holder that needs any.
+func (d *division) slotShare(inUse float64) float64 {
 	if inUse == 0 {
 		return 0
 	}
-	share := math.Floor(slots * inUse / all.inUse)
+	share := math.Floor(d.available.slots * inUse / d.all.inUse)
 	return min(wantedSlots(inUse), max(1, share))
 }
+
+// expectedRate returns what a holder with a demand may expect to admit, tokens
+// from the pool included.
+func (d *division) expectedRate(demand float64) float64 {
+	if demand == 0 {
+		return 0
+	}
+	return d.available.rate * demand / d.all.demand
+}
+
+// localShare returns the part of its demand that a holder with a bucket gets as
+// a rate of its own, so that about 2 % of it is lost to overflow.
+func localShare(burst float64) float64 {
+	return max(0, 1-1.25/burst)
+}
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -26,9 +26,13 @@
 	rng     *rand.Rand
 	daemons []*daemon
 	cut     func(a, b *daemon) bool
+	byHost  map[string]*daemon
+	members []*membership.Member
 	// messages counts requests that left a daemon.
 	messages int
 	bytes    int
+	// waits counts calls that waited for an owner.
+	waits int
 }
 
 type event struct {
@@ -90,11 +94,14 @@
 		base: time.Unix(1_000_000, 0),
 		rng:  rand.New(rand.NewPCG(1, 2)),
 		cut:  func(a, b *daemon) bool { return false },
+
+		byHost: map[string]*daemon{},
 	}
 	for i := range zones * perZone {
 		zone := i / perZone
 		d := &daemon{w: w, index: i, host: fmt.Sprintf("h%03d", i), zone: zone, region: zone / zonesPerRegion, boot: uint64(i + 1)}
 		w.daemons = append(w.daemons, d)
+		w.byHost[d.host] = d
 	}
 	for _, d := range w.daemons {
 		w.boot(d, contractMap(contracts))
@@ -115,13 +122,7 @@
 	d.dead, d.paused = false, false
 	d.backlog, d.waiting = nil, nil
 	d.m = New(Options{Host: d.host, Now: func() time.Time { return w.base.Add(w.now) }})
-	d.view = make([]*membership.Member, len(w.daemons))
-	for i, o := range w.daemons {
-		d.view[i] = o.member(membership.Alive)
-		if o.dead {
-			d.view[i] = o.member(membership.Dead)
-		}
-	}
+	d.view = w.truth()
 	d.publish()
 	d.m.SetContracts(contracts)
 	m := d.m
@@ -129,6 +130,25 @@
 	w.after(offset, func() { d.tick(m) })
 }
 
+// truth returns the members as they are. The slice is shared until somebody
+// comes to believe otherwise.
+func (w *world) truth() []*membership.Member {
+	if w.members == nil {
+		for _, o := range w.daemons {
+			w.members = append(w.members, o.member(membership.Alive))
+		}
+	}
+	view := slices.Clone(w.members)
+	for i, o := range w.daemons {
+		if o.dead {
+			view[i] = o.member(membership.Dead)
+		} else if view[i].Boot != o.boot {
+			view[i] = o.member(membership.Alive)
+		}
+	}
+	return view
+}
+
 func (d *daemon) member(l membership.Liveness) *membership.Member {
 	return &membership.Member{
 		Host: d.host, Boot: d.boot, Liveness: l, Since: d.w.base.Add(d.w.now),
@@ -245,12 +265,7 @@
 }
 
 func (w *world) find(host string) *daemon {
-	for _, d := range w.daemons {
-		if d.host == host {
-			return d
-		}
-	}
-	return nil
+	return w.byHost[host]
 }
 
 // call is AdmitWait by virtual time.
@@ -282,6 +297,9 @@
 		call.done(false)
 		return
 	}
+	if call.tries == 0 {
+		d.w.waits++
+	}
 	call.tries++
 	call.round = call.a.round.Load()
 	call.round.waiters.Add(1)
