Send a refutation again that a one-way cut has lost

Found by make faults ("one-way cut: cannot send"): a host whose outgoing bytes were lost for 10 s stayed dead for all others for more than 25 s after the heal. Cause: it had refuted during the cut, so the claim that the others' acks told it was older than its own incarnation and was dropped, while its refutation's retransmissions were used up. Now an older claim of not being alive makes it spread its own entry again. Ruled out: a shorter heal interval (traffic for everybody, and the exchange runs over sessions that have lost bytes). TestRefutationLostInACutIsSentAgain: "not reached within 10s" without it.

--- a/membership/apply.go
+++ b/membership/apply.go
@@ -90,7 +90,15 @@
 	if r.floor > m.self.floor {
 		m.raiseFloor(r.floor, now)
 	}
-	if m.left || r.state.compare(m.self.state) <= 0 {
+	if m.left {
+		return
+	}
+	if r.state.compare(m.self.state) <= 0 {
+		if r.liveness != Alive {
+			// The refutation did not get through, say in a cut that was one
+			// way, and nobody passes it on any more.
+			m.spreadOwn(true)
+		}
 		return
 	}
 	m.health.record(false)
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -26,6 +26,8 @@
 	flying []flying
 	// cut tells which packets and exchanges are lost.
 	cut func(from, to *node) bool
+	// noSync tells which exchanges alone are lost.
+	noSync func(a, b *node) bool
 
 	packets, bytes, syncs, syncBytes int
 	rejected                         map[RejectReason]int
@@ -248,7 +250,7 @@
 // Sync carries an exchange to another daemon, encoded as on the wire.
 func (nd *node) Sync(ctx context.Context, addr netip.AddrPort, table *memberpb.Table) (*memberpb.Table, error) {
 	to := nd.f.byAddr[addr]
-	if nd.lost(to) || to.lost(nd) || to.paused || to.err != nil {
+	if nd.lost(to) || to.lost(nd) || to.paused || to.err != nil || nd.f.noSync != nil && nd.f.noSync(nd, to) {
 		return nil, errors.New("unreachable")
 	}
 	nd.f.syncs++
--- a/membership/protocol_test.go
+++ b/membership/protocol_test.go
@@ -86,6 +86,23 @@
 	})
 }
 
+// What one daemon sends is lost for a while, and its sessions stay broken. It
+// hears that it is suspect and refutes, but nobody hears that, and it is declared
+// dead. When datagrams get through again the others tell it "dead" at an
+// incarnation below its own; it must tell its own again, or it stays dead for
+// them until a table exchange works.
+func TestRefutationLostInACutIsSentAgain(t *testing.T) {
+	const n = 8
+	f := newJoinedFleet(t, n)
+	p := f.nodes[0]
+	f.noSync = func(a, b *node) bool { return a == p || b == p }
+	f.cut = func(from, _ *node) bool { return from == p }
+	f.run(time.Minute, func() bool { return f.nodes[1].count(Dead) == 1 })
+	f.runFor(10*time.Second, nil)
+	f.cut = nil
+	f.run(10*time.Second, func() bool { return f.agree(n) })
+}
+
 // One daemon's packets get out but none get in, or the reverse. It hears no
 // answers and the others get none from it: they declare it dead, while it must
 // keep its table, and tell few lies that the others have to refute.
