--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"runtime"
 	"sync/atomic"
 	"testing"
 
@@ -74,3 +75,32 @@
 	writes.Store(0)
 	return p, addr, writes
 }
+
+// BenchmarkPool_SessionMemory reports the heap of one idle session, both ends
+// together, goroutines' stacks included.
+func BenchmarkPool_SessionMemory(b *testing.B) {
+	const sessions = 200
+	for b.Loop() {
+		before := memoryInUse()
+		var pools []*Pool
+		addrs := make([]netip.AddrPort, 0, sessions)
+		for range sessions {
+			p, addr, _ := startCounted(b)
+			pools = append(pools, p)
+			addrs = append(addrs, addr)
+		}
+		b.ReportMetric(float64(memoryInUse()-before)/sessions, "B/session")
+		runtime.KeepAlive(addrs)
+		for _, p := range pools {
+			_ = p.Close()
+		}
+	}
+}
+
+// memoryInUse returns the bytes of heap and stacks after a collection.
+func memoryInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
