Let only the daemon nearest to a failure retry

A backend server's own answer is never sent again, whatever its status: where the cause lies deeper, the daemons there have done what could be done. It takes no header that a backend server would have to pass up. Contract refusals and unknown outcomes are final at this layer.

Refusals by a server that drains are retried outside the budget and up to ten times: they cost no backend server any work, and a zone that is stopped turns a call away once for each server.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -43,7 +43,7 @@
 		if old >= b.limit {
 			return
 		}
-		if b.balance.CompareAndSwap(old, min(old+b.deposit, b.limit)) {
+		if b.balance.CompareAndSwap(old, old+b.deposit) {
 			return
 		}
 	}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -1,8 +1,19 @@
-// Package retry decides whether a daemon sends a call again. Calls are nested
-// up to 15 deep, so what bounds the load is not one layer's rule but that only
-// the layer nearest to a failure sends again: a backend server's own answer,
-// whatever its status, is passed on, since the daemons below it have done what
-// could be done. See Allowed.
+// Package retry decides whether a daemon sends a call again.
+//
+// Calls are nested up to 15 deep: a backend server that runs a call calls other
+// services through its own daemon, and so on. If each daemon on the way sends
+// again what fails below it, the tries multiply from layer to layer, and even a
+// budget of a tenth at each layer lets a failing server at the bottom see four
+// times the calls. What bounds the load is that only the daemon nearest to the
+// failure sends again:
+//
+//   - A backend server's own answer is passed on, whatever its status. Where the
+//     cause lies deeper, the daemons there have done what could be done. This
+//     needs no word from the backend server, which may not pass on headers.
+//   - A call that arrives as a second attempt of a layer above is not sent again
+//     here. Its number is carried down, by backend servers that pass it on.
+//   - The rest is bounded by a budget for the whole process and by the time that
+//     the call has left, which is carried down too.
 package retry
 
 import (
@@ -11,38 +22,49 @@
 	"github.com/crocuscross/crocuscross/errkind"
 )
 
-// MaxAttempts bounds the attempts of one call, the first included.
-const MaxAttempts = 3
+const (
+	// MaxAttempts bounds the attempts of one call at a daemon, the first
+	// included.
+	MaxAttempts = 3
+	// maxFreeAttempts bounds them where the attempts cost nothing. A zone that
+	// is stopped turns away a call at each of its backend servers in turn.
+	maxFreeAttempts = 10
+)
 
 // Reason tells why a call is not sent again.
 type Reason string
 
 // The reasons.
 const (
-	ReasonNone       Reason = ""
-	ReasonAnswered   Reason = "answered"
-	ReasonFinal      Reason = "final"
+	ReasonNone Reason = ""
+	// ReasonAnswered is a backend server's own answer.
+	ReasonAnswered Reason = "answered"
+	// ReasonFinal is an error that another backend server would not mend.
+	ReasonFinal Reason = "final"
+	// ReasonMayHaveRun is a non-idempotent call that may have run.
 	ReasonMayHaveRun Reason = "may_have_run"
-	ReasonRetried    Reason = "retried_above"
-	ReasonAttempts   Reason = "attempts"
-	ReasonTime       Reason = "time"
-	ReasonBudget     Reason = "budget"
+	// ReasonRetriedAbove is a call that a layer above is sending again.
+	ReasonRetriedAbove Reason = "retried_above"
+	// ReasonAttempts and ReasonTime mean that there were enough attempts, and
+	// that too little time is left for another.
+	ReasonAttempts Reason = "attempts"
+	ReasonTime     Reason = "time"
 )
 
 // Decision is whether to send a call again.
 type Decision struct {
 	Retry bool
-	// Reason is set where Retry is false.
-	Reason Reason
 	// Free retries take nothing from the budget: the attempt before cost no
-	// backend server any work.
+	// backend server any work, and there is one for each server that leaves.
 	Free bool
+	// Reason is set where Retry is false.
+	Reason Reason
 }
 
 // Call is what the rule looks at.
 type Call struct {
 	// Inherited is the attempt number that the call arrived with, from 1; above
-	// 1 a layer above is already sending again.
+	// 1 a layer above is sending it again.
 	Inherited int
 	// Attempts is how many this daemon has made, the failed one included.
 	Attempts int
@@ -55,21 +77,36 @@
 // Allowed decides after an attempt ended with kind; errkind.None is a backend
 // server's own answer.
 func Allowed(kind errkind.Kind, c Call) Decision {
-	if kind == errkind.None {
-		return Decision{Reason: ReasonAnswered}
+	free := kind == errkind.Draining
+	limit := MaxAttempts
+	if free {
+		limit = maxFreeAttempts
 	}
-	answer := kind.Answer()
 	switch {
-	case !answer.Retry:
+	case kind == errkind.None:
+		return Decision{Reason: ReasonAnswered}
+	case !elsewhere(kind):
 		return Decision{Reason: ReasonFinal}
-	case c.NonIdempotent && answer.Run != errkind.NotRun:
+	case c.NonIdempotent && kind.Answer().Run != errkind.NotRun:
 		return Decision{Reason: ReasonMayHaveRun}
-	case c.Inherited > 1 && answer.Run != errkind.NotRun:
-		return Decision{Reason: ReasonRetried}
-	case c.Attempts >= MaxAttempts:
+	case c.Inherited > 1 && !free:
+		return Decision{Reason: ReasonRetriedAbove}
+	case c.Attempts >= limit:
 		return Decision{Reason: ReasonAttempts}
 	case c.Remaining <= c.Expected:
 		return Decision{Reason: ReasonTime}
 	}
-	return Decision{Retry: true, Free: kind == errkind.Draining}
+	return Decision{Retry: true, Free: free}
+}
+
+// elsewhere reports whether another backend server may do better. The table of
+// errkind tells callers what is worth sending again later; a limit of the
+// customer's contract, for one, is the same at all servers.
+func elsewhere(kind errkind.Kind) bool {
+	switch kind {
+	case errkind.Overloaded, errkind.Draining, errkind.Unreachable, errkind.DeadlineNotRun,
+		errkind.NoBackend, errkind.Barred, errkind.BackendFailed:
+		return true
+	}
+	return false
 }
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,210 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/retry"
+)
+
+func TestAllowed(t *testing.T) {
+	ok := retry.Call{Inherited: 1, Attempts: 1, Remaining: time.Second, Expected: time.Millisecond}
+	with := func(edit func(*retry.Call)) retry.Call {
+		c := ok
+		edit(&c)
+		return c
+	}
+	nonIdempotent := with(func(c *retry.Call) { c.NonIdempotent = true })
+	second := with(func(c *retry.Call) { c.Inherited = 2 })
+	third := with(func(c *retry.Call) { c.Attempts = 3 })
+	late := with(func(c *retry.Call) { c.Remaining = time.Millisecond })
+	yes := retry.Decision{Retry: true}
+	for _, c := range []struct {
+		kind errkind.Kind
+		call retry.Call
+		want retry.Decision
+	}{
+		{errkind.None, ok, retry.Decision{Reason: retry.ReasonAnswered}},
+		{errkind.Overloaded, ok, yes},
+		{errkind.Overloaded, nonIdempotent, yes},
+		{errkind.Unreachable, nonIdempotent, yes},
+		{errkind.Draining, nonIdempotent, retry.Decision{Retry: true, Free: true}},
+		{errkind.BackendFailed, ok, yes},
+		{errkind.BackendFailed, nonIdempotent, retry.Decision{Reason: retry.ReasonMayHaveRun}},
+		{errkind.OutcomeUnknown, ok, retry.Decision{Reason: retry.ReasonFinal}},
+		{errkind.RateLimited, ok, retry.Decision{Reason: retry.ReasonFinal}},
+		{errkind.Canceled, ok, retry.Decision{Reason: retry.ReasonFinal}},
+		{errkind.Overloaded, second, retry.Decision{Reason: retry.ReasonRetriedAbove}},
+		{errkind.Draining, second, retry.Decision{Retry: true, Free: true}},
+		{errkind.Overloaded, third, retry.Decision{Reason: retry.ReasonAttempts}},
+		{errkind.Overloaded, late, retry.Decision{Reason: retry.ReasonTime}},
+	} {
+		must.Eq(t, c.want, retry.Allowed(c.kind, c.call), must.Sprint(c))
+	}
+}
+
+// A non-idempotent call that may have run is sent again for no kind and under no
+// circumstances.
+func TestMayHaveRunIsNeverRetried(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kind := rapid.SampledFrom(errkind.Kinds()).Draw(t, "kind")
+		d := retry.Allowed(kind, retry.Call{
+			Inherited:     rapid.IntRange(0, 5).Draw(t, "inherited"),
+			Attempts:      rapid.IntRange(1, 5).Draw(t, "attempts"),
+			NonIdempotent: true,
+			Remaining:     time.Duration(rapid.Int64().Draw(t, "remaining")),
+		})
+		must.False(t, d.Retry && kind.Answer().Run != errkind.NotRun)
+	})
+}
+
+// layer is one daemon of a nested call and the backend server behind it, which
+// calls the next layer. passOn is whether it passes on the attempt number.
+type layer struct {
+	rule   rule
+	passOn bool
+	budget *retry.Budget
+	below  *layer
+	// fails is how the attempts of the deepest layer end, if they do.
+	fails *errkind.Kind
+	// breaks is the chance that an answer breaks off after the call has run.
+	breaks float64
+	rng    *rand.Rand
+	runs   int
+}
+
+// rule decides whether to send again.
+type rule func(l *layer, kind errkind.Kind, inherited, attempts int) bool
+
+func ours(l *layer, kind errkind.Kind, inherited, attempts int) bool {
+	d := retry.Allowed(kind, retry.Call{Inherited: inherited, Attempts: attempts, Remaining: time.Second})
+	return d.Retry && (d.Free || l.budget.Withdraw())
+}
+
+// naive sends all that failed again, up to three times.
+func naive(_ *layer, _ errkind.Kind, _, attempts int) bool { return attempts < 3 }
+
+// budgeted does so within a budget.
+func budgeted(l *layer, _ errkind.Kind, _, attempts int) bool {
+	return attempts < 3 && l.budget.Withdraw()
+}
+
+// call reports whether the call succeeded.
+func (l *layer) call(inherited int) bool {
+	l.budget.Deposit()
+	for attempts := 1; ; attempts++ {
+		kind, ok := l.attempt(inherited + attempts - 1)
+		if ok || !l.rule(l, kind, inherited, attempts) {
+			return ok
+		}
+	}
+}
+
+func (l *layer) attempt(number int) (errkind.Kind, bool) {
+	l.runs++
+	if l.below == nil && l.fails != nil {
+		return *l.fails, false
+	}
+	if !l.passOn {
+		number = 1
+	}
+	ok := l.below == nil || l.below.call(number)
+	if l.rng.Float64() < l.breaks {
+		return errkind.BackendFailed, false
+	}
+	return errkind.None, ok
+}
+
+// deepestRuns returns the attempts at the deepest of 15 layers like l per call at
+// the top.
+func deepestRuns(calls int, l layer) float64 {
+	const depth = 15
+	var top, deepest *layer
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range depth {
+		next := l
+		next.below, next.rng, next.budget = top, rng, retry.NewBudget(retry.DefaultBudgetOptions())
+		top = &next
+		if deepest == nil {
+			deepest = top
+		}
+	}
+	for range calls {
+		top.call(1)
+	}
+	return float64(deepest.runs) / float64(calls)
+}
+
+// The deepest of 15 services fails all calls. Each daemon above sees errors and
+// could send again; the failing server sees little more than the calls made at
+// the top, also if no backend server passes on a header.
+func TestNoMultiplicationOverDepth(t *testing.T) {
+	for _, kind := range []errkind.Kind{errkind.None, errkind.Overloaded, errkind.Unreachable, errkind.BackendFailed} {
+		got := deepestRuns(2000, layer{rule: ours, fails: &kind})
+		t.Logf("deepest fails with %q: %.3f attempts per call", kind, got)
+		must.Between(t, 1, got, 1.2)
+	}
+	kind := errkind.BackendFailed
+	t.Logf("naive with a budget of a tenth: %.2f", deepestRuns(2000, layer{rule: budgeted, fails: &kind}))
+	t.Logf("naive: %.0f", deepestRuns(1, layer{rule: naive, fails: &kind}))
+}
+
+// At each of 15 layers one answer in ten breaks off after the call has run.
+// Numbers that are passed down keep what one layer sends again from being sent
+// again below.
+func TestAttemptNumberIsPassedDown(t *testing.T) {
+	passed := deepestRuns(5000, layer{rule: ours, breaks: 0.1, passOn: true})
+	lost := deepestRuns(5000, layer{rule: ours, breaks: 0.1})
+	t.Logf("attempts at the deepest: number passed on %.2f, lost %.2f", passed, lost)
+	must.Less(t, 0.8*lost, passed)
+}
+
+func TestBurst(t *testing.T) {
+	b := retry.NewBudget(retry.BudgetOptions{Ratio: 0.1, Burst: 10})
+	for range 1000 {
+		b.Deposit()
+	}
+	n := 0
+	for b.Withdraw() {
+		n++
+	}
+	must.Eq(t, 10, n)
+}
+
+// All of many goroutines together get a tenth and the burst, not more.
+func TestBudget(t *testing.T) {
+	b := retry.NewBudget(retry.BudgetOptions{Ratio: 0.1, Burst: 10})
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	retries := 0
+	for range 8 {
+		group.Go(func() {
+			for range 10_000 {
+				b.Deposit()
+				if b.Withdraw() {
+					mu.Lock()
+					retries++
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	group.Wait()
+	must.Between(t, 7900, retries, 8010)
+}
+
+func BenchmarkBudget(b *testing.B) {
+	budget := retry.NewBudget(retry.DefaultBudgetOptions())
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			budget.Deposit()
+		}
+	})
+}
