Count expected releases in whole numbers

A sum of inverse service times as a float gathers rounding errors over the life of a gate; near zero calls it could turn negative and with it the forecast. Whole numbers leave none.

--- a/gate/admit.go
+++ b/gate/admit.go
@@ -71,7 +71,7 @@
 	slots := time.Duration(g.limit.slots())
 	var release time.Duration
 	if g.inUse > 0 {
-		release = time.Duration(1 / q.releases)
+		release = time.Duration(releaseScale / max(q.releases, 1))
 	}
 	start := max(s.tag, q.present)
 	first := q.aheadOf(s, start)
--- a/gate/fairqueue.go
+++ b/gate/fairqueue.go
@@ -13,6 +13,8 @@
 	// of an hour-long upload would keep its customer out for as long as the
 	// others take to use an hour.
 	maxDebt = 10 * time.Second
+	// releaseScale is the unit of fairQueue.releases, in nanoseconds.
+	releaseScale = 1_000_000_000_000_000
 )
 
 // fairQueue shares slot time between customers by start-time fair queueing:
@@ -26,9 +28,10 @@
 	len    int
 	// present is the start tag of the call started last.
 	present time.Duration
-	// releases is how many slots per nanosecond the running calls are expected
-	// to free.
-	releases    float64
+	// releases is how many slots the running calls are expected to free in
+	// releaseScale nanoseconds. It is a whole number so that adding and
+	// subtracting over months leaves no error behind.
+	releases    int64
 	serviceTime movingMean
 	// assumed is the service time of customers that have not been served yet.
 	assumed time.Duration
@@ -138,7 +141,7 @@
 	q.present = max(s.tag, q.present)
 	s.tag = q.present + t.charged
 	s.running++
-	q.releases += 1 / float64(t.charged)
+	q.releases += releaseScale / int64(t.charged)
 	if t.quick {
 		q.reserve.running++
 	}
@@ -148,7 +151,7 @@
 func (q *fairQueue) settle(t *Ticket, now time.Time, o Outcome) {
 	s, held := t.share, now.Sub(t.started)
 	s.running--
-	q.releases -= 1 / float64(t.charged)
+	q.releases -= releaseScale / int64(t.charged)
 	if t.quick {
 		q.reserve.running--
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -22,7 +22,8 @@
 	// ServiceTime is the time that a call is assumed to hold its slot until
 	// the first ones have told.
 	ServiceTime time.Duration
-	// Now reads a monotonic clock.
+	// Now reads a monotonic clock. It must run with the runtime's timers, which
+	// end the waits.
 	Now func() time.Time
 }
 
