Tell lag, phase, members, gate and quota as metrics

The on-call questions "who lags, is it stuck, does it serve, which service has no backend server, is a gate full, does the platform take appends" had an answer in "crocuscross status" or in a log line only, so nothing could alert on them.

Collectors read the blackboard, the gate and quota at each scrape. Gauges set by the controllers were ruled out: each would have to be kept in step with its cell by hand. Appends are counted where a stream is handed out, so that checkpoints, contacts and claims show without a meter in each of those packages.

--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -53,6 +53,7 @@
 	calls, control *peer.Pool
 	server         *peer.Server
 	log            *httplog.Client
+	appends        *telemetry.AppendMeter
 	meter          *telemetry.PeerMeter
 
 	membership *membership.Membership
@@ -94,6 +95,8 @@
 	}
 	p.buildOperators(d)
 	p.handle()
+	d.registry.MustRegister(telemetry.NewBoardCollector(d.board),
+		telemetry.NewGateCollector(p.gate.Load), telemetry.NewQuotaCollector(p.quota.Stats))
 	return p, nil
 }
 
@@ -113,6 +116,7 @@
 	log := httplog.DefaultOptions(d.settings.Platform.URL)
 	log.AppendTimeout = time.Duration(d.settings.Platform.AppendTimeout)
 	p.log = httplog.New(log)
+	p.appends = telemetry.NewAppendMeter(d.registry)
 }
 
 func (p *parts) buildMembership(d *Daemon) error {
@@ -168,6 +172,11 @@
 	p.announce = &announce.Controller{Board: d.board, Logger: d.logger, Now: time.Now}
 }
 
+// stream returns a stream that this daemon appends to.
+func (p *parts) stream(name string) platform.Log {
+	return p.appends.Stream(name, p.log.Stream(name))
+}
+
 // buildStreams makes the parts that keep streams of the project's own in the
 // platform's log.
 func (p *parts) buildStreams(d *Daemon) {
@@ -176,10 +185,10 @@
 	p.checkpoints = &checkpoints.Controller{
 		Board: d.board, Logger: d.logger,
 		Keeper: checkpoint.NewKeeper(d.settings.Host, p.log.Stream(platform.StreamConfig),
-			p.log.Stream(platform.StreamCheckpoints), keeping),
+			p.stream(platform.StreamCheckpoints), keeping),
 	}
 	p.contacts = contacts.New(contacts.Options{
-		Board: d.board, Log: p.log.Stream(platform.StreamContacts), Host: d.settings.Host,
+		Board: d.board, Log: p.stream(platform.StreamContacts), Host: d.settings.Host,
 		AvailabilityZone: d.settings.AvailabilityZone, PeerAddr: d.peerAddr(),
 		Logger: d.logger, Now: time.Now,
 	})
@@ -234,7 +243,7 @@
 	if d.settings.Requests.OwnKeys != settings.On {
 		return nil
 	}
-	claiming := once.DefaultClaimsOptions(p.log.Stream(once.StreamClaims), p.keys)
+	claiming := once.DefaultClaimsOptions(p.stream(once.StreamClaims), p.keys)
 	claiming.Logger = d.logger
 	claims, err := once.NewClaims(claiming)
 	if err != nil {
--- /dev/null
+++ b/internal/telemetry/appends.go
@@ -0,0 +1,67 @@
+package telemetry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/crocuscross/crocuscross/platform"
+)
+
+// AppendMeter counts what this process appends to the platform's log. Reads of
+// configuration are counted by SpreadMeter.
+type AppendMeter struct {
+	appends  *prometheus.CounterVec
+	duration prometheus.Histogram
+}
+
+// NewAppendMeter registers the metrics of appends.
+func NewAppendMeter(reg prometheus.Registerer) *AppendMeter {
+	m := &AppendMeter{
+		appends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "log_appends_total",
+			Help: "Appends to the platform's log, by stream and result: ok, rejected, unavailable (not in the log) or unknown.",
+		}, []string{"stream", "result"}),
+		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "log_append_duration_seconds",
+			Help: "Time until an append was answered or given up.", Buckets: latencyBuckets,
+		}),
+	}
+	reg.MustRegister(m.appends, m.duration)
+	return m
+}
+
+// Stream returns log with its appends counted under the stream's name.
+func (m *AppendMeter) Stream(name string, log platform.Log) platform.Log {
+	return &meteredLog{Log: log, name: name, meter: m}
+}
+
+type meteredLog struct {
+	platform.Log
+	name  string
+	meter *AppendMeter
+}
+
+// Append implements platform.Log.
+func (l *meteredLog) Append(ctx context.Context, data []byte) (platform.Offset, error) {
+	start := time.Now()
+	offset, err := l.Log.Append(ctx, data)
+	l.meter.duration.Observe(time.Since(start).Seconds())
+	l.meter.appends.WithLabelValues(l.name, appendResult(err)).Inc()
+	return offset, err
+}
+
+func appendResult(err error) string {
+	var rejected *platform.RejectedError
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.As(err, &rejected):
+		return "rejected"
+	case errors.Is(err, platform.ErrUnavailable):
+		return "unavailable"
+	}
+	return "unknown"
+}
