Start the counters that alerts look at from 0

Prometheus sees no increase in a counter that appears with its first count. Most daemons write one checkpoint at most, so "no checkpoint was written" would have fired for good on a fleet that writes them as it should.

Seen to fail without: "expected map to contain key crocuscross_log_appends_total ok contacts".

--- a/internal/telemetry/appends.go
+++ b/internal/telemetry/appends.go
@@ -33,8 +33,21 @@
 	return m
 }
 
-// Stream returns log with its appends counted under the stream's name.
+// Results of an append.
+const (
+	appendOK          = "ok"
+	appendRejected    = "rejected"
+	appendUnavailable = "unavailable"
+	appendUnknown     = "unknown"
+)
+
+// Stream returns log with its appends counted under the stream's name. All
+// results start at 0: of a counter that appears with its first count, Prometheus
+// sees no increase, and most daemons append a checkpoint once at most.
 func (m *AppendMeter) Stream(name string, log platform.Log) platform.Log {
+	for _, result := range []string{appendOK, appendRejected, appendUnavailable, appendUnknown} {
+		m.appends.WithLabelValues(name, result)
+	}
 	return &meteredLog{Log: log, name: name, meter: m}
 }
 
@@ -57,11 +70,11 @@
 	var rejected *platform.RejectedError
 	switch {
 	case err == nil:
-		return "ok"
+		return appendOK
 	case errors.As(err, &rejected):
-		return "rejected"
+		return appendRejected
 	case errors.Is(err, platform.ErrUnavailable):
-		return "unavailable"
+		return appendUnavailable
 	}
-	return "unknown"
+	return appendUnknown
 }
--- a/internal/telemetry/board_test.go
+++ b/internal/telemetry/board_test.go
@@ -123,7 +123,9 @@
 
 func TestLoadCollectors(t *testing.T) {
 	v := scrape(t,
-		NewGateCollector(func() gate.Load { return gate.Load{InUse: 3, Queued: 2, Slots: 10, Draining: true, ServiceTime: time.Second} }),
+		NewGateCollector(func() gate.Load {
+			return gate.Load{InUse: 3, Queued: 2, Slots: 10, Draining: true, ServiceTime: time.Second}
+		}),
 		NewQuotaCollector(func() quota.Stats { return quota.Stats{Refused: 5, Asked: 7, Failed: 2, Leases: 4} }))
 	for name, want := range map[string]float64{
 		"gate_in_use": 3, "gate_queued": 2, "gate_slots": 10, "gate_draining": 1, "gate_service_time_seconds": 1,
@@ -139,6 +141,7 @@
 	reg := prometheus.NewRegistry()
 	svc := memlog.New(memlog.DefaultOptions())
 	log := NewAppendMeter(reg).Stream("contacts", svc.Stream(platform.StreamContacts))
+	must.MapContainsKey(t, gathered(t, reg), "crocuscross_log_appends_total ok contacts")
 	_, _ = log.Append(t.Context(), []byte("a"))
 	svc.LoseAnswers(1)
 	_, _ = log.Append(t.Context(), []byte("b"))
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -97,6 +97,9 @@
 // Ask counts one outcome asked of a gate.
 func (c *Calls) Ask(o peerpb.Outcome) { c.asks.WithLabelValues(o.String()).Inc() }
 
+// listenerPeers labels input from other daemons.
+const listenerPeers = "peers"
+
 // PeerMeter counts the bytes between daemons by kind of exchange.
 type PeerMeter struct {
 	sent, received map[peerpb.Kind]prometheus.Counter
@@ -118,6 +121,10 @@
 		}, []string{"listener", "reason"}),
 	}
 	reg.MustRegister(bytes, m.rejected)
+	// What alerts look at starts at 0: the first count would be no increase.
+	for _, r := range []peer.RejectReason{peer.RejectSilent, peer.RejectSessions, peer.RejectStreams} {
+		m.rejected.WithLabelValues(listenerPeers, string(r))
+	}
 	for number, name := range peerpb.Kind_name {
 		m.sent[peerpb.Kind(number)] = bytes.WithLabelValues("sent", name)
 		m.received[peerpb.Kind(number)] = bytes.WithLabelValues("received", name)
@@ -140,7 +147,7 @@
 }
 
 // Rejected implements peer.Meter.
-func (m *PeerMeter) Rejected(r peer.RejectReason) { m.RejectedAt("peers", string(r)) }
+func (m *PeerMeter) Rejected(r peer.RejectReason) { m.RejectedAt(listenerPeers, string(r)) }
 
 // RejectedAt counts refused input at a listener.
 func (m *PeerMeter) RejectedAt(listener, reason string) {
