--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -206,6 +206,7 @@
 	})
 	balancing := balance.DefaultOptions()
 	balancing.AvailabilityZone, balancing.Region = d.settings.AvailabilityZone, d.settings.Region
+	balancing.ZoneCost = time.Duration(d.settings.Requests.ZoneCost)
 	p.picker = balance.New(balancing)
 	p.backends = &backends.Controller{Board: d.board, OnChange: func(s *backend.Set) { p.picker.Forget(s) }}
 	quotas := quota.DefaultOptions()
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 )
 
 // Ports that each daemon listens on.
@@ -38,6 +39,8 @@
 	ReadersPerZone int
 	// ReadersReason tells why, for the settings file.
 	ReadersReason string
+	// ZoneCost is the time of a hop between availability zones, there and back.
+	ZoneCost time.Duration
 	// network is the second byte of the loopback addresses, so that both
 	// deployments can run on one machine.
 	network byte
@@ -60,6 +63,7 @@
 		Services:          []Service{{"sign-feed", 10, 10}, {"site-ops", 4, 10}},
 		ReadersPerZone:    2,
 		ReadersReason:     "Convergence time weighs more here: a second reader covers for the first.",
+		ZoneCost:          time.Millisecond,
 		network:           10,
 	}
 }
@@ -73,6 +77,7 @@
 		Services:          []Service{{"logbook", 8, 10}, {"labdesk", 4, 10}},
 		ReadersPerZone:    1,
 		ReadersReason:     "Control bytes weigh more here: one reader per zone halves the reads at the source.",
+		ZoneCost:          3 * time.Millisecond,
 		network:           20,
 	}
 }
--- a/internal/deployment/settings.go
+++ b/internal/deployment/settings.go
@@ -42,6 +42,11 @@
 		// {{.Deployment.ReadersReason}}
 		"readers_per_zone": {{.Deployment.ReadersPerZone}},
 	},
+
+	"requests": {
+		// A hop between availability zones, there and back.
+		"zone_cost": "{{.Deployment.ZoneCost}}",
+	},
 }
 `))
 
--- a/internal/proxy/inbound/forward.go
+++ b/internal/proxy/inbound/forward.go
@@ -147,9 +147,11 @@
 	return resp.ContentLength
 }
 
-// outcomeOf tells an answer from a backend server that turned the call away.
+// outcomeOf tells an answer from a backend server that turned the call away. A
+// 429 is about the caller: taken for a lack of slots, one customer's would
+// shrink them for all.
 func outcomeOf(resp *http.Response) gate.Outcome {
-	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+	if resp.StatusCode == http.StatusServiceUnavailable {
 		return gate.Shed
 	}
 	return gate.Answered
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -56,16 +56,25 @@
 	)
 	head, err := a.exchange(ctx)
 	if err == nil {
-		return &answered{a: a, head: head, body: body.NewReader(a.st), latency: time.Since(a.start)}, nil
+		return &answered{a: a, head: head, body: body.NewReader(a.st), latency: a.latency()}, nil
 	}
 	kept, err := a.settle(ctx, err)
-	a.close(balance.Result{Kind: errkind.Of(err), Latency: time.Since(a.start), Load: loadOf(head)})
+	a.close(balance.Result{Kind: errkind.Of(err), Latency: a.latency(), Load: loadOf(head)})
 	if err != nil {
 		return nil, err
 	}
 	return &answered{a: a, head: kept.head, body: kept.body, closed: true}, nil
 }
 
+// latency is the time until now as evidence about the backend server, 0 where it
+// says nothing of it: a streamed upload takes as long as its caller.
+func (a *attempt) latency() time.Duration {
+	if a.upload != nil {
+		return 0
+	}
+	return time.Since(a.start)
+}
+
 // exchange sends the call and returns the head of the backend server's answer.
 func (a *attempt) exchange(ctx context.Context) (*peerpb.AnswerHead, error) {
 	if err := a.number(ctx); err != nil {
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -27,6 +27,10 @@
 // streamed after the gate has admitted the call.
 const maxHeldBody = 64 << 10
 
+// leastAttempt is the time below which another attempt cannot end well: two
+// hops and the shortest calls take that long.
+const leastAttempt = 2 * time.Millisecond
+
 var (
 	errDeadline = errors.New("the call's time is up")
 	// errAnswerCut means that an answer broke off after its head was written.
@@ -155,6 +159,7 @@
 		Attempts:      c.attempts,
 		NonIdempotent: c.terms.NonIdempotent,
 		Remaining:     time.Until(c.deadline),
+		Expected:      leastAttempt,
 	})
 	return d.Retry && (d.Free || c.h.opts.Budget.Withdraw())
 }
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -50,7 +50,7 @@
 		"How records reach the daemons: pushed along trees by a few readers, read by each daemon, or pulled after digests."),
 	choice("spread.redundancy", []string{"digest", "none", "eager"},
 		"What a zone's second reader sends once the first one's push has come: its offset, nothing, or the records anew."),
-	duration("spread.own_read_after", 30*time.Second, time.Second, time.Hour,
+	duration("spread.own_read_after", 5*time.Second, time.Second, time.Hour,
 		"How long a daemon hears nothing before it reads the log itself."),
 
 	integer("requests.max_header_bytes", 64<<10, 1<<10, 1<<20, "bytes",
@@ -61,6 +61,8 @@
 		"How long a caller may take to send the header."),
 	integer("requests.max_in_flight", 4096, 1, 1<<20, "calls",
 		"Calls that this daemon holds at once."),
+	duration("requests.zone_cost", time.Millisecond, 0, time.Second,
+		"Time that a call loses by leaving the availability zone, there and back; a farther backend server is chosen only if it saves more."),
 	choice("requests.own_keys", []string{"off", "on"},
 		"Whether idempotency keys of callers' own making are taken, at the price of an append to the platform's log."),
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -115,6 +115,8 @@
 	HeaderTimeout Duration `json:"header_timeout"`
 	// MaxInFlight bounds the calls that this daemon holds at once.
 	MaxInFlight int `json:"max_in_flight"`
+	// ZoneCost is the time that a call loses by leaving the availability zone.
+	ZoneCost Duration `json:"zone_cost"`
 	// OwnKeys is off or on. Each daemon that takes keys of callers' own making
 	// reads the claims of all.
 	OwnKeys string `json:"own_keys"`
