--- a/bench/faults/proof.go
+++ b/bench/faults/proof.go
@@ -50,6 +50,7 @@
 		return nil, err
 	}
 	rng := rngOf(r.d.opts.seed, "proof")
+	res := result{Name: "proof", Begin: time.Now()}
 	p := &proof{Kinds: map[string]int{}, Faults: map[string]int{}}
 	for r.nonIdempotentCalls() < n {
 		name := proofFaults[rng.IntN(len(proofFaults))]
@@ -58,13 +59,14 @@
 		}
 		p.Faults[name]++
 	}
-	res := result{Name: "proof", Begin: time.Now(), Mended: time.Now()}
+	res.Mended = time.Now()
 	if err := r.settle(ctx); err != nil {
 		res.Errors = append(res.Errors, err.Error())
 	}
 	res.End = time.Now()
+	err := r.judge(&res)
 	r.results = append(r.results, res)
-	return p, nil
+	return p, err
 }
 
 func (r *runner) sufferBriefly(ctx context.Context, name string, rng *rand.Rand) error {
