Return tokens that do not fit, and read quota as a newcomer

- The property test had lost its force when claims without a grantor came to be granted nothing; its model tells the grantor now.
- An owner whose loop has not run yet serves nobody, rather than to find itself paused.
A full wake-up channel no longer loses an account.
A contract that gets a limit on calls in flight claims its slots at once.

--- a/quota/account.go
+++ b/quota/account.go
@@ -50,6 +50,9 @@
 	nextClaim time.Duration
 	// reported is the demand told in the latest claim.
 	reported float64
+	// over is tokens that no longer fit into the bucket, to be returned to the
+	// owner's pool.
+	over float64
 	// failures counts claims without an answer in a row.
 	failures int
 	// tickPeak is the peak of the last tick, claimPeak that since the latest
--- a/quota/admit.go
+++ b/quota/admit.go
@@ -112,8 +112,8 @@
 	return err
 }
 
-// kick wakes the holder for an account. The next tick finds what a full channel
-// loses.
+// kick wakes the holder for an account. Where the channel is full the next call
+// tries again.
 func (m *Manager) kick(a *account) {
 	if !a.kicked.CompareAndSwap(false, true) {
 		return
@@ -122,5 +122,6 @@
 	case m.holder.kicks <- a:
 	default:
 		a.kicked.Store(false)
+		a.active.Store(false)
 	}
 }
--- a/quota/bench_test.go
+++ b/quota/bench_test.go
@@ -55,7 +55,7 @@
 func BenchmarkAdmit_refused(b *testing.B) {
 	m, c := warmed(b)
 	m.account(c).lease.Store(newLease(amount{slots: 1e6}, true, m.now(), forever))
-	m.account(c).notBefore.Store(int64(never))
+	m.account(c).notBefore.Store(int64(forever))
 	b.ReportAllocs()
 	for b.Loop() {
 		_, _ = m.Admit(c)
@@ -73,6 +73,9 @@
 			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
+				if i%1000 == 0 {
+					m.owner.beat(m.now())
+				}
 				req := reqs[i%holders]
 				req.Sequence++
 				m.Serve(b.Context(), "h", req)
@@ -89,6 +92,7 @@
 	for b.Loop() {
 		a := m.account(c)
 		now := m.now()
+		m.owner.beat(now)
 		m.holder.kicked(a, now)
 		for _, q := range m.holder.step(now) {
 			req, answer := new(quotapb.Request), new(quotapb.Answer)
@@ -158,7 +162,7 @@
 		held := heapBytes()
 		l := newLedger(DefaultOptions(), amount{rate: 1000, burst: 1000}, 0, 0)
 		for i := range 910 {
-			l.claim(0, m.fleet.Load(), 1, holderID{"h", uint64(i)}, 1, &quotapb.Claim{Demand: 1})
+			l.claim(0, m.fleet.Load(), holderID{"h", uint64(i)}, 1, &quotapb.Claim{Demand: 1})
 		}
 		granted := heapBytes()
 		b.ReportMetric(float64(known-start)/300, "B/contract")
--- a/quota/claim.go
+++ b/quota/claim.go
@@ -57,30 +57,43 @@
 // it gives up before it says so.
 func (a *account) claim(now time.Duration, owner uint64, r *round) *quotapb.Claim {
 	a.asking = true
-	arrivals := a.arrivals.Load()
-	a.demand.observe(arrivals, now)
-	a.demand.surges = 0
-	a.reported = a.demand.rate(arrivals)
-	if a.reported < quietDemand {
-		a.reported = 0
-	}
+	a.measure(now)
+	l := a.lease.Load()
+	contended := l.valid(now) && l.slotsContended
 	c := &quotapb.Claim{
 		Customer: a.customer,
 		Demand:   a.reported,
+		InUse:    a.slotsWanted(contended),
 		Need:     a.need(now, r),
 		Unleased: uint32(a.unleased.Swap(0)),
 	}
 	a.wanting = false
-	l := a.lease.Load()
-	contended := l.valid(now) && l.slotsContended
-	c.InUse = a.slotsWanted(contended)
 	a.claimPeak = 0
-	held := a.giveBack(now, float64(c.InUse), contended)
+	a.tellHeld(c, a.giveBack(now, float64(c.InUse), contended), owner, now)
+	c.Returned = uint32(a.over)
+	a.over -= float64(c.Returned)
+	return c
+}
+
+// measure brings the demand up to date.
+func (a *account) measure(now time.Duration) {
+	arrivals := a.arrivals.Load()
+	a.demand.observe(arrivals, now)
+	a.demand.surges = 0
+	a.reported = a.demand.rate(arrivals)
+	if a.reported < quietDemand {
+		a.reported = 0
+	}
+}
+
+// tellHeld fills in what the account uses until the answer.
+func (a *account) tellHeld(c *quotapb.Claim, held *lease, owner uint64, now time.Duration) {
+	inFlight := amount{slots: a.slotsInFlight()}
 	if held == nil {
-		c.Held = amount{slots: a.slotsInFlight()}.proto()
-		return c
+		c.Held = inFlight.proto()
+		return
 	}
-	c.Held = held.max(amount{slots: a.slotsInFlight()}).proto()
+	c.Held = held.max(inFlight).proto()
 	c.GrantedBy = held.grantedBy
 	// An owner that has just failed to answer is lent nothing again, or the time
 	// until the rate may be used here would never end.
@@ -88,17 +101,6 @@
 	if held.grantedBy != owner {
 		c.Origin = held.origin.proto(now)
 	}
-	return c
-}
-
-// lend leaves the rate of a pooled lease to the owner, if it is not with
-// another.
-func (l *lease) lend(owner uint64, now time.Duration) bool {
-	if !l.pooled || l.local || l.loan.open(owner, now) {
-		return false
-	}
-	l.loan = loan{to: owner, until: forever}
-	return true
 }
 
 // need returns how many tokens to ask for: one for each call that waits, or one
@@ -154,8 +156,10 @@
 	}
 	keep.slots = min(keep.slots, slots)
 	if keep != l.amount {
-		l = l.shrunk(now, keep)
-		a.lease.Store(l)
+		shrunk, over := l.shrunk(now, keep)
+		a.lease.Store(shrunk)
+		a.over += over
+		return shrunk
 	}
 	return l
 }
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -48,10 +48,19 @@
 // charged returns what the holder may be using.
 func (e *entry) charged() amount { return e.held.max(e.granted) }
 
-// report takes over what the holder tells. seen is whether membership shows the
-// process.
-func (e *entry) report(sequence, self uint64, seen bool, c *quotapb.Claim) {
-	if c.GetGrantedBy() == self {
+// gone reports whether the process has ended: its host runs another one by now,
+// or it has said goodbye.
+func (e *entry) gone(f *fleet) bool {
+	if f.runs(e.holder) {
+		e.seen = true
+		return false
+	}
+	return e.seen && f.moved(e.holder)
+}
+
+// report takes over what the holder tells.
+func (e *entry) report(sequence uint64, f *fleet, c *quotapb.Claim) {
+	if c.GetGrantedBy() == f.boot() {
 		e.unheard = 0
 	} else if e.sequence > 0 {
 		e.unheard++
@@ -64,7 +73,7 @@
 	if e.unheard >= maxUnheard {
 		e.demand, e.inUse = 0, 0
 	}
-	e.seen = e.seen || seen
+	e.seen = e.seen || f.runs(e.holder)
 }
 
 // answer notes what the holder is told.
--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -156,7 +156,7 @@
 func (h *holder) fillIn(q *ask, now time.Duration) {
 	h.asking[q.owner.Host] = true
 	h.sequence++
-	q.request = &quotapb.Request{Boot: h.fleet.view.Self.Boot, Sequence: h.sequence}
+	q.request = &quotapb.Request{Boot: h.fleet.boot(), Sequence: h.sequence}
 	for _, a := range q.accounts {
 		r := a.round.Swap(newRound())
 		q.rounds = append(q.rounds, r)
@@ -202,11 +202,11 @@
 func (h *holder) answered(a *account, sentAt time.Duration, c *quotapb.Claim, p *quotapb.Lease, owner uint64, now time.Duration) {
 	prev, l := a.lease.Load(), leaseFromProto(c, p, owner, sentAt, now)
 	prev.endLoan(owner, now+lendTime+lendMargin)
-	l.succeed(prev, now)
+	a.over += l.succeed(prev, now)
 	waiting := min(p.GetTokens(), c.GetNeed())
 	l.prepaid.Add(int64(waiting))
 	if extra := p.GetTokens() - waiting; extra > 0 {
-		l.fill(now, l.level(now)+float64(extra))
+		a.over += l.add(now, float64(extra))
 	}
 	a.lease.Store(l)
 
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -43,7 +43,7 @@
 // newFleet reads a view. prev is the fleet before, nil if there is none;
 // rejoinTime is how long a region that was lost is rejoining.
 func newFleet(view *membership.View, start time.Time, now time.Duration, prev *fleet, rejoinTime time.Duration) *fleet {
-	f := &fleet{view: view, start: start, at: now, lostRegions: map[string]bool{}, changesAt: never}
+	f := &fleet{view: view, start: start, at: now, lostRegions: map[string]bool{}, changesAt: forever}
 	regions := map[string]regionCount{}
 	heard := 0
 	for _, m := range view.Members {
@@ -151,17 +151,20 @@
 	return true
 }
 
-// runs reports whether a host is known to run the process named.
-func (f *fleet) runs(host string, boot uint64) bool {
-	m := f.view.Find(host)
-	return m != nil && m.Boot == boot && m.Liveness != membership.Left
+// boot returns the life of this daemon.
+func (f *fleet) boot() uint64 { return f.view.Self.Boot }
+
+// runs reports whether a process is known to run.
+func (f *fleet) runs(id holderID) bool {
+	m := f.view.Find(id.host)
+	return m != nil && m.Boot == id.boot && m.Liveness != membership.Left
 }
 
-// moved reports whether a host runs another process than the one named, or the
-// one named has said goodbye.
-func (f *fleet) moved(host string, boot uint64) bool {
-	m := f.view.Find(host)
-	return m != nil && (m.Boot != boot && m.Liveness == membership.Alive || m.Boot == boot && m.Liveness == membership.Left)
+// moved reports whether a process's host runs another one, or the process has
+// said goodbye.
+func (f *fleet) moved(id holderID) bool {
+	m := f.view.Find(id.host)
+	return m != nil && (m.Boot != id.boot && m.Liveness == membership.Alive || m.Boot == id.boot && m.Liveness == membership.Left)
 }
 
 // region returns the region of a host.
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -126,12 +126,17 @@
 	a.contract = c
 	h.setSpare(a, now)
 	a.nextClaim = min(a.nextClaim, now+h.jitter(h.opts.reportSpread()))
+	if was.slots == 0 && is.slots > 0 {
+		// A lease of the contract without the limit has no slots.
+		a.nextClaim = now
+	}
 	if l := a.lease.Load(); l.valid(now) {
-		a.lease.Store(l.shrunk(now, l.amount.min(amount{
+		shrunk, _ := l.shrunk(now, l.amount.min(amount{
 			rate:  l.rate * is.rate / was.rate,
 			burst: l.burst * is.burst / was.burst,
 			slots: l.slots * is.slots / max(1, was.slots),
-		}).wholeSlots()))
+		}).wholeSlots())
+		a.lease.Store(shrunk)
 	}
 }
 
--- a/quota/lease.go
+++ b/quota/lease.go
@@ -8,18 +8,14 @@
 	"github.com/crocuscross/crocuscross/quota/quotapb"
 )
 
-// forever is the expiry of what does not lapse, in time since the start of the
-// Manager.
-const forever = time.Duration(math.MaxInt64)
-
-// never is a time that does not come, with room to add to it.
-const never = forever / 2
+// forever is a time that does not come, with room to add to it.
+const forever = time.Duration(math.MaxInt64 / 2)
 
 // maxInterval is the longest time between two tokens that is told from never.
 const maxInterval = 24 * time.Hour
 
-// lease is what a holder may use of one contract. All but the counters is
-// fixed; a new grant makes a new lease.
+// lease is what a holder may use of one contract. Calls change its counters, the
+// holder its loan; all else is fixed, and a new grant makes a new lease.
 type lease struct {
 	amount
 	// expires is the time since the start of the Manager after which the lease
@@ -61,6 +57,16 @@
 // open reports whether the rate is left to another owner than the one named.
 func (l loan) open(owner uint64, now time.Duration) bool { return l.to != owner && now < l.until }
 
+// lend leaves the rate of a pooled lease to the owner, if it is not with
+// another.
+func (l *lease) lend(owner uint64, now time.Duration) bool {
+	if !l.pooled || l.local || l.loan.open(owner, now) {
+		return false
+	}
+	l.loan = loan{to: owner, until: forever}
+	return true
+}
+
 // endLoan says when the pool of an owner stops to use the rate.
 func (l *lease) endLoan(owner uint64, at time.Duration) {
 	if l != nil && l.loan.to == owner {
@@ -88,7 +94,7 @@
 	l := &lease{amount: a, local: local, expires: expires}
 	l.interval = intervalOf(a.rate)
 	if l.interval > 0 {
-		l.capacity = time.Duration(min(a.burst*float64(l.interval), float64(math.MaxInt64/4)))
+		l.capacity = time.Duration(min(a.burst*float64(l.interval), float64(forever/2)))
 	}
 	l.emptyAt.Store(int64(now))
 	return l
@@ -155,14 +161,21 @@
 
 // fill sets the tokens in the bucket, at most the burst.
 func (l *lease) fill(now time.Duration, tokens float64) {
-	filled := min(time.Duration(tokens*float64(l.interval)), l.capacity)
-	l.emptyAt.Store(int64(now - filled))
+	filled := min(tokens*float64(l.interval), float64(l.capacity))
+	l.emptyAt.Store(int64(now - time.Duration(filled)))
+}
+
+// add adds tokens to the bucket and returns how many do not fit.
+func (l *lease) add(now time.Duration, tokens float64) (over float64) {
+	tokens += l.level(now)
+	l.fill(now, tokens)
+	return max(0, tokens-l.burst)
 }
 
 // drain takes all tokens out, so that a call that still uses the lease while
 // another succeeds it cannot take what has been carried over.
 func (l *lease) drain(now time.Duration) (tokens float64, prepaid int64) {
-	emptyAt := time.Duration(l.emptyAt.Swap(int64(never)))
+	emptyAt := time.Duration(l.emptyAt.Swap(int64(forever)))
 	return l.tokensSince(emptyAt, now), l.prepaid.Swap(0)
 }
 
@@ -176,28 +189,39 @@
 	return max(0, at-now)
 }
 
-// succeed carries the tokens of the lease before over.
-func (l *lease) succeed(prev *lease, now time.Duration) {
+// succeed carries the tokens of the lease before over, and returns how many do
+// not fit.
+func (l *lease) succeed(prev *lease, now time.Duration) (over float64) {
 	if !prev.valid(now) {
-		return
+		return 0
 	}
 	tokens, prepaid := prev.drain(now)
-	l.prepaid.Store(prepaid)
-	if prev.local && l.local {
+	if !prev.local {
+		tokens = 0
+	}
+	over = tokens
+	if l.local {
+		over = max(0, tokens-l.burst)
 		l.fill(now, tokens)
 	}
+	if l.rate > 0 {
+		l.prepaid.Store(prepaid)
+	} else {
+		over += float64(prepaid)
+	}
 	if prev.loan.open(l.grantedBy, now) {
 		l.loan = prev.loan
 		l.emptyAt.Store(int64(prev.loan.until))
 	}
+	return over
 }
 
-// shrunk returns the lease with smaller amounts and the tokens that fit.
-func (l *lease) shrunk(now time.Duration, to amount) *lease {
-	s := l.copyWith(now, to)
+// shrunk returns the lease with smaller amounts and the tokens that fit, and how
+// many do not.
+func (l *lease) shrunk(now time.Duration, to amount) (s *lease, over float64) {
+	s = l.copyWith(now, to)
 	s.local = l.local
-	s.succeed(l, now)
-	return s
+	return s, s.succeed(l, now)
 }
 
 // alone returns a pooled lease for use without the pool. Its bucket starts
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -19,6 +20,8 @@
 	earlier  earlierOwners
 	// rejoining is what was leased in regions that are heard again.
 	rejoining rejoining
+	// swept is the fleet that the entries were last held against.
+	swept *fleet
 
 	// opensAt is when the ledger stops to settle, at the earliest.
 	opensAt time.Duration
@@ -52,18 +55,21 @@
 }
 
 // claim answers one claim.
-func (l *ledger) claim(now time.Duration, f *fleet, self uint64, id holderID, sequence uint64, c *quotapb.Claim) *quotapb.Lease {
+func (l *ledger) claim(now time.Duration, f *fleet, id holderID, sequence uint64, c *quotapb.Claim) *quotapb.Lease {
 	if e := l.byHolder[id]; e != nil && sequence <= e.sequence {
 		return &quotapb.Lease{Verdict: quotapb.Verdict_VERDICT_STALE}
 	}
 	l.advance(now, f)
-	l.rejoin(now, func(e *entry) bool { return e.holder == id || !f.lost(e.holder.host) })
+	if e := l.byHolder[id]; e != nil && e.cutOff {
+		l.rejoin(now, func(o *entry) bool { return o == e })
+	}
 	l.pool.repay(float64(c.GetUnleased()), l.contract.burst)
 
 	e := l.entry(id)
 	before := e.charged()
-	l.change(e, func() { e.report(sequence, self, f.runs(id.host, id.boot), c) })
-	l.locate(now, f, e, before, self, c)
+	l.change(e, func() { e.report(sequence, f, c) })
+	l.pool.put(float64(c.GetReturned()), l.poolCapacity())
+	l.locate(now, f, e, before, c)
 	granted := l.grant(l.limit(now, f), e)
 	l.change(e, func() { e.answer(granted, now, now+l.opts.ownerLeaseTime()) })
 	return l.lease(now, f, e, c.GetNeed())
@@ -71,9 +77,9 @@
 
 // locate finds out where a holder has its lease from, and so what is charged for
 // it already.
-func (l *ledger) locate(now time.Duration, f *fleet, e *entry, before amount, self uint64, c *quotapb.Claim) {
+func (l *ledger) locate(now time.Duration, f *fleet, e *entry, before amount, c *quotapb.Claim) {
 	by := c.GetGrantedBy()
-	foreign := by != 0 && by != self
+	foreign := by != 0 && by != f.boot()
 	switch {
 	case f.rejoins(e.holder.host, now):
 		if foreign || before == (amount{}) {
@@ -164,7 +170,7 @@
 func (l *ledger) tokens(e *entry, need uint32, contended bool) uint32 {
 	n := l.pool.take(need)
 	if over := l.pool.level - l.poolCapacity(); over > 0 && e.granted.burst > e.held.burst {
-		n += l.pool.take(uint32(min(over, e.granted.burst-e.held.burst)))
+		n += l.pool.take(uint32(math.Ceil(min(over, e.granted.burst-e.held.burst))))
 	}
 	if need > 0 && !contended && l.pool.level-e.granted.burst >= l.poolCapacity()/2 {
 		n += l.pool.take(uint32(e.granted.burst))
@@ -207,16 +213,29 @@
 // sweep drops the leases that have ended.
 func (l *ledger) sweep(now time.Duration, f *fleet) {
 	l.advance(now, f)
-	l.rejoin(now, func(e *entry) bool { return !f.lost(e.holder.host) })
+	if f != l.swept {
+		l.swept = f
+		l.compare(now, f)
+	}
+	// A lease in a region that is cut off has not ended when its time is up, as
+	// there may be another owner who renews it.
+	l.drop(func(e *entry) bool { return now >= e.expires && !e.cutOff })
 	l.sum = totals{}
-	l.drop(func(e *entry) bool { return l.gone(now, f, e) })
 	for _, e := range l.entries {
-		e.cutOff = f.lost(e.holder.host)
 		e.pooled = e.pooled && now < e.lentUntil
 		l.sum.add(e)
 	}
 }
 
+// compare holds the entries against a changed fleet.
+func (l *ledger) compare(now time.Duration, f *fleet) {
+	l.rejoin(now, func(e *entry) bool { return !f.lost(e.holder.host) })
+	l.drop(func(e *entry) bool { return e.gone(f) })
+	for _, e := range l.entries {
+		e.cutOff = f.lost(e.holder.host)
+	}
+}
+
 // drop removes entries without care for the sums.
 func (l *ledger) drop(match func(*entry) bool) {
 	l.entries = slices.DeleteFunc(l.entries, func(e *entry) bool {
@@ -228,25 +247,9 @@
 	})
 }
 
-// gone reports whether nothing of a lease can be in use any more. A lease in a
-// region that is cut off has not ended when its time is up, as there may be
-// another owner who renews it.
-func (l *ledger) gone(now time.Duration, f *fleet, e *entry) bool {
-	id := e.holder
-	if f.runs(id.host, id.boot) {
-		e.seen = true
-	} else if e.seen && f.moved(id.host, id.boot) {
-		return true
-	}
-	return now >= e.expires && !f.lost(id.host)
-}
-
 // rejoin takes the leases of a region that was cut off into one sum, as their
 // holders are heard again and tell what they have now.
 func (l *ledger) rejoin(now time.Duration, heard func(*entry) bool) {
-	if l.sum.cutOff == (amount{}) {
-		return
-	}
 	l.drop(func(e *entry) bool {
 		if !e.cutOff || !heard(e) {
 			return false
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -57,7 +57,7 @@
 		m.holders = append(m.holders, h)
 		view.Members = append(view.Members, &membership.Member{Host: h.id.host, Boot: 1, Liveness: membership.Alive})
 	}
-	view.Self = view.Members[0]
+	view.Self = &membership.Member{Host: "owner", Boot: 99}
 	m.fleet = newFleet(view, time.Time{}, 0, nil, 0)
 	m.ledger = newLedger(DefaultOptions(), m.contract, 0, 0)
 	return m
@@ -75,8 +75,12 @@
 	h := rapid.SampledFrom(m.holders).Draw(t, "holder")
 	h.held = h.holds(m.now).scale(rapid.SampledFrom([]float64{0, 0.5, 1, 1, 1, 1}).Draw(t, "kept")).wholeSlots()
 	h.sequence++
+	var grantedBy uint64
+	if m.now < h.expires {
+		grantedBy = m.fleet.boot()
+	}
 	m.requests = append(m.requests, modelRequest{h, h.id, h.sequence, m.now, &quotapb.Claim{
-		Held:   h.held.proto(),
+		Held: h.held.proto(), GrantedBy: grantedBy,
 		Demand: rapid.SampledFrom([]float64{0, 1, m.contract.rate, 5 * m.contract.rate}).Draw(t, "demand"),
 		InUse:  uint32(rapid.IntRange(0, 30).Draw(t, "in use")),
 		Need:   uint32(rapid.IntRange(0, 5).Draw(t, "need")),
@@ -94,7 +98,7 @@
 	if rapid.IntRange(0, 3).Draw(t, "again") > 0 {
 		m.requests = append(m.requests[:i], m.requests[i+1:]...)
 	}
-	lease := m.ledger.claim(m.now, m.fleet, 99, r.id, r.sequence, r.claim)
+	lease := m.ledger.claim(m.now, m.fleet, r.id, r.sequence, r.claim)
 	m.answers = append(m.answers, modelAnswer{r, lease})
 }
 
@@ -103,7 +107,7 @@
 	m.claim(t)
 	r := m.requests[len(m.requests)-1]
 	m.requests = m.requests[:len(m.requests)-1]
-	m.take(modelAnswer{r, m.ledger.claim(m.now, m.fleet, 99, r.id, r.sequence, r.claim)})
+	m.take(modelAnswer{r, m.ledger.claim(m.now, m.fleet, r.id, r.sequence, r.claim)})
 }
 
 // answer lets an answer reach its holder, which takes it only if it has not
--- a/quota/options.go
+++ b/quota/options.go
@@ -33,8 +33,9 @@
 	// lendMargin is how much longer the holder waits: the owner looks at its
 	// ledgers only at each tick.
 	lendMargin = 3 * tickInterval
-	// suspectGrace is how long a suspect member counts as heard. It is longer
-	// than the usual suspicion, so that one false alarm moves no ownership.
+	// suspectGrace is how long a suspect member counts as heard, so that a false
+	// alarm that is soon refuted moves no ownership. Membership itself holds on
+	// to suspects for much longer where a whole zone or region is silent.
 	suspectGrace = time.Second
 	// lostShare of the members of a region, as a divisor: a region of which no
 	// more are heard is taken to be cut off. It is more than none, since the
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -19,12 +19,13 @@
 	// settle.
 	opensAt map[string]time.Duration
 	ledgers map[string]*ledger
-	// lastBeat is when the process was last seen running.
+	// running is whether there has been a beat yet, lastBeat when the last was.
+	running   bool
 	lastBeat  time.Duration
 	nextSweep time.Duration
-	// deafUntil is the end of the time after a pause in which no claim is
+	// refuseUntil is the end of the time after a pause in which no claim is
 	// served.
-	deafUntil time.Duration
+	refuseUntil time.Duration
 }
 
 func newOwner(opts Options) *owner {
@@ -104,7 +105,7 @@
 	answer := &quotapb.Answer{Leases: make([]*quotapb.Lease, 0, len(req.GetClaims()))}
 	o.checkBeat(now)
 	if o.fleet != nil {
-		answer.Boot = o.fleet.view.Self.Boot
+		answer.Boot = o.fleet.boot()
 	}
 	id := holderID{from, req.GetBoot()}
 	for _, c := range req.GetClaims() {
@@ -120,7 +121,7 @@
 		return &quotapb.Lease{Verdict: quotapb.Verdict_VERDICT_NO_CONTRACT}
 	}
 	opensAt, owned := o.opensAt[customer]
-	if !owned || now < o.deafUntil {
+	if !owned || !o.running || now < o.refuseUntil {
 		return &quotapb.Lease{Verdict: quotapb.Verdict_VERDICT_NOT_OWNER}
 	}
 	l := o.ledgers[customer]
@@ -128,7 +129,7 @@
 		l = newLedger(o.opts, contractAmount(contract), opensAt, now)
 		o.ledgers[customer] = l
 	}
-	return l.claim(now, o.fleet, o.fleet.view.Self.Boot, id, sequence, c)
+	return l.claim(now, o.fleet, id, sequence, c)
 }
 
 // beat tells that the process runs, and drops what has ended.
@@ -136,7 +137,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.checkBeat(now)
-	o.lastBeat = now
+	o.running, o.lastBeat = true, now
 	if o.fleet == nil || now < o.nextSweep {
 		return
 	}
@@ -157,14 +158,14 @@
 // the other's.
 func (o *owner) checkBeat(now time.Duration) {
 	gap := now - o.lastBeat
-	if gap <= maxBeatGap {
+	if !o.running || gap <= maxBeatGap {
 		return
 	}
 	o.opts.Logger.Warn("quota: paused, ownership starts anew", "gap", gap)
 	o.lastBeat = now
 	// The holders that sent what has waited meanwhile have given up on it.
 	// Taken at their word, they would be charged for what they no longer hold.
-	o.deafUntil = now + askTimeout
+	o.refuseUntil = now + askTimeout
 	for customer := range o.opensAt {
 		o.opensAt[customer] = now + o.opts.settleTime()
 		if l := o.ledgers[customer]; l != nil && o.fleet != nil {
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -29,6 +29,11 @@
 	return uint32(got)
 }
 
+// put adds tokens that a holder returns.
+func (p *pool) put(n, capacity float64) {
+	p.level = min(p.level+n, max(p.level, capacity))
+}
+
 // repay takes tokens that were used in advance, down to a bound.
 func (p *pool) repay(n, bound float64) {
 	p.level = max(p.level-n, -bound)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -46,6 +46,34 @@
 	must.Between(t, 90, admitted, 105)
 }
 
+// A burst comes after a quiet time, from callers who do not wait. The lease that
+// the daemon is then given has a bucket of most of the burst; the tokens for it
+// come along from the owner's pool, which has no room for them any more.
+func TestManager_givesTheWholeBurst(t *testing.T) {
+	c := &snapshot.Contract{Customer: "acme", Rate: 1, Burst: 50}
+	m, clock := alone(t, c)
+	for range 600 {
+		*clock += tickInterval
+		m.step(*clock)
+	}
+	admitted := 0
+	for range 100 {
+		if g, err := m.Admit(c); err == nil {
+			admitted++
+			g.Done()
+		}
+	}
+	for range 300 {
+		*clock += 10 * time.Millisecond
+		m.step(*clock)
+		if g, err := m.Admit(c); err == nil {
+			admitted++
+			g.Done()
+		}
+	}
+	must.Between(t, int(c.Burst)-1, admitted, int(c.Burst+3*c.Rate))
+}
+
 func TestManager_refusesBeyondConcurrency(t *testing.T) {
 	c := &snapshot.Contract{Customer: "acme", Rate: 1000, Burst: 1000, MaxConcurrent: 3}
 	m, clock := alone(t, c)
