Measure spreading, and hear of nobody for 5 s instead of 30 s

A daemon cut off from all others, but not from the log, was up to 45 s behind. Readers come back from an outage within 2 s instead of 5 s.

--- a/bench/fleet/main.go
+++ b/bench/fleet/main.go
@@ -36,6 +36,7 @@
 const (
 	faultNone     = "none"
 	faultKill     = "kill"
+	faultPause    = "pause"
 	faultPlatform = "platform"
 )
 
@@ -48,8 +49,8 @@
 	app.Flag("redundancy", "What a zone's second reader sends.").Default("digest").EnumVar(&o.Redundancy, "digest", "none", "eager")
 	app.Flag("readers", "Readers of each availability zone.").Default("2").IntVar(&o.Readers)
 	app.Flag("fan-out", "Daemons that each one passes records to.").Default("6").IntVar(&o.FanOut)
-	app.Flag("fault", "none, kill (a tenth of the daemons just after the append) or platform (down just after it).").
-		Default(faultNone).EnumVar(&o.Fault, faultNone, faultKill, faultPlatform)
+	app.Flag("fault", "What meets each revision just after its append: none, kill or pause (a tenth of the daemons), platform (down).").
+		Default(faultNone).EnumVar(&o.Fault, faultNone, faultKill, faultPause, faultPlatform)
 	app.Flag("revisions", "Revisions to publish, one at a time.").Default("10").IntVar(&o.Revisions)
 	app.Flag("record-bytes", "Size of a revision's record, about.").Default("300").IntVar(&o.RecordBytes)
 	app.Flag("idle", "How long to watch the cost without revisions.").Default("10s").DurationVar(&o.Idle)
@@ -92,7 +93,8 @@
 	// Missing counts daemons that a revision never reached within the limit.
 	Missing int `json:"missing"`
 	// Idle is the cost of a second without revisions, Change that of one
-	// revision beyond it.
+	// revision beyond it; without meaning under a fault, which has costs of its
+	// own.
 	Idle   cost `json:"idle_per_second"`
 	Change cost `json:"per_change"`
 	// MaxIdleBytes is the busiest daemon's Idle bytes, sent and received.
@@ -111,6 +113,11 @@
 	SourceBytes   float64 `json:"source_wire_bytes"`
 }
 
+func (c cost) print(w io.Writer, name string) {
+	fmt.Fprintf(w, "%s\t%.0f B\t%.0f B\t%.0f B\t%.2f\t%.0f B\n",
+		name, c.SentBytes, c.ReceivedBytes, c.MemberBytes, c.SourceReads, c.SourceBytes)
+}
+
 // quantiles of a set of values.
 type quantiles struct {
 	P50 float64 `json:"p50"`
@@ -127,12 +134,9 @@
 	c := r.Converged
 	fmt.Fprintf(w, "in force, 50 / 99 / 100 in 100\t%.0f ms\t%.0f ms\t%.0f ms\tmissing %d\n", c.P50, c.P99, c.Max, r.Missing)
 	fmt.Fprintln(w, "\tsent\treceived\tof it membership\treads at source\twire bytes at source")
-	for _, row := range []struct {
-		name string
-		cost
-	}{{"idle, for each second", r.Idle}, {"for each change", r.Change}} {
-		fmt.Fprintf(w, "%s\t%.0f B\t%.0f B\t%.0f B\t%.2f\t%.0f B\n",
-			row.name, row.SentBytes, row.ReceivedBytes, row.MemberBytes, row.SourceReads, row.SourceBytes)
+	r.Idle.print(w, "idle, for each second")
+	if o.Fault == faultNone {
+		r.Change.print(w, "for each change")
 	}
 	fmt.Fprintf(w, "busiest daemon, idle\t%.0f B/s\n", r.MaxIdleBytes)
 	fmt.Fprintf(w, "processor, idle, 50 / 100 in 100\t%.2f %%\t%.2f %%\tof a core\n", r.CPU.P50, r.CPU.Max)
--- a/bench/fleet/run.go
+++ b/bench/fleet/run.go
@@ -17,11 +17,13 @@
 	convergeLimit = 20 * time.Second
 	// warmUp lets the joins die down.
 	warmUp = 5 * time.Second
-	// killWithin is how long after the append the killed daemons end, at most.
-	killWithin = 10 * time.Millisecond
-	killOneIn  = 10
-	// outage is how long the platform stays down.
-	outage = 5 * time.Second
+	// strikeWithin is how long after the append daemons are struck, at most.
+	strikeWithin = 10 * time.Millisecond
+	strikeOneIn  = 10
+	// outage is how long the platform stays down, recovery how long daemons
+	// get to come back from a fault before the next revision.
+	outage   = 5 * time.Second
+	recovery = 5 * time.Second
 )
 
 // run measures idle cost first and then the revisions.
@@ -165,14 +167,25 @@
 	end = ctx.Err
 	switch f.opts.Fault {
 	case faultKill:
-		pause(ctx, rand.N(killWithin))
-		f.killSome()
+		f.strikeSome(syscall.SIGKILL)
+	case faultPause:
+		paused := f.strikeSome(syscall.SIGSTOP)
+		end = func() error {
+			for _, h := range paused {
+				h.dead = false
+				_ = h.process.Signal(syscall.SIGCONT)
+			}
+			pause(ctx, recovery)
+			return ctx.Err()
+		}
 	case faultPlatform:
 		began := time.Now()
 		err = f.setOutage(ctx, "true")
 		end = func() error {
 			pause(ctx, outage-time.Since(began))
-			return f.setOutage(ctx, "false")
+			err := f.setOutage(ctx, "false")
+			pause(ctx, recovery)
+			return err
 		}
 	}
 	return end, err
@@ -182,11 +195,16 @@
 	return f.admin(ctx, http.MethodPost, "outage?down="+down, &logserver.Counters{})
 }
 
-// killSome ends a tenth of the live daemons at once.
-func (f *fleet) killSome() {
+// strikeSome sends a signal to a tenth of the live daemons at once, some time
+// within a push, and returns them.
+func (f *fleet) strikeSome(signal syscall.Signal) []*host {
+	time.Sleep(rand.N(strikeWithin))
 	live := f.live()
-	for _, i := range rand.Perm(len(live))[:len(live)/killOneIn] {
-		live[i].dead = true
-		_ = live[i].process.Signal(syscall.SIGKILL)
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	struck := live[:len(live)/strikeOneIn]
+	for _, h := range struck {
+		h.dead = true
+		_ = h.process.Signal(signal)
 	}
+	return struck
 }
--- a/spread/options.go
+++ b/spread/options.go
@@ -99,7 +99,9 @@
 	ReadWait time.Duration
 	// OwnReadAfter is how long a daemon that is no reader hears of no offset
 	// before it reads the log itself. The time is jittered by half either way
-	// and is also the least between two such reads.
+	// and is also the least between two such reads. Membership lets a daemon
+	// hear others about twice in a probe interval, so a few of these are
+	// enough for reads to stay away but from a daemon cut off from all peers.
 	OwnReadAfter time.Duration
 	// Debounce is the least time between two pushes of one root, so that a
 	// burst travels in a few batches.
@@ -140,7 +142,7 @@
 		ReadersPerZone: 2,
 		FanOut:         6,
 		ReadWait:       10 * time.Second,
-		OwnReadAfter:   30 * time.Second,
+		OwnReadAfter:   5 * time.Second,
 		Debounce:       5 * time.Millisecond,
 		BackupDelay:    150 * time.Millisecond,
 		PullDelay:      100 * time.Millisecond,
--- a/spread/read.go
+++ b/spread/read.go
@@ -18,6 +18,9 @@
 	readLimit = 64
 	// readSlack is how much longer than its wait a read may take.
 	readSlack = 5 * time.Second
+	// blockedPause is about the wait between reads of a record that this
+	// program cannot fold. Only a newer program ends that.
+	blockedPause = 30 * time.Second
 )
 
 // errLogWentBack means that the log no longer holds the record in force.
@@ -45,11 +48,10 @@
 	return nil
 }
 
-// readPause returns the wait after a failed read. A record that this program
-// cannot fold will be the same at the next read.
+// readPause returns the wait after a failed read.
 func (s *Spreader) readPause(failures int) time.Duration {
 	if s.history.blockedAt(s.history.offset()) {
-		return s.aroundHalf(s.opts.OwnReadAfter)
+		return s.aroundHalf(blockedPause)
 	}
 	return s.backoff(failures)
 }
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -234,7 +234,7 @@
 // Bounds of the wait between two tries.
 const (
 	minBackoff = 100 * time.Millisecond
-	maxBackoff = 5 * time.Second
+	maxBackoff = 2 * time.Second
 )
 
 // backoff returns the wait after a number of failures in a row, with full
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -153,7 +153,7 @@
 // then no more often than that.
 func TestIsolatedReadsLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 10, 1, func(o *Options) { o.Mode = ModeGossip })
+		f := newFleet(t, 10, 1, func(o *Options) { o.Mode, o.OwnReadAfter = ModeGossip, 30*time.Second })
 		f.run()
 		offset := f.append(change("a", 0))
 		time.Sleep(50 * time.Second)
@@ -213,8 +213,8 @@
 	}
 }
 
-// Old programs meet a record of a newer rule. They stay before the record, say
-// so, and do not go on asking the log for it.
+// Old programs meet a record of a newer rule in the log and in pushes. They stay
+// before the record, say so, and do not go on asking the log for it.
 func TestUnknownRule(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 20, 1, nil)
@@ -223,8 +223,14 @@
 		rec := change("b", 1)
 		rec.RuleVersion = fold.RuleVersion + 1
 		f.append(rec)
-		time.Sleep(time.Minute)
-		for _, n := range f.readers("zone-0") {
+		for _, n := range f.nodes {
+			pushRecord(t, n.Spreader, 1, n.State().Chain, rec)
+		}
+		for range 60 {
+			time.Sleep(time.Second)
+			f.probe()
+		}
+		for _, n := range f.nodes {
 			must.Eq(t, 1, n.State().Offset)
 			must.StrContains(t, n.Status().Stuck, "rule 2")
 		}
