Write the pages for the one on call, alerts and a dashboard

One page for each fault with what is seen, what happens by itself, where to look and what to do.

A test checks that every metric and label named in the pages, rules and dashboard is registered, every metric has its line, every quoted log line is in the code, the table of kinds is errkind's, and every page is linked. Seen to fail with: a wrong metric in rules and dashboard, a wrong label, a wrong kind in a selector, two wrong log lines, a wrong status, a metric left out, a wrong link.

--- /dev/null
+++ b/internal/telemetry/docs_test.go
@@ -0,0 +1,213 @@
+package telemetry
+
+import (
+	"encoding/json"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/gate"
+	"github.com/crocuscross/crocuscross/internal/blackboard"
+	"github.com/crocuscross/crocuscross/quota"
+)
+
+const (
+	root = "../../"
+	docs = root + "docs/"
+)
+
+var (
+	metricName  = regexp.MustCompile(`crocuscross_[a-z0-9_]+`)
+	selector    = regexp.MustCompile(`(crocuscross_[a-z0-9_]+)\{([^}]*)\}`)
+	labelMatch  = regexp.MustCompile(`(\w+)(?:=~|!~|!=|=)"([^"]*)"`)
+	description = regexp.MustCompile(`fqName: "([^"]+)".*variableLabels: \{([^}]*)\}`)
+	logLine     = regexp.MustCompile("`((?:announce|apply|checkpoints?|claims|contacts|daemon|drain|membership|operator|peer|quota|recovery|spread): [^`]+)`")
+	kindRow     = regexp.MustCompile("(?m)^\\| `(\\w+)` \\| (\\d+) \\| (no|unknown) \\|")
+	pageLink    = regexp.MustCompile(`(?:operations/|\()([a-z-]+\.md)`)
+)
+
+// descriptions collects what is registered. Metrics with labels that were never
+// set are not in a scrape, so that what is gathered would not do.
+type descriptions struct {
+	prometheus.Registerer
+	labels map[string][]string
+}
+
+func (d *descriptions) MustRegister(collectors ...prometheus.Collector) {
+	for _, c := range collectors {
+		ch := make(chan *prometheus.Desc, 100)
+		c.Describe(ch)
+		close(ch)
+		for desc := range ch {
+			m := description.FindStringSubmatch(desc.String())
+			d.labels[m[1]] = strings.Split(m[2], ",")
+			switch c.(type) {
+			case *prometheus.HistogramVec, prometheus.Histogram:
+				d.labels[m[1]+"_bucket"] = append(d.labels[m[1]], "le")
+			}
+		}
+	}
+}
+
+// registered returns the labels of every metric of a daemon by name.
+func registered() map[string][]string {
+	d := &descriptions{labels: make(map[string][]string)}
+	NewInForce(d)
+	NewMemberMeter(d)
+	NewSpreadMeter(d)
+	NewCalls(d)
+	NewPeerMeter(d)
+	NewAppendMeter(d)
+	d.MustRegister(NewBoardCollector(&blackboard.Board{}),
+		NewGateCollector(func() gate.Load { return gate.Load{} }),
+		NewQuotaCollector(func() quota.Stats { return quota.Stats{} }))
+	return d.labels
+}
+
+// pages returns the text of each page for operators by its path.
+func pages(t *testing.T) map[string]string {
+	t.Helper()
+	paths, err := filepath.Glob(docs + "operations/*.md")
+	must.NoError(t, err)
+	paths = append(paths, docs+"OPERATIONS.md", docs+"monitoring/alerts.yaml", docs+"monitoring/dashboard.json")
+	texts := make(map[string]string)
+	for _, p := range paths {
+		raw, err := os.ReadFile(p)
+		must.NoError(t, err)
+		texts[strings.TrimPrefix(p, docs)] = string(raw)
+	}
+	return texts
+}
+
+// An alert on a metric that was renamed never fires, and nobody sees that it
+// does not. The same holds for a label.
+func TestDocs_MetricsAreRegistered(t *testing.T) {
+	known := registered()
+	for page, text := range pages(t) {
+		text = strings.ReplaceAll(text, `\"`, `"`)
+		for _, name := range metricName.FindAllString(text, -1) {
+			must.MapContainsKey(t, known, name, must.Sprint(page))
+		}
+		for _, s := range selector.FindAllStringSubmatch(text, -1) {
+			for _, l := range labelMatch.FindAllStringSubmatch(s[2], -1) {
+				if l[1] == "job" {
+					continue
+				}
+				must.SliceContains(t, known[s[1]], l[1], must.Sprint(page, s[0]))
+				checkKinds(t, l[1], l[2])
+			}
+		}
+	}
+}
+
+func checkKinds(t *testing.T, label, values string) {
+	if label != "kind" || strings.HasPrefix(values, "KIND_") {
+		return
+	}
+	for v := range strings.SplitSeq(values, "|") {
+		must.True(t, v == kindOK || errkind.Kind(v).Known(), must.Sprint(v))
+	}
+}
+
+// Every metric has its line, so that the one on call finds it.
+func TestDocs_MetricsAreNamed(t *testing.T) {
+	text := pages(t)["OPERATIONS.md"]
+	for name := range registered() {
+		if !strings.HasSuffix(name, "_bucket") {
+			must.StrContains(t, text, "`"+name+"`")
+		}
+	}
+}
+
+// A quoted log line is in the code, as one string or as two that are joined.
+func TestDocs_LogLinesExist(t *testing.T) {
+	literals := stringLiterals(t)
+	for page, text := range pages(t) {
+		text = strings.ReplaceAll(text, "\n", " ")
+		for _, m := range logLine.FindAllStringSubmatch(text, -1) {
+			must.True(t, isLogLine(literals, m[1]), must.Sprint(page, m[1]))
+		}
+	}
+}
+
+func isLogLine(literals map[string]bool, line string) bool {
+	if literals[line] {
+		return true
+	}
+	for i := range line {
+		if literals[line[:i]] && literals[line[i:]] {
+			return true
+		}
+	}
+	return false
+}
+
+// stringLiterals returns all strings in the project's code, tests apart.
+func stringLiterals(t *testing.T) map[string]bool {
+	t.Helper()
+	literals := make(map[string]bool)
+	err := filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		if err != nil {
+			return err
+		}
+		ast.Inspect(f, func(n ast.Node) bool {
+			if l, ok := n.(*ast.BasicLit); ok && l.Kind == token.STRING {
+				if s, err := strconv.Unquote(l.Value); err == nil {
+					literals[s] = true
+				}
+			}
+			return true
+		})
+		return nil
+	})
+	must.NoError(t, err)
+	return literals
+}
+
+func TestDocs_KindsAreTheClosedList(t *testing.T) {
+	rows := make(map[errkind.Kind][]string)
+	for _, m := range kindRow.FindAllStringSubmatch(pages(t)["OPERATIONS.md"], -1) {
+		rows[errkind.Kind(m[1])] = m[2:]
+	}
+	must.MapLen(t, len(errkind.Kinds()), rows)
+	for _, k := range errkind.Kinds() {
+		a := k.Answer()
+		must.Eq(t, []string{strconv.Itoa(a.Status), string(a.Run)}, rows[k], must.Sprint(k))
+	}
+}
+
+// Every fault page is reached from the first page, and every link leads to one.
+func TestDocs_Links(t *testing.T) {
+	texts := pages(t)
+	var exist, linked []string
+	for page, text := range texts {
+		if name, ok := strings.CutPrefix(page, "operations/"); ok {
+			exist = append(exist, name)
+		}
+		for _, m := range pageLink.FindAllStringSubmatch(text, -1) {
+			must.MapContainsKey(t, texts, "operations/"+m[1], must.Sprint(page))
+			if page == "OPERATIONS.md" {
+				linked = append(linked, m[1])
+			}
+		}
+	}
+	slices.Sort(linked)
+	must.SliceContainsAll(t, slices.Compact(linked), exist)
+	must.True(t, json.Valid([]byte(texts["monitoring/dashboard.json"])))
+}
