--- a/quota/bench_test.go
+++ b/quota/bench_test.go
@@ -21,6 +21,8 @@
 	m := New(Options{Host: "a"})
 	self := &membership.Member{Host: "a", Boot: 1, Liveness: membership.Alive, Since: time.Now()}
 	m.SetView(&membership.View{Self: self, Members: []*membership.Member{self}})
+	// The contract is new to the fleet, so that its ledger need not settle.
+	m.SetContracts(map[string]*snapshot.Contract{})
 	m.SetContracts(map[string]*snapshot.Contract{c.Customer: c})
 	l := newLease(amount{rate: 1e9, burst: 1e9, slots: 1e6}, true, m.now(), forever)
 	l.fill(m.now(), 1e9)
@@ -69,7 +71,7 @@
 			m, _ := warmed(b)
 			reqs := make([]*quotapb.Request, holders)
 			for i := range reqs {
-				reqs[i] = &quotapb.Request{Boot: uint64(i), Claims: []*quotapb.Claim{{Customer: "acme", Demand: 5, Need: 1}}}
+				reqs[i] = &quotapb.Request{Boot: uint64(i), Claims: []*quotapb.Claim{{Customer: "acme", GrantedBy: 1, Demand: 5, Need: 1}}}
 			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
