--- /dev/null
+++ b/balance/example_test.go
@@ -0,0 +1,38 @@
+package balance_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/crocuscross/crocuscross/backend"
+	"github.com/crocuscross/crocuscross/balance"
+	"github.com/crocuscross/crocuscross/errkind"
+)
+
+// The picker prefers the own availability zone, and leaves out what a call has
+// tried already. Each result is evidence for the next choice.
+func Example() {
+	servers := backend.NewSet([]*backend.Server{
+		{ID: backend.ID{Host: "near", Service: "sign-feed"}, AvailabilityZone: "boston", Slots: 10},
+		{ID: backend.ID{Host: "far", Service: "sign-feed"}, AvailabilityZone: "portland", Slots: 10},
+	})
+	opts := balance.DefaultOptions()
+	opts.AvailabilityZone = "boston"
+	picker := balance.New(opts)
+
+	first, _ := picker.Pick(servers.Of("sign-feed"), nil)
+	fmt.Println(first.Server().Host)
+	first.Done(balance.Result{Kind: errkind.Unreachable, Latency: time.Millisecond})
+
+	tried := func(id backend.ID) bool { return id == first.Server().ID }
+	second, _ := picker.Pick(servers.Of("sign-feed"), tried)
+	fmt.Println(second.Server().Host)
+	second.Done(balance.Result{Status: 200, Latency: 4 * time.Millisecond})
+
+	_, err := picker.Pick(servers.Of("site-ops"), nil)
+	fmt.Println(errkind.Of(err))
+	// Output:
+	// near
+	// far
+	// no_backend
+}
--- /dev/null
+++ b/errkind/example_test.go
@@ -0,0 +1,21 @@
+package errkind_test
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocuscross/crocuscross/errkind"
+)
+
+// The kind is found through what wraps it, and the table tells what to answer.
+func Example() {
+	err := errors.Wrap(errkind.New(errkind.Draining, "the host is leaving"), "send the call")
+	kind := errkind.Of(err)
+	fmt.Println(kind, kind.Answer().Status, "ran:", errkind.RunOf(err))
+	// An earlier request under the same idempotency key may have run.
+	fmt.Println("ran:", errkind.RunOf(errkind.Doubt(err)))
+	// Output:
+	// draining 503 ran: no
+	// ran: unknown
+}
--- /dev/null
+++ b/recovery/example_test.go
@@ -0,0 +1,53 @@
+package recovery_test
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/crocuscross/crocuscross/fold"
+	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/platform/memlog"
+	"github.com/crocuscross/crocuscross/recovery"
+)
+
+// others answers for two daemons, of which one lags.
+type others struct{ states map[string]*fold.State }
+
+func (o others) Ask(context.Context) recovery.Hearing {
+	h := recovery.Hearing{Known: len(o.states)}
+	for host, st := range o.states {
+		// Both have heard that this host had version 2 in force.
+		h.Answers = append(h.Answers, recovery.Answer{Host: host, Position: recovery.PositionOf(st), Floor: 2})
+	}
+	return h
+}
+
+func (o others) State(_ context.Context, host string) (*fold.State, error) {
+	if st := o.states[host]; st != nil {
+		return st, nil
+	}
+	return nil, errors.Newf("host %s is not known", host)
+}
+
+// A daemon restarts while the platform's log is down. It serves what it had in
+// force before, or later, and not what a daemon has that lags.
+func ExampleRecover() {
+	svc := memlog.New(memlog.DefaultOptions())
+	svc.SetOutage(true)
+	old, _, _ := fold.Apply(fold.Empty(), 1, []byte("unreadable records count too"))
+	current, _, _ := fold.Apply(old, 2, []byte("and move the version"))
+
+	opts := recovery.DefaultOptions()
+	opts.Host = "host-1"
+	opts.Peers = others{map[string]*fold.State{"host-2": old, "host-3": current}}
+	opts.Config = svc.Stream(platform.StreamConfig)
+	opts.Checkpoints = svc.Stream(platform.StreamCheckpoints)
+	r, err := recovery.Recover(context.Background(), opts)
+	if err != nil {
+		panic(err)
+	}
+	fmt.Println("version", r.State.Offset, "floor", r.Floor, "from", r.From)
+	// Output: version 2 floor 2 from peer
+}
--- /dev/null
+++ b/retry/example_test.go
@@ -0,0 +1,29 @@
+package retry_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/retry"
+)
+
+// The link to a backend server broke after the call was sent. A lookup is sent
+// to another one, within the budget; a permit hold is not, since it may have
+// run.
+func Example() {
+	budget := retry.NewBudget(retry.DefaultBudgetOptions())
+	call := retry.Call{Inherited: 1, Attempts: 1, Remaining: time.Second}
+
+	lookup := retry.Allowed(errkind.BackendFailed, call)
+	fmt.Println("lookup:", lookup.Retry && (lookup.Free || budget.Withdraw()))
+
+	call.NonIdempotent = true
+	hold := retry.Allowed(errkind.OutcomeUnknown, call)
+	fmt.Println("hold:", hold.Retry)
+	fmt.Println("hold that was refused:", retry.Allowed(errkind.Overloaded, call).Retry)
+	// Output:
+	// lookup: true
+	// hold: false
+	// hold that was refused: true
+}
