--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/crocuscross/crocuscross/memberpb"
 	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/peer"
@@ -23,7 +25,9 @@
 // Sync implements membership.Syncer.
 func (s memberSync) Sync(ctx context.Context, addr netip.AddrPort, t *memberpb.Table) (*memberpb.Table, error) {
 	ans := new(memberpb.Table)
-	err := s.pool.Call(ctx, addr, peerpb.Kind_KIND_MEMBER_SYNC, t, ans)
+	// Exchanges are rare and go to daemons that are seldom talked to else. Kept
+	// sessions would pile up at the contacts by which a whole fleet joins.
+	err := s.pool.CallOnce(ctx, addr, peerpb.Kind_KIND_MEMBER_SYNC, t, ans)
 	return ans, err
 }
 
@@ -40,6 +44,15 @@
 	return st.Send(h.m.HandleSync(ctx, &t))
 }
 
+// operatorPeers carries operators' questions to all daemons, over sessions that
+// are not kept.
+type operatorPeers struct{ pool *peer.Pool }
+
+// Call implements fleet.Caller.
+func (o operatorPeers) Call(ctx context.Context, addr netip.AddrPort, kind peerpb.Kind, req, resp proto.Message) error {
+	return o.pool.CallOnce(ctx, addr, kind, req, resp)
+}
+
 // quotaPeers carries quota requests to owners.
 type quotaPeers struct{ pool *peer.Pool }
 
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -260,7 +260,7 @@
 		Version: buildinfo.Get().String(), Now: time.Now,
 	})
 	o := fleet.DefaultOptions()
-	o.Board, o.Self, o.Peers, o.Drain, o.Logger = d.board, p.self, p.control, p.lifecycle.Drain, d.logger
+	o.Board, o.Self, o.Peers, o.Drain, o.Logger = d.board, p.self, operatorPeers{p.control}, p.lifecycle.Drain, d.logger
 	f := fleet.New(o)
 	p.server.Handle(peerpb.Kind_KIND_STATUS, p.self)
 	p.server.Handle(peerpb.Kind_KIND_DRAIN, peer.HandlerFunc(f.ServeDrain))
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -84,6 +84,21 @@
 	must.Eq(t, 1, dials)
 }
 
+func TestPool_CallOnceKeepsNoSession(t *testing.T) {
+	addr := startServer(t, DefaultServerOptions())
+	p := NewPool(DefaultPoolOptions())
+	defer p.Close()
+	for range 3 {
+		var ans peerpb.StatusAnswer
+		must.NoError(t, p.CallOnce(t.Context(), addr, peerpb.Kind_KIND_STATUS, &peerpb.StatusAsk{}, &ans))
+		must.Eq(t, "a", ans.GetHost())
+	}
+	p.sessions.Range(func(any, any) bool {
+		t.Fatal("a session was kept")
+		return false
+	})
+}
+
 func TestPool_UnreachableIsTold(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -91,9 +91,16 @@
 	if err != nil {
 		return nil, mark(errors.Wrapf(err, "connect to %s", addr), ErrUnreachable)
 	}
-	conn, err := sess.OpenStream()
+	st, err := p.openOn(sess, addr, kind)
 	if err != nil {
 		p.drop(addr, sess)
+	}
+	return st, err
+}
+
+func (p *Pool) openOn(sess *yamux.Session, addr netip.AddrPort, kind peerpb.Kind) (*Stream, error) {
+	conn, err := sess.OpenStream()
+	if err != nil {
 		return nil, mark(errors.Wrapf(err, "open stream to %s", addr), ErrUnreachable)
 	}
 	st := newStream(conn, kind, p.opts.Meter)
@@ -106,6 +113,26 @@
 	if err != nil {
 		return err
 	}
+	return call(ctx, st, req, resp)
+}
+
+// CallOnce is Call over a session of its own that is closed afterwards. One
+// question to each of a thousand daemons would else leave a thousand sessions
+// behind, some 25 KB each.
+func (p *Pool) CallOnce(ctx context.Context, addr netip.AddrPort, kind peerpb.Kind, req, resp proto.Message) error {
+	sess, err := p.dial(ctx, addr)
+	if err != nil {
+		return mark(errors.Wrapf(err, "connect to %s", addr), ErrUnreachable)
+	}
+	defer sess.Close()
+	st, err := p.openOn(sess, addr, kind)
+	if err != nil {
+		return err
+	}
+	return call(ctx, st, req, resp)
+}
+
+func call(ctx context.Context, st *Stream, req, resp proto.Message) error {
 	defer st.Close()
 	defer st.BindContext(ctx)()
 	if err := st.Send(req); err != nil {
