Serve requests on a connection whose context was canceled by a read deadline

Cause: a read deadline bounds a slow body; where the process is paused in between, it fires in net/http's background read, which cancels the connection's context for good and keeps the connection. Ruled out: a deadline left behind on a path through the handler (each resets it). A request that finds its context canceled from the start is now served and the connection closed; a time that is up is told as such.

--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -209,9 +209,12 @@
 // connection when it is used again.
 func (c *call) uploadDone() { _ = c.control.SetReadDeadline(time.Time{}) }
 
-// contextKind tells a caller that went away from a time that is up.
+// contextKind tells a caller that went away from a time that is up. The time is
+// looked at as well as the cause: a read deadline that fires while this process
+// was paused makes the HTTP library cancel the request as if the caller had gone.
 func contextKind(ctx context.Context, onDeadline errkind.Kind) error {
-	if errors.Is(context.Cause(ctx), errDeadline) {
+	end, ok := ctx.Deadline()
+	if errors.Is(context.Cause(ctx), errDeadline) || ok && !time.Now().Before(end) {
 		return errkind.Wrap(onDeadline, errDeadline, "give up")
 	}
 	return errkind.Wrap(errkind.Canceled, context.Cause(ctx), "the caller went away")
--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -77,7 +77,7 @@
 	defer h.inFlight.Add(-1)
 	h.opts.Metrics.InFlight.Inc()
 	defer h.opts.Metrics.InFlight.Dec()
-	ctx := telemetry.WithTraceparent(r.Context(), r.Header.Get("Traceparent"))
+	ctx := telemetry.WithTraceparent(liveContext(w, r.Request), r.Header.Get("Traceparent"))
 	ctx, span := h.opts.Tracer.Start(ctx, "outbound", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	err := h.serve(ctx, w, r.Request, start, int(n))
@@ -88,6 +88,20 @@
 	return nil
 }
 
+// liveContext returns the request's context, or one that is not canceled where it
+// is so from the start. The HTTP library cancels the context of a connection for
+// good when a read deadline fires between two requests, as it may when this
+// process is paused, and yet goes on with the connection: each request on it would
+// be answered as if its caller had gone. Such a request is served and the
+// connection closed after it.
+func liveContext(w http.ResponseWriter, r *http.Request) context.Context {
+	if r.Context().Err() == nil {
+		return r.Context()
+	}
+	w.Header().Set("Connection", "close")
+	return context.WithoutCancel(r.Context())
+}
+
 // finish answers with an error, unless the answer has begun: then the
 // connection is cut, so that no caller takes a part for the whole.
 func (h *Handler) finish(w http.ResponseWriter, err error) {
