--- a/bench/latency/main.go
+++ b/bench/latency/main.go
@@ -95,5 +95,8 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", q.name, a, b, b-a)
 	}
 	fmt.Fprintf(w, "failed\t%d\t%d\t\n", failed(direct), failed(path))
+	for kind, n := range kinds(path) {
+		fmt.Fprintf(w, "  of these %s\t\t%d\t\n", kind, n)
+	}
 	return w.Flush()
 }
--- a/bench/latency/quantile.go
+++ b/bench/latency/quantile.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/internal/standin/caller"
 )
 
@@ -53,3 +54,14 @@
 	}
 	return n
 }
+
+// kinds counts the calls that ended with an error of the closed list.
+func kinds(turns []*caller.Summary) map[errkind.Kind]int {
+	m := map[errkind.Kind]int{}
+	for _, s := range turns {
+		for _, k := range s.Kinds {
+			m[k.Kind] += k.Count
+		}
+	}
+	return m
+}
