--- a/bench/faults/load.go
+++ b/bench/faults/load.go
@@ -26,6 +26,7 @@
 	maxCallTime = (repeats + 1) * (timeoutLong + repeatDelay)
 
 	uploadBytes = 200 << 10
+	holdBytes   = 200
 	answerBytes = 20 << 10
 )
 
@@ -74,8 +75,12 @@
 	return o
 }
 
+// insisting is for calls under a key: the caller does not take no for an answer.
+// Their bodies have a known length; those of the others without one are sent in
+// chunks, though they are empty, and so take the path of large uploads.
 func insisting(o caller.Options) caller.Options {
 	o.Insist = true
+	o.BodyBytes = holdBytes
 	return o
 }
 
