--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -171,18 +171,19 @@
 	a.lease.Done(r)
 }
 
-// endUpload waits until nothing reads the caller's body any more.
+// endUpload waits until nothing reads the caller's body any more. A read is only
+// interrupted while there is something left to read: behind the body's end the HTTP
+// library itself reads, to notice a caller that goes away, and would take the
+// interruption for that, on this request and on all that follow on the connection.
 func (a *attempt) endUpload() {
 	if a.upload == nil {
 		return
 	}
-	select {
-	case <-a.upload:
-		a.c.uploadDone()
-	default:
+	if !a.c.stream.ended.Load() {
 		a.c.stopUpload()
-		<-a.upload
 	}
+	<-a.upload
+	a.c.uploadDone()
 }
 
 // cancel tells the gate that nobody waits for the answer any more.
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -54,7 +55,7 @@
 	head *peerpb.CallHead
 	// held is the whole request body, unless stream is set.
 	held   []byte
-	stream io.Reader
+	stream *streamedBody
 	// streamed is set once a byte of stream may have been read.
 	streamed bool
 	tried    []backend.ID
@@ -85,7 +86,7 @@
 	}
 	if r.ContentLength < 0 || r.ContentLength > maxHeldBody {
 		_ = c.control.SetReadDeadline(c.deadline)
-		c.stream = limited
+		c.stream = &streamedBody{src: limited}
 		c.head.ExpectContinue = true
 		return nil
 	}
@@ -201,6 +202,22 @@
 // heldBody returns a new reader of the held body.
 func (c *call) heldBody() io.Reader { return bytes.NewReader(c.held) }
 
+// streamedBody is a caller's body that is passed on as it comes.
+type streamedBody struct {
+	src io.Reader
+	// ended is set once the body has been read to its end.
+	ended atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *streamedBody) Read(p []byte) (int, error) {
+	n, err := b.src.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
 // stopUpload makes a read of the caller's body return, so that nothing reads it
 // after the call has ended.
 func (c *call) stopUpload() { _ = c.control.SetReadDeadline(time.Unix(1, 0)) }
