--- a/internal/daemon/canceled_test.go
+++ b/internal/daemon/canceled_test.go
@@ -11,10 +11,10 @@
 	"github.com/crocuscross/crocuscross/internal/proxy/body"
 )
 
-// A daemon was paused while a caller's kept-alive connection had a read deadline
-// set. The deadline fires, the HTTP library cancels the connection's context and
-// keeps the connection. A caller that waits got 499 "the caller went away" for
-// every request on it, for minutes; now it is served, and told to connect anew.
+// A read deadline fired under the HTTP library's own read of a caller's kept-alive
+// connection. The library cancels the connection's context and keeps the
+// connection. A caller that waits got 499 "the caller went away" for every request
+// on it, for minutes; now it is served, and told to connect anew.
 func TestDaemon_RequestOnACanceledConnectionIsServed(t *testing.T) {
 	f := setUp(t, 2, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -89,10 +89,10 @@
 }
 
 // liveContext returns the request's context, or one that is not canceled where it
-// is so from the start. The HTTP library cancels the context of a connection for
-// good when a read deadline fires between two requests, as it may when this
-// process is paused, and yet goes on with the connection: each request on it would
-// be answered as if its caller had gone. Such a request is served and the
+// is so from the start. A read deadline that fires under the HTTP library's own
+// read, say of an upload that was cut off, makes it cancel the context of the
+// connection for good, and yet go on with the connection: each later request on it
+// would be answered as if its caller had gone. Such a request is served and the
 // connection closed after it.
 func liveContext(w http.ResponseWriter, r *http.Request) context.Context {
 	if r.Context().Err() == nil {
