Never hand out a membership picture that is older than the table

The flag is cleared last now. TestViewIsNeverOlderThanTheChange fails with nil without it. Also: peer.Server.Serve after Close panicked in the tomb; it returns.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -132,7 +132,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.stale.Swap(false) {
+	if !m.stale.Load() {
 		return m.view.Load()
 	}
 	v := &View{Self: m.self.view(), Members: make([]*Member, 0, len(m.table.order))}
@@ -142,6 +142,9 @@
 		}
 	}
 	m.view.Store(v)
+	// Last: a reader that finds the picture fresh takes no lock and must find
+	// this one.
+	m.stale.Store(false)
 	return v
 }
 
--- a/membership/run_test.go
+++ b/membership/run_test.go
@@ -102,3 +102,23 @@
 	cancel()
 	must.NoError(t, running.Wait())
 }
+
+// Two readers ask for the picture at once while it is stale. Neither may get the
+// picture from before the change, or none at all at the start: a daemon that took a
+// nil picture for one ended with a panic.
+func TestViewIsNeverOlderThanTheChange(t *testing.T) {
+	f := newJoinedFleet(t, 64)
+	m := f.nodes[0].Membership
+	for offset := uint64(1); offset <= 500; offset++ {
+		m.SetOffset(offset)
+		views := make(chan *View, 4)
+		for range cap(views) {
+			go func() { views <- m.View() }()
+		}
+		for range cap(views) {
+			v := <-views
+			must.NotNil(t, v)
+			must.Eq(t, offset, v.Self.Offset)
+		}
+	}
+}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -189,6 +189,15 @@
 	}
 }
 
+// A daemon is stopped in the moment of its start.
+func TestServer_ServeAfterCloseEnds(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := NewServer(DefaultServerOptions())
+	must.NoError(t, s.Close())
+	must.NoError(t, s.Serve(ln))
+}
+
 func TestServer_SlowHeadIsRefused(t *testing.T) {
 	opts := DefaultServerOptions()
 	opts.HeadTimeout = time.Millisecond
--- a/peer/server.go
+++ b/peer/server.go
@@ -57,6 +57,9 @@
 	handlers map[peerpb.Kind]Handler
 	streams  atomic.Int64
 
+	// serving counts the calls of Serve.
+	serving sync.WaitGroup
+
 	mu       sync.Mutex
 	sessions map[*yamux.Session]struct{}
 	t        tomb.Tomb
@@ -69,6 +72,7 @@
 	// until Close.
 	s.t.Go(func() error {
 		<-s.t.Dying()
+		s.serving.Wait()
 		return nil
 	})
 	return s
@@ -79,6 +83,10 @@
 
 // Serve accepts sessions until Close, and returns nil then.
 func (s *Server) Serve(ln net.Listener) error {
+	if !s.begin() {
+		return ln.Close()
+	}
+	defer s.serving.Done()
 	result := make(chan error, 1)
 	s.t.Go(func() error {
 		result <- s.accept(ln)
@@ -91,6 +99,18 @@
 	return <-result
 }
 
+// begin holds off the end of the tomb, which takes no goroutine after it; it
+// reports false after Close.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.t.Alive() {
+		return false
+	}
+	s.serving.Add(1)
+	return true
+}
+
 func (s *Server) accept(ln net.Listener) error {
 	for {
 		conn, err := ln.Accept()
@@ -112,8 +132,8 @@
 
 // Close ends all sessions and waits for the handlers.
 func (s *Server) Close() error {
-	s.t.Kill(nil)
 	s.mu.Lock()
+	s.t.Kill(nil)
 	for sess := range s.sessions {
 		_ = sess.Close()
 	}
