--- a/internal/controller/drain/drain.go
+++ b/internal/controller/drain/drain.go
@@ -55,6 +55,9 @@
 	return nil
 }
 
+// Joining marks the start: the daemon finds the others and recovers.
+func (c *Controller) Joining() { c.enter(blackboard.Joining, "") }
+
 // Serving marks the end of the start.
 func (c *Controller) Serving() { c.enter(blackboard.Serving, "") }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -113,6 +113,7 @@
 	defer stop()
 	ended := make(chan error, 1)
 	d.serveHTTP()
+	d.lifecycle.Joining()
 	go func() { ended <- loop.Run(life, d.loops()...) }()
 	d.logger.Info("daemon: started", "availability_zone", d.settings.AvailabilityZone, "boot", d.boot,
 		"callers", d.ln.callers.Addr(), "peers", d.ln.peers.Addr(), "operators", d.ln.operators.Addr())
