Let callers end their connections while a daemon drains

Cause: the drain began by turning keep-alives off, which closes idle connections at once, also one on which a request is just being sent. Now each answer of a draining daemon says "Connection: close", and what is idle is closed only after the drain. That a request meets the very end of a connection that stays idle for the whole drain remains possible. No focused test: the race is in the caller's network stack.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -146,7 +146,6 @@
 // flight ends. Callers that keep connections are told to close them.
 func (d *Daemon) drain(reason string) {
 	d.lifecycle.Drain(reason)
-	d.callers.SetKeepAlivesEnabled(false)
 	left := d.lifecycle.Wait(context.Background())
 	if left > 0 {
 		d.logger.Warn("daemon: requests cut off by the drain timeout", "requests", left)
--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -77,6 +77,11 @@
 	defer h.inFlight.Add(-1)
 	h.opts.Metrics.InFlight.Inc()
 	defer h.opts.Metrics.InFlight.Dec()
+	if l := h.opts.Board.Lifecycle.Load(); l != nil && l.Phase >= blackboard.Draining {
+		// Lets the caller end the connection. Closed from here, a request that is
+		// just being sent on it would be cut off.
+		w.Header().Set("Connection", "close")
+	}
 	ctx := telemetry.WithTraceparent(liveContext(w, r.Request), r.Header.Get("Traceparent"))
 	ctx, span := h.opts.Tracer.Start(ctx, "outbound", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
