Serve the last callers' connections before they are closed

Cause: the HTTP server's shutdown closes its listener and, in the same instant, every connection on which no request has begun, also where one is arriving. Besides, the wait for calls in flight began while callers were still let in; under steady load it would last the whole drain timeout and then cut off. Now, after the quiet time, nobody else is let in, what is connected is served for up to 500 ms, then the calls in flight are waited for, then all is closed. Not solved, since HTTP/1.1 has no way to: a request on a connection that was idle for all of the drain, sent in the moment in which it is closed. Without lingerOn TestDaemon_LastConnectionIsServed fails: "unexpected EOF".

--- a/internal/controller/drain/drain.go
+++ b/internal/controller/drain/drain.go
@@ -82,17 +82,14 @@
 	return l != nil && l.Phase >= blackboard.Draining
 }
 
-// Wait blocks until the others know of the drain and no request is in flight,
-// or the timeout is up. It returns how many requests were still in flight.
+// WaitQuiet blocks until the others know of the drain.
+func (c *Controller) WaitQuiet() { time.Sleep(min(c.Quiet, c.Timeout)) }
+
+// Wait blocks until no request is in flight or the timeout is up. It returns how
+// many still were. New requests must not come any more, or it may wait in vain.
 func (c *Controller) Wait(ctx context.Context) int {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	quiet := time.NewTimer(c.Quiet)
-	defer quiet.Stop()
-	select {
-	case <-quiet.C:
-	case <-ctx.Done():
-	}
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
 	for n := c.inFlight(); n > 0; n = c.inFlight() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,11 @@
 	// quiet is how long a leaving daemon goes on taking calls, until all others
 	// know that it leaves.
 	quiet = 2 * time.Second
+	// linger is how long callers' connections are served after the last one was
+	// let in.
+	linger = 500 * time.Millisecond
+	// lingerPoll is how often it is looked whether any are left.
+	lingerPoll = 10 * time.Millisecond
 	// leaveTimeout bounds the goodbye to the other daemons.
 	leaveTimeout = time.Second
 	// closeTimeout bounds the end of what is left after the drain.
@@ -50,6 +55,9 @@
 	*parts
 
 	callers, operators, backend *http.Server
+	callerConns                 *inputWatch
+	// linger is the constant of this name; tests change it.
+	linger time.Duration
 }
 
 // Run runs a daemon until ctx is done and its graceful shutdown has ended.
@@ -100,6 +108,7 @@
 		board:     &blackboard.Board{},
 		ln:        ln,
 		joined:    make(chan struct{}),
+		linger:    linger,
 	}
 	d.parts, err = d.build()
 	return d, err
@@ -137,15 +146,19 @@
 	d.callers = callerServer(d.outbound, d.settings.Requests, d.logger)
 	d.operators = operatorServer(d.operatorAPI, d.logger)
 	d.backend = backendServer(d.announce.Handler(), d.logger)
-	watchInput(d.callers, "callers", d.meter, d.logger)
+	d.callerConns = watchInput(d.callers, "callers", d.meter, d.logger)
 	watchInput(d.operators, "operators", d.meter, d.logger)
 	watchInput(d.backend, "backend", d.meter, d.logger)
 }
 
-// drain shuts down gracefully: the others are told first, then the work in
-// flight ends. Callers that keep connections are told to close them.
+// drain shuts down gracefully: the others are told first, then no more callers
+// are let in, then the work in flight ends. Callers that keep connections are
+// told to close them.
 func (d *Daemon) drain(reason string) {
 	d.lifecycle.Drain(reason)
+	d.lifecycle.WaitQuiet()
+	d.ln.callersDoor.Shut()
+	d.lingerOn()
 	left := d.lifecycle.Wait(context.Background())
 	if left > 0 {
 		d.logger.Warn("daemon: requests cut off by the drain timeout", "requests", left)
@@ -158,6 +171,15 @@
 	}
 }
 
+// lingerOn serves for a while the connections that were let in before the door
+// was shut. The HTTP server closes a connection on which no request has begun at
+// once, and cuts off a request that is just arriving on it.
+func (d *Daemon) lingerOn() {
+	for end := time.Now().Add(d.linger); time.Now().Before(end) && d.callerConns.open() > 0; {
+		time.Sleep(lingerPoll)
+	}
+}
+
 // close ends what serves others.
 func (d *Daemon) close() {
 	shutdown(d.callers, closeTimeout)
--- a/internal/daemon/input.go
+++ b/internal/daemon/input.go
@@ -35,8 +35,8 @@
 
 type connInputKey struct{}
 
-// watchInput makes srv count what it refuses.
-func watchInput(srv *http.Server, listener string, meter inputMeter, logger *slog.Logger) {
+// watchInput makes srv count what it refuses, and its open connections.
+func watchInput(srv *http.Server, listener string, meter inputMeter, logger *slog.Logger) *inputWatch {
 	w := &inputWatch{listener: listener, meter: meter, logger: logger}
 	next := srv.Handler
 	srv.Handler = http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
@@ -47,6 +47,17 @@
 	})
 	srv.ConnContext = w.connContext
 	srv.ConnState = w.connState
+	return w
+}
+
+// open returns the number of open connections.
+func (w *inputWatch) open() int {
+	n := 0
+	w.conns.Range(func(any, any) bool {
+		n++
+		return true
+	})
+	return n
 }
 
 func (w *inputWatch) connContext(ctx context.Context, conn net.Conn) context.Context {
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -27,6 +27,8 @@
 type listeners struct {
 	callers, peers, operators, backend net.Listener
 	packets                            *net.UDPConn
+	// callersDoor is callers.
+	callersDoor *door
 }
 
 func listen(s settings.Listen) (*listeners, error) {
@@ -47,6 +49,8 @@
 		}
 		*b.ln = ln
 	}
+	l.callersDoor = newDoor(l.callers)
+	l.callers = l.callersDoor
 	// Probes use UDP on the same port as the sessions between daemons.
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addrOf(l.peers)))
 	if err != nil {
