--- a/bench/checker/checker_test.go
+++ b/bench/checker/checker_test.go
@@ -74,11 +74,13 @@
 	hold := keyed(call("hold", "POST", "/holds/1", 2, unknown(errkind.KeyUnresolved), answered(0)))
 	gate := call("gate", "POST", "/gates/1", 3, refused(errkind.Overloaded), answered(1))
 	open := call("open", "POST", "/gates/2", 4, unknown(errkind.OutcomeUnknown))
+	held := keyed(call("held", "POST", "/holds/3", 31, unknown(errkind.RateLimited), answered(0)))
 	late := call("late", "GET", "/signs/2", 20, answered(3))
 	return &Records{
-		Calls: []caller.Call{lookup, hold, gate, open, late},
+		Calls: []caller.Call{lookup, hold, gate, open, late, held},
 		Executions: []backendserver.Execution{
 			ran(lookup, 1, 1.05), ran(hold, 1, 2.05), ran(gate, 2, 3.15), ran(open, 1, 4.05), ran(late, 1, 20.05),
+			ran(held, 2, 31.15),
 		},
 		Observations: []Observation{
 			saw("a", 1, 1, 1), saw("b", 1, 1, 1), saw("c", 1, 1, 1), saw("a", 1, 6.1, 2), saw("b", 1, 6.1, 2), saw("c", 1, 6.1, 2),
@@ -249,6 +251,10 @@
 			c := call("x", "GET", "/signs/2", 31, unknown(errkind.BackendFailed), answered(3))
 			add(r, c, ran(c, 2, 31.15))
 		}, CutOff},
+		"a call has to be repeated after its connection broke": {func(r *Records) {
+			c := keyed(call("x", "POST", "/holds/2", 31, unknown(errkind.None), answered(0)))
+			add(r, c, ran(c, 2, 31.15))
+		}, CutOff},
 		"an execution is cut off on a host that stops": {func(r *Records) {
 			c := call("x", "GET", "/signs/2", 31, answered(3))
 			e := ran(c, 1, 31.05)
--- a/bench/checker/stops.go
+++ b/bench/checker/stops.go
@@ -1,6 +1,7 @@
 package checker
 
 import (
+	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/internal/standin/backendserver"
 	"github.com/crocuscross/crocuscross/internal/standin/caller"
 )
@@ -40,13 +41,24 @@
 			continue
 		}
 		for n, t := range call.Log {
-			if t.Verdict == caller.Unknown && !t.End.Before(s.From) {
+			if t.Verdict == caller.Unknown && !refusal(t.Kind) && !t.End.Before(s.From) {
 				c.report(CutOff, t.End, "request "+call.RequestID, "try %d at %s was cut off (%s) by a planned stop: %s", n+1, t.Target, t.Kind, t.Error)
 			}
 		}
 	}
 }
 
+// refusal reports whether a daemon turns a request away by an error kind before
+// it does anything. Under a key it cannot say that the call has not run, since an
+// earlier try may have; this one was not cut off.
+func refusal(k errkind.Kind) bool {
+	switch k {
+	case errkind.RateLimited, errkind.ConcurrencyLimit, errkind.NotReady, errkind.Overloaded, errkind.Draining:
+		return true
+	}
+	return false
+}
+
 // cutBy finds the executions that did not end well on the hosts that stop.
 func (c *check) cutBy(s Stop) {
 	for i := range c.Executions {
