Let gate corrections wait longer than the death of a daemon takes to show

Whether make faults sees what it should was tried with broken daemons: one that gives calls to servers which drain (seen as new_work), one that applies the first half of rejected bundles (seen as half_applied), and one that says "not run" of a call whose gate has died.

--- a/bench/checker/calls.go
+++ b/bench/checker/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -58,6 +59,7 @@
 }
 
 func (c *check) double(subject string, list []*backendserver.Execution) {
+	slices.SortFunc(list, func(a, b *backendserver.Execution) int { return a.Start.Compare(b.Start) })
 	var places []string
 	for _, e := range list {
 		places = append(places, place(e))
@@ -131,18 +133,9 @@
 	for i := range c.Executions {
 		e := &c.Executions[i]
 		for _, r := range c.Routes {
-			if strings.HasPrefix(e.Path, r.Prefix) && !contains(r.Services, c.Services[e.Server]) {
+			if strings.HasPrefix(e.Path, r.Prefix) && !slices.Contains(r.Services, c.Services[e.Server]) {
 				c.report(Misrouted, e.Start, "request "+e.RequestID, "%s ran on %s of service %q", e.Path, place(e), c.Services[e.Server])
 			}
 		}
 	}
 }
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
--- a/bench/checker/stops.go
+++ b/bench/checker/stops.go
@@ -1,6 +1,8 @@
 package checker
 
 import (
+	"slices"
+
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/internal/standin/backendserver"
 	"github.com/crocuscross/crocuscross/internal/standin/caller"
@@ -63,7 +65,7 @@
 func (c *check) cutBy(s Stop) {
 	for i := range c.Executions {
 		e := &c.Executions[i]
-		if !contains(s.Hosts, e.Server) || e.Outcome == backendserver.Completed || e.Start.After(s.To) {
+		if !slices.Contains(s.Hosts, e.Server) || e.Outcome == backendserver.Completed || e.Start.After(s.To) {
 			continue
 		}
 		if e.End.IsZero() || e.End.After(s.From) {
--- a/bench/faults/configuration.go
+++ b/bench/faults/configuration.go
@@ -47,10 +47,12 @@
 )
 
 // Waits that contracts allow, in milliseconds, and the rate, which must not
-// bind.
+// bind. Gate corrections may wait for longer than it takes to find that a daemon
+// is dead, holds may not: the two end differently.
 const (
 	waitLookups = 1000
 	waitHolds   = 2000
+	waitGates   = 8000
 	waitLong    = 10_000
 	plentyRate  = 5000
 )
@@ -60,7 +62,7 @@
 		Customer: customer, RatePerSecond: plentyRate, Burst: plentyRate, MaxWaitMs: waitLookups,
 		Rules: []*configpb.CallRule{
 			{PathPrefix: pathHolds, NonIdempotent: true, MaxWaitMs: waitHolds},
-			{PathPrefix: pathGates, NonIdempotent: true, MaxWaitMs: waitHolds},
+			{PathPrefix: pathGates, NonIdempotent: true, MaxWaitMs: waitGates},
 			{Method: http.MethodPut, PathPrefix: pathUploads, MaxWaitMs: waitLong},
 			{PathPrefix: pathCalib, MaxWaitMs: waitLong},
 		},
--- a/bench/faults/load.go
+++ b/bench/faults/load.go
@@ -18,6 +18,7 @@
 
 	timeoutLookup = 1500 * time.Millisecond
 	timeoutHold   = 2500 * time.Millisecond
+	timeoutGate   = 9 * time.Second
 	timeoutLong   = 12 * time.Second
 	// repeats of a call through other daemons, and the time before each.
 	repeats     = 4
@@ -42,7 +43,7 @@
 	return []kind{
 		{0.42, callerOf(customerSigns, timeoutLookup, caller.KeysNone, get(3, pathSigns+"7"), get(1, pathMoved+"7"))},
 		{0.30, insisting(callerOf(customerHolds, timeoutHold, caller.KeysIssued, post(pathHolds+"12")))},
-		{0.15, callerOf(customerGates, timeoutHold, caller.KeysNone, post(pathGates+"3"))},
+		{0.15, callerOf(customerGates, timeoutGate, caller.KeysNone, post(pathGates+"3"))},
 		{0.06, withAnswers(callerOf(customerGates, timeoutLong, caller.KeysNone, get(9, pathCalib+"3"), get(1, pathCalib+"4?sleep=3s")))},
 		{0.03, uploads(callerOf(customerUploads, timeoutLong, caller.KeysNone, caller.Shape{Weight: 1, Method: http.MethodPut, Path: pathUploads + "5"}))},
 		{0.04, callerOf(customerOwnKeys, timeoutHold, caller.KeysOwn, post(pathOwnKeys+"9"))},
@@ -52,8 +53,9 @@
 // proofLoad is non-idempotent calls only.
 func proofLoad() []kind {
 	return []kind{
-		{0.60, insisting(callerOf(customerHolds, timeoutHold, caller.KeysIssued, post(pathHolds+"12")))},
-		{0.32, callerOf(customerGates, timeoutHold, caller.KeysNone, post(pathGates+"3"), post(pathHolds+"14"))},
+		{0.45, insisting(callerOf(customerHolds, timeoutHold, caller.KeysIssued, post(pathHolds+"12")))},
+		{0.15, insisting(callerOf(customerHolds, timeoutGate, caller.KeysIssued, post(pathGates+"12")))},
+		{0.32, callerOf(customerGates, timeoutGate, caller.KeysNone, post(pathGates+"3"), post(pathHolds+"14"))},
 		{0.08, insisting(callerOf(customerOwnKeys, timeoutHold, caller.KeysOwn, post(pathOwnKeys+"9")))},
 	}
 }
