--- a/bench/fleet/daemons.go
+++ b/bench/fleet/daemons.go
@@ -13,10 +13,10 @@
 
 	"github.com/crocuscross/crocuscross/bench/procs"
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/httplog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/operator"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/httplog"
 )
 
 const (
@@ -37,7 +37,7 @@
 	group  *procs.Group
 	dir    string
 	logURL string
-	log    platform.Log
+	log    eventlog.Log
 	hosts  []*host
 	// revision in force of the contract that the measurement revises.
 	revision uint64
@@ -80,7 +80,7 @@
 		return err
 	}
 	f.logURL = "http://" + addr
-	f.log = httplog.New(httplog.DefaultOptions(f.logURL)).Stream(platform.StreamConfig)
+	f.log = httplog.New(httplog.DefaultOptions(f.logURL)).Stream(eventlog.StreamConfig)
 	for i := range f.opts.Daemons {
 		h := &host{
 			name: fmt.Sprintf("host-%03d", i),
--- a/bench/trial/trial.go
+++ b/bench/trial/trial.go
@@ -16,11 +16,11 @@
 
 	"github.com/crocuscross/crocuscross/bench/procs"
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/httplog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/operator"
 	"github.com/crocuscross/crocuscross/peerpb"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/httplog"
 )
 
 // Customer has a contract that does not bind in a measurement.
@@ -235,8 +235,8 @@
 }
 
 // Config is the configuration stream of the platform log's stand-in.
-func (t *Trial) Config() platform.Log {
-	return httplog.New(httplog.DefaultOptions(t.LogURL)).Stream(platform.StreamConfig)
+func (t *Trial) Config() eventlog.Log {
+	return httplog.New(httplog.DefaultOptions(t.LogURL)).Stream(eventlog.StreamConfig)
 }
 
 // WaitInForce waits until n daemons have an offset in force, with no route
--- a/checkpoint/bench_test.go
+++ b/checkpoint/bench_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/crocuscross/crocuscross/platform/memlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 )
 
 var sizes = []int{200, 1000, 2000, 4000}
--- a/checkpoint/checkpoint_test.go
+++ b/checkpoint/checkpoint_test.go
@@ -14,8 +14,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
 )
 
 func TestRoundTripInParts(t *testing.T) {
@@ -35,7 +35,7 @@
 	must.ErrorIs(t, err, ErrNone)
 	svc.SetOutage(true)
 	_, err = Latest(t.Context(), stream)
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, eventlog.ErrUnavailable)
 	must.False(t, errors.Is(err, ErrNone), must.Sprint("an outage must not look like an empty stream"))
 }
 
@@ -48,7 +48,7 @@
 	must.NoError(t, s.Scan(t.Context()))
 	svc.SetOutage(true)
 	_, err := s.Load(t.Context())
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, eventlog.ErrUnavailable)
 	svc.SetOutage(false)
 	_, err = s.Load(t.Context())
 	must.NoError(t, err)
@@ -75,7 +75,7 @@
 	must.NoError(t, NewWriter(stream, "h", options()).Write(t.Context(), stateAt(3)))
 	limited := &limitedLog{Log: stream, appends: 2}
 	err := NewWriter(limited, "i", options()).Write(t.Context(), bigState())
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, eventlog.ErrUnavailable)
 	got, err := Latest(t.Context(), stream)
 	must.NoError(t, err)
 	must.Eq(t, encoded(stateAt(3)), encoded(got))
@@ -83,13 +83,13 @@
 
 // limitedLog goes down after some appends.
 type limitedLog struct {
-	platform.Log
+	eventlog.Log
 	appends int
 }
 
-func (l *limitedLog) Append(ctx context.Context, data []byte) (platform.Offset, error) {
+func (l *limitedLog) Append(ctx context.Context, data []byte) (eventlog.Offset, error) {
 	if l.appends == 0 {
-		return 0, platform.ErrUnavailable
+		return 0, eventlog.ErrUnavailable
 	}
 	l.appends--
 	return l.Log.Append(ctx, data)
--- a/checkpoint/example_test.go
+++ b/checkpoint/example_test.go
@@ -6,16 +6,16 @@
 
 	"github.com/crocuscross/crocuscross/checkpoint"
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
 // A daemon writes the state back before the records expire; a newcomer starts
 // from it.
 func Example() {
 	ctx := context.Background()
-	stream := memlog.New(memlog.DefaultOptions()).Stream(platform.StreamCheckpoints)
+	stream := memlog.New(memlog.DefaultOptions()).Stream(eventlog.StreamCheckpoints)
 
 	contract := &configpb.Contract{Customer: "harbour-garage", RatePerSecond: 100, MaxWaitMs: 500}
 	record, err := fold.EncodeRecord(&configpb.Bundle{
--- a/checkpoint/helper_test.go
+++ b/checkpoint/helper_test.go
@@ -9,9 +9,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
 // record returns the record that sets the n-th of some contracts.
@@ -95,5 +95,5 @@
 
 func newStream() (*memlog.Service, *memlog.Stream) {
 	svc := memlog.New(memlog.DefaultOptions())
-	return svc, svc.Stream(platform.StreamCheckpoints)
+	return svc, svc.Stream(eventlog.StreamCheckpoints)
 }
--- a/checkpoint/keeper.go
+++ b/checkpoint/keeper.go
@@ -8,8 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
 )
 
 // KeeperOptions holds what a Keeper needs beside the streams.
@@ -48,7 +48,7 @@
 type Keeper struct {
 	opts    KeeperOptions
 	host    string
-	config  platform.Log
+	config  eventlog.Log
 	scanner *Scanner
 	writer  *Writer
 
@@ -65,9 +65,9 @@
 	wait time.Duration
 }
 
-// NewKeeper returns a keeper for the streams platform.StreamConfig and
-// platform.StreamCheckpoints.
-func NewKeeper(host string, config, checkpoints platform.Log, opts KeeperOptions) *Keeper {
+// NewKeeper returns a keeper for the streams eventlog.StreamConfig and
+// eventlog.StreamCheckpoints.
+func NewKeeper(host string, config, checkpoints eventlog.Log, opts KeeperOptions) *Keeper {
 	return &Keeper{
 		opts:    opts,
 		host:    host,
--- a/checkpoint/load.go
+++ b/checkpoint/load.go
@@ -9,8 +9,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
 )
 
 // ErrNone means that the stream holds no whole checkpoint that this program
@@ -22,9 +22,9 @@
 
 // Latest returns the state of the newest whole checkpoint in a stream. It reads
 // what the stream retains, and the newest checkpoint once more. The error is
-// ErrNone where there is none, and platform.ErrUnavailable where the log cannot
+// ErrNone where there is none, and eventlog.ErrUnavailable where the log cannot
 // be read.
-func Latest(ctx context.Context, log platform.Log) (*fold.State, error) {
+func Latest(ctx context.Context, log eventlog.Log) (*fold.State, error) {
 	s := NewScanner(log)
 	if err := s.Scan(ctx); err != nil {
 		return nil, err
@@ -56,7 +56,7 @@
 // unusable reports whether an error is the checkpoint's own, so that another
 // may do.
 func unusable(err error) bool {
-	var truncated *platform.TruncatedError
+	var truncated *eventlog.TruncatedError
 	var unknown *fold.UnknownRuleError
 	return errors.As(err, &truncated) || errors.As(err, &unknown) ||
 		errors.Is(err, fold.ErrBadState) || errors.Is(err, errDamaged)
--- a/checkpoint/part.go
+++ b/checkpoint/part.go
@@ -11,8 +11,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
 )
 
 const (
@@ -22,7 +22,7 @@
 
 	// partOverheadBytes is kept free in a record for the fields beside data.
 	partOverheadBytes = 1 << 10
-	partDataBytes     = platform.MaxRecordBytes - partOverheadBytes
+	partDataBytes     = eventlog.MaxRecordBytes - partOverheadBytes
 	maxParts          = (MaxBytes + partDataBytes - 1) / partDataBytes
 	maxWriterBytes    = 256
 )
@@ -72,7 +72,7 @@
 // parsePart reads one record of the stream; ok is false for anything that no
 // writer appends.
 func parsePart(data []byte) (part *configpb.CheckpointPart, key partKey, ok bool) {
-	if len(data) > platform.MaxRecordBytes {
+	if len(data) > eventlog.MaxRecordBytes {
 		return nil, partKey{}, false
 	}
 	part = &configpb.CheckpointPart{}
--- a/checkpoint/policy.go
+++ b/checkpoint/policy.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 // Reason is why a checkpoint is due.
@@ -90,7 +90,7 @@
 	// Offset of the state that the daemon could write.
 	Offset uint64
 	// Config is what the configuration stream retains.
-	Config platform.Bounds
+	Config eventlog.Bounds
 	// Newest is nil where the stream holds no whole checkpoint.
 	Newest *Sighting
 }
@@ -129,7 +129,7 @@
 }
 
 // halfway reports whether a record is in the older half of what is retained.
-func halfway(needed platform.Offset, retained platform.Bounds) bool {
+func halfway(needed eventlog.Offset, retained eventlog.Bounds) bool {
 	return needed < retained.First+(retained.End-retained.First)/2
 }
 
--- a/checkpoint/policy_test.go
+++ b/checkpoint/policy_test.go
@@ -10,9 +10,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
 func TestDue(t *testing.T) {
@@ -22,21 +22,21 @@
 		s    Situation
 		want Reason
 	}{
-		"nothing published":            {Situation{0, platform.Bounds{First: 1, End: 1}, nil}, ReasonNone},
-		"none yet":                     {Situation{5, platform.Bounds{First: 1, End: 6}, nil}, ReasonAge},
-		"none, and the log has cut":    {Situation{5, platform.Bounds{First: 3, End: 6}, nil}, ReasonTail},
-		"fresh":                        {Situation{100, platform.Bounds{First: 1, End: 101}, seen(60, time.Minute)}, ReasonNone},
-		"tail broken though fresh":     {Situation{100, platform.Bounds{First: 91, End: 101}, seen(89, time.Minute)}, ReasonTail},
-		"tail just unbroken":           {Situation{100, platform.Bounds{First: 90, End: 101}, seen(89, time.Minute)}, ReasonNone},
-		"tail broken, covered by own":  {Situation{89, platform.Bounds{First: 91, End: 101}, seen(89, time.Minute)}, ReasonNone},
-		"half of retention":            {Situation{100, platform.Bounds{First: 1, End: 101}, seen(49, 10*time.Minute)}, ReasonRetention},
-		"later half of retention":      {Situation{100, platform.Bounds{First: 1, End: 101}, seen(50, 10*time.Minute)}, ReasonNone},
-		"nothing new in a short log":   {Situation{100, platform.Bounds{First: 101, End: 101}, seen(100, 10*time.Minute)}, ReasonNone},
-		"many records":                 {Situation{9500, platform.Bounds{First: 1, End: 9501}, seen(9000, 10*time.Minute)}, ReasonRecords},
-		"many records at once":         {Situation{9500, platform.Bounds{First: 1, End: 9501}, seen(9000, time.Minute)}, ReasonNone},
-		"old though nothing new":       {Situation{100, platform.Bounds{First: 101, End: 101}, seen(100, time.Hour)}, ReasonAge},
-		"age unknown counts half":      {Situation{100, platform.Bounds{First: 101, End: 101}, &Sighting{100, 30 * time.Minute, false}}, ReasonAge},
-		"behind the newest checkpoint": {Situation{100, platform.Bounds{First: 150, End: 201}, seen(120, time.Hour)}, ReasonNone},
+		"nothing published":            {Situation{0, eventlog.Bounds{First: 1, End: 1}, nil}, ReasonNone},
+		"none yet":                     {Situation{5, eventlog.Bounds{First: 1, End: 6}, nil}, ReasonAge},
+		"none, and the log has cut":    {Situation{5, eventlog.Bounds{First: 3, End: 6}, nil}, ReasonTail},
+		"fresh":                        {Situation{100, eventlog.Bounds{First: 1, End: 101}, seen(60, time.Minute)}, ReasonNone},
+		"tail broken though fresh":     {Situation{100, eventlog.Bounds{First: 91, End: 101}, seen(89, time.Minute)}, ReasonTail},
+		"tail just unbroken":           {Situation{100, eventlog.Bounds{First: 90, End: 101}, seen(89, time.Minute)}, ReasonNone},
+		"tail broken, covered by own":  {Situation{89, eventlog.Bounds{First: 91, End: 101}, seen(89, time.Minute)}, ReasonNone},
+		"half of retention":            {Situation{100, eventlog.Bounds{First: 1, End: 101}, seen(49, 10*time.Minute)}, ReasonRetention},
+		"later half of retention":      {Situation{100, eventlog.Bounds{First: 1, End: 101}, seen(50, 10*time.Minute)}, ReasonNone},
+		"nothing new in a short log":   {Situation{100, eventlog.Bounds{First: 101, End: 101}, seen(100, 10*time.Minute)}, ReasonNone},
+		"many records":                 {Situation{9500, eventlog.Bounds{First: 1, End: 9501}, seen(9000, 10*time.Minute)}, ReasonRecords},
+		"many records at once":         {Situation{9500, eventlog.Bounds{First: 1, End: 9501}, seen(9000, time.Minute)}, ReasonNone},
+		"old though nothing new":       {Situation{100, eventlog.Bounds{First: 101, End: 101}, seen(100, time.Hour)}, ReasonAge},
+		"age unknown counts half":      {Situation{100, eventlog.Bounds{First: 101, End: 101}, &Sighting{100, 30 * time.Minute, false}}, ReasonAge},
+		"behind the newest checkpoint": {Situation{100, eventlog.Bounds{First: 150, End: 201}, seen(120, time.Hour)}, ReasonNone},
 	} {
 		t.Run(name, func(t *testing.T) { must.Eq(t, tc.want, p.Due(tc.s)) })
 	}
@@ -98,7 +98,7 @@
 	opts.RetainFor = keeperRetention
 	opts.Now = func() time.Time { return f.now }
 	f.svc = memlog.New(opts)
-	f.config, f.stream = f.svc.Stream(platform.StreamConfig), f.svc.Stream(platform.StreamCheckpoints)
+	f.config, f.stream = f.svc.Stream(eventlog.StreamConfig), f.svc.Stream(eventlog.StreamCheckpoints)
 	f.list, f.next = make([]*Keeper, hosts), make([]time.Time, hosts)
 	for i := range hosts {
 		f.hosts = append(f.hosts, fmt.Sprint("host-", i))
--- a/checkpoint/scan.go
+++ b/checkpoint/scan.go
@@ -7,12 +7,12 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 const (
 	// scanRecords is how many records are read at once. A part has up to
-	// platform.MaxRecordBytes, so this bounds the memory of a scan.
+	// eventlog.MaxRecordBytes, so this bounds the memory of a scan.
 	scanRecords = 8
 	// maxGapRecords is how many records may lie between two parts of one
 	// checkpoint. A longer gap gives it up, which bounds the checkpoints that
@@ -32,21 +32,21 @@
 
 	digest digest
 	// parts are the offsets in the checkpoint stream.
-	parts []platform.Offset
+	parts []eventlog.Offset
 }
 
 // End is the stream's offset of the last part.
-func (f *Found) End() platform.Offset { return f.parts[len(f.parts)-1] }
+func (f *Found) End() eventlog.Offset { return f.parts[len(f.parts)-1] }
 
 // Scanner finds the whole checkpoints of a stream. It keeps no part's data, so
 // its memory is bounded whatever the stream holds. It must not be used by two
 // goroutines at once.
 type Scanner struct {
-	log platform.Log
+	log eventlog.Log
 	// next is the offset to go on from.
-	next platform.Offset
+	next eventlog.Offset
 	// swept is where open was last rid of checkpoints given up.
-	swept platform.Offset
+	swept eventlog.Offset
 	// open are the checkpoints of which some parts have been seen.
 	open map[partKey]*Found
 	// whole in descending order of state and stream offset.
@@ -54,7 +54,7 @@
 }
 
 // NewScanner returns a scanner that has seen nothing.
-func NewScanner(log platform.Log) *Scanner {
+func NewScanner(log eventlog.Log) *Scanner {
 	return &Scanner{log: log, open: make(map[partKey]*Found)}
 }
 
@@ -83,7 +83,7 @@
 
 func (s *Scanner) scanSome(ctx context.Context) error {
 	records, err := s.log.Read(ctx, s.next, scanRecords, 0)
-	var truncated *platform.TruncatedError
+	var truncated *eventlog.TruncatedError
 	if errors.As(err, &truncated) && truncated.First > s.next {
 		// Retention has passed the scan by.
 		s.next = truncated.First
@@ -93,7 +93,7 @@
 		return errors.Wrap(err, "read the checkpoint stream")
 	}
 	if len(records) == 0 {
-		return errors.Wrapf(platform.ErrUnavailable, "checkpoint stream lacks record %d", s.next)
+		return errors.Wrapf(eventlog.ErrUnavailable, "checkpoint stream lacks record %d", s.next)
 	}
 	for _, r := range records {
 		s.take(r)
@@ -103,7 +103,7 @@
 }
 
 // take looks at one record of the stream.
-func (s *Scanner) take(r platform.Record) {
+func (s *Scanner) take(r eventlog.Record) {
 	s.sweep(r.Offset)
 	part, key, ok := parsePart(r.Data)
 	if !ok {
@@ -142,7 +142,7 @@
 }
 
 // sweep gives up the checkpoints without a part for too long.
-func (s *Scanner) sweep(at platform.Offset) {
+func (s *Scanner) sweep(at eventlog.Offset) {
 	if at < s.swept+maxGapRecords {
 		return
 	}
--- a/checkpoint/writer.go
+++ b/checkpoint/writer.go
@@ -9,8 +9,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
 )
 
 // WriterOptions holds the bounds of a Writer.
@@ -50,14 +50,14 @@
 
 // Writer appends checkpoints to a stream. It is safe for concurrent use.
 type Writer struct {
-	log  platform.Log
+	log  eventlog.Log
 	host string
 	opts WriterOptions
 }
 
-// NewWriter returns a writer for the stream platform.StreamCheckpoints. host
+// NewWriter returns a writer for the stream eventlog.StreamCheckpoints. host
 // names the writer to people; nothing is decided by it.
-func NewWriter(log platform.Log, host string, opts WriterOptions) *Writer {
+func NewWriter(log eventlog.Log, host string, opts WriterOptions) *Writer {
 	return &Writer{log: log, host: host, opts: opts}
 }
 
@@ -88,7 +88,7 @@
 	}
 	for attempt := 1; ; attempt++ {
 		_, err = w.log.Append(ctx, data)
-		var rejected *platform.RejectedError
+		var rejected *eventlog.RejectedError
 		if err == nil || attempt >= w.opts.Attempts || errors.As(err, &rejected) {
 			return err
 		}
--- a/cmd/standin/log.go
+++ b/cmd/standin/log.go
@@ -3,8 +3,8 @@
 import (
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/internal/standin/logserver"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
 const logExamples = `Examples:
--- a/cmd/standin/main_test.go
+++ b/cmd/standin/main_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/httplog"
 	"github.com/crocuscross/crocuscross/internal/standin/caller"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/httplog"
 )
 
 // start runs a stand-in until the test ends and returns its address, and how to
@@ -44,7 +44,7 @@
 // after a restart.
 func TestStandins(t *testing.T) {
 	addr, stop := start(t, "log", "--max-appends", "300")
-	off, err := httplog.New(httplog.Options{BaseURL: "http://" + addr}).Stream(platform.StreamConfig).Append(t.Context(), []byte("x"))
+	off, err := httplog.New(httplog.Options{BaseURL: "http://" + addr}).Stream(eventlog.StreamConfig).Append(t.Context(), []byte("x"))
 	must.NoError(t, err)
 	must.Eq(t, 1, off)
 	must.Eq(t, statusOK, stop())
--- a/platform/platform.go
+++ b/eventlog/eventlog.go
@@ -1,7 +1,7 @@
-// Package platform is the narrow interface to the platform's append-only log
+// Package eventlog is the narrow interface to the platform's append-only log
 // service. Everything that must outlive a process goes through it; another log
 // service is one more implementation of Log.
-package platform
+package eventlog
 
 import (
 	"context"
--- a/platform/example_test.go
+++ b/eventlog/example_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package eventlog_test
 
 import (
 	"context"
@@ -6,24 +6,24 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/memlog"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 )
 
 // What became of an append is one of three things. Only after the second is it
 // safe to append a record again that must not be there twice.
 func ExampleLog() {
 	svc := memlog.New(memlog.DefaultOptions())
-	var log platform.Log = svc.Stream(platform.StreamConfig)
+	var log eventlog.Log = svc.Stream(eventlog.StreamConfig)
 	add := func() {
 		offset, err := log.Append(context.Background(), []byte("record"))
 		switch {
 		case err == nil:
 			fmt.Println("in the log at", offset)
-		case errors.Is(err, platform.ErrUnavailable):
+		case errors.Is(err, eventlog.ErrUnavailable):
 			fmt.Println("not in the log and never will be")
 		default:
-			fmt.Println("in the log or not:", errors.Is(err, platform.ErrUnknown))
+			fmt.Println("in the log or not:", errors.Is(err, eventlog.ErrUnknown))
 		}
 	}
 	add()
--- a/platform/httplog/client.go
+++ b/eventlog/httplog/client.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 // Options tells how the service is reached.
@@ -89,6 +89,6 @@
 }
 
 // Stream returns the stream of a name. It costs nothing to ask again.
-func (c *Client) Stream(name string) platform.Log {
+func (c *Client) Stream(name string) eventlog.Log {
 	return &stream{c: c, url: c.opts.BaseURL + "/v1/streams/" + url.PathEscape(name)}
 }
--- a/platform/httplog/httplog_test.go
+++ b/eventlog/httplog/httplog_test.go
@@ -19,11 +19,11 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/httplog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/internal/standin/logserver"
 	"github.com/crocuscross/crocuscross/internal/standin/relay"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/httplog"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
 // shortTimeout is for requests that are meant to time out, and long enough to
@@ -47,14 +47,14 @@
 
 func mustBeUnknown(t *testing.T, err error) {
 	t.Helper()
-	must.ErrorIs(t, err, platform.ErrUnknown)
-	must.False(t, errors.Is(err, platform.ErrUnavailable))
+	must.ErrorIs(t, err, eventlog.ErrUnknown)
+	must.False(t, errors.Is(err, eventlog.ErrUnavailable))
 }
 
 func mustBeUnavailable(t *testing.T, err error) {
 	t.Helper()
-	must.ErrorIs(t, err, platform.ErrUnavailable)
-	must.False(t, errors.Is(err, platform.ErrUnknown))
+	must.ErrorIs(t, err, eventlog.ErrUnavailable)
+	must.False(t, errors.Is(err, eventlog.ErrUnknown))
 }
 
 func TestAppendReadBounds(t *testing.T) {
@@ -63,22 +63,22 @@
 	for i := range 3 {
 		off, err := log.Append(t.Context(), []byte{byte(i)})
 		must.NoError(t, err)
-		must.Eq(t, platform.Offset(i+1), off)
+		must.Eq(t, eventlog.Offset(i+1), off)
 	}
 	recs, err := log.Read(t.Context(), 2, 10, time.Second)
 	must.NoError(t, err)
-	must.Eq(t, []platform.Record{{Offset: 2, Data: []byte{1}}, {Offset: 3, Data: []byte{2}}}, recs)
+	must.Eq(t, []eventlog.Record{{Offset: 2, Data: []byte{1}}, {Offset: 3, Data: []byte{2}}}, recs)
 	recs, err = log.Read(t.Context(), 4, 10, time.Millisecond)
 	must.NoError(t, err)
 	must.SliceEmpty(t, recs)
 	s.Stream("config").Cut(3)
 	b, err := log.Bounds(t.Context())
 	must.NoError(t, err)
-	must.Eq(t, platform.Bounds{First: 3, End: 4}, b)
+	must.Eq(t, eventlog.Bounds{First: 3, End: 4}, b)
 	_, err = log.Read(t.Context(), 2, 10, 0)
-	var trunc *platform.TruncatedError
+	var trunc *eventlog.TruncatedError
 	must.True(t, errors.As(err, &trunc))
-	must.Eq(t, platform.TruncatedError{Asked: 2, First: 3}, *trunc)
+	must.Eq(t, eventlog.TruncatedError{Asked: 2, First: 3}, *trunc)
 }
 
 // The record is in the log, then the connection ends without an answer. The
@@ -183,7 +183,7 @@
 
 // answering returns a log whose service reads each request whole, sends raw
 // bytes and closes.
-func answering(t *testing.T, raw string) platform.Log {
+func answering(t *testing.T, raw string) eventlog.Log {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
@@ -241,7 +241,7 @@
 				return
 			}
 			mustBeUnavailable(t, err)
-			var rejected *platform.RejectedError
+			var rejected *eventlog.RejectedError
 			must.Eq(t, tc.rejects, errors.As(err, &rejected))
 		})
 	}
@@ -262,7 +262,7 @@
 }
 
 // record encodes one record as the service does.
-func record(t *testing.T, off platform.Offset, data []byte) string {
+func record(t *testing.T, off eventlog.Offset, data []byte) string {
 	var b strings.Builder
 	_, err := protodelim.MarshalTo(&b, &configpb.SequencedRecord{Offset: off, Data: data})
 	must.NoError(t, err)
@@ -279,7 +279,7 @@
 		"gap":          answer(200, one+three),
 		"other start":  answer(200, two+three),
 		"over limit":   answer(200, one+two+three),
-		"large record": answer(200, record(t, 1, make([]byte, platform.MaxRecordBytes+100))),
+		"large record": answer(200, record(t, 1, make([]byte, eventlog.MaxRecordBytes+100))),
 		"nonsense":     answer(200, "hello"),
 		"bad 410":      answer(410, "{}"),
 		"redirect":     answer(302, ""),
@@ -312,14 +312,14 @@
 
 func TestRejections(t *testing.T) {
 	s := newService(t, httplog.Options{})
-	var rejected *platform.RejectedError
-	_, err := s.client.Stream("config").Append(t.Context(), make([]byte, platform.MaxRecordBytes+1))
+	var rejected *eventlog.RejectedError
+	_, err := s.client.Stream("config").Append(t.Context(), make([]byte, eventlog.MaxRecordBytes+1))
 	must.True(t, errors.As(err, &rejected))
 	_, err = s.client.Stream("Not A Name").Append(t.Context(), nil)
 	must.True(t, errors.As(err, &rejected))
 	_, err = s.client.Stream("config").Read(t.Context(), 1, 0, 0)
 	must.True(t, errors.As(err, &rejected))
-	off, err := s.client.Stream("config").Append(t.Context(), make([]byte, platform.MaxRecordBytes))
+	off, err := s.client.Stream("config").Append(t.Context(), make([]byte, eventlog.MaxRecordBytes))
 	must.NoError(t, err)
 	must.Eq(t, 1, off)
 }
--- a/platform/httplog/progress.go
+++ b/eventlog/httplog/progress.go
@@ -5,7 +5,7 @@
 	"net/http/httptrace"
 	"sync/atomic"
 
-	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 // progress tells whether any byte of a request can have left this process. It
@@ -32,7 +32,7 @@
 // classify says what an append that got no answer means.
 func (p *progress) classify(err error) error {
 	if p.asked.Load() && !p.connected.Load() {
-		return platform.Unavailable(err)
+		return eventlog.Unavailable(err)
 	}
-	return platform.Unknown(err)
+	return eventlog.Unknown(err)
 }
--- a/platform/httplog/protocol.go
+++ b/eventlog/httplog/protocol.go
@@ -12,7 +12,7 @@
 // status leaves the outcome of an append open.
 package httplog
 
-import "github.com/crocuscross/crocuscross/platform"
+import "github.com/crocuscross/crocuscross/eventlog"
 
 // ContentTypeRecords is the media type of length-delimited records.
 const ContentTypeRecords = "application/vnd.crocuscross.records"
@@ -30,17 +30,17 @@
 
 // AppendAnswer is the JSON body that answers an append.
 type AppendAnswer struct {
-	Offset platform.Offset `json:"offset"`
+	Offset eventlog.Offset `json:"offset"`
 }
 
 // TruncatedAnswer is the JSON body that answers a read of records that are no
 // longer retained.
 type TruncatedAnswer struct {
-	First platform.Offset `json:"first"`
+	First eventlog.Offset `json:"first"`
 }
 
 // BoundsAnswer is the JSON body that answers a request for the bounds.
 type BoundsAnswer struct {
-	First platform.Offset `json:"first"`
-	End   platform.Offset `json:"end"`
+	First eventlog.Offset `json:"first"`
+	End   eventlog.Offset `json:"end"`
 }
--- a/platform/httplog/stream.go
+++ b/eventlog/httplog/stream.go
@@ -17,7 +17,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/crocuscross/crocuscross/configpb"
-	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 const (
@@ -28,7 +28,7 @@
 	recordOverheadBytes = 32
 )
 
-// stream is one stream as a platform.Log.
+// stream is one stream as a eventlog.Log.
 type stream struct {
 	c   *Client
 	url string
@@ -36,19 +36,19 @@
 
 // Append sends one record, once. An append is never repeated here: whoever
 // publishes knows how to make a repeat harmless.
-func (s *stream) Append(ctx context.Context, data []byte) (platform.Offset, error) {
-	if len(data) > platform.MaxRecordBytes {
-		return 0, &platform.RejectedError{Reason: fmt.Sprintf("record of %d bytes is too large", len(data))}
+func (s *stream) Append(ctx context.Context, data []byte) (eventlog.Offset, error) {
+	if len(data) > eventlog.MaxRecordBytes {
+		return 0, &eventlog.RejectedError{Reason: fmt.Sprintf("record of %d bytes is too large", len(data))}
 	}
 	if err := ctx.Err(); err != nil {
-		return 0, platform.Unavailable(err)
+		return 0, eventlog.Unavailable(err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.c.opts.AppendTimeout)
 	defer cancel()
 	var p progress
 	req, err := http.NewRequestWithContext(p.watch(ctx), http.MethodPost, s.url+"/records", bytes.NewReader(data))
 	if err != nil {
-		return 0, platform.Unavailable(err)
+		return 0, eventlog.Unavailable(err)
 	}
 	resp, err := s.c.http.Do(req)
 	if err != nil {
@@ -59,27 +59,27 @@
 }
 
 // appendAnswer maps each status to what it says about the record.
-func appendAnswer(resp *http.Response) (platform.Offset, error) {
+func appendAnswer(resp *http.Response) (eventlog.Offset, error) {
 	switch {
 	case resp.StatusCode == http.StatusCreated:
 		var a AppendAnswer
 		if err := decodeSmall(resp, &a); err != nil {
-			return 0, platform.Unknown(err)
+			return 0, eventlog.Unknown(err)
 		}
 		if a.Offset == 0 {
-			return 0, platform.Unknown(errors.New("log service answered no offset"))
+			return 0, eventlog.Unknown(errors.New("log service answered no offset"))
 		}
 		return a.Offset, nil
 	case tookNothing(resp.StatusCode):
-		return 0, platform.Unavailable(statusError(resp))
+		return 0, eventlog.Unavailable(statusError(resp))
 	case isRejection(resp.StatusCode):
-		return 0, &platform.RejectedError{Reason: statusError(resp).Error()}
+		return 0, &eventlog.RejectedError{Reason: statusError(resp).Error()}
 	}
-	return 0, platform.Unknown(statusError(resp))
+	return 0, eventlog.Unknown(statusError(resp))
 }
 
 // Read returns records in order and without gaps, or an error.
-func (s *stream) Read(ctx context.Context, from platform.Offset, limit int, wait time.Duration) ([]platform.Record, error) {
+func (s *stream) Read(ctx context.Context, from eventlog.Offset, limit int, wait time.Duration) ([]eventlog.Record, error) {
 	wait = max(wait, 0)
 	ctx, cancel := context.WithTimeout(ctx, wait+s.c.opts.ReadTimeout)
 	defer cancel()
@@ -97,7 +97,7 @@
 	case resp.StatusCode == http.StatusOK:
 		recs, err := decodeRecords(io.LimitReader(resp.Body, s.c.opts.MaxReadBytes), from, limit)
 		if err != nil {
-			return nil, platform.Unavailable(err)
+			return nil, eventlog.Unavailable(err)
 		}
 		return recs, nil
 	case resp.StatusCode == http.StatusGone:
@@ -107,35 +107,35 @@
 }
 
 // Bounds asks for the current first and end offset.
-func (s *stream) Bounds(ctx context.Context) (platform.Bounds, error) {
+func (s *stream) Bounds(ctx context.Context) (eventlog.Bounds, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.c.opts.ReadTimeout)
 	defer cancel()
 	resp, err := s.get(ctx, "/bounds")
 	if err != nil {
-		return platform.Bounds{}, err
+		return eventlog.Bounds{}, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return platform.Bounds{}, readError(resp)
+		return eventlog.Bounds{}, readError(resp)
 	}
 	var a BoundsAnswer
 	if err := decodeSmall(resp, &a); err != nil {
-		return platform.Bounds{}, platform.Unavailable(err)
+		return eventlog.Bounds{}, eventlog.Unavailable(err)
 	}
 	if a.First == 0 || a.End < a.First {
-		return platform.Bounds{}, platform.Unavailable(errors.Newf("log service answered bounds %d to %d", a.First, a.End))
+		return eventlog.Bounds{}, eventlog.Unavailable(errors.Newf("log service answered bounds %d to %d", a.First, a.End))
 	}
-	return platform.Bounds{First: a.First, End: a.End}, nil
+	return eventlog.Bounds{First: a.First, End: a.End}, nil
 }
 
 func (s *stream) get(ctx context.Context, path string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.url+path, nil)
 	if err != nil {
-		return nil, platform.Unavailable(err)
+		return nil, eventlog.Unavailable(err)
 	}
 	resp, err := s.c.http.Do(req)
 	if err != nil {
-		return nil, platform.Unavailable(err)
+		return nil, eventlog.Unavailable(err)
 	}
 	return resp, nil
 }
@@ -143,10 +143,10 @@
 // decodeRecords checks the order of offsets: a record skipped here would be
 // missing from the fold for good, and the daemon would reach other verdicts
 // than its peers.
-func decodeRecords(body io.Reader, from platform.Offset, limit int) ([]platform.Record, error) {
+func decodeRecords(body io.Reader, from eventlog.Offset, limit int) ([]eventlog.Record, error) {
 	r := bufio.NewReader(body)
-	opts := protodelim.UnmarshalOptions{MaxSize: platform.MaxRecordBytes + recordOverheadBytes}
-	var recs []platform.Record
+	opts := protodelim.UnmarshalOptions{MaxSize: eventlog.MaxRecordBytes + recordOverheadBytes}
+	var recs []eventlog.Record
 	for {
 		var m configpb.SequencedRecord
 		err := opts.UnmarshalFrom(r, &m)
@@ -156,35 +156,35 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "decode records")
 		}
-		want := from + platform.Offset(len(recs))
+		want := from + eventlog.Offset(len(recs))
 		if m.GetOffset() != want {
 			return nil, errors.Newf("log service answered offset %d in place of %d", m.GetOffset(), want)
 		}
 		if len(recs) == limit {
 			return nil, errors.Newf("log service answered more than %d records", limit)
 		}
-		recs = append(recs, platform.Record{Offset: m.GetOffset(), Data: m.GetData()})
+		recs = append(recs, eventlog.Record{Offset: m.GetOffset(), Data: m.GetData()})
 	}
 }
 
-func truncated(resp *http.Response, asked platform.Offset) error {
+func truncated(resp *http.Response, asked eventlog.Offset) error {
 	var a TruncatedAnswer
 	if err := decodeSmall(resp, &a); err != nil {
-		return platform.Unavailable(err)
+		return eventlog.Unavailable(err)
 	}
 	if a.First <= asked {
-		return platform.Unavailable(errors.Newf("log service answered that %d is no longer retained and %d is", asked, a.First))
+		return eventlog.Unavailable(errors.Newf("log service answered that %d is no longer retained and %d is", asked, a.First))
 	}
-	return &platform.TruncatedError{Asked: asked, First: a.First}
+	return &eventlog.TruncatedError{Asked: asked, First: a.First}
 }
 
 // readError maps the status of a read that failed. Nothing was read, whatever
 // the reason.
 func readError(resp *http.Response) error {
 	if isRejection(resp.StatusCode) && !tookNothing(resp.StatusCode) {
-		return &platform.RejectedError{Reason: statusError(resp).Error()}
+		return &eventlog.RejectedError{Reason: statusError(resp).Error()}
 	}
-	return platform.Unavailable(statusError(resp))
+	return eventlog.Unavailable(statusError(resp))
 }
 
 // tookNothing reports whether the service promises that it took nothing and
--- a/platform/memlog/example_test.go
+++ b/eventlog/memlog/example_test.go
@@ -6,19 +6,19 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/memlog"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 )
 
 // An append whose answer is lost has taken effect all the same.
 func Example() {
 	ctx := context.Background()
 	svc := memlog.New(memlog.DefaultOptions())
-	log := svc.Stream(platform.StreamConfig)
+	log := svc.Stream(eventlog.StreamConfig)
 
 	svc.LoseAnswers(1)
 	_, err := log.Append(ctx, []byte("bundle"))
-	fmt.Println("unknown:", errors.Is(err, platform.ErrUnknown))
+	fmt.Println("unknown:", errors.Is(err, eventlog.ErrUnknown))
 
 	recs, _ := log.Read(ctx, 1, 10, 0)
 	fmt.Println("records:", len(recs))
--- a/platform/memlog/faults.go
+++ b/eventlog/memlog/faults.go
@@ -14,7 +14,7 @@
 }
 
 // SetOutage starts or ends an outage: all requests fail with
-// platform.ErrUnavailable, reads that wait for records included.
+// eventlog.ErrUnavailable, reads that wait for records included.
 func (s *Service) SetOutage(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -25,7 +25,7 @@
 }
 
 // SetDelay makes each request take d before its effect. An append whose caller
-// gives up earlier returns platform.ErrUnknown and takes effect all the same.
+// gives up earlier returns eventlog.ErrUnknown and takes effect all the same.
 func (s *Service) SetDelay(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -61,14 +61,14 @@
 }
 
 // LoseAnswers makes the next n appends take effect and return
-// platform.ErrUnknown.
+// eventlog.ErrUnknown.
 func (s *Service) LoseAnswers(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults.loseAnswers = n
 }
 
-// LoseRequests makes the next n appends return platform.ErrUnknown without any
+// LoseRequests makes the next n appends return eventlog.ErrUnknown without any
 // effect. It comes before LoseAnswers where both are set.
 func (s *Service) LoseRequests(n int) {
 	s.mu.Lock()
--- a/platform/memlog/memlog_test.go
+++ b/eventlog/memlog/memlog_test.go
@@ -10,7 +10,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 // A stream must answer like a plain slice with a first offset, whatever the
@@ -19,41 +19,41 @@
 	rapid.Check(t, func(t *rapid.T) {
 		ctx := context.Background()
 		st := New(DefaultOptions()).Stream("s")
-		first, model := platform.Offset(1), [][]byte{}
+		first, model := eventlog.Offset(1), [][]byte{}
 		t.Repeat(map[string]func(*rapid.T){
 			"append": func(t *rapid.T) {
 				data := rapid.SliceOfN(rapid.Byte(), 0, 8).Draw(t, "data")
 				off, err := st.Append(ctx, data)
 				must.NoError(t, err)
-				must.Eq(t, first+platform.Offset(len(model)), off)
+				must.Eq(t, first+eventlog.Offset(len(model)), off)
 				model = append(model, data)
 			},
 			"cut": func(t *rapid.T) {
 				n := rapid.IntRange(0, len(model)).Draw(t, "n")
-				st.Cut(first + platform.Offset(n))
-				first, model = first+platform.Offset(n), model[n:]
+				st.Cut(first + eventlog.Offset(n))
+				first, model = first+eventlog.Offset(n), model[n:]
 			},
 			"truncate end": func(t *rapid.T) {
 				n := rapid.IntRange(0, len(model)).Draw(t, "n")
-				st.TruncateEnd(first + platform.Offset(n))
+				st.TruncateEnd(first + eventlog.Offset(n))
 				model = model[:n]
 			},
 			"read": func(t *rapid.T) {
 				n := rapid.IntRange(0, len(model)).Draw(t, "n")
 				limit := rapid.IntRange(1, 4).Draw(t, "limit")
-				recs, err := st.Read(ctx, first+platform.Offset(n), limit, 0)
+				recs, err := st.Read(ctx, first+eventlog.Offset(n), limit, 0)
 				must.NoError(t, err)
 				must.Len(t, min(limit, len(model)-n), recs)
 				for i, r := range recs {
-					must.Eq(t, platform.Record{Offset: first + platform.Offset(n+i), Data: model[n+i]}, r)
+					must.Eq(t, eventlog.Record{Offset: first + eventlog.Offset(n+i), Data: model[n+i]}, r)
 				}
 			},
 			"": func(t *rapid.T) {
 				b, err := st.Bounds(ctx)
 				must.NoError(t, err)
-				must.Eq(t, platform.Bounds{First: first, End: first + platform.Offset(len(model))}, b)
+				must.Eq(t, eventlog.Bounds{First: first, End: first + eventlog.Offset(len(model))}, b)
 				_, err = st.Read(ctx, first-1, 1, 0)
-				var trunc *platform.TruncatedError
+				var trunc *eventlog.TruncatedError
 				must.True(t, errors.As(err, &trunc))
 				must.Eq(t, first, trunc.First)
 			},
@@ -71,8 +71,8 @@
 	svc.LoseAnswers(1)
 	for range 2 {
 		_, err := st.Append(t.Context(), []byte("x"))
-		must.ErrorIs(t, err, platform.ErrUnknown)
-		must.False(t, errors.Is(err, platform.ErrUnavailable))
+		must.ErrorIs(t, err, eventlog.ErrUnknown)
+		must.False(t, errors.Is(err, eventlog.ErrUnavailable))
 	}
 	off, err := st.Append(t.Context(), []byte("y"))
 	must.NoError(t, err)
@@ -89,7 +89,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err := st.Append(ctx, []byte("x"))
-		must.ErrorIs(t, err, platform.ErrUnknown)
+		must.ErrorIs(t, err, eventlog.ErrUnknown)
 		must.ErrorIs(t, err, context.DeadlineExceeded)
 		must.Eq(t, 0, svc.Counters().Appends)
 		must.Eq(t, 1, svc.Held())
@@ -112,7 +112,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err = svc.Stream("s").Append(ctx, []byte("y"))
-		must.ErrorIs(t, err, platform.ErrUnknown)
+		must.ErrorIs(t, err, eventlog.ErrUnknown)
 		time.Sleep(time.Minute)
 		must.Eq(t, 2, svc.Counters().Appends)
 	})
@@ -132,11 +132,11 @@
 		synctest.Wait()
 		began := time.Now()
 		svc.SetOutage(true)
-		must.ErrorIs(t, <-waiting, platform.ErrUnavailable)
+		must.ErrorIs(t, <-waiting, eventlog.ErrUnavailable)
 		must.Eq(t, 0, time.Since(began))
 		_, err := st.Append(t.Context(), nil)
-		must.ErrorIs(t, err, platform.ErrUnavailable)
-		must.False(t, errors.Is(err, platform.ErrUnknown))
+		must.ErrorIs(t, err, eventlog.ErrUnavailable)
+		must.False(t, errors.Is(err, eventlog.ErrUnknown))
 		svc.SetOutage(false)
 		_, err = st.Append(t.Context(), nil)
 		must.NoError(t, err)
@@ -174,24 +174,24 @@
 		must.NoError(t, err)
 	}
 	_, err := st.Append(t.Context(), []byte("x"))
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, eventlog.ErrUnavailable)
 	now = now.Add(30 * time.Second)
 	_, err = st.Append(t.Context(), []byte("x"))
 	must.NoError(t, err)
 	now = now.Add(30 * time.Second)
 	b, err := st.Bounds(t.Context())
 	must.NoError(t, err)
-	must.Eq(t, platform.Bounds{First: 3, End: 4}, b)
+	must.Eq(t, eventlog.Bounds{First: 3, End: 4}, b)
 }
 
 func TestBoundsOfRequests(t *testing.T) {
 	opts := DefaultOptions()
 	opts.MaxReadBytes = 10
 	st := New(opts).Stream("s")
-	var rejected *platform.RejectedError
-	_, err := st.Append(t.Context(), make([]byte, platform.MaxRecordBytes+1))
+	var rejected *eventlog.RejectedError
+	_, err := st.Append(t.Context(), make([]byte, eventlog.MaxRecordBytes+1))
 	must.True(t, errors.As(err, &rejected))
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, eventlog.ErrUnavailable)
 	_, err = st.Read(t.Context(), 1, 0, 0)
 	must.True(t, errors.As(err, &rejected))
 	for range 3 {
--- a/platform/memlog/service.go
+++ b/eventlog/memlog/service.go
@@ -10,13 +10,13 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 // Options holds the bounds of a Service.
 type Options struct {
 	// MaxAppendsPerSecond bounds the appends of all streams together; above it
-	// they are refused with platform.ErrUnavailable. 0 means no bound. One
+	// they are refused with eventlog.ErrUnavailable. 0 means no bound. One
 	// second's worth may arrive at once.
 	MaxAppendsPerSecond float64
 	// RetainFor is how long records are kept. 0 keeps them for good.
@@ -122,10 +122,10 @@
 
 func (s *Service) refusal(op operation) error {
 	if s.faults.outage {
-		return platform.Unavailable(errors.New("log service is down"))
+		return eventlog.Unavailable(errors.New("log service is down"))
 	}
 	if op == opAppend && !s.bucket.take(s.opts.Now()) {
-		return platform.Unavailable(errors.New("log service is over its append rate"))
+		return eventlog.Unavailable(errors.New("log service is over its append rate"))
 	}
 	return nil
 }
--- a/platform/memlog/stream.go
+++ b/eventlog/memlog/stream.go
@@ -8,20 +8,20 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 // Stream is one stream of a Service.
 type Stream struct {
 	svc *Service
 	// Guarded by the service's lock.
-	first   platform.Offset
+	first   eventlog.Offset
 	entries []entry
 	// changed is closed when records may have come or an outage began.
 	changed chan struct{}
 }
 
-var _ platform.Log = (*Stream)(nil)
+var _ eventlog.Log = (*Stream)(nil)
 
 type entry struct {
 	data []byte
@@ -33,18 +33,18 @@
 }
 
 type appendResult struct {
-	offset platform.Offset
+	offset eventlog.Offset
 	err    error
 }
 
-// Append adds a copy of data. Data above platform.MaxRecordBytes is rejected
-// with a *platform.RejectedError.
-func (st *Stream) Append(ctx context.Context, data []byte) (platform.Offset, error) {
-	if len(data) > platform.MaxRecordBytes {
-		return 0, &platform.RejectedError{Reason: fmt.Sprintf("record of %d bytes is too large", len(data))}
+// Append adds a copy of data. Data above eventlog.MaxRecordBytes is rejected
+// with a *eventlog.RejectedError.
+func (st *Stream) Append(ctx context.Context, data []byte) (eventlog.Offset, error) {
+	if len(data) > eventlog.MaxRecordBytes {
+		return 0, &eventlog.RejectedError{Reason: fmt.Sprintf("record of %d bytes is too large", len(data))}
 	}
 	if err := ctx.Err(); err != nil {
-		return 0, platform.Unavailable(err)
+		return 0, eventlog.Unavailable(err)
 	}
 	data = bytes.Clone(data)
 	done := make(chan appendResult, 1)
@@ -55,15 +55,15 @@
 	case r := <-done:
 		return r.offset, r.err
 	case <-ctx.Done():
-		return 0, platform.Unknown(ctx.Err())
+		return 0, eventlog.Unknown(ctx.Err())
 	}
 }
 
 // Read returns records whose data is shared with the stream and must not be
 // changed.
-func (st *Stream) Read(ctx context.Context, from platform.Offset, limit int, wait time.Duration) ([]platform.Record, error) {
+func (st *Stream) Read(ctx context.Context, from eventlog.Offset, limit int, wait time.Duration) ([]eventlog.Record, error) {
 	if limit < 1 {
-		return nil, &platform.RejectedError{Reason: fmt.Sprintf("limit %d is below 1", limit)}
+		return nil, &eventlog.RejectedError{Reason: fmt.Sprintf("limit %d is below 1", limit)}
 	}
 	if err := st.enter(ctx); err != nil {
 		return nil, err
@@ -78,7 +78,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, platform.Unavailable(ctx.Err())
+			return nil, eventlog.Unavailable(ctx.Err())
 		case <-timer.C:
 			expired = true
 		case <-changed:
@@ -87,19 +87,19 @@
 }
 
 // Bounds returns the current first and end offset.
-func (st *Stream) Bounds(ctx context.Context) (platform.Bounds, error) {
+func (st *Stream) Bounds(ctx context.Context) (eventlog.Bounds, error) {
 	if err := st.enter(ctx); err != nil {
-		return platform.Bounds{}, err
+		return eventlog.Bounds{}, err
 	}
 	st.svc.mu.Lock()
 	defer st.svc.mu.Unlock()
 	st.expire()
-	return platform.Bounds{First: st.first, End: st.end()}, nil
+	return eventlog.Bounds{First: st.first, End: st.end()}, nil
 }
 
 // Cut drops the records before first, as the service does when their time is
 // up.
-func (st *Stream) Cut(first platform.Offset) {
+func (st *Stream) Cut(first eventlog.Offset) {
 	st.svc.mu.Lock()
 	defer st.svc.mu.Unlock()
 	st.cut(first)
@@ -107,7 +107,7 @@
 
 // TruncateEnd drops the records from end on, as when the service loses its
 // latest writes. Later appends get these offsets again.
-func (st *Stream) TruncateEnd(end platform.Offset) {
+func (st *Stream) TruncateEnd(end eventlog.Offset) {
 	st.svc.mu.Lock()
 	defer st.svc.mu.Unlock()
 	if end < st.first {
@@ -121,7 +121,7 @@
 // enter waits for the delay and for the release of a held service.
 func (st *Stream) enter(ctx context.Context) error {
 	if err := ctx.Err(); err != nil {
-		return platform.Unavailable(err)
+		return eventlog.Unavailable(err)
 	}
 	through := make(chan struct{})
 	if err := st.svc.admit(opRead, func() { close(through) }); err != nil {
@@ -131,7 +131,7 @@
 	case <-through:
 		return nil
 	case <-ctx.Done():
-		return platform.Unavailable(ctx.Err())
+		return eventlog.Unavailable(ctx.Err())
 	}
 }
 
@@ -140,7 +140,7 @@
 	s := st.svc
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	unknown := platform.Unknown(errors.New("log service gave no answer"))
+	unknown := eventlog.Unknown(errors.New("log service gave no answer"))
 	fate := s.faults.nextFate()
 	if fate == fateRequestLost {
 		return appendResult{err: unknown}
@@ -159,19 +159,19 @@
 
 // slice returns what is there, and the channel that is closed when there may
 // be more.
-func (st *Stream) slice(from platform.Offset, limit int) ([]platform.Record, <-chan struct{}, error) {
+func (st *Stream) slice(from eventlog.Offset, limit int) ([]eventlog.Record, <-chan struct{}, error) {
 	s := st.svc
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.outage {
 		s.counters.Refused++
-		return nil, nil, platform.Unavailable(errors.New("log service went down"))
+		return nil, nil, eventlog.Unavailable(errors.New("log service went down"))
 	}
 	st.expire()
 	if from < st.first {
-		return nil, nil, &platform.TruncatedError{Asked: from, First: st.first}
+		return nil, nil, &eventlog.TruncatedError{Asked: from, First: st.first}
 	}
-	var recs []platform.Record
+	var recs []eventlog.Record
 	size := 0
 	for off := from; off < st.end() && len(recs) < limit; off++ {
 		data := st.entries[off-st.first].data
@@ -179,15 +179,15 @@
 		if len(recs) > 0 && size > s.opts.MaxReadBytes {
 			break
 		}
-		recs = append(recs, platform.Record{Offset: off, Data: data})
+		recs = append(recs, eventlog.Record{Offset: off, Data: data})
 		s.counters.BytesOut += uint64(len(data))
 	}
 	return recs, st.changed, nil
 }
 
-func (st *Stream) end() platform.Offset { return st.first + platform.Offset(len(st.entries)) }
+func (st *Stream) end() eventlog.Offset { return st.first + eventlog.Offset(len(st.entries)) }
 
-func (st *Stream) cut(first platform.Offset) {
+func (st *Stream) cut(first eventlog.Offset) {
 	first = min(first, st.end())
 	if first <= st.first {
 		return
@@ -209,7 +209,7 @@
 	for n < len(st.entries) && now.Sub(st.entries[n].at) >= keep {
 		n++
 	}
-	st.cut(st.first + platform.Offset(n))
+	st.cut(st.first + eventlog.Offset(n))
 }
 
 // wake makes the reads that wait look again.
--- a/examples/embed/main.go
+++ b/examples/embed/main.go
@@ -16,10 +16,10 @@
 
 	"github.com/crocuscross/crocuscross/configpb"
 	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/once"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
 const (
@@ -41,7 +41,7 @@
 
 func run(ctx context.Context, out io.Writer) error {
 	// memlog stands in for the platform's log; httplog reaches a real one.
-	log := memlog.New(memlog.DefaultOptions()).Stream(platform.StreamConfig)
+	log := memlog.New(memlog.DefaultOptions()).Stream(eventlog.StreamConfig)
 	nodes, err := startNodes(log, "host-1", "host-2")
 	if err != nil {
 		return err
@@ -71,7 +71,7 @@
 }
 
 // publish appends a contract and returns its version.
-func publish(ctx context.Context, log platform.Log) (uint64, error) {
+func publish(ctx context.Context, log eventlog.Log) (uint64, error) {
 	contract := &configpb.Contract{Customer: customer, RatePerSecond: 0.1, Burst: burst, MaxWaitMs: 500}
 	record, err := fold.EncodeRecord(&configpb.Bundle{
 		PublishId: "first", Author: "embed",
--- a/examples/embed/node.go
+++ b/examples/embed/node.go
@@ -13,13 +13,13 @@
 
 	"github.com/crocuscross/crocuscross/backend"
 	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/memberpb"
 	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/once"
 	"github.com/crocuscross/crocuscross/peer"
 	"github.com/crocuscross/crocuscross/peerpb"
-	"github.com/crocuscross/crocuscross/platform"
 	"github.com/crocuscross/crocuscross/quota"
 	"github.com/crocuscross/crocuscross/quota/quotapb"
 	"github.com/crocuscross/crocuscross/snapshot"
@@ -37,7 +37,7 @@
 type node struct {
 	addr     netip.AddrPort
 	sessions net.Listener
-	log      platform.Log
+	log      eventlog.Log
 	members  *membership.Membership
 	quota    *quota.Manager
 	keys     *once.Keys
@@ -51,7 +51,7 @@
 }
 
 // startNodes starts nodes that join by the first one.
-func startNodes(log platform.Log, hosts ...string) ([]*node, error) {
+func startNodes(log eventlog.Log, hosts ...string) ([]*node, error) {
 	var nodes []*node
 	for _, host := range hosts {
 		n, err := newNode(log, host)
@@ -74,7 +74,7 @@
 	}
 }
 
-func newNode(log platform.Log, host string) (*node, error) {
+func newNode(log eventlog.Log, host string) (*node, error) {
 	sessions, err := net.Listen("tcp", loopback)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
--- a/fold/apply.go
+++ b/fold/apply.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/crocuscross/crocuscross/configpb"
-	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 // ErrGap means that a record does not follow the state's offset.
@@ -52,7 +52,7 @@
 // it folded. Records that the state already holds are skipped, so a delivery
 // may be repeated or overlap an earlier one. At the first record that cannot
 // follow it stops with Apply's error and returns the state reached.
-func ApplyAll(s *State, records []platform.Record) (*State, []Verdict, error) {
+func ApplyAll(s *State, records []eventlog.Record) (*State, []Verdict, error) {
 	var verdicts []Verdict
 	for _, r := range records {
 		if r.Offset <= s.Offset {
@@ -72,7 +72,7 @@
 // is an *UnknownRuleError.
 func readRecord(offset uint64, data []byte) (rec *configpb.Record, readable bool, err error) {
 	rule, ok := ruleOf(data)
-	if !ok || len(data) > platform.MaxRecordBytes {
+	if !ok || len(data) > eventlog.MaxRecordBytes {
 		return nil, false, nil
 	}
 	if rule > RuleVersion {
--- a/fold/bench_test.go
+++ b/fold/bench_test.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/crocuscross/crocuscross/configpb"
-	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 // fleetState returns a state of n resources in the proportion of the size that
@@ -78,12 +78,12 @@
 	for _, n := range sizes {
 		s := fleetState(n)
 		contracts := s.Entries(KindContract)
-		var tail []platform.Record
+		var tail []eventlog.Record
 		last := s
 		for i := range records {
 			e := last.Get(contracts[i%len(contracts)].Key)
 			data := bundle(fmt.Sprintf("%036d", last.Offset), "operator@example.org", set(e.Resource, e.Revision))
-			tail = append(tail, platform.Record{Offset: last.Offset + 1, Data: data})
+			tail = append(tail, eventlog.Record{Offset: last.Offset + 1, Data: data})
 			last, _, _ = Apply(last, last.Offset+1, data)
 		}
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
--- a/fold/delta.go
+++ b/fold/delta.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 // Delta is a run of records that follow one another, as daemons pass it on.
@@ -14,7 +14,7 @@
 	// chain there.
 	Base      uint64
 	BaseChain Chain
-	Records   []platform.Record
+	Records   []eventlog.Record
 }
 
 // ForkError means that two daemons have folded different records under the
--- a/fold/example_test.go
+++ b/fold/example_test.go
@@ -4,8 +4,8 @@
 	"fmt"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
 )
 
 // contractBundle returns the record of a bundle that sets one contract.
@@ -28,7 +28,7 @@
 // Two operators revise the same contract. Every daemon folds the same records
 // and reaches the same verdicts.
 func ExampleApplyAll() {
-	records := []platform.Record{
+	records := []eventlog.Record{
 		{Offset: 1, Data: contractBundle("p-1", "ann", 100, 0)},
 		{Offset: 2, Data: contractBundle("p-2", "ann", 120, 1)},
 		{Offset: 3, Data: contractBundle("p-3", "bo", 90, 1)},
--- a/fold/fold_test.go
+++ b/fold/fold_test.go
@@ -13,7 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/crocuscross/crocuscross/configpb"
-	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 // Two operators read revision 1 and both publish on top of it. The one whose
@@ -140,7 +140,7 @@
 	theirs, _ := foldAll(t, one, other)
 	base, _ := foldAll(t, one)
 	for name, d := range map[string]Delta{
-		"base at our offset":     {2, theirs.Chain, []platform.Record{{Offset: 3, Data: next}}},
+		"base at our offset":     {2, theirs.Chain, []eventlog.Record{{Offset: 3, Data: next}}},
 		"base before our offset": {1, base.Chain, log(one, other, next)[1:]},
 		"nothing new":            {2, theirs.Chain, nil},
 	} {
@@ -249,7 +249,7 @@
 	}
 	must.StrContains(t, v.Reasons[0], "at most 8388608 may be in force")
 	must.Less(t, MaxResourceBytes, proto.Size(s.Encode()))
-	must.Greater(t, MaxResourceBytes-platform.MaxRecordBytes*2, proto.Size(s.Encode()))
+	must.Greater(t, MaxResourceBytes-eventlog.MaxRecordBytes*2, proto.Size(s.Encode()))
 }
 
 // bigContract returns a contract with rules of 1 KiB each.
--- a/fold/helper_test.go
+++ b/fold/helper_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/crocuscross/crocuscross/configpb"
-	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 func service(name string) *configpb.Resource {
@@ -43,10 +43,10 @@
 }
 
 // log returns the records of a stream that begins at offset 1.
-func log(data ...[]byte) []platform.Record {
-	records := make([]platform.Record, len(data))
+func log(data ...[]byte) []eventlog.Record {
+	records := make([]eventlog.Record, len(data))
 	for i, d := range data {
-		records[i] = platform.Record{Offset: uint64(i + 1), Data: d}
+		records[i] = eventlog.Record{Offset: uint64(i + 1), Data: d}
 	}
 	return records
 }
@@ -68,12 +68,12 @@
 
 // drawLog draws records that collide often: few names, few publish ids,
 // revisions that are current, stale or made up, and some garbage.
-func drawLog(t *rapid.T) []platform.Record {
-	var records []platform.Record
+func drawLog(t *rapid.T) []eventlog.Record {
+	var records []eventlog.Record
 	s := Empty()
 	for range rapid.IntRange(1, 40).Draw(t, "records") {
 		data := drawRecord(t, s)
-		records = append(records, platform.Record{Offset: s.Offset + 1, Data: data})
+		records = append(records, eventlog.Record{Offset: s.Offset + 1, Data: data})
 		var err error
 		s, _, err = Apply(s, s.Offset+1, data)
 		if err != nil {
--- a/fold/property_test.go
+++ b/fold/property_test.go
@@ -10,12 +10,12 @@
 	"pgregory.net/rapid"
 
 	"github.com/crocuscross/crocuscross/configpb"
-	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 // history folds a log one record after another and returns the state at each
 // offset with its serialized form at that time.
-func history(t *rapid.T, records []platform.Record) (states []*State, bytes []string) {
+func history(t *rapid.T, records []eventlog.Record) (states []*State, bytes []string) {
 	states, bytes = []*State{Empty()}, []string{encoded(Empty())}
 	for _, r := range records {
 		s, _, err := Apply(states[len(states)-1], r.Offset, r.Data)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -17,6 +17,8 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/crocuscross/crocuscross/checkpoint"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
 	"github.com/crocuscross/crocuscross/internal/cli"
@@ -27,8 +29,6 @@
 	"github.com/crocuscross/crocuscross/internal/standin/logserver"
 	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/peerpb"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
 const examples = "../../examples/"
@@ -196,7 +196,7 @@
 	for _, file := range []string{"services", "contracts"} {
 		expect(t, command.StatusOK, "contract", "publish", examples+"association/"+file+".jsonc", "--platform", url)
 	}
-	config := log.Stream(platform.StreamConfig)
+	config := log.Stream(eventlog.StreamConfig)
 	st, err := (&configlog.Reader{Log: config, Checkpoint: func(context.Context) (*fold.State, error) { return fold.Empty(), nil }}).Load(t.Context())
 	must.NoError(t, err)
 	config.Cut(2)
@@ -209,7 +209,7 @@
 	out = expect(t, command.StatusOK, "contract", "publish", examples+"association/revision.jsonc", "--platform", url, "--daemon", addr)
 	must.StrContains(t, out, "accepted: revision 3")
 
-	w := checkpoint.NewWriter(log.Stream(platform.StreamCheckpoints), "host", checkpoint.DefaultWriterOptions())
+	w := checkpoint.NewWriter(log.Stream(eventlog.StreamCheckpoints), "host", checkpoint.DefaultWriterOptions())
 	must.NoError(t, w.Write(t.Context(), st))
 	out = expect(t, command.StatusOK, "contract", "publish", examples+"association/revision.jsonc", "--platform", url)
 	must.StrContains(t, out, "accepted: revision 4")
--- a/internal/cli/command/connect.go
+++ b/internal/cli/command/connect.go
@@ -9,11 +9,11 @@
 
 	"github.com/crocuscross/crocuscross/checkpoint"
 	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/httplog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/configlog"
 	"github.com/crocuscross/crocuscross/internal/operator"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/httplog"
 )
 
 // Environment variables that stand in for the flags.
@@ -64,8 +64,8 @@
 	}
 	client := httplog.New(httplog.DefaultOptions(c.platformURL))
 	return &configlog.Reader{
-		Log:        client.Stream(platform.StreamConfig),
-		Checkpoint: c.checkpoint(client.Stream(platform.StreamCheckpoints)),
+		Log:        client.Stream(eventlog.StreamConfig),
+		Checkpoint: c.checkpoint(client.Stream(eventlog.StreamCheckpoints)),
 	}, nil
 }
 
@@ -73,7 +73,7 @@
 // the state of the daemon, if one was named: after an outage longer than the
 // retention the daemons may be the only ones who still know it. Otherwise it
 // starts at the log's first record.
-func (c *Connect) checkpoint(log platform.Log) configlog.Checkpoint {
+func (c *Connect) checkpoint(log eventlog.Log) configlog.Checkpoint {
 	return func(ctx context.Context) (*fold.State, error) {
 		st, err := checkpoint.Latest(ctx, log)
 		if !errors.Is(err, checkpoint.ErrNone) {
@@ -133,7 +133,7 @@
 
 // Explain returns err with a hint for the operator where there is one.
 func Explain(err error) error {
-	var truncated *platform.TruncatedError
+	var truncated *eventlog.TruncatedError
 	var rule *fold.UnknownRuleError
 	switch {
 	case errors.As(err, &rule):
--- a/internal/configlog/reader.go
+++ b/internal/configlog/reader.go
@@ -7,8 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
 )
 
 // batch is how many records are read at once.
@@ -23,7 +23,7 @@
 
 // Reader folds the configuration stream.
 type Reader struct {
-	Log        platform.Log
+	Log        eventlog.Log
 	Checkpoint Checkpoint
 }
 
@@ -40,7 +40,7 @@
 // records have expired it starts anew from the checkpoint.
 func (r *Reader) Advance(ctx context.Context, st *fold.State) (*fold.State, error) {
 	next, err := r.advance(ctx, st)
-	var truncated *platform.TruncatedError
+	var truncated *eventlog.TruncatedError
 	if errors.As(err, &truncated) {
 		return r.Load(ctx)
 	}
--- a/internal/configlog/reader_test.go
+++ b/internal/configlog/reader_test.go
@@ -8,14 +8,14 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/configlog"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
 // fill appends records and returns the state after each, the empty one first.
-func fill(t *testing.T, log platform.Log, n int) []*fold.State {
+func fill(t *testing.T, log eventlog.Log, n int) []*fold.State {
 	states := []*fold.State{fold.Empty()}
 	for i := range n {
 		data, err := fold.EncodeRecord(&configpb.Bundle{PublishId: string(rune('a' + i)), Changes: []*configpb.Change{{
@@ -58,7 +58,7 @@
 	must.Eq(t, states[6].Chain, st.Chain)
 
 	_, err = (&configlog.Reader{Log: log, Checkpoint: from(states[0])}).Advance(t.Context(), states[1])
-	var truncated *platform.TruncatedError
+	var truncated *eventlog.TruncatedError
 	must.True(t, errors.As(err, &truncated))
 }
 
--- a/internal/controller/contacts/contacts.go
+++ b/internal/controller/contacts/contacts.go
@@ -13,8 +13,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
-	"github.com/crocuscross/crocuscross/platform"
 )
 
 const (
@@ -34,7 +34,7 @@
 // Options holds what a Controller works with.
 type Options struct {
 	Board            *blackboard.Board
-	Log              platform.Log
+	Log              eventlog.Log
 	Host             string
 	AvailabilityZone string
 	PeerAddr         netip.AddrPort
@@ -109,7 +109,7 @@
 	return c.newest(records), nil
 }
 
-func (c *Controller) newest(records []platform.Record) []netip.AddrPort {
+func (c *Controller) newest(records []eventlog.Record) []netip.AddrPort {
 	var found []netip.AddrPort
 	seen := map[string]bool{c.opts.Host: true}
 	for i := len(records) - 1; i >= 0 && len(found) < maxFound; i-- {
--- a/internal/controller/contacts/contacts_test.go
+++ b/internal/controller/contacts/contacts_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
 // clock is a time that tests move.
@@ -22,7 +22,7 @@
 	board := &blackboard.Board{}
 	board.Source.Store(&blackboard.Source{Reader: true})
 	return New(Options{
-		Board: board, Log: log.Stream(platform.StreamContacts), Host: host,
+		Board: board, Log: log.Stream(eventlog.StreamContacts), Host: host,
 		PeerAddr: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port),
 		Logger:   slog.New(slog.DiscardHandler), Now: c.Now,
 	})
@@ -30,7 +30,7 @@
 
 func appends(t *testing.T, log *memlog.Service) uint64 {
 	t.Helper()
-	b, err := log.Stream(platform.StreamContacts).Bounds(t.Context())
+	b, err := log.Stream(eventlog.StreamContacts).Bounds(t.Context())
 	must.NoError(t, err)
 	return b.End - 1
 }
@@ -42,7 +42,7 @@
 	newController(log, "b", 2, c).reconcile(t.Context())
 	// The host's replacement has another address; only the newest counts.
 	newController(log, "a", 3, c).reconcile(t.Context())
-	_, err := log.Stream(platform.StreamContacts).Append(t.Context(), []byte{0xff})
+	_, err := log.Stream(eventlog.StreamContacts).Append(t.Context(), []byte{0xff})
 	must.NoError(t, err)
 	found, err := newController(log, "c", 4, c).Find(t.Context())
 	must.NoError(t, err)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -17,6 +17,8 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/answer"
 	"github.com/crocuscross/crocuscross/internal/controller/announce"
@@ -24,8 +26,6 @@
 	"github.com/crocuscross/crocuscross/internal/proxy/outbound"
 	"github.com/crocuscross/crocuscross/internal/settings"
 	"github.com/crocuscross/crocuscross/internal/standin/logserver"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
 // waitLimit bounds the waits for what must come; it decides nothing.
@@ -131,7 +131,7 @@
 		PublishId: fmt.Sprintf("p%d", f.publish), Author: "test", Changes: changes,
 	})
 	must.NoError(f.t, err)
-	offset, err := f.log.Stream(platform.StreamConfig).Append(f.t.Context(), data)
+	offset, err := f.log.Stream(eventlog.StreamConfig).Append(f.t.Context(), data)
 	must.NoError(f.t, err)
 	return offset
 }
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -10,6 +10,8 @@
 	"github.com/crocuscross/crocuscross/backend"
 	"github.com/crocuscross/crocuscross/balance"
 	"github.com/crocuscross/crocuscross/checkpoint"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/httplog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/gate"
 	"github.com/crocuscross/crocuscross/internal/buildinfo"
@@ -32,8 +34,6 @@
 	"github.com/crocuscross/crocuscross/once"
 	"github.com/crocuscross/crocuscross/peer"
 	"github.com/crocuscross/crocuscross/peerpb"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/httplog"
 	"github.com/crocuscross/crocuscross/quota"
 	"github.com/crocuscross/crocuscross/retry"
 	"github.com/crocuscross/crocuscross/spread"
@@ -146,7 +146,7 @@
 	o := spread.DefaultOptions()
 	o.Host = d.settings.Host
 	o.AvailabilityZone = d.settings.AvailabilityZone
-	o.Log = p.log.Stream(platform.StreamConfig)
+	o.Log = p.log.Stream(eventlog.StreamConfig)
 	o.Peers = spread.NewPoolPeers(p.control)
 	o.ReadersPerZone = s.ReadersPerZone
 	o.FanOut = s.FanOut
@@ -157,7 +157,7 @@
 	o.ReadWait = time.Duration(d.settings.Platform.ReadWait)
 	o.Floor = p.membership.Floor
 	o.LoadCheckpoint = func(ctx context.Context) (*fold.State, error) {
-		return checkpoint.Latest(ctx, p.log.Stream(platform.StreamCheckpoints))
+		return checkpoint.Latest(ctx, p.log.Stream(eventlog.StreamCheckpoints))
 	}
 	o.OnState = p.distribute.OnState
 	o.OnStatus = p.distribute.OnStatus
@@ -173,7 +173,7 @@
 }
 
 // stream returns a stream that this daemon appends to.
-func (p *parts) stream(name string) platform.Log {
+func (p *parts) stream(name string) eventlog.Log {
 	return p.appends.Stream(name, p.log.Stream(name))
 }
 
@@ -184,11 +184,11 @@
 	keeping.Logger = d.logger
 	p.checkpoints = &checkpoints.Controller{
 		Board: d.board, Logger: d.logger,
-		Keeper: checkpoint.NewKeeper(d.settings.Host, p.log.Stream(platform.StreamConfig),
-			p.stream(platform.StreamCheckpoints), keeping),
+		Keeper: checkpoint.NewKeeper(d.settings.Host, p.log.Stream(eventlog.StreamConfig),
+			p.stream(eventlog.StreamCheckpoints), keeping),
 	}
 	p.contacts = contacts.New(contacts.Options{
-		Board: d.board, Log: p.stream(platform.StreamContacts), Host: d.settings.Host,
+		Board: d.board, Log: p.stream(eventlog.StreamContacts), Host: d.settings.Host,
 		AvailabilityZone: d.settings.AvailabilityZone, PeerAddr: d.peerAddr(),
 		Logger: d.logger, Now: time.Now,
 	})
--- a/internal/daemon/recover.go
+++ b/internal/daemon/recover.go
@@ -9,11 +9,11 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
 	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/peerpb"
-	"github.com/crocuscross/crocuscross/platform"
 	"github.com/crocuscross/crocuscross/recovery"
 	"github.com/crocuscross/crocuscross/spread"
 )
@@ -100,8 +100,8 @@
 	o := recovery.DefaultOptions()
 	o.Host = d.settings.Host
 	o.Peers = recoveryPeers{d}
-	o.Config = d.log.Stream(platform.StreamConfig)
-	o.Checkpoints = d.log.Stream(platform.StreamCheckpoints)
+	o.Config = d.log.Stream(eventlog.StreamConfig)
+	o.Checkpoints = d.log.Stream(eventlog.StreamCheckpoints)
 	o.Report = d.reportRecovery
 	o.Logger = d.logger
 	r, err := recovery.Recover(ctx, o)
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -10,8 +10,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
 )
 
 // batch is how many records are read at once.
@@ -64,7 +64,7 @@
 
 // Read returns the records that the log retains, oldest first. The verdicts come
 // from a state that was folded to the log's end.
-func Read(ctx context.Context, log platform.Log, st *fold.State, f Filter) ([]Item, error) {
+func Read(ctx context.Context, log eventlog.Log, st *fold.State, f Filter) ([]Item, error) {
 	bounds, err := log.Bounds(ctx)
 	if err != nil {
 		return nil, errors.Wrap(err, "read the log's bounds")
@@ -72,7 +72,7 @@
 	var items []Item
 	for next := max(bounds.First, 1); next < bounds.End; {
 		records, err := log.Read(ctx, next, batch, 0)
-		var truncated *platform.TruncatedError
+		var truncated *eventlog.TruncatedError
 		switch {
 		case errors.As(err, &truncated):
 			// Records expired since the bounds were read.
@@ -112,7 +112,7 @@
 	return items
 }
 
-func itemOf(rec platform.Record, st *fold.State) Item {
+func itemOf(rec eventlog.Record, st *fold.State) Item {
 	var r configpb.Record
 	if err := proto.Unmarshal(rec.Data, &r); err != nil {
 		return Item{Offset: rec.Offset, Verdict: Unreadable}
--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -6,9 +6,9 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/history"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
 func record(t *testing.T, id, author, service string, replaces uint64, remove bool) []byte {
--- a/internal/publish/attempt.go
+++ b/internal/publish/attempt.go
@@ -7,8 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
 )
 
 // attempt brings one record into the log.
@@ -39,7 +39,7 @@
 			return a.awaitVerdict(ctx), nil
 		}
 		a.trouble = err
-		if !errors.Is(err, platform.ErrUnavailable) {
+		if !errors.Is(err, eventlog.ErrUnavailable) {
 			// The answer may have been lost after the append took effect.
 			a.note(sent)
 			if v, ok := a.look(ctx); ok {
@@ -60,7 +60,7 @@
 
 // final reports whether the service refuses the record itself.
 func final(err error) bool {
-	var rejected *platform.RejectedError
+	var rejected *eventlog.RejectedError
 	return errors.As(err, &rejected)
 }
 
--- a/internal/publish/publish.go
+++ b/internal/publish/publish.go
@@ -13,10 +13,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/bundle"
 	"github.com/crocuscross/crocuscross/internal/configlog"
-	"github.com/crocuscross/crocuscross/platform"
 )
 
 const (
@@ -107,9 +107,9 @@
 	if err != nil {
 		return Result{}, errors.Wrap(err, "nothing was published")
 	}
-	if len(data) > platform.MaxRecordBytes {
+	if len(data) > eventlog.MaxRecordBytes {
 		return Result{}, errors.Newf("nothing was published: the record has %d bytes, at most %d are taken; publish in parts",
-			len(data), platform.MaxRecordBytes)
+			len(data), eventlog.MaxRecordBytes)
 	}
 	// What the current state rejects is not worth a record that every daemon
 	// has to carry. A repeat goes into the log all the same: an append of the
@@ -127,7 +127,7 @@
 func (p *Publisher) load(ctx context.Context) (*fold.State, error) {
 	for {
 		st, err := p.Reader.Load(ctx)
-		if err == nil || !errors.Is(err, platform.ErrUnavailable) {
+		if err == nil || !errors.Is(err, eventlog.ErrUnavailable) {
 			return st, err
 		}
 		if !p.pause(ctx) {
--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -10,19 +10,19 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/bundle"
 	"github.com/crocuscross/crocuscross/internal/configlog"
 	"github.com/crocuscross/crocuscross/internal/publish"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
 const timeout = 3 * time.Second
 
 func empty(context.Context) (*fold.State, error) { return fold.Empty(), nil }
 
-func publisher(log platform.Log) *publish.Publisher {
+func publisher(log eventlog.Log) *publish.Publisher {
 	return &publish.Publisher{Reader: &configlog.Reader{Log: log, Checkpoint: empty}}
 }
 
@@ -37,11 +37,11 @@
 
 // hookLog calls before once, when the first append is about to be sent.
 type hookLog struct {
-	platform.Log
+	eventlog.Log
 	before func()
 }
 
-func (l *hookLog) Append(ctx context.Context, data []byte) (platform.Offset, error) {
+func (l *hookLog) Append(ctx context.Context, data []byte) (eventlog.Offset, error) {
 	if before := l.before; before != nil {
 		l.before = nil
 		before()
@@ -155,7 +155,7 @@
 				log := &hookLog{svc.Stream("config"), func() { svc.SetOutage(true) }}
 				_, err := publisher(log).Publish(ctx, request("id", "jane"))
 				must.ErrorContains(t, err, "nothing was published")
-				must.True(t, errors.Is(err, platform.ErrUnavailable))
+				must.True(t, errors.Is(err, eventlog.ErrUnavailable))
 				must.Zero(t, svc.Counters().Appends)
 			})
 		})
@@ -196,18 +196,18 @@
 
 // blindLog takes appends but cannot be read once one was taken.
 type blindLog struct {
-	platform.Log
+	eventlog.Log
 	blind bool
 }
 
-func (l *blindLog) Append(ctx context.Context, data []byte) (platform.Offset, error) {
+func (l *blindLog) Append(ctx context.Context, data []byte) (eventlog.Offset, error) {
 	l.blind = true
 	return l.Log.Append(ctx, data)
 }
 
-func (l *blindLog) Bounds(ctx context.Context) (platform.Bounds, error) {
+func (l *blindLog) Bounds(ctx context.Context) (eventlog.Bounds, error) {
 	if l.blind {
-		return platform.Bounds{}, platform.ErrUnavailable
+		return eventlog.Bounds{}, eventlog.ErrUnavailable
 	}
 	return l.Log.Bounds(ctx)
 }
--- a/internal/standin/logserver/admin.go
+++ b/internal/standin/logserver/admin.go
@@ -7,8 +7,8 @@
 
 	"github.com/uptrace/bunrouter"
 
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/internal/standin/serve"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
 // Counters is the JSON body of every admin answer. The bytes on the wire
--- a/internal/standin/logserver/server.go
+++ b/internal/standin/logserver/server.go
@@ -18,10 +18,10 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/httplog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/internal/standin/serve"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/httplog"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
 const (
@@ -67,9 +67,9 @@
 	if err != nil {
 		return answerError(w, err)
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxRecordBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, eventlog.MaxRecordBytes))
 	if err != nil {
-		return answerError(w, &platform.RejectedError{Reason: err.Error()})
+		return answerError(w, &eventlog.RejectedError{Reason: err.Error()})
 	}
 	off, err := st.Append(r.Context(), data)
 	if err != nil {
@@ -85,7 +85,7 @@
 	}
 	q, err := parseRead(r.URL.Query())
 	if err != nil {
-		return answerError(w, &platform.RejectedError{Reason: err.Error()})
+		return answerError(w, &eventlog.RejectedError{Reason: err.Error()})
 	}
 	recs, err := st.Read(r.Context(), q.from, q.limit, q.wait)
 	if err != nil {
@@ -119,13 +119,13 @@
 func (s *Server) stream(r bunrouter.Request) (*memlog.Stream, error) {
 	name := r.Param("name")
 	if !streamName.MatchString(name) {
-		return nil, &platform.RejectedError{Reason: "bad stream name"}
+		return nil, &eventlog.RejectedError{Reason: "bad stream name"}
 	}
 	return s.log.Stream(name), nil
 }
 
 type readQuery struct {
-	from  platform.Offset
+	from  eventlog.Offset
 	limit int
 	wait  time.Duration
 }
@@ -150,15 +150,15 @@
 // unknown outcome has no status: the connection ends without an answer, as it
 // does when a real service or the network fails after the append.
 func answerError(w http.ResponseWriter, err error) error {
-	var rejected *platform.RejectedError
-	var truncated *platform.TruncatedError
+	var rejected *eventlog.RejectedError
+	var truncated *eventlog.TruncatedError
 	switch {
 	case errors.As(err, &truncated):
 		return serve.WriteJSON(w, http.StatusGone, httplog.TruncatedAnswer{First: truncated.First})
 	case errors.As(err, &rejected):
 		http.Error(w, rejected.Reason, http.StatusBadRequest)
 		return nil
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, eventlog.ErrUnavailable):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return nil
 	}
--- a/internal/standin/logserver/server_test.go
+++ b/internal/standin/logserver/server_test.go
@@ -12,9 +12,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test/must"
 
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/httplog"
-	"github.com/crocuscross/crocuscross/platform/memlog"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/httplog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 )
 
 // command posts to the admin API and returns the counters.
@@ -42,13 +42,13 @@
 
 	command(t, base+"/admin/lose-answers?count=1")
 	_, err = log.Append(ctx, []byte("a"))
-	must.ErrorIs(t, err, platform.ErrUnknown)
+	must.ErrorIs(t, err, eventlog.ErrUnknown)
 	command(t, base+"/admin/lose-requests?count=1")
 	_, err = log.Append(ctx, []byte("b"))
-	must.ErrorIs(t, err, platform.ErrUnknown)
+	must.ErrorIs(t, err, eventlog.ErrUnknown)
 	command(t, base+"/admin/outage?down=true")
 	_, err = log.Append(ctx, []byte("c"))
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, eventlog.ErrUnavailable)
 	command(t, base+"/admin/outage?down=false")
 	command(t, base+"/admin/delay?delay=1ms")
 	off, err := log.Append(ctx, []byte("d"))
@@ -57,12 +57,12 @@
 
 	command(t, base+"/admin/streams/config/cut?first=2")
 	_, err = log.Read(ctx, 1, 1, 0)
-	var trunc *platform.TruncatedError
+	var trunc *eventlog.TruncatedError
 	must.True(t, errors.As(err, &trunc))
 	command(t, base+"/admin/streams/config/truncate-end?end=2")
 	b, err := log.Bounds(ctx)
 	must.NoError(t, err)
-	must.Eq(t, platform.Bounds{First: 2, End: 2}, b)
+	must.Eq(t, eventlog.Bounds{First: 2, End: 2}, b)
 
 	c := command(t, base+"/admin/hold")
 	must.Eq(t, memlog.Counters{Appends: 2, Reads: 2, Refused: 1, BytesIn: 2}, c.Counters)
@@ -71,7 +71,7 @@
 	held, giveUp := context.WithTimeout(ctx, 300*time.Millisecond)
 	defer giveUp()
 	_, err = log.Append(held, []byte("e"))
-	must.ErrorIs(t, err, platform.ErrUnknown)
+	must.ErrorIs(t, err, eventlog.ErrUnknown)
 	c = command(t, base+"/admin/release")
 	must.Eq(t, 3, c.Appends)
 
@@ -89,6 +89,6 @@
 		runtime.Gosched()
 	}
 	stop()
-	must.ErrorIs(t, <-waiting, platform.ErrUnavailable)
+	must.ErrorIs(t, <-waiting, eventlog.ErrUnavailable)
 	must.NoError(t, <-ended)
 }
--- a/internal/telemetry/appends.go
+++ b/internal/telemetry/appends.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 // AppendMeter counts what this process appends to the platform's log. Reads of
@@ -44,7 +44,7 @@
 // Stream returns log with its appends counted under the stream's name. All
 // results start at 0: of a counter that appears with its first count, Prometheus
 // sees no increase, and most daemons append a checkpoint once at most.
-func (m *AppendMeter) Stream(name string, log platform.Log) platform.Log {
+func (m *AppendMeter) Stream(name string, log eventlog.Log) eventlog.Log {
 	for _, result := range []string{appendOK, appendRejected, appendUnavailable, appendUnknown} {
 		m.appends.WithLabelValues(name, result)
 	}
@@ -52,13 +52,13 @@
 }
 
 type meteredLog struct {
-	platform.Log
+	eventlog.Log
 	name  string
 	meter *AppendMeter
 }
 
-// Append implements platform.Log.
-func (l *meteredLog) Append(ctx context.Context, data []byte) (platform.Offset, error) {
+// Append implements eventlog.Log.
+func (l *meteredLog) Append(ctx context.Context, data []byte) (eventlog.Offset, error) {
 	start := time.Now()
 	offset, err := l.Log.Append(ctx, data)
 	l.meter.duration.Observe(time.Since(start).Seconds())
@@ -67,13 +67,13 @@
 }
 
 func appendResult(err error) string {
-	var rejected *platform.RejectedError
+	var rejected *eventlog.RejectedError
 	switch {
 	case err == nil:
 		return appendOK
 	case errors.As(err, &rejected):
 		return appendRejected
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, eventlog.ErrUnavailable):
 		return appendUnavailable
 	}
 	return appendUnknown
--- a/internal/telemetry/board_test.go
+++ b/internal/telemetry/board_test.go
@@ -10,12 +10,12 @@
 
 	"github.com/crocuscross/crocuscross/backend"
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/gate"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
 	"github.com/crocuscross/crocuscross/membership"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 	"github.com/crocuscross/crocuscross/quota"
 	"github.com/crocuscross/crocuscross/snapshot"
 )
@@ -140,12 +140,12 @@
 func TestAppendMeter(t *testing.T) {
 	reg := prometheus.NewRegistry()
 	svc := memlog.New(memlog.DefaultOptions())
-	log := NewAppendMeter(reg).Stream("contacts", svc.Stream(platform.StreamContacts))
+	log := NewAppendMeter(reg).Stream("contacts", svc.Stream(eventlog.StreamContacts))
 	must.MapContainsKey(t, gathered(t, reg), "crocuscross_log_appends_total ok contacts")
 	_, _ = log.Append(t.Context(), []byte("a"))
 	svc.LoseAnswers(1)
 	_, _ = log.Append(t.Context(), []byte("b"))
-	_, _ = log.Append(t.Context(), make([]byte, platform.MaxRecordBytes+1))
+	_, _ = log.Append(t.Context(), make([]byte, eventlog.MaxRecordBytes+1))
 	svc.SetOutage(true)
 	_, _ = log.Append(t.Context(), []byte("c"))
 	v := gathered(t, reg)
--- a/once/bench_test.go
+++ b/once/bench_test.go
@@ -11,9 +11,9 @@
 	"github.com/shoenig/test/must"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/once/oncepb"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
 // What a call pays on top of its way through the proxy: a record for an
@@ -237,7 +237,7 @@
 		}
 		data, err := proto.Marshal(pb)
 		must.NoError(b, err)
-		must.NoError(b, x.fold(platform.Record{Offset: platform.Offset(i + 1), Data: data}))
+		must.NoError(b, x.fold(eventlog.Record{Offset: eventlog.Offset(i + 1), Data: data}))
 	}
 	return x
 }
--- a/once/claimindex.go
+++ b/once/claimindex.go
@@ -8,8 +8,8 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/once/oncepb"
-	"github.com/crocuscross/crocuscross/platform"
 )
 
 const (
@@ -53,7 +53,7 @@
 
 // claimBatch is one folded record.
 type claimBatch struct {
-	offset platform.Offset
+	offset eventlog.Offset
 	host   string
 	boot   uint64
 	claims []claim
@@ -67,8 +67,8 @@
 type claimIndex struct {
 	lifetime time.Duration
 	// first is the offset that the fold began at, next the one to read.
-	first, next platform.Offset
-	horizon     platform.Offset
+	first, next eventlog.Offset
+	horizon     eventlog.Offset
 	// batches above the horizon, oldest first.
 	batches fifo[*claimBatch]
 	heads   map[claimDigest]*claim
@@ -80,7 +80,7 @@
 	live  int
 }
 
-func newClaimIndex(first platform.Offset, lifetime time.Duration) *claimIndex {
+func newClaimIndex(first eventlog.Offset, lifetime time.Duration) *claimIndex {
 	return &claimIndex{
 		lifetime: lifetime, first: first, next: first,
 		heads: make(map[claimDigest]*claim), later: make(map[claimDigest][]*claim), hosts: make(map[string]string),
@@ -101,7 +101,7 @@
 func (x *claimIndex) complete() bool { return x.first <= x.horizon+1 }
 
 // fold takes the next record. On an error it is not taken.
-func (x *claimIndex) fold(r platform.Record) error {
+func (x *claimIndex) fold(r eventlog.Record) error {
 	if r.Offset != x.next {
 		return errors.Wrapf(errClaimsGap, "offset %d instead of %d", r.Offset, x.next)
 	}
@@ -123,7 +123,7 @@
 
 func lifetimeSeconds(d time.Duration) uint32 { return uint32(d / time.Second) }
 
-func (x *claimIndex) batch(offset platform.Offset, pb *oncepb.ClaimBatch) *claimBatch {
+func (x *claimIndex) batch(offset eventlog.Offset, pb *oncepb.ClaimBatch) *claimBatch {
 	host, ok := x.hosts[pb.GetHost()]
 	if !ok {
 		host = pb.GetHost()
@@ -152,7 +152,7 @@
 }
 
 // raise lifts the horizon and ends the claims at or below it.
-func (x *claimIndex) raise(horizon platform.Offset) {
+func (x *claimIndex) raise(horizon eventlog.Offset) {
 	x.horizon = max(x.horizon, horizon)
 	for x.batches.len() > 0 && (*x.batches.at(0)).offset <= x.horizon {
 		b := x.batches.pop()
--- a/once/claimreader.go
+++ b/once/claimreader.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 const (
@@ -24,17 +24,17 @@
 type readMarks struct {
 	marks fifo[readMark]
 	// aged is the highest offset known to be older than the lifetime.
-	aged platform.Offset
+	aged eventlog.Offset
 }
 
 // readMark is that all records up to offset were read by a time.
 type readMark struct {
-	offset platform.Offset
+	offset eventlog.Offset
 	at     time.Time
 }
 
 // note records that everything up to offset has been read now.
-func (m *readMarks) note(offset platform.Offset, now time.Time, lifetime time.Duration) {
+func (m *readMarks) note(offset eventlog.Offset, now time.Time, lifetime time.Duration) {
 	n := m.marks.len()
 	if n == 0 || now.Sub(m.marks.at(n-1).at) >= lifetime/marksPerLifetime {
 		m.marks.push(readMark{offset, now})
@@ -42,7 +42,7 @@
 }
 
 // horizon returns the highest offset that was read a lifetime ago.
-func (m *readMarks) horizon(now time.Time, lifetime time.Duration) platform.Offset {
+func (m *readMarks) horizon(now time.Time, lifetime time.Duration) eventlog.Offset {
 	for m.marks.len() > 0 && now.Sub(m.marks.at(0).at) >= lifetime {
 		m.aged = m.marks.pop().offset
 	}
@@ -97,7 +97,7 @@
 		return c.begin(ctx)
 	}
 	recs, err := c.opts.Log.Read(ctx, next, readLimit, c.opts.ReadWait)
-	var trunc *platform.TruncatedError
+	var trunc *eventlog.TruncatedError
 	if errors.As(err, &trunc) {
 		c.opts.Logger.Warn("claims: records were cut before they were read", "offset", next, "first", trunc.First)
 		return c.begin(ctx)
@@ -111,7 +111,7 @@
 	return c.take(recs)
 }
 
-func (c *Claims) position() (platform.Offset, bool) {
+func (c *Claims) position() (eventlog.Offset, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.index == nil {
@@ -121,7 +121,7 @@
 }
 
 // checkEnd looks whether the log has lost records that were read.
-func (c *Claims) checkEnd(ctx context.Context, next platform.Offset) error {
+func (c *Claims) checkEnd(ctx context.Context, next eventlog.Offset) error {
 	b, err := c.opts.Log.Bounds(ctx)
 	if err != nil {
 		return err
@@ -158,7 +158,7 @@
 // forget drops the index since the log has lost records: it ends at an offset
 // below the one to be read next. Nothing is decided for a lifetime, until what
 // was claimed in those records has ended.
-func (c *Claims) forget(end, next platform.Offset) {
+func (c *Claims) forget(end, next eventlog.Offset) {
 	c.opts.Logger.Error("claims: the log has lost records", "end", end, "read", next)
 	c.index = nil
 	c.distrust = true
@@ -167,7 +167,7 @@
 }
 
 // take folds records and resolves the claims that they decide.
-func (c *Claims) take(recs []platform.Record) error {
+func (c *Claims) take(recs []eventlog.Record) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.index == nil {
@@ -188,7 +188,7 @@
 	return err
 }
 
-func (c *Claims) foldAll(recs []platform.Record) error {
+func (c *Claims) foldAll(recs []eventlog.Record) error {
 	for _, r := range recs {
 		err := c.index.fold(r)
 		switch {
--- a/once/claims.go
+++ b/once/claims.go
@@ -10,7 +10,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/crocuscross/crocuscross/errkind"
-	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 // StreamClaims is the stream that Claims keeps in the platform's log.
@@ -29,7 +29,7 @@
 // ClaimsOptions holds the bounds of a Claims.
 type ClaimsOptions struct {
 	// Log is the stream StreamClaims.
-	Log  platform.Log
+	Log  eventlog.Log
 	Keys Issuer
 	// Lifetime is how long an own key stands for the same issued key, at least.
 	// It must be the same on all daemons, and shorter than the log's retention.
@@ -62,7 +62,7 @@
 }
 
 // DefaultClaimsOptions match DefaultKeysOptions and DefaultAttemptsOptions.
-func DefaultClaimsOptions(log platform.Log, keys Issuer) ClaimsOptions {
+func DefaultClaimsOptions(log eventlog.Log, keys Issuer) ClaimsOptions {
 	return ClaimsOptions{
 		Log:            log,
 		Keys:           keys,
@@ -99,7 +99,7 @@
 	index *claimIndex
 	// loaded is the end of the log when the index was begun; nothing is
 	// decided before it is reached.
-	loaded platform.Offset
+	loaded eventlog.Offset
 	// began is when the index was begun.
 	began time.Time
 	// distrust is set where records were lost, so that what others attest says
--- a/once/claims_test.go
+++ b/once/claims_test.go
@@ -14,9 +14,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/once/oncepb"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
 // claimFleet is a log and the daemons that take own keys by it. It lives in a
@@ -415,7 +415,7 @@
 				case 5:
 					if r.IntN(4) == 0 {
 						b, _ := f.log.Bounds(context.Background())
-						f.log.Cut(b.First + platform.Offset(r.IntN(3)))
+						f.log.Cut(b.First + eventlog.Offset(r.IntN(3)))
 					}
 				case 6:
 					mu.Lock()
@@ -445,7 +445,7 @@
 // read everything, on every key and also where claims raced.
 func TestIndexesAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		records := make([]platform.Record, rapid.IntRange(1, 20).Draw(t, "records"))
+		records := make([]eventlog.Record, rapid.IntRange(1, 20).Draw(t, "records"))
 		digests := rapid.SliceOfN(rapid.ByteMax(3), 0, 4)
 		for i := range records {
 			pb := &oncepb.ClaimBatch{
@@ -460,10 +460,10 @@
 			}
 			data, err := proto.Marshal(pb)
 			must.NoError(t, err)
-			records[i] = platform.Record{Offset: platform.Offset(i + 1), Data: data}
+			records[i] = eventlog.Record{Offset: eventlog.Offset(i + 1), Data: data}
 		}
 		whole := newClaimIndex(1, 2*time.Hour)
-		first := platform.Offset(rapid.IntRange(1, len(records)).Draw(t, "first"))
+		first := eventlog.Offset(rapid.IntRange(1, len(records)).Draw(t, "first"))
 		late := newClaimIndex(first, 2*time.Hour)
 		for _, r := range records {
 			must.NoError(t, whole.fold(r))
--- a/once/claimwriter.go
+++ b/once/claimwriter.go
@@ -9,8 +9,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/once/oncepb"
-	"github.com/crocuscross/crocuscross/platform"
 )
 
 // maxBatch bounds the claims of one append; a claim takes some 30 bytes of a
@@ -26,7 +26,7 @@
 			c.waitForWork(ctx, wait)
 			continue
 		}
-		if err := c.append(ctx, batch); errors.Is(err, platform.ErrUnavailable) {
+		if err := c.append(ctx, batch); errors.Is(err, eventlog.ErrUnavailable) {
 			pause = backOff(ctx, pause)
 			continue
 		}
@@ -51,7 +51,7 @@
 	data   []byte
 	claims []*pendingClaim
 	// after is the offset that the record cannot come before.
-	after platform.Offset
+	after eventlog.Offset
 }
 
 // nextBatch returns what to append, or else when to look again.
@@ -117,13 +117,13 @@
 // markDue reports whether a record without claims is worth an append: it ends
 // claims that take memory everywhere, and lets a newcomer know that what was
 // cut from the log had ended.
-func (c *Claims) markDue(horizon platform.Offset, now time.Time) bool {
+func (c *Claims) markDue(horizon eventlog.Offset, now time.Time) bool {
 	// Daemons that began together must not mark together.
 	spread := rand.N(c.opts.MarkInterval)
 	return horizon > c.index.horizon && now.Sub(c.raised) >= c.opts.MarkInterval+spread
 }
 
-func (c *Claims) encode(due []*pendingClaim, horizon platform.Offset) *sending {
+func (c *Claims) encode(due []*pendingClaim, horizon eventlog.Offset) *sending {
 	pb := &oncepb.ClaimBatch{
 		RuleVersion:     claimsRule,
 		Horizon:         horizon,
@@ -151,7 +151,7 @@
 	switch {
 	case err == nil && offset < s.after:
 		c.forget(offset, s.after)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, eventlog.ErrUnavailable):
 		s.sendAgain(c.opts.Now())
 	case err != nil:
 		s.sendAgain(c.opts.Now().Add(c.opts.ResendAfter))
--- a/recovery/decide.go
+++ b/recovery/decide.go
@@ -5,8 +5,8 @@
 package recovery
 
 import (
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
 )
 
 // Position is a point in the configuration's history. The zero Chain means that
@@ -49,7 +49,7 @@
 	Readable bool
 	// Bounds of the configuration stream, taken after the daemons answered: a
 	// version that one of them has in force is in the log by then.
-	Bounds platform.Bounds
+	Bounds eventlog.Bounds
 	// Checkpoint is the newest usable one, nil if there is none or it has not
 	// been looked for.
 	Checkpoint *Position
--- a/recovery/example_test.go
+++ b/recovery/example_test.go
@@ -6,9 +6,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 	"github.com/crocuscross/crocuscross/recovery"
 )
 
@@ -42,8 +42,8 @@
 	opts := recovery.DefaultOptions()
 	opts.Host = "host-1"
 	opts.Peers = others{map[string]*fold.State{"host-2": old, "host-3": current}}
-	opts.Config = svc.Stream(platform.StreamConfig)
-	opts.Checkpoints = svc.Stream(platform.StreamCheckpoints)
+	opts.Config = svc.Stream(eventlog.StreamConfig)
+	opts.Checkpoints = svc.Stream(eventlog.StreamCheckpoints)
 	r, err := recovery.Recover(context.Background(), opts)
 	if err != nil {
 		panic(err)
--- a/recovery/helper_test.go
+++ b/recovery/helper_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/crocuscross/crocuscross/checkpoint"
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
 // own is the host that recovers.
@@ -39,10 +39,10 @@
 }
 
 // down is a stream that cannot be read.
-type down struct{ platform.Log }
+type down struct{ eventlog.Log }
 
-func (down) Bounds(context.Context) (platform.Bounds, error) {
-	return platform.Bounds{}, platform.ErrUnavailable
+func (down) Bounds(context.Context) (eventlog.Bounds, error) {
+	return eventlog.Bounds{}, eventlog.ErrUnavailable
 }
 
 // peers is the daemons' part of a world.
@@ -65,8 +65,8 @@
 	svc := memlog.New(memlog.DefaultOptions())
 	w := &world{
 		svc:         svc,
-		config:      svc.Stream(platform.StreamConfig),
-		checkpoints: svc.Stream(platform.StreamCheckpoints),
+		config:      svc.Stream(eventlog.StreamConfig),
+		checkpoints: svc.Stream(eventlog.StreamCheckpoints),
 		states:      []*fold.State{fold.Empty()},
 	}
 	w.peers.states = map[string]*fold.State{}
--- a/recovery/property_test.go
+++ b/recovery/property_test.go
@@ -6,7 +6,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 // drawWorld draws a log of some records of which retention has dropped some,
@@ -24,7 +24,7 @@
 		}
 	}
 	w.peers.known += rapid.IntRange(0, 8).Draw(t, "silent")
-	w.config.Cut(platform.Offset(rapid.IntRange(1, end+1).Draw(t, "first")))
+	w.config.Cut(eventlog.Offset(rapid.IntRange(1, end+1).Draw(t, "first")))
 	return w, end
 }
 
--- a/recovery/recover.go
+++ b/recovery/recover.go
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
 )
 
 // Peers reaches other daemons.
@@ -24,10 +24,10 @@
 	// Host is this daemon's.
 	Host  string
 	Peers Peers
-	// Config and Checkpoints are the streams platform.StreamConfig and
-	// platform.StreamCheckpoints.
-	Config      platform.Log
-	Checkpoints platform.Log
+	// Config and Checkpoints are the streams eventlog.StreamConfig and
+	// eventlog.StreamCheckpoints.
+	Config      eventlog.Log
+	Checkpoints eventlog.Log
 	// Own is the state at hand, nil in a process that has just started. A
 	// running daemon that retention has passed by sets it; its state is then
 	// the least that Recover returns.
--- a/spread/example_test.go
+++ b/spread/example_test.go
@@ -7,12 +7,12 @@
 	"net/netip"
 	"time"
 
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/peer"
 	"github.com/crocuscross/crocuscross/peerpb"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 	"github.com/crocuscross/crocuscross/spread"
 )
 
@@ -23,7 +23,7 @@
 	states chan *fold.State
 }
 
-func newDaemon(host string, log platform.Log) *daemon {
+func newDaemon(host string, log eventlog.Log) *daemon {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
@@ -65,7 +65,7 @@
 func Example() {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	log := memlog.New(memlog.DefaultOptions()).Stream(platform.StreamConfig)
+	log := memlog.New(memlog.DefaultOptions()).Stream(eventlog.StreamConfig)
 	daemons := []*daemon{newDaemon("host-1", log), newDaemon("host-2", log)}
 	members := []*membership.Member{daemons[0].member, daemons[1].member}
 	for _, d := range daemons {
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -15,12 +15,12 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/peer"
 	"github.com/crocuscross/crocuscross/peerpb"
-	"github.com/crocuscross/crocuscross/platform"
-	"github.com/crocuscross/crocuscross/platform/memlog"
 )
 
 // hop is the time of a message between two nodes. Tests run in a synctest
@@ -49,7 +49,7 @@
 // node is one daemon; it is the Peers and the log that its Spreader sees.
 type node struct {
 	*Spreader
-	platform.Log
+	eventlog.Log
 	fleet  *fleet
 	member *membership.Member
 	stop   context.CancelFunc
@@ -62,7 +62,7 @@
 
 func newFleet(t testing.TB, size, zones int, adjust func(*Options)) *fleet {
 	svc := memlog.New(memlog.DefaultOptions())
-	f := &fleet{t: t, svc: svc, log: svc.Stream(platform.StreamConfig), byAddr: map[netip.AddrPort]*node{}, traffic: &traffic{}}
+	f := &fleet{t: t, svc: svc, log: svc.Stream(eventlog.StreamConfig), byAddr: map[netip.AddrPort]*node{}, traffic: &traffic{}}
 	rnd := rand.New(rand.NewPCG(1, 2))
 	var mu sync.Mutex
 	for i := range size {
@@ -201,11 +201,11 @@
 }
 
 // Read fails once the node has lost the log.
-func (n *node) Read(ctx context.Context, from platform.Offset, limit int, wait time.Duration) ([]platform.Record, error) {
+func (n *node) Read(ctx context.Context, from eventlog.Offset, limit int, wait time.Duration) ([]eventlog.Record, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer context.AfterFunc(n.logCut, cancel)()
 	if n.logCut.Err() != nil {
-		return nil, platform.ErrUnavailable
+		return nil, eventlog.ErrUnavailable
 	}
 	return n.Log.Read(ctx, from, limit, wait)
 }
--- a/spread/history_test.go
+++ b/spread/history_test.go
@@ -9,14 +9,14 @@
 	"pgregory.net/rapid"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
 )
 
 func sequencedFrom(offset uint64, data ...[]byte) []*configpb.SequencedRecord {
-	records := make([]platform.Record, len(data))
+	records := make([]eventlog.Record, len(data))
 	for i, d := range data {
-		records[i] = platform.Record{Offset: offset + uint64(i), Data: d}
+		records[i] = eventlog.Record{Offset: offset + uint64(i), Data: d}
 	}
 	return sequenced(records)
 }
--- a/spread/options.go
+++ b/spread/options.go
@@ -8,8 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
 )
 
 // Mode selects how records travel from the log to all daemons.
@@ -85,7 +85,7 @@
 type Options struct {
 	Host             string
 	AvailabilityZone string
-	Log              platform.Log
+	Log              eventlog.Log
 	Peers            Peers
 
 	Mode       Mode
--- a/spread/read.go
+++ b/spread/read.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
-	"github.com/crocuscross/crocuscross/platform"
 )
 
 const (
@@ -79,7 +79,7 @@
 	defer cancel()
 	records, err := s.opts.Log.Read(ctx, st.Offset+1, readLimit, wait)
 	s.opts.Meter.LogRead(len(records), sizeOf(records), err)
-	var truncated *platform.TruncatedError
+	var truncated *eventlog.TruncatedError
 	if errors.As(err, &truncated) {
 		return 0, s.skipTruncated(ctx, truncated)
 	}
@@ -95,7 +95,7 @@
 
 // skipTruncated finds a state beyond the records that the log has dropped: from
 // a peer, or else from the platform's checkpoints.
-func (s *Spreader) skipTruncated(ctx context.Context, cause *platform.TruncatedError) error {
+func (s *Spreader) skipTruncated(ctx context.Context, cause *eventlog.TruncatedError) error {
 	s.opts.Logger.Warn("spread: log has dropped the next record", "asked", cause.Asked, "first", cause.First)
 	if s.pullAnywhere(cause.First - 1) {
 		return nil
@@ -131,7 +131,7 @@
 	}
 	records, err := s.opts.Log.Read(ctx, st.Offset, 1, 0)
 	s.opts.Meter.LogRead(len(records), sizeOf(records), err)
-	var truncated *platform.TruncatedError
+	var truncated *eventlog.TruncatedError
 	switch {
 	case errors.As(err, &truncated):
 		return s.checkEnd()
@@ -182,7 +182,7 @@
 		s.pullWake.set()
 		return
 	}
-	b := batch{base: st.Offset, chain: st.Chain, records: sequenced([]platform.Record{{Offset: offset, Data: data}})}
+	b := batch{base: st.Offset, chain: st.Chain, records: sequenced([]eventlog.Record{{Offset: offset, Data: data}})}
 	s.assign(offset)
 	s.noteFromLog(offset)
 	_, _ = s.fold(b, "own append")
@@ -253,7 +253,7 @@
 	s.handoffWake.set()
 }
 
-func sequenced(records []platform.Record) []*configpb.SequencedRecord {
+func sequenced(records []eventlog.Record) []*configpb.SequencedRecord {
 	out := make([]*configpb.SequencedRecord, len(records))
 	for i, r := range records {
 		out[i] = &configpb.SequencedRecord{Offset: r.Offset, Data: r.Data}
@@ -261,7 +261,7 @@
 	return out
 }
 
-func sizeOf(records []platform.Record) int {
+func sizeOf(records []eventlog.Record) int {
 	n := 0
 	for _, r := range records {
 		n += len(r.Data)
