--- a/fold/apply.go
+++ b/fold/apply.go
@@ -39,12 +39,15 @@
 	}
 	n := s.next()
 	n.Offset = offset
-	n.previous, n.Chain = s.Chain, s.Chain.Extend(offset, data)
+	n.previous, n.Chain = s.Chain.before(data), s.Chain.Extend(offset, data)
 	n.recent.forget(offset)
 	if !readable {
 		return n, Verdict{Offset: offset, Reasons: []string{"the record cannot be read"}}, nil
 	}
 	n.rule = max(n.rule, rec.GetRuleVersion())
+	if rec.GetDocument() != nil && rec.GetRuleVersion() >= documentRule {
+		return n, n.decideDocument(rec), nil
+	}
 	return n, n.decide(rec), nil
 }
 
@@ -85,31 +88,52 @@
 	return rec, true, nil
 }
 
-// ruleField is the number of rule_version in configpb.Record.
-const ruleField = 1
+// Numbers of fields in configpb.Record.
+const (
+	ruleField     = 1
+	documentField = 3
+)
 
 // ruleOf reads the rule version alone. All rules have that field and the wire
 // format in common, nothing else: a record of a later rule that this program
 // cannot parse must stop it, not be passed over as unreadable, or it would
 // differ from the daemons that can.
 func ruleOf(data []byte) (rule uint32, ok bool) {
+	ok = eachField(data, func(num protowire.Number, typ protowire.Type, value []byte) {
+		if num == ruleField && typ == protowire.VarintType {
+			v, _ := protowire.ConsumeVarint(value)
+			rule = uint32(v)
+		}
+	})
+	return rule, ok
+}
+
+// holdsDocument reports whether a record has a document in it.
+func holdsDocument(data []byte) bool {
+	found := false
+	ok := eachField(data, func(num protowire.Number, _ protowire.Type, _ []byte) {
+		found = found || num == documentField
+	})
+	return ok && found
+}
+
+// eachField calls f with each field of a message and the bytes from its value on;
+// it reports false where the message cannot be parsed.
+func eachField(data []byte, f func(protowire.Number, protowire.Type, []byte)) bool {
 	for len(data) > 0 {
 		num, typ, n := protowire.ConsumeTag(data)
 		if n < 0 {
-			return 0, false
+			return false
 		}
 		data = data[n:]
-		if num == ruleField && typ == protowire.VarintType {
-			v, _ := protowire.ConsumeVarint(data)
-			rule = uint32(v)
-		}
 		n = protowire.ConsumeFieldValue(num, typ, data)
 		if n < 0 {
-			return 0, false
+			return false
 		}
+		f(num, typ, data)
 		data = data[n:]
 	}
-	return rule, true
+	return true
 }
 
 // decide applies a record's bundle if it is acceptable and remembers the
--- a/fold/checkstate.go
+++ b/fold/checkstate.go
@@ -15,6 +15,9 @@
 	if rec.GetRuleVersion() == 0 {
 		r.addf("the record names no rule version")
 	}
+	if rec.GetDocument() != nil {
+		r.addf("a document needs rule %d or later", documentRule)
+	}
 	b := rec.GetBundle()
 	r = append(r, checkBundle(b)...)
 	if len(r) > 0 {
--- a/fold/codec.go
+++ b/fold/codec.go
@@ -13,9 +13,9 @@
 // have come from the fold.
 var ErrBadState = errors.New("serialized state is not valid")
 
-// EncodeRecord returns the record of a bundle under the current rule.
+// EncodeRecord returns the record of a bundle.
 func EncodeRecord(b *configpb.Bundle) ([]byte, error) {
-	return proto.MarshalOptions{Deterministic: true}.Marshal(&configpb.Record{RuleVersion: RuleVersion, Bundle: b})
+	return proto.MarshalOptions{Deterministic: true}.Marshal(&configpb.Record{RuleVersion: bundleRule, Bundle: b})
 }
 
 // Encode returns the state as a message in canonical order: equal states give
@@ -27,6 +27,7 @@
 		Chain:         slices.Clone(s.Chain[:]),
 		PreviousChain: slices.Clone(s.previous[:]),
 		RuleVersion:   s.rule,
+		Document:      s.document,
 	}
 	for _, kind := range kinds {
 		for _, e := range s.Entries(kind) {
@@ -68,6 +69,9 @@
 	s := Empty()
 	s.Offset = m.GetOffset()
 	s.rule = m.GetRuleVersion()
+	if err := s.decodeDocument(m.GetDocument()); err != nil {
+		return nil, err
+	}
 	if err := s.decodeChains(m); err != nil {
 		return nil, err
 	}
@@ -88,12 +92,25 @@
 		return errors.Wrap(ErrBadState, "chain digest length")
 	}
 	s.Chain, s.previous = Chain(m.GetChain()), Chain(m.GetPreviousChain())
-	if (s.Offset == 0) != (s.Chain == Chain{}) || (s.Offset <= 1) != (s.previous == Chain{}) {
+	// After a document the chain begins anew, so that it may have nothing before.
+	begun := s.Offset <= 1 || s.document != nil && s.previous == Chain{}
+	if (s.Offset == 0) != (s.Chain == Chain{}) || begun != (s.previous == Chain{}) {
 		return errors.Wrap(ErrBadState, "chain digest does not suit the offset")
 	}
 	return nil
 }
 
+func (s *State) decodeDocument(d *configpb.Document) error {
+	if d == nil {
+		return nil
+	}
+	if r := CheckDocument(d); len(r) > 0 {
+		return errors.Wrapf(ErrBadState, "%s", r[0])
+	}
+	s.document = d
+	return nil
+}
+
 func (s *State) decodeEntries(list []*configpb.Entry) error {
 	if len(list) > MaxResources {
 		return errors.Wrapf(ErrBadState, "%d resources", len(list))
--- /dev/null
+++ b/fold/document.go
@@ -0,0 +1,126 @@
+package fold
+
+import (
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/crocuscross/crocuscross/configpb"
+)
+
+// Bounds on a document, beside those on names and prefixes.
+const (
+	MaxDocumentRoutes   = MaxResources
+	MaxDocumentServices = 1024
+	MaxSplitParts       = 64
+	MaxPriority         = 1 << 16
+)
+
+// ErrBadDocument means that a document contradicts itself.
+var ErrBadDocument = errors.New("document is not valid")
+
+// Document returns the latest document, nil if there has been none. It must not
+// be changed.
+func (s *State) Document() *configpb.Document { return s.document }
+
+// EncodeDocument returns the record of a document.
+func EncodeDocument(d *configpb.Document) ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(&configpb.Record{RuleVersion: documentRule, Document: d})
+}
+
+// FromDocument returns the state of a daemon that begins with the record of a
+// document, for a log that holds documents only and keeps the latest alone. The
+// state equals that of a daemon that folded all records before it. The error is
+// ErrBadDocument where the document would have been rejected.
+func FromDocument(offset uint64, data []byte) (*State, error) {
+	before := Empty()
+	before.Offset = offset - 1
+	s, v, err := Apply(before, offset, data)
+	if err != nil {
+		return nil, err
+	}
+	if s.document == nil {
+		return nil, errors.Wrapf(ErrBadDocument, "record %d: %s", offset, strings.Join(v.Reasons, "; "))
+	}
+	return s, nil
+}
+
+// CheckDocument returns what is wrong with a document, whatever the state.
+func CheckDocument(d *configpb.Document) []string {
+	var r reasons
+	services := r.checkDocumentServices(d.GetServices())
+	if n := len(d.GetRoutes()); n > MaxDocumentRoutes {
+		r.addf("at most %d routes, this document has %d", MaxDocumentRoutes, n)
+		return r
+	}
+	places := make(map[string]string, len(d.GetRoutes()))
+	for _, route := range d.GetRoutes() {
+		k := Key{KindRoute, route.GetName()}
+		if !r.checkName(k) {
+			continue
+		}
+		r.checkPrefix(k, route.GetPathPrefix())
+		r.checkTargets(k, route, services)
+		place := route.GetVirtualHost() + route.GetPathPrefix()
+		if other, taken := places[place]; taken {
+			r.addf("%s has the virtual host and path_prefix of route %s", k, other)
+		}
+		places[place] = route.GetName()
+	}
+	return r
+}
+
+func (r *reasons) checkDocumentServices(list []*configpb.Service) map[string]bool {
+	if len(list) > MaxDocumentServices {
+		r.addf("at most %d services, this document has %d", MaxDocumentServices, len(list))
+	}
+	known := make(map[string]bool, len(list))
+	for _, s := range list {
+		if r.checkName(Key{KindService, s.GetName()}) {
+			known[s.GetName()] = true
+		}
+	}
+	return known
+}
+
+// checkTargets checks where a route leads and how its calls are treated.
+func (r *reasons) checkTargets(k Key, route *configpb.Route, services map[string]bool) {
+	if len(route.GetSplit()) == 0 && !services[route.GetService()] {
+		r.addf("%s leads to the unknown service %q", k, route.GetService())
+	}
+	total := uint64(0)
+	for _, part := range route.GetSplit() {
+		if !services[part.GetService()] {
+			r.addf("%s leads to the unknown service %q", k, part.GetService())
+		}
+		total += uint64(part.GetWeight())
+	}
+	if len(route.GetSplit()) > MaxSplitParts || len(route.GetSplit()) > 0 && total == 0 {
+		r.addf("%s: a split must have at most %d parts and some weight", k, MaxSplitParts)
+	}
+	if route.GetKind() == configpb.CallKind_CALL_KIND_BY_CONTRACT {
+		r.addf("%s has no kind of call", k)
+	}
+	if route.GetTimeoutMs() > MaxWaitMs || route.GetPriority() > MaxPriority {
+		r.addf("%s: timeout_ms must be at most %d, priority at most %d", k, MaxWaitMs, MaxPriority)
+	}
+}
+
+// decideDocument puts a document in the place of all before it if it is
+// acceptable. s must not have been handed out yet.
+func (s *State) decideDocument(rec *configpb.Record) Verdict {
+	d := rec.GetDocument()
+	v := Verdict{Offset: s.Offset}
+	r := reasons(CheckDocument(d))
+	if s.document != nil && d.GetVersion() <= s.document.GetVersion() {
+		r.addf("document version %d does not follow version %d", d.GetVersion(), s.document.GetVersion())
+	}
+	if len(r) > 0 {
+		v.Reasons = r.trim()
+		return v
+	}
+	s.document = d
+	v.Accepted = true
+	return v
+}
--- /dev/null
+++ b/fold/document_test.go
@@ -0,0 +1,85 @@
+package fold
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/configpb"
+)
+
+// document returns a valid document with one route.
+func document(version uint64, prefix string) *configpb.Document {
+	return &configpb.Document{
+		Version:  version,
+		Services: []*configpb.Service{{Name: "signs"}, {Name: "ops"}},
+		Routes: []*configpb.Route{{
+			Name: "r", VirtualHost: "a.example", PathPrefix: prefix, Service: "signs",
+			Kind: configpb.CallKind_CALL_KIND_IDEMPOTENT,
+		}},
+	}
+}
+
+func documentRecord(t *testing.T, d *configpb.Document) []byte {
+	t.Helper()
+	data, err := EncodeDocument(d)
+	must.NoError(t, err)
+	return data
+}
+
+func TestDocumentTakesThePlaceOfAllBefore(t *testing.T) {
+	first, second := documentRecord(t, document(3, "/a/")), documentRecord(t, document(7, "/b/"))
+	s, v, err := Apply(Empty(), 1, first)
+	must.NoError(t, err)
+	must.True(t, v.Accepted)
+	s, v, err = Apply(s, 2, second)
+	must.NoError(t, err)
+	must.True(t, v.Accepted)
+	must.Eq(t, "/b/", s.Document().GetRoutes()[0].GetPathPrefix())
+
+	// A daemon that starts where the log has dropped the first record is at the
+	// same state and chain.
+	late, err := FromDocument(2, second)
+	must.NoError(t, err)
+	must.Eq(t, s.Chain, late.Chain)
+	must.True(t, s.LastIs(second))
+	must.False(t, s.LastIs(first))
+	decoded, err := Decode(late.Encode())
+	must.NoError(t, err)
+	must.Eq(t, s.Chain, decoded.Chain)
+	must.Eq(t, uint64(7), decoded.Document().GetVersion())
+}
+
+func TestDocumentRejected(t *testing.T) {
+	base, _, err := Apply(Empty(), 1, documentRecord(t, document(5, "/a/")))
+	must.NoError(t, err)
+	for name, change := range map[string]func(d *configpb.Document){
+		"lower version":      func(d *configpb.Document) { d.Version = 4 },
+		"same version":       func(d *configpb.Document) { d.Version = 5 },
+		"unknown service":    func(d *configpb.Document) { d.Routes[0].Service = "nobody" },
+		"no kind":            func(d *configpb.Document) { d.Routes[0].Kind = 0 },
+		"bad prefix":         func(d *configpb.Document) { d.Routes[0].PathPrefix = "a" },
+		"endless timeout":    func(d *configpb.Document) { d.Routes[0].TimeoutMs = MaxWaitMs + 1 },
+		"weightless split":   func(d *configpb.Document) { d.Routes[0].Split = []*configpb.Split{{Service: "ops"}} },
+		"split to nowhere":   func(d *configpb.Document) { d.Routes[0].Split = []*configpb.Split{{Service: "x", Weight: 1}} },
+		"two routes a place": func(d *configpb.Document) { d.Routes = append(d.Routes, d.Routes[0]) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := document(6, "/b/")
+			change(d)
+			s, v, err := Apply(base, 2, documentRecord(t, d))
+			must.NoError(t, err)
+			must.False(t, v.Accepted)
+			must.Positive(t, len(v.Reasons))
+			must.Eq(t, 2, s.Offset)
+			must.Eq(t, uint64(5), s.Document().GetVersion())
+		})
+	}
+}
+
+func TestFromDocumentRefusesWhatTheFoldRejects(t *testing.T) {
+	d := document(6, "/b/")
+	d.Routes[0].Service = "nobody"
+	_, err := FromDocument(4, documentRecord(t, d))
+	must.ErrorIs(t, err, ErrBadDocument)
+}
--- a/fold/state.go
+++ b/fold/state.go
@@ -14,7 +14,14 @@
 
 // RuleVersion is the latest rule that this package knows. Any change of what a
 // record means, a new field or another bound included, needs a new rule.
-const RuleVersion = 1
+const RuleVersion = documentRule
+
+// The rules. Records carry the lowest one that suits them, so that an older
+// program follows as far as it can.
+const (
+	bundleRule   = 1
+	documentRule = 2
+)
 
 // ResourceKind is one of the three kinds of resource.
 type ResourceKind uint8
@@ -72,6 +79,7 @@
 // Extend returns the chain after one more record. Whoever passes records on
 // uses it to tell the chain before the first of them.
 func (c Chain) Extend(offset uint64, data []byte) Chain {
+	c = c.before(data)
 	h := sha256.New()
 	h.Write(c[:])
 	var o [8]byte
@@ -83,6 +91,16 @@
 	return n
 }
 
+// before returns what a record is chained to. A document takes the place of all
+// records before it and begins the chain anew: a daemon that starts with it, since
+// the log no longer has those, is then at the same chain as one that folded them.
+func (c Chain) before(data []byte) Chain {
+	if holdsDocument(data) {
+		return Chain{}
+	}
+	return c
+}
+
 // State is the fold of all records up to Offset. States are immutable and
 // share what they have in common; Apply returns a new one.
 type State struct {
@@ -98,6 +116,8 @@
 	bytes  int
 	routes routeIndex
 	recent recent
+	// document is the latest one accepted.
+	document *configpb.Document
 }
 
 // Empty returns the state before the first record.
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -232,7 +233,7 @@
 		}
 		for _, n := range f.nodes {
 			must.Eq(t, 1, n.State().Offset)
-			must.StrContains(t, n.Status().Stuck, "rule 2")
+			must.StrContains(t, n.Status().Stuck, fmt.Sprintf("rule %d", fold.RuleVersion+1))
 		}
 		must.Less(t, 60, f.svc.Counters().Reads)
 	})
