--- a/fold/apply.go
+++ b/fold/apply.go
@@ -45,7 +45,7 @@
 		return n, Verdict{Offset: offset, Reasons: []string{"the record cannot be read"}}, nil
 	}
 	n.rule = max(n.rule, rec.GetRuleVersion())
-	if rec.GetDocument() != nil && rec.GetRuleVersion() >= documentRule {
+	if rec.GetDocument() != nil && rec.GetRuleVersion() >= DocumentRule {
 		return n, n.decideDocument(rec), nil
 	}
 	return n, n.decide(rec), nil
--- a/fold/checkstate.go
+++ b/fold/checkstate.go
@@ -16,7 +16,7 @@
 		r.addf("the record names no rule version")
 	}
 	if rec.GetDocument() != nil {
-		r.addf("a document needs rule %d or later", documentRule)
+		r.addf("a document needs rule %d or later", DocumentRule)
 	}
 	b := rec.GetBundle()
 	r = append(r, checkBundle(b)...)
--- a/fold/codec.go
+++ b/fold/codec.go
@@ -15,7 +15,7 @@
 
 // EncodeRecord returns the record of a bundle.
 func EncodeRecord(b *configpb.Bundle) ([]byte, error) {
-	return proto.MarshalOptions{Deterministic: true}.Marshal(&configpb.Record{RuleVersion: bundleRule, Bundle: b})
+	return proto.MarshalOptions{Deterministic: true}.Marshal(&configpb.Record{RuleVersion: BundleRule, Bundle: b})
 }
 
 // Encode returns the state as a message in canonical order: equal states give
--- a/fold/document.go
+++ b/fold/document.go
@@ -26,7 +26,7 @@
 
 // EncodeDocument returns the record of a document.
 func EncodeDocument(d *configpb.Document) ([]byte, error) {
-	return proto.MarshalOptions{Deterministic: true}.Marshal(&configpb.Record{RuleVersion: documentRule, Document: d})
+	return proto.MarshalOptions{Deterministic: true}.Marshal(&configpb.Record{RuleVersion: DocumentRule, Document: d})
 }
 
 // FromDocument returns the state of a daemon that begins with the record of a
--- a/fold/fold_test.go
+++ b/fold/fold_test.go
@@ -89,7 +89,7 @@
 	s, v, err := ApplyAll(Empty(), records)
 	var unknown *UnknownRuleError
 	must.True(t, errors.As(err, &unknown))
-	must.Eq(t, UnknownRuleError{Offset: 2, Rule: 2}, *unknown)
+	must.Eq(t, UnknownRuleError{Offset: 2, Rule: RuleVersion + 1}, *unknown)
 	must.Eq(t, 1, len(v))
 	must.Eq(t, uint64(1), s.Offset)
 	must.NotNil(t, s.Get(Key{KindContract, "c"}))
--- a/fold/state.go
+++ b/fold/state.go
@@ -14,13 +14,13 @@
 
 // RuleVersion is the latest rule that this package knows. Any change of what a
 // record means, a new field or another bound included, needs a new rule.
-const RuleVersion = documentRule
+const RuleVersion = DocumentRule
 
 // The rules. Records carry the lowest one that suits them, so that an older
 // program follows as far as it can.
 const (
-	bundleRule   = 1
-	documentRule = 2
+	BundleRule   = 1
+	DocumentRule = 2
 )
 
 // ResourceKind is one of the three kinds of resource.
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -269,7 +269,7 @@
 
 // change returns a record that sets one contract anew.
 func change(id string, replaces uint64) *configpb.Record {
-	return &configpb.Record{RuleVersion: fold.RuleVersion, Bundle: &configpb.Bundle{
+	return &configpb.Record{RuleVersion: fold.BundleRule, Bundle: &configpb.Bundle{
 		PublishId: id, Author: "operator",
 		Changes: []*configpb.Change{{Replaces: replaces, Resource: &configpb.Resource{Kind: &configpb.Resource_Contract{
 			Contract: &configpb.Contract{Customer: "garage", RatePerSecond: 10, MaxWaitMs: 500},
--- a/spread/push_test.go
+++ b/spread/push_test.go
@@ -43,7 +43,7 @@
 	n, relayed := lone(t)
 	n.Start(fold.Empty())
 	rec := change("a", 0)
-	rec.RuleVersion++
+	rec.RuleVersion = fold.RuleVersion + 1
 	pushRecord(t, n, 0, fold.Chain{}, rec)
 	must.Eq(t, 0, n.State().Offset)
 	must.Eq(t, 1, *relayed)
