--- a/fold/fold_test.go
+++ b/fold/fold_test.go
@@ -95,7 +95,7 @@
 	must.NotNil(t, s.Get(Key{KindContract, "c"}))
 
 	m := s.Encode()
-	m.RuleVersion = 2
+	m.RuleVersion = RuleVersion + 1
 	_, err = Decode(m)
 	must.True(t, errors.As(err, &unknown))
 }
