--- a/snapshot/property_test.go
+++ b/snapshot/property_test.go
@@ -118,12 +118,12 @@
 func slowTarget(s *Snapshot, path string) string {
 	longest, answer := -1, "none"
 	for _, n := range s.table {
-		p := n.route.PathPrefix
+		p := n.value.route.PathPrefix
 		if !strings.HasPrefix(path, p) || len(p) <= longest {
 			continue
 		}
-		longest, answer = len(p), n.route.Service
-		if n.withheld {
+		longest, answer = len(p), n.value.route.Service
+		if n.value.withheld {
 			answer = "wait"
 		}
 	}
--- a/snapshot/routes.go
+++ b/snapshot/routes.go
@@ -50,7 +50,26 @@
 	}
 	b.findUnanswered()
 	s.routes = b.routes()
-	s.table = newTable(s.routes, b.unanswered)
+	s.table = routeTable(s.routes, b.unanswered)
+}
+
+// placed is what a path prefix leads to.
+type placed struct {
+	route Route
+	// withheld is set where calls are refused until the route is in force.
+	withheld bool
+}
+
+// routeTable takes the routes in force and the ones whose prefixes are refused.
+func routeTable(routes, withheld []Route) table[placed] {
+	t := make(table[placed], 0, len(routes)+len(withheld))
+	for _, r := range routes {
+		t = append(t, node[placed]{prefix: r.PathPrefix, value: placed{route: r}})
+	}
+	for _, r := range withheld {
+		t = append(t, node[placed]{prefix: r.PathPrefix, value: placed{route: r, withheld: true}})
+	}
+	return newTable(t)
 }
 
 // admit lets a route in if it is in force already or can be served.
@@ -112,8 +131,8 @@
 		return names
 	}
 	for _, n := range s.table {
-		if n.withheld {
-			names[n.route.Name] = true
+		if n.value.withheld {
+			names[n.value.route.Name] = true
 		}
 	}
 	return names
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -19,7 +19,8 @@
 	Withheld []WithheldRoute
 
 	routes    []Route
-	table     table
+	table     table[placed]
+	document  *Document
 	contracts map[string]*Contract
 	backends  *backend.Set
 }
@@ -58,13 +59,14 @@
 	}
 	s.buildRoutes(prev)
 	s.buildContracts(prev)
+	s.buildDocument(prev)
 	return s
 }
 
 // follow takes over all that new backend servers do not change. They come and
 // go far more often than versions do.
 func (s *Snapshot) follow(prev *Snapshot) {
-	s.contracts = prev.contracts
+	s.contracts, s.document = prev.contracts, prev.document
 	if len(prev.Withheld) > 0 {
 		s.buildRoutes(prev)
 		return
@@ -95,17 +97,17 @@
 // Route returns the route of a path: the longest matching prefix in force.
 func (s *Snapshot) Route(path string) (Route, bool) {
 	n := s.table.find(path)
-	if n == nil || n.withheld {
+	if n == nil || n.value.withheld {
 		return Route{}, false
 	}
-	return n.route, true
+	return n.value.route, true
 }
 
 // Withholds reports whether a path has no route only because the backend
 // servers of its route are not known yet. The call may succeed a little later.
 func (s *Snapshot) Withholds(path string) bool {
 	n := s.table.find(path)
-	return n != nil && n.withheld
+	return n != nil && n.value.withheld
 }
 
 // Routes returns all routes in force, sorted by prefix. The caller must not
@@ -124,5 +126,8 @@
 // change the map.
 func (s *Snapshot) Contracts() map[string]*Contract { return s.contracts }
 
+// Document returns the document in force, nil if there is none.
+func (s *Snapshot) Document() *Document { return s.document }
+
 // Backends returns the backend servers known of a service.
 func (s *Snapshot) Backends(service string) []*backend.Server { return s.backends.Of(service) }
