--- /dev/null
+++ b/eventlog/directory.go
@@ -0,0 +1,55 @@
+package eventlog
+
+import "context"
+
+// Directory keeps the newest value of each key. Implementations are safe for
+// concurrent use.
+type Directory interface {
+	// Put sets the value of a key; an empty value removes the key. The error is
+	// ErrUnavailable or ErrUnknown, as of Log.Append.
+	Put(ctx context.Context, key string, value []byte) error
+	// List returns the values, the newest last where that is known.
+	List(ctx context.Context) ([][]byte, error)
+}
+
+// Tail is a Directory over the latest records of a log whose values name their
+// keys themselves. What is removed, and what lies further back than the tail, is
+// not told apart: it suits hints, such as contacts.
+type Tail struct {
+	Log Log
+	// Records is how many of the latest records are looked at.
+	Records uint64
+}
+
+// Put implements Directory.
+func (t Tail) Put(ctx context.Context, _ string, value []byte) error {
+	if len(value) == 0 {
+		return nil
+	}
+	_, err := t.Log.Append(ctx, value)
+	return err
+}
+
+// List implements Directory. It returns older values of a key as well.
+func (t Tail) List(ctx context.Context) ([][]byte, error) {
+	b, err := t.Log.Bounds(ctx)
+	if err != nil {
+		return nil, err
+	}
+	from := b.First
+	if b.End > b.First+t.Records {
+		from = b.End - t.Records
+	}
+	if from >= b.End {
+		return nil, nil
+	}
+	records, err := t.Log.Read(ctx, from, int(t.Records), 0)
+	if err != nil {
+		return nil, err
+	}
+	values := make([][]byte, len(records))
+	for i, r := range records {
+		values[i] = r.Data
+	}
+	return values, nil
+}
--- a/internal/controller/contacts/contacts.go
+++ b/internal/controller/contacts/contacts.go
@@ -1,5 +1,4 @@
-// Package contacts keeps a few daemons' addresses in a stream of the platform's
-// log, so that a daemon whose contacts in the settings have all been replaced
+// Package contacts keeps a few daemons' addresses in a directory of the platform, so that a daemon whose contacts in the settings have all been replaced
 // still finds the fleet.
 package contacts
 
@@ -25,21 +24,29 @@
 	RefreshInterval = 10 * time.Minute
 	// checkInterval is how often it is looked whether an append is due.
 	checkInterval = 30 * time.Second
-	// tail is how many of the latest records are looked at for contacts.
-	tail = 64
-	// maxFound bounds the contacts taken from the stream.
+	// Tail is how many of the latest records are looked at for contacts where the
+	// directory is a stream of a log.
+	Tail = 64
+	// maxFound bounds the contacts taken from the directory.
 	maxFound = 16
+	// retryAfter is about the wait before the first entry is put again. Until it is
+	// there, daemons that start later cannot find this one.
+	retryAfter = 300 * time.Millisecond
 )
 
 // Options holds what a Controller works with.
 type Options struct {
 	Board            *blackboard.Board
-	Log              eventlog.Log
+	Directory        eventlog.Directory
 	Host             string
 	AvailabilityZone string
 	PeerAddr         netip.AddrPort
-	Logger           *slog.Logger
-	Now              func() time.Time
+	// AtStart is whether each daemon puts its address as it starts, in a directory
+	// that keeps one entry for each host. Without it only readers put theirs,
+	// seldom, which suits a directory that forgets.
+	AtStart bool
+	Logger  *slog.Logger
+	Now     func() time.Time
 }
 
 // Controller appends this daemon's address and finds those of others.
@@ -53,6 +60,11 @@
 
 // Run appends when it is due, until ctx is done.
 func (c *Controller) Run(ctx context.Context) error {
+	if c.opts.AtStart {
+		c.putFirst(ctx)
+		<-ctx.Done()
+		return nil
+	}
 	for {
 		// The jitter keeps daemons that started together from appending
 		// together.
@@ -77,44 +89,59 @@
 		return
 	}
 	c.last = now
+	if err := c.put(ctx); err != nil {
+		c.opts.Logger.Info("contacts: own address not put", "error", err)
+	}
+}
+
+// putFirst puts the address until that is certain to be done.
+func (c *Controller) putFirst(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := c.put(ctx)
+		if err == nil {
+			return
+		}
+		c.opts.Logger.Info("contacts: own address not put", "error", err)
+		wait := time.NewTimer(retryAfter/2 + rand.N(retryAfter))
+		select {
+		case <-wait.C:
+		case <-ctx.Done():
+			wait.Stop()
+		}
+	}
+}
+
+func (c *Controller) put(ctx context.Context) error {
 	data, err := proto.Marshal(&configpb.Contact{
 		Host: c.opts.Host, PeerAddr: c.opts.PeerAddr.String(), AvailabilityZone: c.opts.AvailabilityZone,
 	})
-	if err == nil {
-		_, err = c.opts.Log.Append(ctx, data)
-	}
 	if err != nil {
-		c.opts.Logger.Info("contacts: own address not appended", "error", err)
+		return err
 	}
+	return c.opts.Directory.Put(ctx, c.opts.Host, data)
 }
 
-// Find returns the addresses in the latest records of the stream, the newest of each
-// host, without this daemon's own. Unreadable records are passed over.
+// Find returns the addresses in the directory, the newest of each host, without this
+// daemon's own. Unreadable values are passed over.
 func (c *Controller) Find(ctx context.Context) ([]netip.AddrPort, error) {
-	b, err := c.opts.Log.Bounds(ctx)
+	values, err := c.opts.Directory.List(ctx)
 	if err != nil {
 		return nil, err
 	}
-	from := b.First
-	if b.End > b.First+tail {
-		from = b.End - tail
-	}
-	if from >= b.End {
-		return nil, nil
-	}
-	records, err := c.opts.Log.Read(ctx, from, tail, 0)
-	if err != nil {
-		return nil, err
+	if c.opts.AtStart {
+		// Entries of hosts that are gone for good are among them, in the order of
+		// their names: whoever takes the first few would never reach the others.
+		rand.Shuffle(len(values), func(i, j int) { values[i], values[j] = values[j], values[i] })
 	}
-	return c.newest(records), nil
+	return c.newest(values), nil
 }
 
-func (c *Controller) newest(records []eventlog.Record) []netip.AddrPort {
+func (c *Controller) newest(values [][]byte) []netip.AddrPort {
 	var found []netip.AddrPort
 	seen := map[string]bool{c.opts.Host: true}
-	for i := len(records) - 1; i >= 0 && len(found) < maxFound; i-- {
+	for i := len(values) - 1; i >= 0 && len(found) < maxFound; i-- {
 		var m configpb.Contact
-		if proto.Unmarshal(records[i].Data, &m) != nil || seen[m.GetHost()] {
+		if proto.Unmarshal(values[i], &m) != nil || seen[m.GetHost()] {
 			continue
 		}
 		seen[m.GetHost()] = true
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -188,7 +188,7 @@
 			p.stream(eventlog.StreamCheckpoints), keeping),
 	}
 	p.contacts = contacts.New(contacts.Options{
-		Board: d.board, Log: p.stream(eventlog.StreamContacts), Host: d.settings.Host,
+		Board: d.board, Directory: eventlog.Tail{Log: p.stream(eventlog.StreamContacts), Records: contacts.Tail}, Host: d.settings.Host,
 		AvailabilityZone: d.settings.AvailabilityZone, PeerAddr: d.peerAddr(),
 		Logger: d.logger, Now: time.Now,
 	})
