--- a/gate/admit.go
+++ b/gate/admit.go
@@ -11,6 +11,10 @@
 	// it rests on a mean over a few calls.
 	forecastError = 16
 
+	// leastSlots is what a rank can count on at least, in slots, where more urgent
+	// ones take all: their load wavers.
+	leastSlots = 0.25
+
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
 )
@@ -29,6 +33,9 @@
 	if left < f.wait(at)+s.serviceTime.value {
 		return g.refusal(s, left, f)
 	}
+	if t.maxWait > 0 && f.wait(at) > t.maxWait {
+		return errOverloaded.After(retryAfter(f.wait(len(s.waiting))))
+	}
 	for i, w := range s.waiting {
 		if i >= at {
 			i++
@@ -85,23 +92,40 @@
 }
 
 // slotsLeftFor returns how many slots the share can count on beside what the
-// others use. Calls of others that are yet to arrive may go first as well.
+// others use. Calls of others that are yet to arrive may go first as well. Shares
+// of a less urgent rank do not count, and the share's fair part holds within its
+// rank only: more urgent ones may take all but a little.
 func (g *Gate) slotsLeftFor(s *share) float64 {
 	slots := float64(g.limit.slots())
-	fair := slots / float64(len(g.queue.active)+1)
-	return max(slots-(g.queue.usage-s.usage), fair)
+	same, urgent := 1, 0.0
+	for _, o := range g.queue.active {
+		if o.rank == s.rank {
+			same++
+		}
+	}
+	for rank, usage := range g.queue.usage {
+		if rank < s.rank {
+			urgent += usage
+		}
+	}
+	fair := max(slots-urgent, leastSlots) / float64(same)
+	return max(slots-urgent-(g.queue.usage[s.rank]-s.usage), fair)
 }
 
-// aheadOf returns the slot time of the other customers' waiting calls that go
-// before a call of the share with the start tag.
+// aheadOf returns the slot time of the other shares' waiting calls that go before a
+// call of the share with the start tag.
 func (q *fairQueue) aheadOf(s *share, tag time.Duration) time.Duration {
 	var ahead time.Duration
 	for _, o := range q.active {
-		if o == s || o.tag > tag {
+		switch {
+		case o == s || o.rank > s.rank || o.rank == s.rank && o.tag > tag:
 			continue
+		case o.rank < s.rank:
+			ahead += time.Duration(len(o.waiting)) * o.serviceTime.value
+		default:
+			n := 1 + (tag-o.tag)/max(o.serviceTime.value, 1)
+			ahead += min(n, time.Duration(len(o.waiting))) * o.serviceTime.value
 		}
-		n := 1 + (tag-o.tag)/max(o.serviceTime.value, 1)
-		ahead += min(n, time.Duration(len(o.waiting))) * o.serviceTime.value
 	}
 	return ahead
 }
--- a/gate/fairqueue.go
+++ b/gate/fairqueue.go
@@ -22,7 +22,7 @@
 // the waiting customer with the lowest tag goes next. Customers that were quiet
 // start at the present tag, so that quiet times earn no credit.
 type fairQueue struct {
-	shares map[string]*share
+	shares map[shareKey]*share
 	// active lists the shares with waiting calls.
 	active []*share
 	len    int
@@ -35,14 +35,23 @@
 	serviceTime movingMean
 	// assumed is the service time of customers that have not been served yet.
 	assumed time.Duration
-	// usage is the sum of the shares' usage.
-	usage   float64
+	// usage is the sum of the shares' usage by rank.
+	usage   map[int]float64
 	reserve reserve
 }
 
-// share is one customer's part of the gate.
-type share struct {
+// nestedRank goes before all priorities.
+const nestedRank = -1
+
+// shareKey names a share.
+type shareKey struct {
 	customer string
+	rank     int
+}
+
+// share is one customer's part of the gate at one rank.
+type share struct {
+	shareKey
 	// tag is the slot time consumed, on the scale of fairQueue.present.
 	tag time.Duration
 	// waiting is sorted by deadline.
@@ -58,18 +67,26 @@
 }
 
 func newFairQueue(serviceTime time.Duration) *fairQueue {
-	return &fairQueue{shares: make(map[string]*share), serviceTime: movingMean{serviceTime, 1}, assumed: serviceTime}
+	return &fairQueue{shares: make(map[shareKey]*share), usage: make(map[int]float64), serviceTime: movingMean{serviceTime, 1}, assumed: serviceTime}
+}
+
+// before reports whether a share's calls go before another's.
+func (s *share) before(o *share) bool {
+	if s.rank != o.rank {
+		return s.rank < o.rank
+	}
+	return s.tag < o.tag
 }
 
-// share returns a customer's share, a new one if it has none.
-func (q *fairQueue) share(customer string, now time.Time) *share {
-	s, ok := q.shares[customer]
+// share returns a share, a new one if there is none.
+func (q *fairQueue) share(k shareKey, now time.Time) *share {
+	s, ok := q.shares[k]
 	if !ok {
 		if len(q.shares) >= maxIdleShares {
 			q.forgetIdle()
 		}
-		s = &share{customer: customer, serviceTime: movingMean{q.assumed, 1}}
-		q.shares[customer] = s
+		s = &share{shareKey: k, serviceTime: movingMean{q.assumed, 1}}
+		q.shares[k] = s
 		q.reserve.due = true
 	}
 	s.seen = now
@@ -78,9 +95,9 @@
 
 // forgetIdle drops customers without calls.
 func (q *fairQueue) forgetIdle() {
-	for name, s := range q.shares {
+	for k, s := range q.shares {
 		if s.running == 0 && len(s.waiting) == 0 {
-			delete(q.shares, name)
+			delete(q.shares, k)
 		}
 	}
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -1,7 +1,8 @@
 // Package gate admits calls to one backend server. A gate counts the slots in
 // use, queues within the time that each call has left, and refuses before a
-// call starts what could not be answered in time. Slot time is shared fairly
-// between customers, so that none waits for another's excess.
+// call starts what could not be answered in time. Calls of a more urgent rank go
+// first; within a rank slot time is shared fairly between customers, so that none
+// waits for another's excess.
 package gate
 
 import (
@@ -80,17 +81,45 @@
 // Overloaded and DeadlineNotRun for lack of time, Draining, and Canceled when
 // ctx ends first.
 func (g *Gate) Enter(ctx context.Context, customer string, remaining time.Duration) (*Ticket, error) {
+	return g.Admit(ctx, Call{Customer: customer, Remaining: remaining})
+}
+
+// Call is what a gate looks at.
+type Call struct {
+	Customer string
+	// Priority ranks calls, 0 first. A call waits for none of a higher number.
+	Priority int
+	// Nested is whether a backend server makes the call for one that it runs. It
+	// goes before all others: a call that holds a slot elsewhere waits for it.
+	Nested bool
+	// Remaining is how long the call may still take.
+	Remaining time.Duration
+	// MaxWait is how long the call may be expected to wait for its slot; with a
+	// longer wait ahead it is refused on arrival. 0 sets no bound but Remaining.
+	MaxWait time.Duration
+}
+
+// rank orders calls before fairness between customers does.
+func (c Call) rank() int {
+	if c.Nested {
+		return nestedRank
+	}
+	return c.Priority
+}
+
+// Admit is Enter for calls with a rank.
+func (g *Gate) Admit(ctx context.Context, c Call) (*Ticket, error) {
 	if ctx.Err() != nil {
 		return nil, errCanceled
 	}
-	if remaining <= 0 {
+	if c.Remaining <= 0 {
 		return nil, errTooLate
 	}
 	now := g.opts.Now()
-	t := &Ticket{gate: g, deadline: now.Add(remaining)}
+	t := &Ticket{gate: g, deadline: now.Add(c.Remaining), maxWait: c.MaxWait}
 
 	g.mu.Lock()
-	err := g.arrive(t, customer, now)
+	err := g.arrive(t, shareKey{c.Customer, c.rank()}, now)
 	queued := t.state == waiting
 	g.publish()
 	g.mu.Unlock()
@@ -107,11 +136,11 @@
 // arrive starts the ticket, queues it or returns why neither. The caller holds
 // mu. A free slot goes to the newcomer even if others wait: dispatch has left
 // it free because they may not have it.
-func (g *Gate) arrive(t *Ticket, customer string, now time.Time) error {
+func (g *Gate) arrive(t *Ticket, k shareKey, now time.Time) error {
 	if g.draining {
 		return errDraining
 	}
-	t.share = g.queue.share(customer, now)
+	t.share = g.queue.share(k, now)
 	g.queue.review(g.limit.slots(), now)
 	if g.inUse < g.limit.slots() && g.mayStart(t.share) {
 		g.start(t, now)
@@ -177,12 +206,13 @@
 	}
 }
 
-// next returns the waiting ticket that goes next: of the customer with the
-// lowest tag among those that may start, the one with the earliest deadline.
+// next returns the waiting ticket that goes next: of the most urgent rank and of
+// the customer with the lowest tag in it among those that may start, the one with
+// the earliest deadline.
 func (g *Gate) next() *Ticket {
 	var first *share
 	for _, s := range g.queue.active {
-		if (first == nil || s.tag < first.tag) && g.mayStart(s) {
+		if (first == nil || s.before(first)) && g.mayStart(s) {
 			first = s
 		}
 	}
@@ -251,6 +281,18 @@
 	g.publish()
 }
 
+// Evict refuses new calls from now on and those that wait as well. The backend
+// server will not serve them; another one may.
+func (g *Gate) Evict() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+	for g.queue.len > 0 {
+		g.refuse(g.queue.longest().waiting[0], errDraining)
+	}
+	g.publish()
+}
+
 // Idle returns a channel that is closed once the gate drains and neither runs
 // nor holds a call.
 func (g *Gate) Idle() <-chan struct{} { return g.idle }
--- a/gate/ticket.go
+++ b/gate/ticket.go
@@ -33,6 +33,8 @@
 	deadline time.Time
 	// ready tells a waiting call that it has a slot, or why not.
 	ready chan error
+	// maxWait is how long the call may be expected to wait, 0 for no bound.
+	maxWait time.Duration
 	// patience is how long the call may wait and still be answered in time.
 	patience time.Duration
 
