--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -44,6 +44,8 @@
 
 // LocalBackend is what the backend server beside the daemon announced.
 type LocalBackend struct {
+	// ID names this life of the server, empty for one that has no id.
+	ID      string
 	Service string
 	// URL of the backend server on loopback.
 	URL   string
@@ -51,6 +53,10 @@
 	// HealthURL is polled as a hint, if set.
 	HealthURL string
 	Draining  bool
+	// Sequence of the latest announcement of a server with an id.
+	Sequence uint64
+	// WarmUntil is until when the server is slow after its start.
+	WarmUntil time.Time
 	// FirstSeen is when it first announced itself in an unbroken run.
 	FirstSeen time.Time
 	// Expires is when the announcement lapses unless renewed.
--- a/internal/controller/announce/announce.go
+++ b/internal/controller/announce/announce.go
@@ -48,6 +48,15 @@
 	Board  *blackboard.Board
 	Logger *slog.Logger
 	Now    func() time.Time
+	// Address is where the backend server may be beside loopback, empty for
+	// nowhere else.
+	Address string
+	// Expires is how long an announcement of a server with an id holds.
+	Expires time.Duration
+
+	// endedIDs are servers that have left or been replaced, the latest last. They
+	// are guarded by the updates of the Local cell.
+	endedIDs []string
 }
 
 // Handler returns the handler of the backend listener.
@@ -55,6 +64,8 @@
 	r := bunrouter.New()
 	r.PUT(Path, c.put)
 	r.DELETE(Path, c.withdraw)
+	r.PUT(ServersPath+"/:"+paramID, c.register)
+	r.DELETE(ServersPath+"/:"+paramID, c.deregister)
 	return r
 }
 
@@ -77,7 +88,7 @@
 		if old == nil || old.Service == "" || c.Now().Before(old.Expires) {
 			return old
 		}
-		c.Logger.Warn("announce: announcement lapsed", "service", old.Service)
+		c.Logger.Warn("announce: announcement lapsed", "id", old.ID, "service", old.Service)
 		return &blackboard.LocalBackend{}
 	})
 }
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -26,8 +26,17 @@
 	addresses("contacts", []string{"10.1.2.4:7400", "10.1.3.4:7400"},
 		"Peer addresses of a few daemons to join by, best in several availability zones."),
 
+	name("backend.service", "sign-feed",
+		"Service of the backend server beside the daemon, told with its calls. Left out, what it announces.").optional(),
+	address("backend.address", "10.1.2.3:9000",
+		"Where the backend server beside the daemon takes calls. Announcements may name this address and loopback ones.").optional(),
+	duration("backend.expires", 6*time.Second, 100*time.Millisecond, time.Hour,
+		"How long an announcement of a backend server with an id holds without renewal. Four of the platform's heartbeats of 1.5 s."),
+
 	httpURL("platform.url", "http://10.1.0.1:7300",
-		"Base URL of the platform's log service.").required(),
+		"Base URL of the platform's log service or metadata store.").required(),
+	choice("platform.protocol", []string{"log", "store"},
+		"What the platform speaks: the log service of the project's own, or the metadata store of package platform."),
 	duration("platform.append_timeout", 2*time.Second, 10*time.Millisecond, time.Minute,
 		"Bounds one append; after it the outcome is unknown."),
 	duration("platform.read_wait", 10*time.Second, 100*time.Millisecond, time.Minute,
@@ -42,6 +51,11 @@
 	duration("membership.suspicion_timeout", 4*time.Second, 100*time.Millisecond, time.Minute,
 		"How long a silent daemon may refute before it is declared dead; at least probe_interval."),
 
+	duration("membership.heal_interval", 30*time.Second, 100*time.Millisecond, time.Hour,
+		"Mean time between two attempts to reach a daemon that was declared dead."),
+	duration("membership.join_patience", 3*time.Second, 0, time.Minute,
+		"How long a start waits for other daemons before it goes on with what the platform tells."),
+
 	integer("spread.readers_per_zone", 2, 1, 16, "daemons",
 		"Daemons of each availability zone that read the log. More converge more surely and cost reads at the source."),
 	integer("spread.fan_out", 6, 1, 64, "daemons",
@@ -63,9 +77,20 @@
 		"Calls that this daemon holds at once."),
 	duration("requests.zone_cost", time.Millisecond, 0, time.Second,
 		"Time that a call loses by leaving the availability zone, there and back; a farther backend server is chosen only if it saves more."),
+	duration("requests.kilobyte_cost", 0, 0, time.Second,
+		"Time that each 1,000 bytes of a call and its answer are worth that stay in the availability zone, for a latency objective of 1 s. 0 where bytes between zones are free."),
+	choice("requests.customers", []string{"required", "optional"},
+		"Whether calls need a customer with a contract. Where optional, a call without a customer is held to its route's terms alone."),
 	choice("requests.own_keys", []string{"off", "on"},
 		"Whether idempotency keys of callers' own making are taken, at the price of an append to the platform's log."),
 
+	ratio("retries.ratio", 0.1,
+		"Share of the calls of the whole fleet that may be sent to a backend server again."),
+	integer("retries.extra", 10, 0, 1<<20, "calls",
+		"Calls of the whole fleet that may be sent again in a window beside that share."),
+	duration("retries.window", 10*time.Second, time.Second, time.Minute,
+		"Time over which both are counted."),
+
 	duration("drain.timeout", 30*time.Second, 100*time.Millisecond, time.Hour,
 		"How long calls in flight may take to end in a graceful shutdown."),
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -48,10 +48,12 @@
 	Listen Listen `json:"listen"`
 	// Contacts are peer addresses of a few daemons to join by.
 	Contacts   []string   `json:"contacts"`
+	Backend    Backend    `json:"backend"`
 	Platform   Platform   `json:"platform"`
 	Membership Membership `json:"membership"`
 	Spread     Spread     `json:"spread"`
 	Requests   Requests   `json:"requests"`
+	Retries    Retries    `json:"retries"`
 	Drain      Drain      `json:"drain"`
 	Log        Log        `json:"log"`
 	Trace      Trace      `json:"trace"`
@@ -68,9 +70,27 @@
 	Backend string `json:"backend"`
 }
 
+// Backend tells of the backend server beside the daemon.
+type Backend struct {
+	// Service of the server, empty where only its announcement tells.
+	Service string `json:"service"`
+	// Address where it takes calls, empty where only its announcement tells.
+	Address string `json:"address"`
+	// Expires is how long an announcement with an id holds without renewal.
+	Expires Duration `json:"expires"`
+}
+
+// Names of what the platform speaks.
+const (
+	ProtocolLog   = "log"
+	ProtocolStore = "store"
+)
+
 // Platform tells how the platform's log is reached.
 type Platform struct {
 	URL string `json:"url"`
+	// Protocol is log or store.
+	Protocol string `json:"protocol"`
 	// AppendTimeout bounds one append; after it the outcome is unknown.
 	AppendTimeout Duration `json:"append_timeout"`
 	// ReadWait is how long a read waits for new records.
@@ -84,6 +104,10 @@
 	ProbeInterval    Duration `json:"probe_interval"`
 	ProbeTimeout     Duration `json:"probe_timeout"`
 	SuspicionTimeout Duration `json:"suspicion_timeout"`
+	// HealInterval is the mean time between two attempts to reach a dead daemon.
+	HealInterval Duration `json:"heal_interval"`
+	// JoinPatience is how long a start waits for other daemons.
+	JoinPatience Duration `json:"join_patience"`
 }
 
 // Spread tunes how configuration travels.
@@ -117,11 +141,29 @@
 	MaxInFlight int `json:"max_in_flight"`
 	// ZoneCost is the time that a call loses by leaving the availability zone.
 	ZoneCost Duration `json:"zone_cost"`
+	// KilobyteCost is the time that 1,000 bytes are worth that stay in the
+	// availability zone, for a latency objective of 1 s.
+	KilobyteCost Duration `json:"kilobyte_cost"`
+	// Customers is required or optional.
+	Customers string `json:"customers"`
 	// OwnKeys is off or on. Each daemon that takes keys of callers' own making
 	// reads the claims of all.
 	OwnKeys string `json:"own_keys"`
 }
 
+// Whether calls need a customer.
+const (
+	CustomersRequired = "required"
+	CustomersOptional = "optional"
+)
+
+// Retries bounds what the whole fleet sends to backend servers again.
+type Retries struct {
+	Ratio  float64  `json:"ratio"`
+	Extra  int      `json:"extra"`
+	Window Duration `json:"window"`
+}
+
 // Drain bounds a graceful shutdown.
 type Drain struct {
 	// Timeout is how long requests in flight may take to end.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -152,6 +152,12 @@
 		if s.Listen.AdvertisePeers == "" {
 			again = bytes.Replace(again, []byte(`"advertise_peers":"",`), nil, 1)
 		}
+		if s.Backend.Service == "" {
+			again = bytes.Replace(again, []byte(`"service":"",`), nil, 1)
+		}
+		if s.Backend.Address == "" {
+			again = bytes.Replace(again, []byte(`"address":"",`), nil, 1)
+		}
 		if s.Contacts == nil {
 			again = bytes.Replace(again, []byte(`"contacts":null`), []byte(`"contacts":[]`), 1)
 		}
