--- a/balance/picker.go
+++ b/balance/picker.go
@@ -80,6 +80,21 @@
 // backend.Set, or at least stay as it is. Servers for which exclude returns
 // true are left out; exclude may be nil. The error's kind is NoBackend.
 func (p *Picker) Pick(servers []*backend.Server, exclude func(backend.ID) bool) (*Lease, error) {
+	return p.PickFor(servers, Need{Exclude: exclude})
+}
+
+// Need is what matters for one call.
+type Need struct {
+	// Exclude returns true for servers that are left out; it may be nil.
+	Exclude func(backend.ID) bool
+	// RemoteCost is the time that it is worth to stay in the availability zone,
+	// beside what the way takes: bytes between zones cost money.
+	RemoteCost time.Duration
+}
+
+// PickFor is Pick for a call with needs of its own.
+func (p *Picker) PickFor(servers []*backend.Server, need Need) (*Lease, error) {
+	exclude := need.Exclude
 	if len(servers) == 0 {
 		return nil, errNoBackend
 	}
@@ -89,7 +104,7 @@
 	if m := plan.trial(exclude, now); m != nil {
 		return p.lease(pool, m, true), nil
 	}
-	m := p.choose(plan, exclude, now)
+	m := p.choose(plan, need, now)
 	if m == nil {
 		return nil, errNoBackend
 	}
@@ -142,7 +157,8 @@
 // choose compares two servers inside the availability zone and two outside, drawn
 // at random, and takes the one with the lowest cost. Comparing all would send the
 // calls of all daemons to the same server between two reports of its load.
-func (p *Picker) choose(plan *plan, exclude func(backend.ID) bool, now instant) *member {
+func (p *Picker) choose(plan *plan, need Need, now instant) *member {
+	exclude, remote := need.Exclude, need.RemoteCost.Seconds()
 	for _, t := range plan.tiers {
 		var best *member
 		var lowest float64
@@ -153,7 +169,11 @@
 				if m == nil {
 					continue
 				}
-				if cost := m.cost(plan, now); best == nil || cost < lowest {
+				cost := m.cost(plan, now)
+				if !m.local {
+					cost += remote
+				}
+				if best == nil || cost < lowest {
 					best, lowest = m, cost
 				}
 			}
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -27,6 +27,7 @@
 	NotReady         Kind = "not_ready"
 	NoBackend        Kind = "no_backend"
 	Overloaded       Kind = "overloaded"
+	Shed             Kind = "shed"
 	Draining         Kind = "draining"
 	Unreachable      Kind = "unreachable"
 	DeadlineNotRun   Kind = "deadline_not_run"
@@ -70,6 +71,10 @@
 // seen in logs and metrics only.
 const statusCanceled = 499
 
+// shortWait suits what is mended within moments: a backend server that announces
+// itself, a daemon that starts. Callers that take whole seconds only are told one.
+const shortWait = 200 * time.Millisecond
+
 var table = map[Kind]Answer{
 	BadRequest:       {http.StatusBadRequest, NotRun, false, 0},
 	TooLarge:         {http.StatusRequestEntityTooLarge, NotRun, false, 0},
@@ -77,13 +82,14 @@
 	NoRoute:          {http.StatusNotFound, NotRun, false, 0},
 	RateLimited:      {http.StatusTooManyRequests, NotRun, true, time.Second},
 	ConcurrencyLimit: {http.StatusTooManyRequests, NotRun, true, time.Second},
-	NotReady:         {http.StatusServiceUnavailable, NotRun, true, time.Second},
-	NoBackend:        {http.StatusServiceUnavailable, NotRun, true, time.Second},
+	NotReady:         {http.StatusServiceUnavailable, NotRun, true, shortWait},
+	NoBackend:        {http.StatusServiceUnavailable, NotRun, true, shortWait},
 	Overloaded:       {http.StatusServiceUnavailable, NotRun, true, time.Second},
-	Draining:         {http.StatusServiceUnavailable, NotRun, true, time.Second},
-	Unreachable:      {http.StatusServiceUnavailable, NotRun, true, time.Second},
+	Shed:             {http.StatusServiceUnavailable, NotRun, true, shortWait},
+	Draining:         {http.StatusServiceUnavailable, NotRun, true, shortWait},
+	Unreachable:      {http.StatusServiceUnavailable, NotRun, true, shortWait},
 	DeadlineNotRun:   {http.StatusGatewayTimeout, NotRun, true, time.Second},
-	Barred:           {http.StatusConflict, NotRun, true, 0},
+	Barred:           {http.StatusServiceUnavailable, NotRun, true, shortWait},
 	KeyUnknown:       {http.StatusBadRequest, NotRun, false, 0},
 	KeyMismatch:      {http.StatusUnprocessableEntity, NotRun, false, 0},
 	KeyInProgress:    {http.StatusConflict, RunUnknown, true, time.Second},
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -71,7 +71,7 @@
 		must.Eq(t, 1, g.Load().Queued)
 		cancel()
 		must.Eq(t, errkind.Canceled, <-kind)
-		must.Eq(t, gate.Load{InUse: 1, Slots: 1, ServiceTime: 5 * time.Millisecond}, g.Load())
+		must.Eq(t, gate.Load{InUse: 1, Slots: 1, ServiceTime: 5 * time.Millisecond, Wait: 5 * time.Millisecond}, g.Load())
 		running.Done(gate.Answered)
 		running.Done(gate.Answered)
 		must.Eq(t, 0, g.Load().InUse)
--- a/gate/load.go
+++ b/gate/load.go
@@ -13,6 +13,8 @@
 	Draining bool
 	// ServiceTime is the moving mean of the time that a call holds its slot.
 	ServiceTime time.Duration
+	// Wait is how long a call that arrives now is expected to wait for its slot.
+	Wait time.Duration
 }
 
 // counters hold the latest Load for readers without the gate's mutex. A reader
@@ -20,7 +22,7 @@
 type counters struct {
 	inUse, queued, slots atomic.Int64
 	draining             atomic.Bool
-	serviceTime          atomic.Int64
+	serviceTime, wait    atomic.Int64
 }
 
 // Load returns the gate's load of this moment without waiting for anyone.
@@ -31,6 +33,7 @@
 		Slots:       int(g.load.slots.Load()),
 		Draining:    g.load.draining.Load(),
 		ServiceTime: time.Duration(g.load.serviceTime.Load()),
+		Wait:        time.Duration(g.load.wait.Load()),
 	}
 }
 
@@ -42,8 +45,17 @@
 	g.load.slots.Store(int64(g.limit.slots()))
 	g.load.draining.Store(g.draining)
 	g.load.serviceTime.Store(int64(g.queue.serviceTime.value))
+	g.load.wait.Store(int64(g.expectedWait()))
 	if g.draining && !g.isIdle && g.inUse == 0 && g.queue.len == 0 {
 		g.isIdle = true
 		close(g.idle)
 	}
 }
+
+// expectedWait takes all calls for alike. The caller holds mu.
+func (g *Gate) expectedWait() time.Duration {
+	if g.inUse < g.limit.slots() {
+		return 0
+	}
+	return g.queue.serviceTime.value * time.Duration(g.queue.len+1) / time.Duration(g.limit.slots())
+}
--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -50,7 +50,10 @@
 // Write answers with the row of the error's kind: status, header fields and a
 // short JSON body. It must come before any other write to w; header fields
 // that describe another body are removed.
-func Write(w http.ResponseWriter, err error) {
+func Write(w http.ResponseWriter, err error) { WriteAs(w, err, wholeSeconds) }
+
+// WriteAs is Write for callers that take Retry-After in another form.
+func WriteAs(w http.ResponseWriter, err error, retryAfter func(time.Duration) string) {
 	kind := errkind.Of(err)
 	a := kind.Answer()
 	body, _ := json.Marshal(Body{Error: Detail{Kind: kind, Text: textOf(err), Run: errkind.RunOf(err)}})
@@ -66,7 +69,7 @@
 	h.Set(HeaderError, string(kind))
 	h.Set(HeaderRun, string(errkind.RunOf(err)))
 	if after := errkind.RetryAfterOf(err); after > 0 {
-		h.Set(headerRetryAfter, strconv.FormatInt(wholeSeconds(after), 10))
+		h.Set(headerRetryAfter, retryAfter(after))
 	}
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(body)
@@ -94,8 +97,8 @@
 }
 
 // wholeSeconds rounds up: a caller that comes back too early is refused again.
-func wholeSeconds(d time.Duration) int64 {
-	return int64((d + time.Second - 1) / time.Second)
+func wholeSeconds(d time.Duration) string {
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
 }
 
 func textOf(err error) string {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/crocuscross/crocuscross/internal/loop"
 	"github.com/crocuscross/crocuscross/internal/settings"
 	"github.com/crocuscross/crocuscross/internal/telemetry"
+	"github.com/crocuscross/crocuscross/pipeline"
 )
 
 const (
@@ -54,8 +55,8 @@
 	joinedOnce sync.Once
 	*parts
 
-	callers, operators, backend *http.Server
-	callerConns                 *inputWatch
+	callers            *pipeline.Server
+	operators, backend *http.Server
 	// linger is the constant of this name; tests change it.
 	linger time.Duration
 }
@@ -143,10 +144,9 @@
 
 // serveHTTP makes the servers of the HTTP listeners.
 func (d *Daemon) serveHTTP() {
-	d.callers = callerServer(d.outbound, d.settings.Requests, d.logger)
+	d.callers = d.callerServer()
 	d.operators = operatorServer(d.operatorAPI, d.logger)
 	d.backend = backendServer(d.announce.Handler(), d.logger)
-	d.callerConns = watchInput(d.callers, "callers", d.meter, d.logger)
 	watchInput(d.operators, "operators", d.meter, d.logger)
 	watchInput(d.backend, "backend", d.meter, d.logger)
 }
@@ -156,6 +156,7 @@
 // told to close them.
 func (d *Daemon) drain(reason string) {
 	d.lifecycle.Drain(reason)
+	d.callers.Drain()
 	d.lifecycle.WaitQuiet()
 	d.ln.callersDoor.Shut()
 	d.lingerOn()
@@ -163,7 +164,7 @@
 	if left > 0 {
 		d.logger.Warn("daemon: requests cut off by the drain timeout", "requests", left)
 	}
-	shutdown(d.callers, closeTimeout)
+	d.shutdownCallers()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := d.membership.Leave(ctx); err != nil {
@@ -175,14 +176,14 @@
 // was shut. The HTTP server closes a connection on which no request has begun at
 // once, and cuts off a request that is just arriving on it.
 func (d *Daemon) lingerOn() {
-	for end := time.Now().Add(d.linger); time.Now().Before(end) && d.callerConns.open() > 0; {
+	for end := time.Now().Add(d.linger); time.Now().Before(end) && d.callers.Open() > 0; {
 		time.Sleep(lingerPoll)
 	}
 }
 
 // close ends what serves others.
 func (d *Daemon) close() {
-	shutdown(d.callers, closeTimeout)
+	d.shutdownCallers()
 	shutdown(d.operators, closeTimeout)
 	shutdown(d.backend, closeTimeout)
 	_ = d.server.Close()
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"log"
 	"log/slog"
@@ -12,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/crocuscross/crocuscross/internal/settings"
+	"github.com/crocuscross/crocuscross/pipeline"
 )
 
 const (
@@ -20,6 +22,9 @@
 	operatorWriteTimeout = 2 * time.Minute
 	callerIdleTimeout    = 2 * time.Minute
 	localTimeout         = 10 * time.Second
+
+	// listenerCallers labels input from callers.
+	listenerCallers = "callers"
 )
 
 // listeners are bound before anything else starts, so that a port that is
@@ -76,16 +81,52 @@
 	return ln.Addr().(*net.TCPAddr).AddrPort()
 }
 
-// callerServer serves callers. Bodies may take as long as their contract
-// allows; only the header has a time of its own.
-func callerServer(h http.Handler, r settings.Requests, logger *slog.Logger) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: time.Duration(r.HeaderTimeout),
-		IdleTimeout:       callerIdleTimeout,
-		MaxHeaderBytes:    r.MaxHeaderBytes,
-		ErrorLog:          errorLog(logger, "callers"),
+// callerServer serves callers. Bodies may take as long as their contract allows;
+// only the header has a time of its own.
+func (d *Daemon) callerServer() *pipeline.Server {
+	o := pipeline.DefaultOptions()
+	o.Handler = d.outbound
+	o.Limits = d.callerLimits
+	o.Logger = d.logger
+	o.OnMalformed = func(remote net.Addr, err error) {
+		d.meter.RejectedAt(listenerCallers, reasonMalformed)
+		d.logger.Warn("daemon: input refused", "listener", listenerCallers, "reason", reasonMalformed, "remote", remote, "error", err)
+	}
+	return pipeline.NewServer(o)
+}
+
+// callerLimits returns the settings' limits, or what the document in force says.
+func (d *Daemon) callerLimits() pipeline.Limits {
+	r := d.settings.Requests
+	l := pipeline.Limits{
+		MaxHeaderBytes: r.MaxHeaderBytes, HeaderTimeout: time.Duration(r.HeaderTimeout), IdleTimeout: callerIdleTimeout,
+	}
+	snap := d.board.Snapshot.Load()
+	if snap == nil || snap.Document() == nil {
+		return l
+	}
+	in := snap.Document().Limits
+	l.MaxHeaderBytes = cmp.Or(in.MaxHeaderBytes, l.MaxHeaderBytes)
+	l.HeaderTimeout = cmp.Or(in.HeaderTimeout, l.HeaderTimeout)
+	l.IdleTimeout = cmp.Or(in.IdleTimeout, l.IdleTimeout)
+	return l
+}
+
+// shutdownCallers lets requests in flight end within a time and then closes.
+func (d *Daemon) shutdownCallers() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if d.callers.Shutdown(ctx) != nil {
+		_ = d.callers.Close()
+	}
+}
+
+// serveCallers accepts callers until the server is shut down.
+func (d *Daemon) serveCallers(context.Context) error {
+	if err := d.callers.Serve(d.ln.callers); !errors.Is(err, pipeline.ErrClosed) {
+		return err
 	}
+	return nil
 }
 
 func operatorServer(h http.Handler, logger *slog.Logger) *http.Server {
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -26,6 +28,7 @@
 	"github.com/crocuscross/crocuscross/internal/fleet"
 	"github.com/crocuscross/crocuscross/internal/loop"
 	"github.com/crocuscross/crocuscross/internal/operator"
+	"github.com/crocuscross/crocuscross/internal/proxy/dialect"
 	"github.com/crocuscross/crocuscross/internal/proxy/inbound"
 	"github.com/crocuscross/crocuscross/internal/proxy/outbound"
 	"github.com/crocuscross/crocuscross/internal/settings"
@@ -34,6 +37,7 @@
 	"github.com/crocuscross/crocuscross/once"
 	"github.com/crocuscross/crocuscross/peer"
 	"github.com/crocuscross/crocuscross/peerpb"
+	"github.com/crocuscross/crocuscross/platform"
 	"github.com/crocuscross/crocuscross/quota"
 	"github.com/crocuscross/crocuscross/retry"
 	"github.com/crocuscross/crocuscross/spread"
@@ -53,15 +57,17 @@
 	calls, control *peer.Pool
 	server         *peer.Server
 	log            *httplog.Client
-	appends        *telemetry.AppendMeter
-	meter          *telemetry.PeerMeter
+	// adapter is set where the platform has a metadata store in place of the log.
+	adapter *platform.Adapter
+	appends *telemetry.AppendMeter
+	meter   *telemetry.PeerMeter
 
 	membership *membership.Membership
 	spreader   *spread.Spreader
 	quota      *quota.Manager
-	gate       *gate.Gate
 	attempts   *once.Attempts
 	picker     *balance.Picker
+	budget     *retry.Budget
 	keys       *once.Keys
 	ownKeys    once.OwnKeys
 	claimLoop  loop.Func
@@ -77,8 +83,10 @@
 	announce    *announce.Controller
 	distribute  *distribute.Controller
 	checkpoints *checkpoints.Controller
-	contacts    *contacts.Controller
-	lifecycle   *drain.Controller
+	// checkpointLoop writes checkpoints, or does nothing.
+	checkpointLoop loop.Func
+	contacts       *contacts.Controller
+	lifecycle      *drain.Controller
 }
 
 // build makes all parts.
@@ -96,7 +104,7 @@
 	p.buildOperators(d)
 	p.handle()
 	d.registry.MustRegister(telemetry.NewBoardCollector(d.board),
-		telemetry.NewGateCollector(p.gate.Load), telemetry.NewQuotaCollector(p.quota.Stats))
+		telemetry.NewGateCollector(p.inbound.Load), telemetry.NewQuotaCollector(p.quota.Stats))
 	return p, nil
 }
 
@@ -117,6 +125,30 @@
 	log.AppendTimeout = time.Duration(d.settings.Platform.AppendTimeout)
 	p.log = httplog.New(log)
 	p.appends = telemetry.NewAppendMeter(d.registry)
+	if d.onStore() {
+		p.adapter = platform.New(strings.TrimPrefix(d.settings.Platform.URL, "http://"), d.logger)
+	}
+}
+
+// onStore reports whether the platform has a metadata store, which its operator
+// writes documents to.
+func (d *Daemon) onStore() bool { return d.settings.Platform.Protocol == settings.ProtocolStore }
+
+// configLog returns the log of configuration records.
+func (p *parts) configLog() eventlog.Log {
+	if p.adapter != nil {
+		return p.adapter.Config
+	}
+	return p.log.Stream(eventlog.StreamConfig)
+}
+
+// latestState returns the newest state that the platform keeps beside the log's
+// records.
+func (p *parts) latestState(ctx context.Context) (*fold.State, error) {
+	if p.adapter != nil {
+		return p.adapter.Config.LatestState(ctx)
+	}
+	return checkpoint.Latest(ctx, p.log.Stream(eventlog.StreamCheckpoints))
 }
 
 func (p *parts) buildMembership(d *Daemon) error {
@@ -131,6 +163,7 @@
 	o.ProbeInterval = time.Duration(s.Membership.ProbeInterval)
 	o.ProbeTimeout = time.Duration(s.Membership.ProbeTimeout)
 	o.SuspicionTimeout = time.Duration(s.Membership.SuspicionTimeout)
+	o.HealInterval = time.Duration(s.Membership.HealInterval)
 	o.Packets = d.ln.packets
 	o.Sync = memberSync{p.control}
 	o.Meter = telemetry.NewMemberMeter(d.registry)
@@ -146,7 +179,8 @@
 	o := spread.DefaultOptions()
 	o.Host = d.settings.Host
 	o.AvailabilityZone = d.settings.AvailabilityZone
-	o.Log = p.log.Stream(eventlog.StreamConfig)
+	o.Log = p.configLog()
+	o.LogKeepsEnd = p.adapter != nil
 	o.Peers = spread.NewPoolPeers(p.control)
 	o.ReadersPerZone = s.ReadersPerZone
 	o.FanOut = s.FanOut
@@ -156,9 +190,7 @@
 	o.OwnReadAfter = time.Duration(s.OwnReadAfter)
 	o.ReadWait = time.Duration(d.settings.Platform.ReadWait)
 	o.Floor = p.membership.Floor
-	o.LoadCheckpoint = func(ctx context.Context) (*fold.State, error) {
-		return checkpoint.Latest(ctx, p.log.Stream(eventlog.StreamCheckpoints))
-	}
+	o.LoadCheckpoint = p.latestState
 	o.OnState = p.distribute.OnState
 	o.OnStatus = p.distribute.OnStatus
 	o.Meter = telemetry.NewSpreadMeter(d.registry)
@@ -169,7 +201,10 @@
 	p.buildStreams(d)
 	p.members = &members.Controller{Board: d.board, Membership: p.membership, Now: time.Now}
 	p.apply = &apply.Controller{Board: d.board, Logger: d.logger, InForce: telemetry.NewInForce(d.registry)}
-	p.announce = &announce.Controller{Board: d.board, Logger: d.logger, Now: time.Now}
+	p.announce = &announce.Controller{
+		Board: d.board, Logger: d.logger, Now: time.Now,
+		Address: d.settings.Backend.Address, Expires: time.Duration(d.settings.Backend.Expires),
+	}
 }
 
 // stream returns a stream that this daemon appends to.
@@ -187,21 +222,34 @@
 		Keeper: checkpoint.NewKeeper(d.settings.Host, p.log.Stream(eventlog.StreamConfig),
 			p.stream(eventlog.StreamCheckpoints), keeping),
 	}
+	p.checkpointLoop = p.checkpoints.Run
+	directory := eventlog.Directory(eventlog.Tail{Log: p.stream(eventlog.StreamContacts), Records: contacts.Tail})
+	if p.adapter != nil {
+		directory = p.adapter.Contacts
+		// The store itself keeps the newest document.
+		p.checkpointLoop = idle
+	}
 	p.contacts = contacts.New(contacts.Options{
-		Board: d.board, Directory: eventlog.Tail{Log: p.stream(eventlog.StreamContacts), Records: contacts.Tail}, Host: d.settings.Host,
+		Board: d.board, Directory: directory, AtStart: p.adapter != nil, Host: d.settings.Host,
 		AvailabilityZone: d.settings.AvailabilityZone, PeerAddr: d.peerAddr(),
 		Logger: d.logger, Now: time.Now,
 	})
 }
 
+// idle is a loop with nothing to do.
+func idle(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
 func (p *parts) buildCalls(d *Daemon) error {
 	metrics := telemetry.NewCalls(d.registry)
-	p.gate = gate.New(gate.DefaultOptions())
 	attempts := once.DefaultAttemptsOptions(d.boot)
 	attempts.Bounds.MaxRecords, attempts.Bounds.MaxBytes = keptRecords, keptBytes
 	p.attempts = once.NewAttempts(attempts)
 	p.inbound = inbound.NewHandler(inbound.Options{
-		Local: &d.board.Local, Gate: p.gate, Attempts: p.attempts,
+		Local: &d.board.Local, NewGate: func() *gate.Gate { return gate.New(gate.DefaultOptions()) },
+		Attempts: p.attempts, Dialect: d.dialect(), Misplaced: p.announce.Misplaced,
 		Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
 	})
 	balancing := balance.DefaultOptions()
@@ -214,21 +262,25 @@
 	quotas.Peers = quotaPeers{p.control}
 	quotas.Logger = d.logger
 	p.quota = quota.New(quotas)
+	p.budget = retry.NewBudget(retry.BudgetOptions{Ratio: d.settings.Retries.Ratio, Burst: d.settings.Retries.Extra})
 	if err := p.buildKeys(d); err != nil {
 		return err
 	}
 	p.outbound = outbound.NewHandler(outbound.Options{
 		Board: d.board, Pool: p.calls, Picker: p.picker, Quota: p.quota,
-		Budget: retry.NewBudget(retry.DefaultBudgetOptions()),
+		Budget: p.budget,
 		Keys:   p.keys, OwnKeys: p.ownKeys, Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
 		Host: d.settings.Host, Boot: d.boot,
 		MaxBody: d.settings.Requests.MaxBodyBytes, MaxCalls: d.settings.Requests.MaxInFlight,
+		Dialect: d.dialect(), Anonymous: d.settings.Requests.Customers == settings.CustomersOptional,
+		CallerService: d.localService, BackendAddr: d.backendAddr(),
+		KilobyteCost: time.Duration(d.settings.Requests.KilobyteCost),
 	})
 	p.lifecycle = &drain.Controller{
 		Board: d.board, Logger: d.logger, Quiet: quiet,
 		Timeout: time.Duration(d.settings.Drain.Timeout),
 		Work:    []drain.InFlight{p.inbound, p.outbound},
-		Refuse:  p.gate.Drain,
+		Refuse:  p.inbound.Refuse,
 	}
 	return nil
 }
@@ -240,7 +292,7 @@
 	o.Bounds.MaxRecords, o.Bounds.MaxBytes, o.MaxKeys = keptRecords, keptBytes, keysOut
 	p.keys = once.NewKeys(o)
 	p.ownKeys = once.NoOwnKeys{}
-	p.claimLoop = func(ctx context.Context) error { <-ctx.Done(); return nil }
+	p.claimLoop = idle
 	if d.settings.Requests.OwnKeys != settings.On {
 		return nil
 	}
@@ -266,6 +318,7 @@
 	p.server.Handle(peerpb.Kind_KIND_DRAIN, peer.HandlerFunc(f.ServeDrain))
 	p.operatorAPI = operator.New(operator.Options{
 		Board: d.board, Fleet: f, Logger: d.logger,
+		NeedDocument: d.settings.Requests.Customers == settings.CustomersOptional,
 		Metrics: promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}),
 	})
 }
@@ -288,23 +341,58 @@
 		func(context.Context) error { return d.server.Serve(d.ln.peers) },
 		func(context.Context) error { return serve(d.operators, d.ln.operators) },
 		func(context.Context) error { return serve(d.backend, d.ln.backend) },
-		func(context.Context) error { return serve(d.callers, d.ln.callers) },
+		d.serveCallers,
 		d.joinFleet, d.recoverConfiguration, d.calls.Run, d.control.Run,
 		d.membership.Run, d.members.Run, d.backends.Run,
 		d.distribute.Run, d.apply.Run, d.announce.Run,
-		d.checkpoints.Run, d.contacts.Run, d.claimLoop,
-		d.quota.Run, d.followQuota, d.followSlots,
+		d.checkpointLoop, d.contacts.Run, d.claimLoop,
+		d.quota.Run, d.followQuota, d.inbound.Run, d.shareBudget,
 		d.self.Run, d.lifecycle.Run,
 	}
 }
 
-// followSlots keeps the gate's size at what the backend server announced.
-func (d *Daemon) followSlots(ctx context.Context) error {
+// dialect returns the names of header fields on the platform.
+func (d *Daemon) dialect() dialect.Dialect {
+	if d.onStore() {
+		return platform.Dialect()
+	}
+	return dialect.Default()
+}
+
+// localService returns the service of the backend server beside the daemon.
+func (d *Daemon) localService() string {
+	if d.settings.Backend.Service != "" {
+		return d.settings.Backend.Service
+	}
+	if local := d.board.Local.Load(); local != nil {
+		return local.Service
+	}
+	return ""
+}
+
+// backendAddr returns where the backend server beside the daemon calls from.
+func (d *Daemon) backendAddr() netip.Addr {
+	ap, err := netip.ParseAddrPort(d.settings.Backend.Address)
+	if err != nil {
+		return netip.Addr{}
+	}
+	return ap.Addr()
+}
+
+// budgetShare is the part of the fleet's retries that the daemons hand out. A retry
+// that has calls of its own brings about as many again.
+const budgetShare = 0.5
+
+// shareBudget keeps this daemon's part of what the fleet may send again at an equal
+// share. Daemons that are believed dead count: beyond a cut they use theirs.
+func (d *Daemon) shareBudget(ctx context.Context) error {
 	for {
-		local, changed := d.board.Local.Watch()
-		if local != nil && local.Slots > 0 {
-			d.gate.SetSlots(local.Slots)
+		view, changed := d.board.Members.Watch()
+		members := 1
+		if view != nil {
+			members = max(len(view.Members), 1)
 		}
+		d.budget.SetBurst(max(1, budgetShare*float64(d.settings.Retries.Extra)/float64(members)))
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/internal/daemon/recover.go
+++ b/internal/daemon/recover.go
@@ -19,9 +19,6 @@
 )
 
 const (
-	// joinPatience is how long a start waits for other daemons before it goes
-	// on to recover; the join itself goes on.
-	joinPatience = 3 * time.Second
 	// joinRound is how long one set of contacts is tried before the contacts
 	// stream is read again.
 	joinRound = 15 * time.Second
@@ -29,6 +26,9 @@
 	rejoinAfter = 500 * time.Millisecond
 	// findTimeout bounds the read of the contacts stream.
 	findTimeout = 2 * time.Second
+	// storeBackoff bounds the wait between two rounds of a recovery while neither
+	// the store nor enough daemons answer.
+	storeBackoff = time.Second
 	// askFanOut is how many daemons are asked for the floor in one round.
 	askFanOut = 6
 )
@@ -89,7 +89,8 @@
 // recoverConfiguration learns what this host had in force before, gets a state that
 // is no older, and begins to serve.
 func (d *Daemon) recoverConfiguration(ctx context.Context) error {
-	patience := time.NewTimer(joinPatience)
+	// The join itself goes on.
+	patience := time.NewTimer(time.Duration(d.settings.Membership.JoinPatience))
 	defer patience.Stop()
 	select {
 	case <-d.joined:
@@ -100,8 +101,15 @@
 	o := recovery.DefaultOptions()
 	o.Host = d.settings.Host
 	o.Peers = recoveryPeers{d}
-	o.Config = d.log.Stream(eventlog.StreamConfig)
-	o.Checkpoints = d.log.Stream(eventlog.StreamCheckpoints)
+	o.Config = d.configLog()
+	if d.adapter != nil {
+		o.LoadCheckpoint = d.latestState
+		// The store answers all daemons of a fleet that starts at once, and callers
+		// wait for each of them.
+		o.Stagger, o.MaxBackoff = 0, storeBackoff
+	} else {
+		o.Checkpoints = d.log.Stream(eventlog.StreamCheckpoints)
+	}
 	o.Report = d.reportRecovery
 	o.Logger = d.logger
 	r, err := recovery.Recover(ctx, o)
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -35,6 +35,8 @@
 	// Metrics serves /metrics.
 	Metrics http.Handler
 	Logger  *slog.Logger
+	// NeedDocument is whether a daemon is ready only with a document in force.
+	NeedDocument bool
 }
 
 // New returns the listener's handler.
@@ -197,6 +199,8 @@
 		return errkind.New(errkind.NotReady, "this daemon is joining the others")
 	case h.opts.Board.Snapshot.Load() == nil:
 		return errkind.New(errkind.NotReady, h.notInForce())
+	case h.opts.NeedDocument && h.opts.Board.Snapshot.Load().Document() == nil:
+		return errkind.New(errkind.NotReady, "no document is in force yet")
 	}
 	_, err := w.Write([]byte("ok\n"))
 	return err
--- a/internal/proxy/inbound/forward.go
+++ b/internal/proxy/inbound/forward.go
@@ -1,11 +1,11 @@
 package inbound
 
 import (
+	"bytes"
 	"io"
-	"net"
 	"net/http"
-	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,58 +13,38 @@
 
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/gate"
+	"github.com/crocuscross/crocuscross/internal/proxy/backendconn"
 	"github.com/crocuscross/crocuscross/internal/proxy/body"
+	"github.com/crocuscross/crocuscross/internal/proxy/dialect"
 	"github.com/crocuscross/crocuscross/internal/telemetry"
 	"github.com/crocuscross/crocuscross/peerpb"
 )
 
-const (
-	dialTimeout     = time.Second
-	idleConnTimeout = 30 * time.Second
-	// maxIdleConns matches the connections that a backend server takes.
-	maxIdleConns = 128
-)
-
-func newTransport() *http.Transport {
-	d := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext:         d.DialContext,
-		MaxIdleConns:        maxIdleConns,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-	}
-}
-
-// oneShotBody hides from the transport that a request could be sent again.
-// Without it, the transport itself repeats a request without a body that
-// carries an Idempotency-Key when a kept-alive connection breaks under it, and
-// the call runs twice.
-type oneShotBody struct{ io.Reader }
-
-// Close does nothing; the stream outlives the request.
-func (oneShotBody) Close() error { return nil }
+// maxWholeAnswer is the largest answer that is read whole before any of it is passed
+// on, in bytes. One that breaks off can then be had from another backend server.
+const maxWholeAnswer = 64 << 10
 
 // request builds the request to the backend server.
-func (c *call) request(target *url.URL, up *upload) (*http.Request, error) {
+func (c *call) request(up *upload) (*backendconn.Request, error) {
 	h := c.head
-	u, err := target.Parse(h.GetTarget())
-	if err != nil || u.Host != target.Host {
+	if !strings.HasPrefix(h.GetTarget(), "/") && h.GetTarget() != "*" {
 		return nil, errkind.Newf(errkind.BadRequest, "target %q is not a path", h.GetTarget())
 	}
-	r, err := http.NewRequestWithContext(c.ctx, h.GetMethod(), u.String(), oneShotBody{up})
-	if err != nil {
-		return nil, errkind.Wrap(errkind.BadRequest, err, "build request")
-	}
-	r.ContentLength = h.GetContentLength()
-	if r.ContentLength == 0 && !h.GetNonIdempotent() {
-		r.Body = http.NoBody
+	r := &backendconn.Request{
+		Method: h.GetMethod(), Target: h.GetTarget(), Host: h.GetAuthority(),
+		Header: make(http.Header), Body: up, Length: h.GetContentLength(),
 	}
-	r.Host = h.GetAuthority()
 	body.SetFields(r.Header, h.GetFields())
+	// The daemon has the body already, or asks for it itself.
+	r.Header.Del("Expect")
+	r.Header.Del("Content-Length")
+	d := c.h.opts.Dialect
 	left := max(time.Until(c.deadline), 0)
-	r.Header.Set(body.HeaderRemaining, strconv.FormatInt(left.Milliseconds(), 10))
-	r.Header.Set(body.HeaderAttempt, strconv.FormatUint(uint64(h.GetAttempt()), 10))
+	dialect.Set(r.Header, d.Remaining, strconv.FormatInt(left.Milliseconds(), 10))
+	dialect.Set(r.Header, d.Attempt, strconv.FormatUint(uint64(h.GetAttempt()), 10))
+	// What the caller says of these does not count.
+	dialect.Set(r.Header, d.ExpectedServer, c.site.id)
+	dialect.Set(r.Header, d.CallerService, h.GetCallerService())
 	if tp := telemetry.Traceparent(c.ctx); tp != "" {
 		r.Header.Set("Traceparent", tp)
 	}
@@ -73,28 +53,52 @@
 
 // roundTrip sends the request and waits for the head of the answer. The error
 // has a kind.
-func (c *call) roundTrip(target *url.URL, up *upload) (*http.Response, error) {
+func (c *call) roundTrip(up *upload) (*http.Response, error) {
 	var span trace.Span
 	c.ctx, span = c.h.opts.Tracer.Start(c.ctx, "backend", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
-	r, err := c.request(target, up)
+	r, err := c.request(up)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := c.h.client.RoundTrip(r)
+	resp, err := c.site.client.Do(c.ctx, r)
 	if err != nil {
 		return nil, c.backendError(err)
 	}
+	c.arrived = true
+	if err := c.checkAnswer(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
 	return resp, nil
 }
 
-// backendError gives a failed round trip its kind. Only a connection that was
-// never made proves that the call has not run.
-func (c *call) backendError(err error) error {
-	var op *net.OpError
+// checkAnswer returns the error of an answer that must not be passed on: one that
+// says that the call has not run, and a success that the backend server has not
+// signed.
+func (c *call) checkAnswer(resp *http.Response) error {
+	d := c.h.opts.Dialect
 	switch {
-	case errors.As(err, &op) && op.Op == "dial":
+	case d.RefusedUnrun(resp.StatusCode, resp.Header) && resp.StatusCode == http.StatusMisdirectedRequest:
+		c.h.opts.Misplaced(c.site.id)
+		return errkind.Newf(errkind.Unreachable, "backend server %s has the address of %s", resp.Header.Get(d.ServerID), c.site.id)
+	case d.RefusedUnrun(resp.StatusCode, resp.Header):
+		return errkind.Newf(errkind.Shed, "the backend server turned the call away with status %d", resp.StatusCode)
+	case d.Signature != "" && resp.StatusCode < http.StatusMultipleChoices && resp.Header.Get(d.Signature) == "":
+		return errkind.Newf(errkind.BackendFailed, "the answer with status %d is not signed", resp.StatusCode)
+	}
+	return nil
+}
+
+// backendError gives a failed round trip its kind. Only a call of which nothing was
+// sent has certainly not run.
+func (c *call) backendError(err error) error {
+	var notSent *backendconn.NotSentError
+	if errors.As(err, &notSent) {
 		return errkind.Wrap(errkind.Unreachable, err, "connect to the backend server")
+	}
+	c.arrived = true
+	switch {
 	case time.Now().After(c.deadline):
 		return errkind.Wrap(errkind.Deadline, err, "the backend server took too long")
 	case c.ctx.Err() != nil:
@@ -112,19 +116,34 @@
 	}
 }
 
-// forward runs an idempotent call and streams the answer back as it comes.
-func (c *call) forward(target *url.URL, up *upload) (gate.Outcome, error) {
-	resp, err := c.roundTrip(target, up)
+// forward runs an idempotent call and passes the answer back, a small one when it is
+// whole, a larger one as it comes.
+func (c *call) forward(up *upload) (gate.Outcome, error) {
+	resp, err := c.roundTrip(up)
 	if err != nil {
-		return gate.Failed, c.refuse(err)
+		return outcomeOfError(err), c.refuse(err)
 	}
 	defer resp.Body.Close()
-	if err := c.sendAnswer(c.answerHead(resp), resp.Body, answerLength(c.head.GetMethod(), resp)); err != nil {
+	start, err := io.ReadAll(io.LimitReader(resp.Body, maxWholeAnswer+1))
+	if err != nil {
+		return gate.Failed, c.refuse(c.backendError(err))
+	}
+	rest := io.MultiReader(bytes.NewReader(start), resp.Body)
+	if err := c.sendAnswer(c.answerHead(resp), rest, answerLength(c.head.GetMethod(), resp)); err != nil {
 		return gate.Failed, linkBroken(err)
 	}
 	return outcomeOf(resp), nil
 }
 
+// outcomeOfError tells a call that the backend server turned away from one that it
+// broke off.
+func outcomeOfError(err error) gate.Outcome {
+	if errkind.Of(err) == errkind.Shed {
+		return gate.Shed
+	}
+	return gate.Failed
+}
+
 // sendAnswer streams an answer. The head of one whose length is known goes out
 // with the first part of the body; otherwise that may be long in coming.
 func (c *call) sendAnswer(head *peerpb.AnswerHead, src io.Reader, length int64) error {
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -7,7 +7,6 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +16,7 @@
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/gate"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
+	"github.com/crocuscross/crocuscross/internal/proxy/dialect"
 	"github.com/crocuscross/crocuscross/internal/telemetry"
 	"github.com/crocuscross/crocuscross/once"
 	"github.com/crocuscross/crocuscross/peer"
@@ -34,33 +34,59 @@
 
 // Options holds what a Handler works with.
 type Options struct {
-	Local    *blackboard.Cell[blackboard.LocalBackend]
-	Gate     *gate.Gate
+	Local *blackboard.Cell[blackboard.LocalBackend]
+	// NewGate makes the gate of a backend server.
+	NewGate  func() *gate.Gate
 	Attempts *once.Attempts
-	Tracer   trace.Tracer
-	Metrics  *telemetry.Calls
-	Logger   *slog.Logger
+	Dialect  dialect.Dialect
+	// Misplaced is told that the server of an id is not at its address any more.
+	Misplaced func(id string)
+	Tracer    trace.Tracer
+	Metrics   *telemetry.Calls
+	Logger    *slog.Logger
 }
 
 // Handler serves the calls that other daemons send to the backend server
 // beside this one.
 type Handler struct {
-	opts   Options
-	client http.RoundTripper
+	opts  Options
+	sites sites
 }
 
-// NewHandler returns a handler with a connection pool of its own to the backend
-// server.
+// NewHandler returns a handler.
 func NewHandler(opts Options) *Handler {
-	return &Handler{opts: opts, client: newTransport()}
+	h := &Handler{opts: opts}
+	h.sites.init(opts)
+	return h
 }
 
 // InFlight returns the number of calls that run or wait.
 func (h *Handler) InFlight() int {
-	l := h.opts.Gate.Load()
+	l := h.Load()
 	return l.InUse + l.Queued
 }
 
+// Load returns the load of the backend server's gate.
+func (h *Handler) Load() gate.Load { return h.sites.current.Load().gate.Load() }
+
+// Refuse lets no new call in, whichever backend server is there.
+func (h *Handler) Refuse() { h.sites.refuse() }
+
+// Run keeps the gate at what the backend server announced, until ctx is done.
+func (h *Handler) Run(ctx context.Context) error {
+	for {
+		local, changed := h.opts.Local.Watch()
+		if local != nil {
+			h.sites.follow(local)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // ServeStream runs one attempt of one call.
 func (h *Handler) ServeStream(ctx context.Context, st *peer.Stream) error {
 	c, err := h.receive(ctx, st)
@@ -110,13 +136,16 @@
 	cancel   context.CancelFunc
 	start    time.Time
 	deadline time.Time
+	// site is the backend server that the call goes to, set by place.
+	site *site
+	// arrived is set once the call may have reached the backend server.
+	arrived bool
 }
 
 // run admits the attempt and runs it. The error is what the other daemon was
 // answered, nil where the backend server answered.
 func (c *call) run() error {
-	target, err := c.target()
-	if err != nil {
+	if err := c.place(); err != nil {
 		return c.refuse(err)
 	}
 	up := newUpload(c.st, c.cancel, c.onLinkLost)
@@ -126,40 +155,49 @@
 			return c.refuse(err)
 		}
 	}
-	ticket, err := c.h.opts.Gate.Enter(c.ctx, c.head.GetCustomer(), time.Until(c.deadline))
+	ticket, err := c.site.gate.Admit(c.ctx, gate.Call{
+		Customer:  c.head.GetCustomer(),
+		Priority:  int(c.head.GetPriority()),
+		Nested:    c.head.GetNested(),
+		Remaining: time.Until(c.deadline),
+		MaxWait:   time.Duration(c.head.GetMaxQueueMs()) * time.Millisecond,
+	})
 	if err != nil {
 		return c.refuse(err)
 	}
-	outcome, err := c.runAdmitted(target, up)
+	outcome, err := c.runAdmitted(up)
 	ticket.Done(outcome)
 	return err
 }
 
 // runAdmitted runs a call that holds a slot.
-func (c *call) runAdmitted(target *url.URL, up *upload) (gate.Outcome, error) {
+func (c *call) runAdmitted(up *upload) (gate.Outcome, error) {
 	if c.head.GetExpectContinue() {
 		if err := c.st.Send(&peerpb.AnswerHead{Status: http.StatusContinue}); err != nil {
 			return gate.NotStarted, linkBroken(err)
 		}
 	}
 	if !c.head.GetNonIdempotent() {
-		return c.forward(target, up)
+		return c.forward(up)
 	}
-	return c.forwardOnce(target, up)
+	return c.forwardOnce(up)
 }
 
-// target returns where the backend server beside this daemon listens, if it
-// offers the service that the call is for.
-func (c *call) target() (*url.URL, error) {
+// place finds the backend server beside this daemon, if it offers the service that
+// the call is for and takes calls. A server with an id that drains or has left takes
+// none from the moment on at which it was told that this is known, whatever other
+// daemons have heard: they may still send calls here.
+func (c *call) place() error {
 	local := c.h.opts.Local.Load()
 	if local == nil || local.Service != c.head.GetService() {
-		return nil, errkind.Newf(errkind.NoBackend, "no backend server of service %q is here", c.head.GetService())
+		return errkind.Newf(errkind.NoBackend, "no backend server of service %q is here", c.head.GetService())
 	}
-	u, err := url.Parse(local.URL)
-	if err != nil {
-		return nil, errkind.Wrap(errkind.Internal, err, "address of the backend server")
+	if local.ID != "" && local.Draining {
+		return errkind.Newf(errkind.Draining, "backend server %s drains", local.ID)
 	}
-	return u, nil
+	var err error
+	c.site, err = c.h.sites.of(local)
+	return err
 }
 
 // onLinkLost ends an idempotent call that nobody can receive any more.
@@ -176,6 +214,7 @@
 		ErrorText:    err.Error(),
 		RetryAfterMs: uint32(errkind.RetryAfterOf(err).Milliseconds()),
 		Load:         c.load(),
+		Arrived:      c.arrived,
 	}
 	_ = c.st.SetWriteDeadline(time.Now().Add(refuseTimeout))
 	if serr := c.st.Send(head); serr != nil {
@@ -185,12 +224,13 @@
 }
 
 func (c *call) load() *peerpb.Load {
-	l := c.h.opts.Gate.Load()
+	l := c.h.Load()
 	return &peerpb.Load{
 		InUse:         uint32(l.InUse),
 		Queued:        uint32(l.Queued),
 		Slots:         uint32(l.Slots),
 		Draining:      l.Draining,
 		ServiceTimeUs: uint32(l.ServiceTime.Microseconds()),
+		WaitUs:        uint32(l.Wait.Microseconds()),
 	}
 }
--- a/internal/proxy/inbound/once.go
+++ b/internal/proxy/inbound/once.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,7 +29,7 @@
 
 // forwardOnce runs a non-idempotent call. Its outcome is recorded before the
 // answer is sent, so that a daemon whose link broke can ask for it.
-func (c *call) forwardOnce(target *url.URL, up *upload) (gate.Outcome, error) {
+func (c *call) forwardOnce(up *upload) (gate.Outcome, error) {
 	id, err := once.ParseID(c.head.GetAttemptId())
 	if err != nil {
 		return gate.NotStarted, c.refuse(err)
@@ -40,10 +39,10 @@
 	if err := c.h.opts.Attempts.Start(id); err != nil {
 		return gate.NotStarted, c.refuse(err)
 	}
-	resp, err := c.roundTrip(target, up)
+	resp, err := c.roundTrip(up)
 	if err != nil {
 		c.recordFailure(id, err)
-		return gate.Failed, c.refuse(err)
+		return outcomeOfError(err), c.refuse(err)
 	}
 	defer resp.Body.Close()
 	return c.answerOnce(id, resp)
--- /dev/null
+++ b/internal/proxy/outbound/anonymous.go
@@ -0,0 +1,63 @@
+package outbound
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/internal/proxy/dialect"
+	"github.com/crocuscross/crocuscross/snapshot"
+)
+
+// defaultWait is how long a call may take where neither its route nor its caller
+// bounds that.
+const defaultWait = 30 * time.Second
+
+// admitAnonymous admits a call without a customer under the terms of its route in
+// the document in force.
+func (h *Handler) admitAnonymous(r *http.Request, snap *snapshot.Snapshot, start time.Time) (*call, error) {
+	doc := snap.Document()
+	if doc == nil {
+		return nil, errkind.New(errkind.NotReady, "this host has no document in force yet")
+	}
+	route, ok := doc.Route(r.Host, rawPath(r))
+	if !ok {
+		return nil, errkind.Newf(errkind.NoRoute, "no route for %s at %s in version %d", rawPath(r), r.Host, doc.Version)
+	}
+	allowed := route.Timeout
+	if allowed == 0 {
+		allowed = defaultWait
+	}
+	wait, err := h.remaining(r.Header, allowed)
+	if err != nil {
+		return nil, err
+	}
+	c := &call{
+		h: h, snap: snap, service: route.Service(rand.Uint32N), route: route,
+		terms:    snapshot.CallTerms{NonIdempotent: route.NonIdempotent(), MaxWait: allowed},
+		deadline: start.Add(wait), inherited: 1, maxBody: h.opts.MaxBody,
+		requestID: dialect.Get(r.Header, h.opts.Dialect.RequestID), nested: h.isNested(r),
+	}
+	if limit := doc.Limits.MaxBodyBytes; limit > 0 {
+		c.maxBody = min(c.maxBody, limit)
+	}
+	return c, nil
+}
+
+// rawPath returns the path as the caller sent it, without the query.
+func rawPath(r *http.Request) string {
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return r.URL.EscapedPath()
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
+// isNested reports whether the backend server beside the daemon makes the call.
+func (h *Handler) isNested(r *http.Request) bool {
+	from, err := netip.ParseAddrPort(r.RemoteAddr)
+	return err == nil && h.opts.BackendAddr.IsValid() && from.Addr().Unmap() == h.opts.BackendAddr
+}
--- a/internal/proxy/outbound/answer.go
+++ b/internal/proxy/outbound/answer.go
@@ -32,7 +32,10 @@
 	w.Header().Set(HeaderServedBy, s.a.server.Host)
 	w.Header().Set(HeaderConfig, strconv.FormatUint(c.snap.Offset, 10))
 	w.WriteHeader(int(s.head.GetStatus()))
-	err := copyFlushing(w, s.body, s.head.GetContentLength() < 0)
+	n, err := copyFlushing(w, s.body, s.head.GetContentLength() < 0)
+	if c.route != nil {
+		c.h.sizes.add(c.route.Name, n)
+	}
 	if err != nil {
 		s.close(errkind.BackendFailed)
 		return errors.Mark(errkind.Wrap(errkind.BackendFailed, err, "stream the answer"), errAnswerCut)
@@ -48,27 +51,29 @@
 	}
 }
 
-// copyFlushing copies a body. One without a known length is flushed chunk by
+// copyFlushing copies a body and returns its length. One without a known length is flushed chunk by
 // chunk, so that a caller sees each part when it comes.
-func copyFlushing(w http.ResponseWriter, src io.Reader, flush bool) error {
+func copyFlushing(w http.ResponseWriter, src io.Reader, flush bool) (int64, error) {
 	buf := copyBuffers.Get().(*[copyBytes]byte)
 	defer copyBuffers.Put(buf)
 	rc := http.NewResponseController(w)
+	total := int64(0)
 	for {
 		n, err := src.Read(buf[:])
+		total += int64(n)
 		if n > 0 {
 			if _, werr := w.Write(buf[:n]); werr != nil {
-				return errors.Wrap(werr, "write to the caller")
+				return total, errors.Wrap(werr, "write to the caller")
 			}
 			if flush {
 				_ = rc.Flush()
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return total, nil
 		}
 		if err != nil {
-			return err
+			return total, err
 		}
 	}
 }
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -40,6 +40,8 @@
 	upload chan struct{}
 	// sent is whether the whole request body has been sent.
 	sent bool
+	// arrived is whether the call may have reached the backend server.
+	arrived bool
 }
 
 func newAttempt(c *call, lease *balance.Lease) *attempt {
@@ -69,7 +71,7 @@
 // latency is the time until now as evidence about the backend server, 0 where it
 // says nothing of it: a streamed upload takes as long as its caller.
 func (a *attempt) latency() time.Duration {
-	if a.upload != nil {
+	if a.upload != nil && a.c.stream != nil {
 		return 0
 	}
 	return time.Since(a.start)
@@ -87,6 +89,8 @@
 	a.st = st
 	a.unbind = st.BindReads(ctx)
 	_ = st.SetWriteDeadline(a.c.deadline)
+	// Until the gate says otherwise.
+	a.arrived = true
 	if err := a.send(a.c.callHead(ctx, a.id[:])); err != nil {
 		return nil, linkLost(err)
 	}
@@ -96,7 +100,7 @@
 // send sends the head, and with it a body that is held. A streamed body follows
 // when the gate asks for it.
 func (a *attempt) send(head *peerpb.CallHead) error {
-	if a.c.stream != nil {
+	if head.GetExpectContinue() {
 		return a.st.Send(head)
 	}
 	if err := a.st.Queue(head); err != nil {
@@ -138,6 +142,7 @@
 			return nil, linkLost(err)
 		}
 		if head.GetErrorKind() != "" {
+			a.arrived = head.GetArrived()
 			return head, a.refusedBy(head)
 		}
 		if head.GetStatus() != statusContinue {
@@ -148,14 +153,18 @@
 }
 
 func (a *attempt) startUpload() {
-	if a.c.stream == nil || a.upload != nil {
+	if !a.c.head.GetExpectContinue() || a.upload != nil {
 		return
 	}
-	a.c.streamed = true
+	src := a.c.heldBody()
+	if a.c.stream != nil {
+		a.c.streamed = true
+		src = a.c.stream
+	}
 	a.upload = make(chan struct{})
 	go func() {
 		defer close(a.upload)
-		_ = body.Send(a.st, a.c.stream, a.c.head.GetContentLength())
+		_ = body.Send(a.st, src, a.c.head.GetContentLength())
 	}()
 }
 
@@ -179,6 +188,11 @@
 	if a.upload == nil {
 		return
 	}
+	if a.c.stream == nil {
+		// The stream is closed, which ends the sending.
+		<-a.upload
+		return
+	}
 	if !a.c.stream.ended.Load() {
 		a.c.stopUpload()
 	}
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +27,12 @@
 // maxHeldBody is the largest request body that is held whole, in bytes. A body
 // held whole can be sent again when an attempt is refused; a larger one is
 // streamed after the gate has admitted the call.
-const maxHeldBody = 64 << 10
+const maxHeldBody = 1 << 20
+
+// maxPromptBody is the largest body that is sent before the gate has admitted the
+// call, in bytes. A larger one would cross to another host for nothing where the
+// gate refuses the call.
+const maxPromptBody = 16 << 10
 
 // leastAttempt is the time below which another attempt cannot end well: two
 // hops and the shortest calls take that long.
@@ -42,15 +48,27 @@
 type call struct {
 	h        *Handler
 	snap     *snapshot.Snapshot
-	route    snapshot.Route
+	service  string
 	terms    snapshot.CallTerms
 	customer string
 	grant    *quota.Grant
 	deadline time.Time
+	maxBody  int64
+	// route is set for a call under a document's terms.
+	route *snapshot.DocumentRoute
+	// requestID is the caller's own name for the call.
+	requestID string
+	// nested is whether a backend server makes the call.
+	nested bool
 	// inherited is the number of the attempt that brought the call here, from 1.
 	inherited uint32
 	// attempts is how many attempts this daemon has made.
 	attempts int
+	// arrivals counts those that may have reached a backend server, refusals the
+	// others.
+	arrivals, refusals int
+	// patient is set once the call waits at a gate for as long as its time allows.
+	patient bool
 
 	head *peerpb.CallHead
 	// held is the whole request body, unless stream is set.
@@ -65,22 +83,28 @@
 
 // readBody prepares the head and reads a small body whole.
 func (c *call) readBody(ctx context.Context, w http.ResponseWriter, r *http.Request) error {
-	if r.ContentLength > c.h.opts.MaxBody {
-		return errkind.Newf(errkind.TooLarge, "the body has %d bytes, at most %d are taken", r.ContentLength, c.h.opts.MaxBody)
+	if r.ContentLength > c.maxBody {
+		return errkind.Newf(errkind.TooLarge, "the body has %d bytes, at most %d are taken", r.ContentLength, c.maxBody)
 	}
 	c.head = &peerpb.CallHead{
 		Customer:      c.customer,
-		Service:       c.route.Service,
+		Service:       c.service,
 		Method:        r.Method,
-		Target:        r.URL.RequestURI(),
+		Target:        rawTarget(r),
 		Authority:     r.Host,
 		Fields:        body.Fields(r.Header),
 		NonIdempotent: c.terms.NonIdempotent,
 		ContentLength: r.ContentLength,
 		ConfigOffset:  c.snap.Offset,
+		CallerService: c.h.opts.CallerService(),
+		Nested:        c.nested,
+		RequestId:     c.requestID,
+	}
+	if c.route != nil {
+		c.head.Priority = uint32(c.route.Priority)
 	}
 	c.control = http.NewResponseController(w)
-	limited := http.MaxBytesReader(w, r.Body, c.h.opts.MaxBody)
+	limited := http.MaxBytesReader(w, r.Body, c.maxBody)
 	if r.ContentLength == 0 {
 		return nil
 	}
@@ -98,9 +122,18 @@
 		return bodyError(ctx, err)
 	}
 	c.held = held
+	c.head.ExpectContinue = len(held) > maxPromptBody
 	return nil
 }
 
+// rawTarget returns the path and query as the caller sent them.
+func rawTarget(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
 func bodyError(ctx context.Context, err error) error {
 	var tooLarge *http.MaxBytesError
 	var netErr net.Error
@@ -127,20 +160,47 @@
 		}
 		c.h.opts.Metrics.Attempt(c.attempts == 0)
 		c.attempts++
-		a, err := newAttempt(c, lease).run(ctx)
+		at := newAttempt(c, lease)
+		a, err := at.run(ctx)
 		if err == nil {
-			return a, nil
+			c.arrivals++
+			if !c.answerIsWorse(a) || !c.mayRetry(ctx, at, errBackendFailure) {
+				return a, nil
+			}
+			a.close(errkind.None)
+			continue
+		}
+		if at.arrived {
+			c.arrivals++
+		} else {
+			c.refusals++
 		}
 		failed = firstCertain(failed, err)
-		if !c.mayRetry(ctx, err) {
+		if !c.mayRetry(ctx, at, err) {
 			return nil, failed
 		}
 	}
 }
 
-// pick chooses a backend server that this call has not tried yet.
+// errBackendFailure stands for a backend server's own answer that it has failed.
+var errBackendFailure = errkind.New(errkind.BackendFailed, "the backend server answered that it failed")
+
+// answerIsWorse reports whether another backend server may give a better answer to
+// a call that may be repeated.
+func (c *call) answerIsWorse(a *answered) bool {
+	return c.route != nil && !c.terms.NonIdempotent && a.head.GetStatus() == http.StatusInternalServerError
+}
+
+// pick chooses a backend server that this call has not tried yet. Where all have
+// refused it, the call waits at one of them for as long as it may.
 func (c *call) pick() (*balance.Lease, error) {
-	lease, err := c.h.opts.Picker.Pick(c.snap.Backends(c.route.Service), c.wasTried)
+	servers := c.snap.Backends(c.service)
+	need := balance.Need{Exclude: c.wasTried, RemoteCost: c.remoteCost()}
+	lease, err := c.h.opts.Picker.PickFor(servers, need)
+	if err != nil && c.refusals > 0 && !c.patient && c.route != nil {
+		c.patient, c.tried = true, nil
+		lease, err = c.h.opts.Picker.PickFor(servers, need)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -148,21 +208,69 @@
 	return lease, nil
 }
 
+// remoteCost returns the time that it is worth to keep the call's bytes in the
+// availability zone.
+func (c *call) remoteCost() time.Duration {
+	if c.route == nil || c.h.opts.KilobyteCost == 0 {
+		return 0
+	}
+	objective := c.route.Objective
+	if objective == 0 {
+		objective = c.terms.MaxWait
+	}
+	kilobytes := (float64(len(c.held)) + c.h.sizes.of(c.route.Name)) / 1000
+	return time.Duration(kilobytes * objective.Seconds() * float64(c.h.opts.KilobyteCost))
+}
+
+const (
+	// impatientTries is how many gates a call tries before it waits at one as long
+	// as it may, and impatientShare the part of its latency objective that it may
+	// have to wait at each of them.
+	impatientTries = 2
+	impatientShare = 8
+)
+
+// maxQueue returns how long the next attempt may have to wait for a slot, 0 for as
+// long as its time allows. A gate that refuses at once costs a hop; a queue there,
+// while another backend server is free, costs the wait.
+func (c *call) maxQueue() time.Duration {
+	if c.route == nil || c.patient || c.refusals >= impatientTries || c.route.Objective == 0 {
+		return 0
+	}
+	return c.route.Objective / impatientShare
+}
+
 func (c *call) wasTried(id backend.ID) bool { return slices.Contains(c.tried, id) }
 
 // mayRetry decides whether another attempt may follow a failed one.
-func (c *call) mayRetry(ctx context.Context, err error) bool {
+func (c *call) mayRetry(ctx context.Context, a *attempt, err error) bool {
 	if ctx.Err() != nil || c.streamed {
+		c.logRetry(a, err, false, "ended")
 		return false
 	}
-	d := retry.Allowed(errkind.Of(err), retry.Call{
+	d := retry.Allowed(errkind.Of(err), c.retryCall(a))
+	again := d.Retry && (d.Free || c.h.opts.Budget.Withdraw())
+	reason := string(d.Reason)
+	if d.Retry && !again {
+		reason = "budget"
+	}
+	c.logRetry(a, err, again, reason)
+	return again
+}
+
+func (c *call) retryCall(a *attempt) retry.Call {
+	r := retry.Call{
 		Inherited:     int(c.inherited),
 		Attempts:      c.attempts,
 		NonIdempotent: c.terms.NonIdempotent,
 		Remaining:     time.Until(c.deadline),
 		Expected:      leastAttempt,
-	})
-	return d.Retry && (d.Free || c.h.opts.Budget.Withdraw())
+	}
+	if c.route != nil {
+		r.Attempts, r.MaxAttempts = c.arrivals, c.route.MaxAttempts
+		r.Refusals, r.Unsent = c.refusals, !a.arrived
+	}
+	return r
 }
 
 // firstCertain returns the error that a call with several failed attempts ends
@@ -190,6 +298,11 @@
 		ContentLength:  c.head.ContentLength,
 		ConfigOffset:   c.head.ConfigOffset,
 		ExpectContinue: c.head.ExpectContinue,
+		CallerService:  c.head.CallerService,
+		Priority:       c.head.Priority,
+		Nested:         c.head.Nested,
+		RequestId:      c.head.RequestId,
+		MaxQueueMs:     uint32(c.maxQueue() / time.Millisecond),
 		Attempt:        c.inherited + uint32(c.attempts) - 1,
 		Traceparent:    telemetry.Traceparent(ctx),
 	}
--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/crocuscross/crocuscross/internal/answer"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
 	"github.com/crocuscross/crocuscross/internal/proxy/body"
+	"github.com/crocuscross/crocuscross/internal/proxy/dialect"
 	"github.com/crocuscross/crocuscross/internal/telemetry"
 	"github.com/crocuscross/crocuscross/once"
 	"github.com/crocuscross/crocuscross/peer"
@@ -45,6 +47,18 @@
 	Boot     uint64
 	MaxBody  int64
 	MaxCalls int
+	Dialect  dialect.Dialect
+	// Anonymous is whether calls without a customer are served under the terms of
+	// the document in force.
+	Anonymous bool
+	// CallerService is told to backend servers as the service that calls begin at.
+	CallerService func() string
+	// BackendAddr is where the backend server beside the daemon makes its own calls
+	// from, invalid where that is not known.
+	BackendAddr netip.Addr
+	// KilobyteCost is the time that 1,000 bytes are worth that stay in the
+	// availability zone, for a latency objective of 1 s.
+	KilobyteCost time.Duration
 }
 
 // Handler serves callers' requests.
@@ -52,6 +66,7 @@
 	opts     Options
 	router   *bunrouter.Router
 	lanes    *once.Lanes
+	sizes    sizes
 	inFlight atomic.Int64
 }
 
@@ -89,6 +104,7 @@
 	kind := errkind.Of(err)
 	span.SetAttributes(attribute.String("crocuscross.kind", string(kind)))
 	h.opts.Metrics.Outbound(kind, time.Since(start))
+	h.logEnd(r.Request, err, start)
 	h.finish(w, err)
 	return nil
 }
@@ -116,7 +132,7 @@
 	if errors.Is(err, errAnswerCut) {
 		panic(http.ErrAbortHandler)
 	}
-	answer.Write(w, err)
+	answer.WriteAs(w, err, h.opts.Dialect.RetryAfter)
 }
 
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, start time.Time, inFlight int) error {
@@ -125,7 +141,9 @@
 	if err != nil {
 		return refusedWithKey(key, err)
 	}
-	defer c.grant.Done()
+	if c.grant != nil {
+		defer c.grant.Done()
+	}
 	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline, errDeadline)
 	defer cancel()
 	if err := c.readBody(ctx, w, r); err != nil {
@@ -160,7 +178,10 @@
 	if snap == nil {
 		return nil, errkind.New(errkind.NotReady, "this host has no configuration in force yet")
 	}
-	customer := r.Header.Get(body.HeaderCustomer)
+	customer := dialect.Get(r.Header, h.opts.Dialect.Customer)
+	if customer == "" && h.opts.Anonymous {
+		return h.admitAnonymous(r, snap, start)
+	}
 	contract := snap.Contract(customer)
 	if contract == nil {
 		return nil, errkind.Newf(errkind.UnknownCustomer, "no contract for customer %q", customer)
@@ -170,11 +191,11 @@
 		return nil, noRoute(snap, r.URL.Path)
 	}
 	terms := contract.Terms(r.Method, r.URL.Path)
-	wait, err := remaining(r.Header, terms.MaxWait)
+	wait, err := h.remaining(r.Header, terms.MaxWait)
 	if err != nil {
 		return nil, err
 	}
-	attempt, err := firstAttempt(r.Header)
+	attempt, err := h.firstAttempt(r.Header)
 	if err != nil {
 		return nil, err
 	}
@@ -183,8 +204,8 @@
 		return nil, err
 	}
 	return &call{
-		h: h, snap: snap, route: route, terms: terms, customer: customer, grant: grant,
-		deadline: start.Add(wait), inherited: attempt,
+		h: h, snap: snap, service: route.Service, terms: terms, customer: customer, grant: grant,
+		deadline: start.Add(wait), inherited: attempt, maxBody: h.opts.MaxBody,
 	}, nil
 }
 
@@ -199,27 +220,27 @@
 
 // remaining returns how long a call may take: what the contract allows, or
 // what an earlier hop says is left, if that is less.
-func remaining(h http.Header, allowed time.Duration) (time.Duration, error) {
-	v := h.Get(body.HeaderRemaining)
+func (h *Handler) remaining(header http.Header, allowed time.Duration) (time.Duration, error) {
+	v := dialect.Get(header, h.opts.Dialect.Remaining)
 	if v == "" {
 		return allowed, nil
 	}
 	ms, err := strconv.ParseUint(v, 10, 31)
 	if err != nil {
-		return 0, errkind.Newf(errkind.BadRequest, "%s is not a number of milliseconds: %q", body.HeaderRemaining, v)
+		return 0, errkind.Newf(errkind.BadRequest, "%s is not a number of milliseconds: %q", h.opts.Dialect.Remaining, v)
 	}
 	return min(allowed, time.Duration(ms)*time.Millisecond), nil
 }
 
 // firstAttempt returns the number of the attempt that brought the call here.
-func firstAttempt(h http.Header) (uint32, error) {
-	v := h.Get(body.HeaderAttempt)
+func (h *Handler) firstAttempt(header http.Header) (uint32, error) {
+	v := dialect.Get(header, h.opts.Dialect.Attempt)
 	if v == "" {
 		return 1, nil
 	}
 	n, err := strconv.ParseUint(v, 10, 16)
 	if err != nil || n == 0 {
-		return 0, errkind.Newf(errkind.BadRequest, "%s is not a number from 1: %q", body.HeaderAttempt, v)
+		return 0, errkind.Newf(errkind.BadRequest, "%s is not a number from 1: %q", h.opts.Dialect.Attempt, v)
 	}
 	return uint32(n), nil
 }
--- a/internal/proxy/outbound/keyed.go
+++ b/internal/proxy/outbound/keyed.go
@@ -162,7 +162,7 @@
 	}
 	body.SetFields(w.Header(), head.GetFields())
 	w.WriteHeader(int(head.GetStatus()))
-	if err := copyFlushing(w, body.NewReader(st), false); err != nil {
+	if _, err := copyFlushing(w, body.NewReader(st), false); err != nil {
 		return errors.Mark(errkind.Wrap(errkind.OutcomeUnknown, err, "stream the answer"), errAnswerCut)
 	}
 	return nil
@@ -237,7 +237,7 @@
 	ctx, cancel := context.WithDeadlineCause(telemetry.WithTraceparent(ctx, head.GetTraceparent()), deadline, errDeadline)
 	defer cancel()
 	c := &call{
-		h: h, snap: snap, route: snapshot.Route{Service: head.GetService()},
+		h: h, snap: snap, service: head.GetService(), maxBody: h.opts.MaxBody,
 		terms: snapshot.CallTerms{NonIdempotent: true}, customer: head.GetCustomer(),
 		deadline: deadline, inherited: max(1, head.GetAttempt()), head: head, held: held,
 	}
--- a/internal/proxy/outbound/settle.go
+++ b/internal/proxy/outbound/settle.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,7 +52,7 @@
 func (a *attempt) ask(ctx context.Context) (*keptAnswer, error) {
 	for {
 		ans, err := a.askOnce(ctx)
-		if err != nil && a.gone() {
+		if err != nil && (a.gone() || errors.Is(err, syscall.ECONNREFUSED)) {
 			a.c.h.opts.Metrics.Ask(peerpb.Outcome_OUTCOME_UNKNOWN)
 			return nil, errkind.Wrap(errkind.OutcomeUnknown, err, "the backend server's host is gone")
 		}
@@ -74,6 +75,7 @@
 func (a *attempt) read(ans *peerpb.AskAnswer) (*keptAnswer, errkind.Kind, string) {
 	switch ans.GetOutcome() {
 	case peerpb.Outcome_OUTCOME_NOT_RUN:
+		a.arrived = false
 		return nil, errkind.Unreachable, "the link broke before the call started"
 	case peerpb.Outcome_OUTCOME_UNKNOWN:
 		return nil, errkind.OutcomeUnknown, "the backend server's host does not know the outcome"
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -86,7 +86,7 @@
 
 	ratio("retries.ratio", 0.1,
 		"Share of the calls of the whole fleet that may be sent to a backend server again."),
-	integer("retries.extra", 10, 0, 1<<20, "calls",
+	integer("retries.extra", 280, 0, 1<<20, "calls",
 		"Calls of the whole fleet that may be sent again in a window beside that share."),
 	duration("retries.window", 10*time.Second, time.Second, time.Minute,
 		"Time over which both are counted."),
--- a/recovery/recover.go
+++ b/recovery/recover.go
@@ -28,6 +28,9 @@
 	// eventlog.StreamCheckpoints.
 	Config      eventlog.Log
 	Checkpoints eventlog.Log
+	// LoadCheckpoint returns the newest state that the platform keeps, nil if there
+	// is none. It takes the place of Checkpoints where it is set.
+	LoadCheckpoint func(ctx context.Context) (*fold.State, error)
 	// Own is the state at hand, nil in a process that has just started. A
 	// running daemon that retention has passed by sets it; its state is then
 	// the least that Recover returns.
--- a/recovery/round.go
+++ b/recovery/round.go
@@ -118,6 +118,13 @@
 }
 
 func (r *recoverer) loadCheckpoint(ctx context.Context) error {
+	if r.opts.LoadCheckpoint != nil {
+		st, err := r.opts.LoadCheckpoint(ctx)
+		if err == nil {
+			r.loaded = st
+		}
+		return err
+	}
 	if err := r.scanner.Scan(ctx); err != nil {
 		return err
 	}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -21,26 +21,37 @@
 // or service would bound nothing in sum. It is safe for concurrent use.
 type Budget struct {
 	deposit int64
-	limit   int64
+	limit   atomic.Int64
 	balance atomic.Int64
 }
 
 // NewBudget returns a full budget.
 func NewBudget(opts BudgetOptions) *Budget {
-	b := &Budget{
-		deposit: int64(opts.Ratio * milli),
-		limit:   int64(opts.Burst) * milli,
-	}
-	b.balance.Store(b.limit)
+	b := &Budget{deposit: int64(opts.Ratio * milli)}
+	b.limit.Store(int64(opts.Burst) * milli)
+	b.balance.Store(b.limit.Load())
 	return b
 }
 
+// SetBurst changes the burst, in retries. A daemon's part of what a whole fleet may
+// send again shrinks as the fleet grows; what it holds beyond that is lost at once.
+func (b *Budget) SetBurst(retries float64) {
+	limit := int64(retries * milli)
+	b.limit.Store(limit)
+	for {
+		old := b.balance.Load()
+		if old <= limit || b.balance.CompareAndSwap(old, limit) {
+			return
+		}
+	}
+}
+
 // Deposit counts one first attempt. A full budget is only read, so that
 // requests share no written cache line while nothing fails.
 func (b *Budget) Deposit() {
 	for {
 		old := b.balance.Load()
-		if old >= b.limit {
+		if old >= b.limit.Load() {
 			return
 		}
 		if b.balance.CompareAndSwap(old, old+b.deposit) {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -68,6 +68,14 @@
 	Inherited int
 	// Attempts is how many this daemon has made, the failed one included.
 	Attempts int
+	// MaxAttempts bounds Attempts, 0 for the constant of this name.
+	MaxAttempts int
+	// Refusals is how many attempts were turned away before they reached a backend
+	// server; they count in Attempts only where Unsent is not told of them.
+	Refusals int
+	// Unsent is whether the failed attempt is one of them. It has cost no backend
+	// server any work.
+	Unsent bool
 	// NonIdempotent calls are sent again only if they have not run.
 	NonIdempotent bool
 	// Remaining is the time left, Expected what an attempt usually takes.
@@ -77,9 +85,15 @@
 // Allowed decides after an attempt ended with kind; errkind.None is a backend
 // server's own answer.
 func Allowed(kind errkind.Kind, c Call) Decision {
-	free := kind == errkind.Draining
-	limit := MaxAttempts
-	if free {
+	free := kind == errkind.Draining || c.Unsent
+	attempts, limit := c.Attempts, MaxAttempts
+	if c.MaxAttempts > 0 {
+		limit = c.MaxAttempts
+	}
+	switch {
+	case c.Unsent:
+		attempts, limit = c.Refusals, maxFreeAttempts
+	case free:
 		limit = maxFreeAttempts
 	}
 	switch {
@@ -91,7 +105,7 @@
 		return Decision{Reason: ReasonMayHaveRun}
 	case c.Inherited > 1 && !free:
 		return Decision{Reason: ReasonRetriedAbove}
-	case c.Attempts >= limit:
+	case attempts >= limit:
 		return Decision{Reason: ReasonAttempts}
 	case c.Remaining <= c.Expected:
 		return Decision{Reason: ReasonTime}
@@ -104,7 +118,7 @@
 // customer's contract, for one, is the same at all servers.
 func elsewhere(kind errkind.Kind) bool {
 	switch kind {
-	case errkind.Overloaded, errkind.Draining, errkind.Unreachable, errkind.DeadlineNotRun,
+	case errkind.Overloaded, errkind.Shed, errkind.Draining, errkind.Unreachable, errkind.DeadlineNotRun,
 		errkind.NoBackend, errkind.Barred, errkind.BackendFailed:
 		return true
 	}
--- a/spread/options.go
+++ b/spread/options.go
@@ -87,6 +87,9 @@
 	AvailabilityZone string
 	Log              eventlog.Log
 	Peers            Peers
+	// LogKeepsEnd is whether the log never loses what it has acknowledged, so that
+	// it need not be asked whether it still holds the version in force.
+	LogKeepsEnd bool
 
 	Mode       Mode
 	Redundancy Redundancy
--- a/spread/read.go
+++ b/spread/read.go
@@ -58,6 +58,10 @@
 
 // readStep checks the log if need be and waits for new records once.
 func (s *Spreader) readStep(verified *bool) error {
+	if s.opts.LogKeepsEnd {
+		_, err := s.readOnce(s.opts.ReadWait)
+		return err
+	}
 	if !*verified {
 		if err := s.verifyLog(); err != nil {
 			return err
@@ -109,6 +113,10 @@
 		s.noteLogError(err)
 		return err
 	}
+	if st == nil {
+		s.noteLogError(cause)
+		return cause
+	}
 	before := s.history.offset()
 	s.Start(st)
 	if s.history.offset() == before {
