--- a/fold/document.go
+++ b/fold/document.go
@@ -71,7 +71,7 @@
 	return r
 }
 
-func (r *reasons) checkDocumentServices(list []*configpb.Service) map[string]bool {
+func (r *reasons) checkDocumentServices(list []*configpb.DocumentService) map[string]bool {
 	if len(list) > MaxDocumentServices {
 		r.addf("at most %d services, this document has %d", MaxDocumentServices, len(list))
 	}
@@ -85,7 +85,7 @@
 }
 
 // checkTargets checks where a route leads and how its calls are treated.
-func (r *reasons) checkTargets(k Key, route *configpb.Route, services map[string]bool) {
+func (r *reasons) checkTargets(k Key, route *configpb.DocumentRoute, services map[string]bool) {
 	if len(route.GetSplit()) == 0 && !services[route.GetService()] {
 		r.addf("%s leads to the unknown service %q", k, route.GetService())
 	}
@@ -99,7 +99,7 @@
 	if len(route.GetSplit()) > MaxSplitParts || len(route.GetSplit()) > 0 && total == 0 {
 		r.addf("%s: a split must have at most %d parts and some weight", k, MaxSplitParts)
 	}
-	if route.GetKind() == configpb.CallKind_CALL_KIND_BY_CONTRACT {
+	if route.GetKind() == configpb.CallKind_CALL_KIND_UNSPECIFIED {
 		r.addf("%s has no kind of call", k)
 	}
 	if route.GetTimeoutMs() > MaxWaitMs || route.GetPriority() > MaxPriority {
--- a/internal/controller/contacts/contacts.go
+++ b/internal/controller/contacts/contacts.go
@@ -90,7 +90,7 @@
 	}
 	c.last = now
 	if err := c.put(ctx); err != nil {
-		c.opts.Logger.Info("contacts: own address not put", "error", err)
+		c.opts.Logger.Info("contacts: own address not appended", "error", err)
 	}
 }
 
@@ -101,7 +101,7 @@
 		if err == nil {
 			return
 		}
-		c.opts.Logger.Info("contacts: own address not put", "error", err)
+		c.opts.Logger.Info("contacts: own address not appended", "error", err)
 		wait := time.NewTimer(retryAfter/2 + rand.N(retryAfter))
 		select {
 		case <-wait.C:
--- a/snapshot/document.go
+++ b/snapshot/document.go
@@ -123,7 +123,7 @@
 	return n
 }
 
-func newDocumentRoute(r *configpb.Route) *DocumentRoute {
+func newDocumentRoute(r *configpb.DocumentRoute) *DocumentRoute {
 	n := &DocumentRoute{
 		Name:        r.GetName(),
 		Kind:        r.GetKind(),
