--- a/bench/procs/procs.go
+++ b/bench/procs/procs.go
@@ -101,7 +101,7 @@
 		return nil, errors.Wrap(err, "create log")
 	}
 	cmd := exec.Command(program, args...)
-	cmd.Stderr = log
+	cmd.Stdout, cmd.Stderr = log, log
 	// In a group of its own, so that Ctrl-C reaches the trial alone, which
 	// then ends all in order. If the trial itself is killed, the kernel ends
 	// them.
--- a/internal/cli/daemoncmd/daemon.go
+++ b/internal/cli/daemoncmd/daemon.go
@@ -2,6 +2,10 @@
 package daemoncmd
 
 import (
+	"os"
+	"os/signal"
+	"syscall"
+
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
 
@@ -20,6 +24,8 @@
 		if err != nil {
 			return command.Exit(command.StatusBadInput, err)
 		}
-		return errors.Wrap(daemon.Run(env.Context, s), "daemon")
+		hangup := make(chan os.Signal, 1)
+		signal.Notify(hangup, syscall.SIGHUP)
+		return errors.Wrap(daemon.Run(env.Context, s, daemon.Reloads{File: *path, Signal: hangup}), "daemon")
 	}))
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,14 +34,19 @@
 	// lingerPoll is how often it is looked whether any are left.
 	lingerPoll = 10 * time.Millisecond
 	// leaveTimeout bounds the goodbye to the other daemons.
-	leaveTimeout = time.Second
-	// closeTimeout bounds the end of what is left after the drain.
-	closeTimeout = time.Second
+	leaveTimeout = 300 * time.Millisecond
+	// closeTimeout bounds the end of what is left after the drain, at each listener.
+	closeTimeout = 150 * time.Millisecond
 )
 
 // Daemon is one daemon with all its parts.
 type Daemon struct {
 	settings *settings.Settings
+	// current is settings with what was reloaded since the start.
+	current  atomic.Pointer[settings.Settings]
+	reloads  Reloads
+	level    *slog.LevelVar
+	lines    *telemetry.LineQueue
 	logger   *slog.Logger
 	tracer   trace.Tracer
 	flush    func(context.Context) error
@@ -62,11 +68,12 @@
 }
 
 // Run runs a daemon until ctx is done and its graceful shutdown has ended.
-func Run(ctx context.Context, s *settings.Settings) error {
+func Run(ctx context.Context, s *settings.Settings, reloads Reloads) error {
 	d, err := New(ctx, s)
 	if err != nil {
 		return err
 	}
+	d.reloads = reloads
 	return d.Run(ctx)
 }
 
@@ -87,7 +94,12 @@
 // newDaemon builds a daemon on bound listeners; dial connects the sessions that
 // carry calls.
 func newDaemon(ctx context.Context, s *settings.Settings, ln *listeners, dial dialFunc) (*Daemon, error) {
-	logger, err := telemetry.NewLogger(os.Stderr, s.Log.Level, s.Log.Format)
+	level := &slog.LevelVar{}
+	if err := level.UnmarshalText([]byte(s.Log.Level)); err != nil {
+		return nil, errors.Wrap(err, "log level")
+	}
+	lines := telemetry.NewLineQueue(os.Stdout)
+	logger, err := telemetry.NewLogger(lines, level, s.Log.Format)
 	if err != nil {
 		return nil, err
 	}
@@ -101,6 +113,8 @@
 	d := &Daemon{
 		dialCalls: dial,
 		settings:  s,
+		level:     level,
+		lines:     lines,
 		logger:    logger.With("host", s.Host),
 		tracer:    tracer,
 		flush:     flush,
@@ -111,6 +125,7 @@
 		joined:    make(chan struct{}),
 		linger:    linger,
 	}
+	d.current.Store(s)
 	d.parts, err = d.build()
 	return d, err
 }
@@ -118,6 +133,7 @@
 // Run starts the parts, serves until ctx is done, and shuts down gracefully.
 // It returns early where a part fails.
 func (d *Daemon) Run(ctx context.Context) error {
+	defer d.lines.Close()
 	// The parts outlive ctx: they are needed until the drain has ended.
 	life, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -155,12 +171,15 @@
 // are let in, then the work in flight ends. Callers that keep connections are
 // told to close them.
 func (d *Daemon) drain(reason string) {
+	// All of it must fit into the time after which the process is killed.
+	until, done := context.WithTimeout(context.Background(), time.Duration(d.live().Drain.Timeout))
+	defer done()
 	d.lifecycle.Drain(reason)
 	d.callers.Drain()
 	d.lifecycle.WaitQuiet()
 	d.ln.callersDoor.Shut()
 	d.lingerOn()
-	left := d.lifecycle.Wait(context.Background())
+	left := d.lifecycle.Wait(until)
 	if left > 0 {
 		d.logger.Warn("daemon: requests cut off by the drain timeout", "requests", left)
 	}
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -274,7 +274,7 @@
 		MaxBody: d.settings.Requests.MaxBodyBytes, MaxCalls: d.settings.Requests.MaxInFlight,
 		Dialect: d.dialect(), Anonymous: d.settings.Requests.Customers == settings.CustomersOptional,
 		CallerService: d.localService, BackendAddr: d.backendAddr(),
-		KilobyteCost: time.Duration(d.settings.Requests.KilobyteCost),
+		KilobyteCost: func() time.Duration { return time.Duration(d.live().Requests.KilobyteCost) },
 	})
 	p.lifecycle = &drain.Controller{
 		Board: d.board, Logger: d.logger, Quiet: quiet,
@@ -319,7 +319,7 @@
 	p.operatorAPI = operator.New(operator.Options{
 		Board: d.board, Fleet: f, Logger: d.logger,
 		NeedDocument: d.settings.Requests.Customers == settings.CustomersOptional,
-		Metrics: promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}),
+		Metrics:      promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}),
 	})
 }
 
@@ -346,7 +346,7 @@
 		d.membership.Run, d.members.Run, d.backends.Run,
 		d.distribute.Run, d.apply.Run, d.announce.Run,
 		d.checkpointLoop, d.contacts.Run, d.claimLoop,
-		d.quota.Run, d.followQuota, d.inbound.Run, d.shareBudget,
+		d.quota.Run, d.followQuota, d.inbound.Run, d.shareBudget, d.followSettings, d.debugTotals,
 		d.self.Run, d.lifecycle.Run,
 	}
 }
@@ -386,15 +386,18 @@
 // shareBudget keeps this daemon's part of what the fleet may send again at an equal
 // share. Daemons that are believed dead count: beyond a cut they use theirs.
 func (d *Daemon) shareBudget(ctx context.Context) error {
+	t := time.NewTicker(watchInterval)
+	defer t.Stop()
 	for {
 		view, changed := d.board.Members.Watch()
 		members := 1
 		if view != nil {
 			members = max(len(view.Members), 1)
 		}
-		d.budget.SetBurst(max(1, budgetShare*float64(d.settings.Retries.Extra)/float64(members)))
+		d.budget.SetBurst(max(1, budgetShare*float64(d.live().Retries.Extra)/float64(members)))
 		select {
 		case <-changed:
+		case <-t.C:
 		case <-ctx.Done():
 			return nil
 		}
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -67,6 +67,9 @@
 	// arrivals counts those that may have reached a backend server, refusals the
 	// others.
 	arrivals, refusals int
+	// last is the attempt made last, status that of the answer, 0 without one.
+	last   *attempt
+	status uint32
 	// patient is set once the call waits at a gate for as long as its time allows.
 	patient bool
 
@@ -161,9 +164,11 @@
 		c.h.opts.Metrics.Attempt(c.attempts == 0)
 		c.attempts++
 		at := newAttempt(c, lease)
+		c.last = at
 		a, err := at.run(ctx)
 		if err == nil {
 			c.arrivals++
+			c.status = a.head.GetStatus()
 			if !c.answerIsWorse(a) || !c.mayRetry(ctx, at, errBackendFailure) {
 				return a, nil
 			}
@@ -211,7 +216,7 @@
 // remoteCost returns the time that it is worth to keep the call's bytes in the
 // availability zone.
 func (c *call) remoteCost() time.Duration {
-	if c.route == nil || c.h.opts.KilobyteCost == 0 {
+	if c.route == nil {
 		return 0
 	}
 	objective := c.route.Objective
@@ -219,7 +224,7 @@
 		objective = c.terms.MaxWait
 	}
 	kilobytes := (float64(len(c.held)) + c.h.sizes.of(c.route.Name)) / 1000
-	return time.Duration(kilobytes * objective.Seconds() * float64(c.h.opts.KilobyteCost))
+	return time.Duration(kilobytes * objective.Seconds() * float64(c.h.opts.KilobyteCost()))
 }
 
 const (
@@ -232,12 +237,13 @@
 
 // maxQueue returns how long the next attempt may have to wait for a slot, 0 for as
 // long as its time allows. A gate that refuses at once costs a hop; a queue there,
-// while another backend server is free, costs the wait.
+// while another backend server is free, costs the wait. Where bytes between zones
+// are dear, a longer wait is cheaper than the next zone.
 func (c *call) maxQueue() time.Duration {
 	if c.route == nil || c.patient || c.refusals >= impatientTries || c.route.Objective == 0 {
 		return 0
 	}
-	return c.route.Objective / impatientShare
+	return c.route.Objective/impatientShare + min(c.remoteCost(), c.route.Objective/2)
 }
 
 func (c *call) wasTried(id backend.ID) bool { return slices.Contains(c.tried, id) }
--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -58,7 +58,7 @@
 	BackendAddr netip.Addr
 	// KilobyteCost is the time that 1,000 bytes are worth that stay in the
 	// availability zone, for a latency objective of 1 s.
-	KilobyteCost time.Duration
+	KilobyteCost func() time.Duration
 }
 
 // Handler serves callers' requests.
@@ -67,12 +67,13 @@
 	router   *bunrouter.Router
 	lanes    *once.Lanes
 	sizes    sizes
+	lines    telemetry.LineLimit
 	inFlight atomic.Int64
 }
 
 // NewHandler returns the handler for the callers' listener.
 func NewHandler(opts Options) *Handler {
-	h := &Handler{opts: opts}
+	h := &Handler{opts: opts, lines: telemetry.NewLineLimit(answeredLines)}
 	h.lanes = once.NewLanes(once.DefaultLanesOptions(h.openLane))
 	h.router = bunrouter.New(bunrouter.WithNotFoundHandler(h.proxy), bunrouter.WithMethodNotAllowedHandler(h.proxy))
 	h.router.POST(KeysPath, h.issueKeys)
@@ -100,11 +101,11 @@
 	ctx := telemetry.WithTraceparent(liveContext(w, r.Request), r.Header.Get("Traceparent"))
 	ctx, span := h.opts.Tracer.Start(ctx, "outbound", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
-	err := h.serve(ctx, w, r.Request, start, int(n))
+	c, err := h.serve(ctx, w, r.Request, start, int(n))
 	kind := errkind.Of(err)
 	span.SetAttributes(attribute.String("crocuscross.kind", string(kind)))
 	h.opts.Metrics.Outbound(kind, time.Since(start))
-	h.logEnd(r.Request, err, start)
+	h.logEnd(r.Request, c, err, start)
 	h.finish(w, err)
 	return nil
 }
@@ -135,11 +136,12 @@
 	answer.WriteAs(w, err, h.opts.Dialect.RetryAfter)
 }
 
-func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, start time.Time, inFlight int) error {
+// serve returns the call as well, nil where it was not admitted.
+func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, start time.Time, inFlight int) (*call, error) {
 	key := r.Header.Get(body.HeaderIdempotencyKey)
 	c, err := h.admit(r, start, inFlight)
 	if err != nil {
-		return refusedWithKey(key, err)
+		return nil, refusedWithKey(key, err)
 	}
 	if c.grant != nil {
 		defer c.grant.Done()
@@ -147,16 +149,16 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline, errDeadline)
 	defer cancel()
 	if err := c.readBody(ctx, w, r); err != nil {
-		return refusedWithKey(key, err)
+		return c, refusedWithKey(key, err)
 	}
-	if key != "" && c.terms.NonIdempotent {
-		return c.serveKeyed(ctx, w, key)
+	if key != "" && c.terms.NonIdempotent && c.route == nil {
+		return c, c.serveKeyed(ctx, w, key)
 	}
 	a, err := c.open(ctx)
 	if err != nil {
-		return err
+		return c, err
 	}
-	return a.writeTo(w)
+	return c, a.writeTo(w)
 }
 
 // refusedWithKey is the error of a request that was refused before its key was
--- a/internal/proxy/outbound/log.go
+++ b/internal/proxy/outbound/log.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -8,20 +9,58 @@
 	"github.com/crocuscross/crocuscross/internal/proxy/dialect"
 )
 
-// logEnd tells of a request that ended without a backend server's answer.
-func (h *Handler) logEnd(r *http.Request, err error, start time.Time) {
-	if err == nil {
+const (
+	// answeredLines is how many log lines a second tell of requests that were
+	// answered at the first try, in time. At some 300 bytes a line that is 10 KB a
+	// second at most; the others are told of whole.
+	answeredLines = 30
+)
+
+// logEnd tells how a request ended, and what decided it. Of those that went well
+// only some are told while there are many.
+func (h *Handler) logEnd(r *http.Request, c *call, err error, start time.Time) {
+	took := time.Since(start)
+	if c == nil {
+		h.opts.Logger.Info("outbound: request not admitted",
+			"request", dialect.Get(r.Header, h.opts.Dialect.RequestID), "virtual_host", r.Host, "path", rawPath(r),
+			"kind", errkind.Of(err), "took", took, "error", err)
+		return
+	}
+	if c.wentWell(err, took) && !h.lines.Allow() {
 		return
 	}
-	h.opts.Logger.Info("outbound: request not answered by a backend server",
-		"request", dialect.Get(r.Header, h.opts.Dialect.RequestID), "path", rawPath(r),
-		"kind", errkind.Of(err), "run", errkind.RunOf(err), "after", time.Since(start), "error", err)
+	h.opts.Logger.Info("outbound: request ended", c.outcome(err, took)...)
+}
+
+// wentWell reports whether nothing about the request needs an explanation.
+func (c *call) wentWell(err error, took time.Duration) bool {
+	onTime := c.route == nil || c.route.Objective == 0 || took <= c.route.Objective
+	return err == nil && c.attempts == 1 && c.status < http.StatusInternalServerError && onTime
+}
+
+func (c *call) outcome(err error, took time.Duration) []any {
+	attrs := []any{
+		"request", c.requestID, "service", c.service, "config", c.snap.Offset, "nested", c.nested,
+		"non_idempotent", c.terms.NonIdempotent, "allowed", c.terms.MaxWait, "took", took,
+		"attempts", c.attempts, "arrivals", c.arrivals, "status", c.status,
+	}
+	if c.route != nil {
+		attrs = append(attrs, "route", c.route.Name, "priority", c.route.Priority, "objective", c.route.Objective)
+	}
+	if c.last != nil {
+		attrs = append(attrs, "to", c.last.server.Host, "to_zone", c.last.server.AvailabilityZone)
+	}
+	if err != nil {
+		attrs = append(attrs, "kind", string(errkind.Of(err)), "run", string(errkind.RunOf(err)), "error", err)
+	}
+	return attrs
 }
 
 // logRetry tells what was decided after a failed attempt.
 func (c *call) logRetry(a *attempt, err error, again bool, reason string) {
 	c.h.opts.Logger.Info("outbound: attempt failed",
-		"request", c.requestID, "service", c.service, "attempt", c.attempts, "host", a.server.Host,
-		"availability_zone", a.server.AvailabilityZone, "kind", errkind.Of(err), "arrived", a.arrived,
-		"config", c.snap.Offset, "left", time.Until(c.deadline), "again", again, "reason", reason, "error", err)
+		"request", c.requestID, "service", c.service, "attempt", c.attempts, "to", a.server.Host,
+		"to_zone", a.server.AvailabilityZone, "kind", string(errkind.Of(err)), "arrived", a.arrived,
+		"config", c.snap.Offset, "left", time.Until(c.deadline), "took", time.Since(a.start), "again", again, "reason", reason,
+		slog.Any("error", err))
 }
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -9,14 +9,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// NewLogger returns a logger of a level (debug, info, warn, error) and format
-// (text, json).
-func NewLogger(w io.Writer, level, format string) (*slog.Logger, error) {
-	var l slog.Level
-	if err := l.UnmarshalText([]byte(level)); err != nil {
-		return nil, errors.Wrap(err, "log level")
-	}
-	opts := &slog.HandlerOptions{Level: l, ReplaceAttr: shortErrors}
+// NewLogger returns a logger of a level and a format (text, json).
+func NewLogger(w io.Writer, level slog.Leveler, format string) (*slog.Logger, error) {
+	opts := &slog.HandlerOptions{Level: level, ReplaceAttr: shortErrors}
 	switch format {
 	case "text":
 		return slog.New(slog.NewTextHandler(w, opts)), nil
