--- a/balance/picker.go
+++ b/balance/picker.go
@@ -29,6 +29,11 @@
 	// picked only if it is expected to save more than that.
 	ZoneCost   time.Duration
 	RegionCost time.Duration
+	// KeepSlow is whether a server whose calls are slow beside those of its peers
+	// goes on getting calls, by its cost alone. It suits services whose calls
+	// differ widely in length and whose servers differ in speed: there a few long
+	// calls at a slower server look like one that hangs.
+	KeepSlow bool
 	// SlowStart is how long the share of calls of a new server grows.
 	SlowStart time.Duration
 	// Now reads a monotonic clock.
@@ -90,6 +95,24 @@
 	// RemoteCost is the time that it is worth to stay in the availability zone,
 	// beside what the way takes: bytes between zones cost money.
 	RemoteCost time.Duration
+	// Objective is the time within which an answer is worth its full value. Times
+	// well below it are as good as each other; with 0 they all count as they are.
+	Objective time.Duration
+}
+
+// maxLateness bounds, in objectives, what an expected time counts as.
+const maxLateness = 4
+
+// weigh turns an expected time into a cost, in seconds. By the third power a time of
+// half the objective costs an eighth of it: being quicker still is worth no bytes
+// between zones, while a time near the objective risks to miss it.
+func (n Need) weigh(seconds float64) float64 {
+	objective := n.Objective.Seconds()
+	if objective == 0 {
+		return seconds
+	}
+	x := min(seconds/objective, maxLateness)
+	return objective * x * x * x
 }
 
 // PickFor is Pick for a call with needs of its own.
@@ -169,7 +192,7 @@
 				if m == nil {
 					continue
 				}
-				cost := m.cost(plan, now)
+				cost := need.weigh(m.cost(plan, now))
 				if !m.local {
 					cost += remote
 				}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -31,12 +31,13 @@
 	// use the old one meanwhile.
 	making sync.Mutex
 	// counted is guarded by making.
-	counted count
+	counted  count
+	keepSlow bool
 }
 
 // newPool builds the pool of a set's servers. The caller holds mu.
 func (p *Picker) newPool(servers []*backend.Server) *pool {
-	pl := &pool{servers: servers, members: make([]*member, 0, len(servers))}
+	pl := &pool{keepSlow: p.opts.KeepSlow, servers: servers, members: make([]*member, 0, len(servers))}
 	for _, s := range servers {
 		e, ok := p.evidence[s.ID]
 		if !ok {
@@ -169,6 +170,10 @@
 	if len(latencies) == 0 {
 		return baseline{latency: assumedLatency}
 	}
+	if pl.keepSlow {
+		// No share of slow calls is above that.
+		slow = []float64{1}
+	}
 	return baseline{
 		latency: quantile(latencies, 0.25),
 		load:    load / float64(len(latencies)),
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -88,7 +88,7 @@
 	Shed:             {http.StatusServiceUnavailable, NotRun, true, shortWait},
 	Draining:         {http.StatusServiceUnavailable, NotRun, true, shortWait},
 	Unreachable:      {http.StatusServiceUnavailable, NotRun, true, shortWait},
-	DeadlineNotRun:   {http.StatusGatewayTimeout, NotRun, true, time.Second},
+	DeadlineNotRun:   {http.StatusServiceUnavailable, NotRun, true, shortWait},
 	Barred:           {http.StatusServiceUnavailable, NotRun, true, shortWait},
 	KeyUnknown:       {http.StatusBadRequest, NotRun, false, 0},
 	KeyMismatch:      {http.StatusUnprocessableEntity, NotRun, false, 0},
--- a/gate/fairqueue.go
+++ b/gate/fairqueue.go
@@ -40,13 +40,11 @@
 	reserve reserve
 }
 
-// nestedRank goes before all priorities.
-const nestedRank = -1
-
 // shareKey names a share.
 type shareKey struct {
 	customer string
-	rank     int
+	// rank orders shares before fairness between customers does, 0 first.
+	rank int
 }
 
 // share is one customer's part of the gate at one rank.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -89,9 +89,6 @@
 	Customer string
 	// Priority ranks calls, 0 first. A call waits for none of a higher number.
 	Priority int
-	// Nested is whether a backend server makes the call for one that it runs. It
-	// goes before all others: a call that holds a slot elsewhere waits for it.
-	Nested bool
 	// Remaining is how long the call may still take.
 	Remaining time.Duration
 	// MaxWait is how long the call may be expected to wait for its slot; with a
@@ -99,14 +96,6 @@
 	MaxWait time.Duration
 }
 
-// rank orders calls before fairness between customers does.
-func (c Call) rank() int {
-	if c.Nested {
-		return nestedRank
-	}
-	return c.Priority
-}
-
 // Admit is Enter for calls with a rank.
 func (g *Gate) Admit(ctx context.Context, c Call) (*Ticket, error) {
 	if ctx.Err() != nil {
@@ -119,7 +108,7 @@
 	t := &Ticket{gate: g, deadline: now.Add(c.Remaining), maxWait: c.MaxWait}
 
 	g.mu.Lock()
-	err := g.arrive(t, shareKey{c.Customer, c.rank()}, now)
+	err := g.arrive(t, shareKey{c.Customer, c.Priority}, now)
 	queued := t.state == waiting
 	g.publish()
 	g.mu.Unlock()
--- a/gate/reserve.go
+++ b/gate/reserve.go
@@ -78,27 +78,9 @@
 func (g *Gate) mayStart(s *share) bool {
 	r := &g.queue.reserve
 	slots := g.limit.slots()
-	if g.keptForNested(s, slots) {
-		return false
-	}
 	if !s.slow || r.quick == 0 || s.running < max(slots/(r.quick+1), 1) {
 		return true
 	}
 	headroom := int(r.usage) + 1 - r.running
 	return slots-g.inUse-1 >= headroom
 }
-
-// keptForNested reports whether the only slot left is kept for nested calls. Calls
-// that wait for calls of their own to the same backend servers would else hold
-// every slot, and none of them could end.
-func (g *Gate) keptForNested(s *share, slots int) bool {
-	if s.rank == nestedRank || slots == 1 || g.inUse+1 < slots {
-		return false
-	}
-	for _, o := range g.queue.shares {
-		if o.rank == nestedRank && s.seen.Sub(o.seen) <= reserveFor {
-			return o.running == 0
-		}
-	}
-	return false
-}
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 	"strings"
 	"time"
 
@@ -255,6 +254,7 @@
 	balancing := balance.DefaultOptions()
 	balancing.AvailabilityZone, balancing.Region = d.settings.AvailabilityZone, d.settings.Region
 	balancing.ZoneCost = time.Duration(d.settings.Requests.ZoneCost)
+	balancing.KeepSlow = d.settings.Requests.SlowServers == settings.SlowKeep
 	p.picker = balance.New(balancing)
 	p.backends = &backends.Controller{Board: d.board, OnChange: func(s *backend.Set) { p.picker.Forget(s) }}
 	quotas := quota.DefaultOptions()
@@ -273,8 +273,8 @@
 		Host: d.settings.Host, Boot: d.boot,
 		MaxBody: d.settings.Requests.MaxBodyBytes, MaxCalls: d.settings.Requests.MaxInFlight,
 		Dialect: d.dialect(), Anonymous: d.settings.Requests.Customers == settings.CustomersOptional,
-		CallerService: d.localService, BackendAddr: d.backendAddr(),
-		KilobyteCost: func() time.Duration { return time.Duration(d.live().Requests.KilobyteCost) },
+		CallerService: d.localService,
+		KilobyteCost:  func() time.Duration { return time.Duration(d.live().Requests.KilobyteCost) },
 	})
 	p.lifecycle = &drain.Controller{
 		Board: d.board, Logger: d.logger, Quiet: quiet,
@@ -370,15 +370,6 @@
 	return ""
 }
 
-// backendAddr returns where the backend server beside the daemon calls from.
-func (d *Daemon) backendAddr() netip.Addr {
-	ap, err := netip.ParseAddrPort(d.settings.Backend.Address)
-	if err != nil {
-		return netip.Addr{}
-	}
-	return ap.Addr()
-}
-
 // budgetShare is the part of the fleet's retries that the daemons hand out. A retry
 // that has calls of its own brings about as many again.
 const budgetShare = 0.5
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -158,7 +158,6 @@
 	ticket, err := c.site.gate.Admit(c.ctx, gate.Call{
 		Customer:  c.head.GetCustomer(),
 		Priority:  int(c.head.GetPriority()),
-		Nested:    c.head.GetNested(),
 		Remaining: time.Until(c.deadline),
 		MaxWait:   time.Duration(c.head.GetMaxQueueMs()) * time.Millisecond,
 	})
--- a/internal/proxy/outbound/anonymous.go
+++ b/internal/proxy/outbound/anonymous.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"strings"
 	"time"
 
@@ -39,7 +38,7 @@
 		h: h, snap: snap, service: route.Service(rand.Uint32N), route: route,
 		terms:    snapshot.CallTerms{NonIdempotent: route.NonIdempotent(), MaxWait: allowed},
 		deadline: start.Add(wait), inherited: 1, maxBody: h.opts.MaxBody,
-		requestID: dialect.Get(r.Header, h.opts.Dialect.RequestID), nested: h.isNested(r),
+		requestID: dialect.Get(r.Header, h.opts.Dialect.RequestID),
 	}
 	if limit := doc.Limits.MaxBodyBytes; limit > 0 {
 		c.maxBody = min(c.maxBody, limit)
@@ -55,9 +54,3 @@
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	return path
 }
-
-// isNested reports whether the backend server beside the daemon makes the call.
-func (h *Handler) isNested(r *http.Request) bool {
-	from, err := netip.ParseAddrPort(r.RemoteAddr)
-	return err == nil && h.opts.BackendAddr.IsValid() && from.Addr().Unmap() == h.opts.BackendAddr
-}
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -58,8 +58,6 @@
 	route *snapshot.DocumentRoute
 	// requestID is the caller's own name for the call.
 	requestID string
-	// nested is whether a backend server makes the call.
-	nested bool
 	// inherited is the number of the attempt that brought the call here, from 1.
 	inherited uint32
 	// attempts is how many attempts this daemon has made.
@@ -100,7 +98,6 @@
 		ContentLength: r.ContentLength,
 		ConfigOffset:  c.snap.Offset,
 		CallerService: c.h.opts.CallerService(),
-		Nested:        c.nested,
 		RequestId:     c.requestID,
 	}
 	if c.route != nil {
@@ -201,6 +198,9 @@
 func (c *call) pick() (*balance.Lease, error) {
 	servers := c.snap.Backends(c.service)
 	need := balance.Need{Exclude: c.wasTried, RemoteCost: c.remoteCost()}
+	if c.route != nil {
+		need.Objective = c.route.Objective
+	}
 	lease, err := c.h.opts.Picker.PickFor(servers, need)
 	if err != nil && c.refusals > 0 && !c.patient && c.route != nil {
 		c.patient, c.tried = true, nil
@@ -228,11 +228,16 @@
 }
 
 const (
-	// impatientTries is how many gates a call tries before it waits at one as long
-	// as it may, and impatientShare the part of its latency objective that it may
-	// have to wait at each of them.
+	// impatientTries is how many gates a call tries before it settles for a wait,
+	// and impatientShare the part of its latency objective that it may have to wait
+	// at each of them.
 	impatientTries = 2
-	impatientShare = 8
+	impatientShare = 0.125
+	// patientShare is the part that it may have to wait at the last ones. With a
+	// longer wait ahead the answer would come late, and calls that come after it
+	// would wait in turn: refused at once, the caller comes back when the queue is
+	// shorter.
+	patientShare = 0.6
 )
 
 // maxQueue returns how long the next attempt may have to wait for a slot, 0 for as
@@ -240,10 +245,15 @@
 // while another backend server is free, costs the wait. Where bytes between zones
 // are dear, a longer wait is cheaper than the next zone.
 func (c *call) maxQueue() time.Duration {
-	if c.route == nil || c.patient || c.refusals >= impatientTries || c.route.Objective == 0 {
+	if c.route == nil || c.route.Objective == 0 {
 		return 0
 	}
-	return c.route.Objective/impatientShare + min(c.remoteCost(), c.route.Objective/2)
+	objective := float64(c.route.Objective)
+	most := time.Duration(patientShare * objective)
+	if c.patient || c.refusals >= impatientTries {
+		return most
+	}
+	return min(time.Duration(impatientShare*objective)+c.remoteCost(), most)
 }
 
 func (c *call) wasTried(id backend.ID) bool { return slices.Contains(c.tried, id) }
@@ -306,7 +316,6 @@
 		ExpectContinue: c.head.ExpectContinue,
 		CallerService:  c.head.CallerService,
 		Priority:       c.head.Priority,
-		Nested:         c.head.Nested,
 		RequestId:      c.head.RequestId,
 		MaxQueueMs:     uint32(c.maxQueue() / time.Millisecond),
 		Attempt:        c.inherited + uint32(c.attempts) - 1,
--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -7,7 +7,6 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -53,9 +52,6 @@
 	Anonymous bool
 	// CallerService is told to backend servers as the service that calls begin at.
 	CallerService func() string
-	// BackendAddr is where the backend server beside the daemon makes its own calls
-	// from, invalid where that is not known.
-	BackendAddr netip.Addr
 	// KilobyteCost is the time that 1,000 bytes are worth that stay in the
 	// availability zone, for a latency objective of 1 s.
 	KilobyteCost func() time.Duration
--- a/internal/proxy/outbound/log.go
+++ b/internal/proxy/outbound/log.go
@@ -40,7 +40,7 @@
 
 func (c *call) outcome(err error, took time.Duration) []any {
 	attrs := []any{
-		"request", c.requestID, "service", c.service, "config", c.snap.Offset, "nested", c.nested,
+		"request", c.requestID, "service", c.service, "config", c.snap.Offset,
 		"non_idempotent", c.terms.NonIdempotent, "allowed", c.terms.MaxWait, "took", took,
 		"attempts", c.attempts, "arrivals", c.arrivals, "status", c.status,
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -144,6 +144,8 @@
 	// KilobyteCost is the time that 1,000 bytes are worth that stay in the
 	// availability zone, for a latency objective of 1 s.
 	KilobyteCost Duration `json:"kilobyte_cost"`
+	// SlowServers is eject or keep.
+	SlowServers string `json:"slow_servers"`
 	// Customers is required or optional.
 	Customers string `json:"customers"`
 	// OwnKeys is off or on. Each daemon that takes keys of callers' own making
@@ -151,6 +153,12 @@
 	OwnKeys string `json:"own_keys"`
 }
 
+// What becomes of slow backend servers.
+const (
+	SlowEject = "eject"
+	SlowKeep  = "keep"
+)
+
 // Whether calls need a customer.
 const (
 	CustomersRequired = "required"
