--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -50,7 +50,9 @@
 	// for, as the gate told at othersAt.
 	others   atomicFloat
 	othersAt atomicInstant
-	slots    atomic.Int64
+	// wait is how long a call had to wait for a slot, as told at othersAt.
+	wait  atomicInstant
+	slots atomic.Int64
 	// failing and slow are the moving shares of calls that failed and of those
 	// answered that were slow.
 	failing, slow atomicFloat
@@ -145,6 +147,7 @@
 	others := max(float64(l.InUse+l.Queued)-float64(e.inFlight.Load()), 0)
 	e.slots.Store(int64(l.Slots))
 	e.others.store(others / float64(max(l.Slots, 1)))
+	e.wait.store(instant(l.Wait))
 	e.othersAt.store(now)
 }
 
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -54,7 +54,11 @@
 	}
 }
 
-var errNoBackend = errkind.New(errkind.NoBackend, "no backend server of the service takes calls")
+// The errors are made once: under overload there are many.
+var (
+	errNoBackend = errkind.New(errkind.NoBackend, "no backend server of the service takes calls")
+	errAllBusy   = errkind.New(errkind.Overloaded, "the queues of all backend servers of the service are too long")
+)
 
 // Picker chooses backend servers. It is safe for concurrent use; calls share
 // no lock.
@@ -98,6 +102,24 @@
 	// Objective is the time within which an answer is worth its full value. Times
 	// well below it are as good as each other; with 0 they all count as they are.
 	Objective time.Duration
+	// MaxWait is how long the call may have to wait for a slot. Servers whose gate
+	// has just told of a longer wait are passed over: their refusal would cost a hop
+	// and tell nothing new. 0 sets no bound.
+	MaxWait time.Duration
+}
+
+// waitMemory is how long a gate's word of its queue keeps calls away. In that time a
+// queue that is too long does not empty.
+const waitMemory = instant(30 * time.Millisecond)
+
+// skips reports whether a server is left out for the call.
+func (n Need) skips(m *member, now instant) bool {
+	return n.Exclude != nil && n.Exclude(m.server.ID) || n.busy(m, now)
+}
+
+func (n Need) busy(m *member, now instant) bool {
+	e := m.evidence
+	return n.MaxWait > 0 && now-e.othersAt.load() < waitMemory && time.Duration(e.wait.load()) > n.MaxWait
 }
 
 // maxLateness bounds, in objectives, what an expected time counts as.
@@ -129,7 +151,7 @@
 	}
 	m := p.choose(plan, need, now)
 	if m == nil {
-		return nil, errNoBackend
+		return nil, plan.nothingFor(need, now)
 	}
 	return p.lease(pool, m, false), nil
 }
@@ -181,13 +203,13 @@
 // at random, and takes the one with the lowest cost. Comparing all would send the
 // calls of all daemons to the same server between two reports of its load.
 func (p *Picker) choose(plan *plan, need Need, now instant) *member {
-	exclude, remote := need.Exclude, need.RemoteCost.Seconds()
+	remote := need.RemoteCost.Seconds()
 	for _, t := range plan.tiers {
 		var best *member
 		var lowest float64
 		for _, group := range t {
-			first := p.draw(group, nil, exclude, now)
-			second := p.draw(group, first, exclude, now)
+			first := p.draw(group, nil, need, now)
+			second := p.draw(group, first, need, now)
 			for _, m := range [...]*member{first, second} {
 				if m == nil {
 					continue
@@ -208,9 +230,29 @@
 	return nil
 }
 
+// nothingFor returns why no server takes the call: the shortest queue that is known
+// is too long, or there is none.
+func (pl *plan) nothingFor(need Need, now instant) error {
+	shortest := time.Duration(0)
+	for _, t := range pl.tiers {
+		for _, group := range t {
+			for _, m := range group {
+				wait := time.Duration(m.evidence.wait.load())
+				if need.busy(m, now) && (shortest == 0 || wait < shortest) {
+					shortest = wait
+				}
+			}
+		}
+	}
+	if shortest == 0 {
+		return errNoBackend
+	}
+	return errAllBusy.After(shortest)
+}
+
 // draw returns a member of the group other than first at random, nil if none is
 // left that is not excluded. A cold one is passed over unless all are.
-func (p *Picker) draw(group []*member, first *member, exclude func(backend.ID) bool, now instant) *member {
+func (p *Picker) draw(group []*member, first *member, need Need, now instant) *member {
 	n := len(group)
 	if n == 0 {
 		return nil
@@ -219,7 +261,7 @@
 	start := p.opts.Rand(n)
 	for i := range n {
 		m := group[(start+i)%n]
-		if m == first || exclude != nil && exclude(m.server.ID) {
+		if m == first || need.skips(m, now) {
 			continue
 		}
 		if w := m.warmth(now); w == 1 || float64(p.opts.Rand(warmthSteps)) < w*warmthSteps {
--- a/gate/admit.go
+++ b/gate/admit.go
@@ -11,6 +11,9 @@
 	// it rests on a mean over a few calls.
 	forecastError = 16
 
+	// forecastSlack is the inverse of the part by which a call's wait may exceed
+	// what it was ready to wait.
+	forecastSlack = 4
 	// leastSlots is what a rank can count on at least, in slots, where more urgent
 	// ones take all: their load wavers.
 	leastSlots = 0.25
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -143,6 +143,9 @@
 	}
 	t.ready = make(chan error, 1)
 	t.patience = t.deadline.Sub(now) - t.share.serviceTime.value
+	if t.maxWait > 0 {
+		t.patience = min(t.patience, t.maxWait+t.maxWait/forecastSlack)
+	}
 	t.state = waiting
 	g.queue.push(t)
 	return nil
@@ -224,8 +227,18 @@
 	case <-ctx.Done():
 		return g.leave(t, errCanceled)
 	case <-timer.C:
-		return g.leave(t, errTooLate)
+		return g.leave(t, g.impatience(t))
+	}
+}
+
+// impatience is the reason of a call that has waited long enough: for its time, or
+// for what it was ready to wait. A more urgent rank may have gone before it, or calls
+// have taken longer than was to be expected.
+func (g *Gate) impatience(t *Ticket) *errkind.Error {
+	if t.maxWait > 0 && t.deadline.Sub(g.opts.Now()) > t.share.serviceTime.value {
+		return errOverloaded.After(retryAfter(g.Load().Wait))
 	}
+	return errTooLate
 }
 
 // leave gives up waiting. A slot that was granted meanwhile is kept if only the
--- a/internal/proxy/outbound/anonymous.go
+++ b/internal/proxy/outbound/anonymous.go
@@ -36,8 +36,8 @@
 	}
 	c := &call{
 		h: h, snap: snap, service: route.Service(rand.Uint32N), route: route,
-		terms:    snapshot.CallTerms{NonIdempotent: route.NonIdempotent(), MaxWait: allowed},
-		deadline: start.Add(wait), inherited: 1, maxBody: h.opts.MaxBody,
+		terms: snapshot.CallTerms{NonIdempotent: route.NonIdempotent(), MaxWait: allowed},
+		start: start, deadline: start.Add(wait), inherited: 1, maxBody: h.opts.MaxBody,
 		requestID: dialect.Get(r.Header, h.opts.Dialect.RequestID),
 	}
 	if limit := doc.Limits.MaxBodyBytes; limit > 0 {
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -249,6 +249,7 @@
 		Slots:       int(l.GetSlots()),
 		Draining:    l.GetDraining(),
 		ServiceTime: time.Duration(l.GetServiceTimeUs()) * time.Microsecond,
+		Wait:        time.Duration(l.GetWaitUs()) * time.Microsecond,
 	}
 }
 
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -52,6 +52,7 @@
 	terms    snapshot.CallTerms
 	customer string
 	grant    *quota.Grant
+	start    time.Time
 	deadline time.Time
 	maxBody  int64
 	// route is set for a call under a document's terms.
@@ -194,16 +195,19 @@
 }
 
 // pick chooses a backend server that this call has not tried yet. Where all have
-// refused it, the call waits at one of them for as long as it may.
+// refused it or are known to be busy, the call waits at one of them for as long as it
+// may.
 func (c *call) pick() (*balance.Lease, error) {
 	servers := c.snap.Backends(c.service)
 	need := balance.Need{Exclude: c.wasTried, RemoteCost: c.remoteCost()}
 	if c.route != nil {
 		need.Objective = c.route.Objective
 	}
+	need.MaxWait = c.maxQueue()
 	lease, err := c.h.opts.Picker.PickFor(servers, need)
-	if err != nil && c.refusals > 0 && !c.patient && c.route != nil {
+	if err != nil && !c.patient && c.route != nil {
 		c.patient, c.tried = true, nil
+		need.MaxWait = c.maxQueue()
 		lease, err = c.h.opts.Picker.PickFor(servers, need)
 	}
 	if err != nil {
@@ -249,11 +253,13 @@
 		return 0
 	}
 	objective := float64(c.route.Objective)
-	most := time.Duration(patientShare * objective)
+	least := time.Duration(impatientShare * objective)
+	// What earlier gates took is gone.
+	most := max(time.Duration(patientShare*objective)-time.Since(c.start), least)
 	if c.patient || c.refusals >= impatientTries {
 		return most
 	}
-	return min(time.Duration(impatientShare*objective)+c.remoteCost(), most)
+	return min(least+c.remoteCost(), most)
 }
 
 func (c *call) wasTried(id backend.ID) bool { return slices.Contains(c.tried, id) }
--- a/internal/proxy/outbound/log.go
+++ b/internal/proxy/outbound/log.go
@@ -42,7 +42,7 @@
 	attrs := []any{
 		"request", c.requestID, "service", c.service, "config", c.snap.Offset,
 		"non_idempotent", c.terms.NonIdempotent, "allowed", c.terms.MaxWait, "took", took,
-		"attempts", c.attempts, "arrivals", c.arrivals, "status", c.status,
+		"attempts", c.attempts, "arrivals", c.arrivals, "refusals", c.refusals, "status", c.status,
 	}
 	if c.route != nil {
 		attrs = append(attrs, "route", c.route.Name, "priority", c.route.Priority, "objective", c.route.Objective)
@@ -56,8 +56,13 @@
 	return attrs
 }
 
-// logRetry tells what was decided after a failed attempt.
+// logRetry tells what was decided after a failed attempt. Refusals for the length of
+// a queue are only counted, in the line at the request's end: under overload there are
+// several for each request.
 func (c *call) logRetry(a *attempt, err error, again bool, reason string) {
+	if errkind.Of(err) == errkind.Overloaded {
+		return
+	}
 	c.h.opts.Logger.Info("outbound: attempt failed",
 		"request", c.requestID, "service", c.service, "attempt", c.attempts, "to", a.server.Host,
 		"to_zone", a.server.AvailabilityZone, "kind", string(errkind.Of(err)), "arrived", a.arrived,
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -29,6 +29,10 @@
 	// maxFreeAttempts bounds them where the attempts cost nothing. A zone that
 	// is stopped turns away a call at each of its backend servers in turn.
 	maxFreeAttempts = 10
+	// maxBusyAttempts bounds them where gates refuse for the length of their queues.
+	// Under overload all do, and each further try takes from the hosts what they
+	// need to serve others.
+	maxBusyAttempts = 3
 )
 
 // Reason tells why a call is not sent again.
@@ -91,6 +95,8 @@
 		limit = c.MaxAttempts
 	}
 	switch {
+	case c.Unsent && kind == errkind.Overloaded:
+		attempts, limit = c.Refusals, maxBusyAttempts
 	case c.Unsent:
 		attempts, limit = c.Refusals, maxFreeAttempts
 	case free:
