--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -87,6 +87,7 @@
 	o := pipeline.DefaultOptions()
 	o.Handler = d.outbound
 	o.Limits = d.callerLimits
+	o.MaxKept = d.settings.Requests.MaxConnections
 	o.Logger = d.logger
 	o.OnMalformed = func(remote net.Addr, err error) {
 		d.meter.RejectedAt(listenerCallers, reasonMalformed)
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -346,7 +346,7 @@
 		d.membership.Run, d.members.Run, d.backends.Run,
 		d.distribute.Run, d.apply.Run, d.announce.Run,
 		d.checkpointLoop, d.contacts.Run, d.claimLoop,
-		d.quota.Run, d.followQuota, d.inbound.Run, d.shareBudget, d.followSettings, d.debugTotals,
+		d.quota.Run, d.followQuota, d.inbound.Run, d.shareBudget, d.followSettings,
 		d.self.Run, d.lifecycle.Run,
 	}
 }
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -75,6 +75,8 @@
 		"How long a caller may take to send the header."),
 	integer("requests.max_in_flight", 4096, 1, 1<<20, "calls",
 		"Calls that this daemon holds at once."),
+	integer("requests.max_connections", 2048, 16, 1<<20, "connections",
+		"Callers' connections that are kept for further requests. Beyond, each answer ends its connection; well below the process's descriptors."),
 	duration("requests.zone_cost", time.Millisecond, 0, time.Second,
 		"Time that a call loses by leaving the availability zone, there and back; a farther backend server is chosen only if it saves more."),
 	duration("requests.kilobyte_cost", 0, 0, time.Second,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -139,6 +139,8 @@
 	HeaderTimeout Duration `json:"header_timeout"`
 	// MaxInFlight bounds the calls that this daemon holds at once.
 	MaxInFlight int `json:"max_in_flight"`
+	// MaxConnections bounds the callers' connections kept for further requests.
+	MaxConnections int `json:"max_connections"`
 	// ZoneCost is the time that a call loses by leaving the availability zone.
 	ZoneCost Duration `json:"zone_cost"`
 	// KilobyteCost is the time that 1,000 bytes are worth that stay in the
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -314,9 +314,10 @@
 // lastAnswer reports whether the connection ends with the answer whose turn it is.
 // It goes on where requests behind it are in progress already.
 func (c *conn) lastAnswer(wanted bool) bool {
+	wanted = wanted || c.srv.mustShed()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if (wanted || c.srv.draining.Load()) && len(c.queue) == 1 {
+	if wanted && len(c.queue) == 1 {
 		c.closing = true
 	}
 	return c.closing && len(c.queue) == 1
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -292,3 +292,15 @@
 	must.NoError(t, err)
 	must.Eq(t, "b", string(rest))
 }
+
+// Callers open a new connection for each try. Beyond a number of them each answer
+// ends its connection, so that the process does not run out of descriptors.
+func TestConnectionsBeyondTheBoundEndWithTheirAnswer(t *testing.T) {
+	_, dial := start(t, func(http.ResponseWriter, *http.Request) {}, func(o *Options) { o.MaxKept = 1 })
+	for _, closes := range []bool{false, true} {
+		nc := dial()
+		send(t, nc, get("/"))
+		resp, _ := read(t, bufio.NewReader(nc))
+		must.Eq(t, closes, resp.Close)
+	}
+}
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -40,6 +40,10 @@
 	MaxHeldBody int64
 	// MaxInFlight bounds the requests of one connection that are in progress.
 	MaxInFlight int
+	// MaxKept is how many connections are kept for further requests. With more, an
+	// answer with no request behind it ends its connection: callers that open a new
+	// one for each try would else use up the process's descriptors.
+	MaxKept int
 	// OnMalformed is told of input that never became a request.
 	OnMalformed func(remote net.Addr, err error)
 	Logger      *slog.Logger
@@ -53,6 +57,7 @@
 		},
 		MaxHeldBody: 1 << 20,
 		MaxInFlight: 64,
+		MaxKept:     2048,
 		OnMalformed: func(net.Addr, error) {},
 		Logger:      slog.New(slog.DiscardHandler),
 	}
@@ -70,7 +75,7 @@
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
 	conns     map[*conn]struct{}
-	// idle is told when the last connection has ended.
+	// serving counts the connections.
 	serving sync.WaitGroup
 }
 
@@ -141,6 +146,9 @@
 	return len(s.conns)
 }
 
+// mustShed reports whether connections are to end with their next answer.
+func (s *Server) mustShed() bool { return s.draining.Load() || s.Open() > s.opts.MaxKept }
+
 // Drain lets each connection end with its next answer that has no request behind
 // it. Connections are not cut, as a request may be on its way.
 func (s *Server) Drain() { s.draining.Store(true) }
