Tell lives of a backend server apart; test the store's client and the path on it

What was seen of a server (that it drains, that it fails) was held against its successor on the same host for 10 s: TestStore_AddressIsUsedAgain failed before.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -9,11 +9,13 @@
 )
 
 // ID names one backend server: the host it runs on, the life of the daemon
-// beside it and the service it offers.
+// beside it, the service it offers and, where it announces one, its own life. What
+// was seen of a server says nothing of its successor on the host.
 type ID struct {
 	Host    string
 	Boot    uint64
 	Service string
+	Life    uint32
 }
 
 // Server is one backend server, reached by way of the daemon on its host.
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/crocuscross/crocuscross/internal/blackboard"
 	"github.com/crocuscross/crocuscross/internal/loop"
 	"github.com/crocuscross/crocuscross/membership"
@@ -77,22 +79,31 @@
 	slots        int
 	draining     bool
 	hostDraining bool
+	life         uint32
 }
 
 func announcedBy(local *blackboard.LocalBackend, phase *blackboard.Lifecycle) announced {
 	var a announced
 	if local != nil {
-		a.service, a.slots, a.draining = local.Service, local.Slots, local.Draining
+		a.service, a.slots, a.draining, a.life = local.Service, local.Slots, local.Draining, lifeOf(local.ID)
 	}
 	a.hostDraining = phase != nil && phase.Phase >= blackboard.Draining
 	return a
 }
 
+// lifeOf returns a digest of a server's id, 0 for one that has none.
+func lifeOf(id string) uint32 {
+	if id == "" {
+		return 0
+	}
+	return uint32(xxhash.Sum64String(id)) | 1
+}
+
 func (a announced) announcements(local *blackboard.LocalBackend, now time.Time) []membership.Announcement {
 	if a.service == "" {
 		return nil
 	}
 	return []membership.Announcement{{
-		Service: a.service, Slots: a.slots, Draining: a.draining, Age: now.Sub(local.FirstSeen),
+		Service: a.service, Slots: a.slots, Draining: a.draining, Age: now.Sub(local.FirstSeen), Life: a.life,
 	}}
 }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -44,6 +44,8 @@
 	publish int
 	// dial connects the sessions that carry calls.
 	dial dialFunc
+	// change alters the settings of the daemons that are built; it may be nil.
+	change func(*settings.Settings)
 }
 
 type testDaemon struct {
@@ -55,7 +57,7 @@
 
 func newFleet(t *testing.T, n int) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, log: memlog.New(memlog.DefaultOptions()), dial: dialFrom(netip.MustParseAddr("127.0.0.1"))}
+	f := emptyFleet(t)
 	srv := httptest.NewServer(logserver.New(f.log))
 	t.Cleanup(srv.Close)
 	f.logURL = srv.URL
@@ -66,6 +68,10 @@
 	return f
 }
 
+func emptyFleet(t *testing.T) *testFleet {
+	return &testFleet{t: t, log: memlog.New(memlog.DefaultOptions()), dial: dialFrom(netip.MustParseAddr("127.0.0.1"))}
+}
+
 // joined waits until all daemons know each other and have the empty
 // configuration in force. What is published after that is new to a fleet that is
 // whole, so that quota has nothing to settle: while owners move, a customer gets
@@ -104,6 +110,9 @@
 	if len(f.daemons) > 0 {
 		s.Contacts = []string{f.daemons[0].ln.peers.Addr().String()}
 	}
+	if f.change != nil {
+		f.change(&s)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	ln, err := listen(s.Listen)
 	must.NoError(f.t, err)
--- /dev/null
+++ b/internal/daemon/store_test.go
@@ -0,0 +1,266 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/internal/settings"
+	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/platform/storetest"
+)
+
+// The platform's names that these tests speak.
+var names = platform.Dialect()
+
+// storeFleet is a few daemons on a platform with a metadata store.
+type storeFleet struct {
+	*testFleet
+	store *storetest.Server
+}
+
+func newStoreFleet(t *testing.T, n int) *storeFleet {
+	t.Helper()
+	s := storetest.New()
+	t.Cleanup(s.Close)
+	f := &storeFleet{testFleet: emptyFleet(t), store: s}
+	f.change = func(s *settings.Settings) {
+		s.Platform.URL, s.Platform.Protocol = f.store.URL(), settings.ProtocolStore
+		s.Requests.Customers = settings.CustomersOptional
+		s.Membership.JoinPatience = 0
+		s.Backend.Service = "service-of-" + s.Host
+		s.Contacts = nil
+	}
+	for range n {
+		f.start()
+	}
+	return f
+}
+
+// document puts a document with a route of each kind in force.
+func (f *storeFleet) document(version int) {
+	f.t.Helper()
+	f.store.Put("keyed.op", "config", fmt.Sprintf(`{"version":%d,"services":[{"name":"signs"}],"routes":[
+		{"name":"get","virtual_host":"h.example","path_prefix":"/get/","kind":"CALL_KIND_IDEMPOTENT","timeout_ms":5000,"latency_objective_ms":600,"service":"signs","max_attempts":2},
+		{"name":"put","virtual_host":"h.example","path_prefix":"/put/","kind":"CALL_KIND_UPLOAD","timeout_ms":5000,"service":"signs","max_attempts":2}]}`, version))
+	f.eventually("the document is in force", func() bool {
+		for _, d := range f.daemons {
+			snap := d.board.Snapshot.Load()
+			if snap == nil || snap.Document() == nil || snap.Document().Version != uint64(version) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// server is a backend server with an id.
+type server struct {
+	*httptest.Server
+	id string
+
+	mu   sync.Mutex
+	seen []*http.Request
+	body string
+}
+
+func newServer(t *testing.T, id string) *server {
+	s := &server{id: id}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		s.mu.Lock()
+		s.seen, s.body = append(s.seen, r), string(b)
+		s.mu.Unlock()
+		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+		if r.Header.Get(names.ExpectedServer) != s.id {
+			w.Header().Set(names.ServerID, s.id)
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		w.Header().Set(names.Signature, "signed")
+		_, _ = io.WriteString(w, "from "+s.id)
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func (s *server) last() (*http.Request, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen[len(s.seen)-1], s.body
+}
+
+// announce tells a daemon of a server and returns the status.
+func (f *storeFleet) announce(d *testDaemon, s *server, state string, sequence int) int {
+	f.t.Helper()
+	body := fmt.Sprintf(`{"service":"signs","address":%q,"availability_zone":"z","version":"v1","slots":4,"state":%q,"warm_up_ms":0,"sequence":%d}`,
+		strings.TrimPrefix(s.URL, "http://"), state, sequence)
+	return f.backendCall(d, http.MethodPut, "/v1/backend-servers/"+s.id, body)
+}
+
+func (f *storeFleet) backendCall(d *testDaemon, method, path, body string) int {
+	f.t.Helper()
+	req, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+d.ln.backend.Addr().String()+path, strings.NewReader(body))
+	must.NoError(f.t, err)
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(f.t, err)
+	must.NoError(f.t, resp.Body.Close())
+	return resp.StatusCode
+}
+
+// call sends a request to a daemon and returns status and body.
+func (f *storeFleet) call(d *testDaemon, method, path, payload string) (*http.Response, string) {
+	f.t.Helper()
+	req, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+d.ln.callers.Addr().String()+path, strings.NewReader(payload))
+	must.NoError(f.t, err)
+	req.Host = "h.example"
+	req.Header.Set(names.RequestID, "id-1")
+	req.Header.Set(names.Remaining, "3000")
+	req.Header.Set(names.CallerService, "a lie")
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(f.t, err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	must.NoError(f.t, err)
+	return resp, string(b)
+}
+
+// serves waits until calls through a daemon reach a server.
+func (f *storeFleet) serves(d *testDaemon, s *server) {
+	f.t.Helper()
+	f.eventually("calls reach "+s.id, func() bool {
+		resp, body := f.call(d, http.MethodGet, "/get/x", "")
+		return resp.StatusCode == http.StatusOK && body == "from "+s.id
+	})
+}
+
+// The whole path on the platform: two daemons find each other by the store, a
+// document comes into force, a backend server announces itself to one of them, and a
+// caller of the other one reaches it.
+func TestStore_WholePath(t *testing.T) {
+	f := newStoreFleet(t, 2)
+	early, _ := f.call(f.daemons[0], http.MethodGet, "/get/x", "")
+	must.Eq(t, http.StatusServiceUnavailable, early.StatusCode, must.Sprint("a daemon without a document knows of no route and denies none"))
+	must.StrContains(t, early.Header.Get("Retry-After"), "0.")
+	f.document(3)
+	s := newServer(t, "i-1")
+	must.Eq(t, http.StatusOK, f.announce(f.daemons[1], s, "ready", 1))
+	f.serves(f.daemons[0], s)
+	payload := strings.Repeat("x", 100<<10)
+	resp, body := f.call(f.daemons[0], http.MethodPost, "/put/a%2Fb?c=%20", payload)
+	must.Eq(t, "from i-1", body)
+	must.Eq(t, "signed", resp.Header.Get(names.Signature))
+	must.Eq(t, "id-1", resp.Header.Get(names.RequestID))
+	seen, got := s.last()
+	must.Eq(t, payload, got)
+	must.Eq(t, "/put/a%2Fb?c=%20", seen.RequestURI)
+	must.Eq(t, "h.example", seen.Host)
+	must.Eq(t, "service-of-host-0", seen.Header.Get(names.CallerService))
+	must.Eq(t, "i-1", seen.Header.Get(names.ExpectedServer))
+	var left int
+	_, err := fmt.Sscan(seen.Header.Get(names.Remaining), &left)
+	must.NoError(t, err)
+	must.Between(t, 1, left, 3000)
+	resp, _ = f.call(f.daemons[0], http.MethodGet, "/none/", "")
+	must.Eq(t, http.StatusNotFound, resp.StatusCode)
+}
+
+// A backend server says that it leaves. From the acknowledgement on its daemon sends
+// it nothing, whatever the other daemons know; callers are told that the call has not
+// run. A late word that it is ready changes nothing.
+func TestStore_LeavingServerGetsNothing(t *testing.T) {
+	for _, how := range []string{"draining", "gone"} {
+		t.Run(how, func(t *testing.T) {
+			f := newStoreFleet(t, 2)
+			f.document(3)
+			s := newServer(t, "i-1")
+			f.announce(f.daemons[1], s, "ready", 5)
+			f.serves(f.daemons[0], s)
+			if how == "draining" {
+				must.Eq(t, http.StatusOK, f.announce(f.daemons[1], s, "draining", 6))
+			} else {
+				must.Eq(t, http.StatusOK, f.backendCall(f.daemons[1], http.MethodDelete, "/v1/backend-servers/i-1", ""))
+			}
+			must.Eq(t, http.StatusOK, f.announce(f.daemons[1], s, "ready", 4))
+			s.mu.Lock()
+			before := len(s.seen)
+			s.mu.Unlock()
+			for _, d := range f.daemons {
+				resp, _ := f.call(d, http.MethodPost, "/put/x", "")
+				must.Eq(t, http.StatusServiceUnavailable, resp.StatusCode)
+			}
+			must.Len(t, before, s.seen)
+		})
+	}
+}
+
+// A server crashes and another one starts at its address. Until that one announces
+// itself the calls meant for the first are refused by it unrun; afterwards a late
+// announcement of the first must not bring it back.
+func TestStore_AddressIsUsedAgain(t *testing.T) {
+	f := newStoreFleet(t, 1)
+	f.document(3)
+	s := newServer(t, "i-1")
+	f.announce(f.daemons[0], s, "ready", 1)
+	f.serves(f.daemons[0], s)
+	s.id = "i-2"
+	resp, _ := f.call(f.daemons[0], http.MethodPost, "/put/x", "")
+	must.Eq(t, http.StatusServiceUnavailable, resp.StatusCode)
+	f.announce(f.daemons[0], s, "ready", 1)
+	f.serves(f.daemons[0], s)
+	s.id = "i-1"
+	f.announce(f.daemons[0], s, "ready", 9)
+	s.id = "i-2"
+	f.serves(f.daemons[0], s)
+}
+
+// Announcements that make no sense are refused, those for another host's address too.
+func TestStore_BadAnnouncements(t *testing.T) {
+	f := newStoreFleet(t, 1)
+	d := f.daemons[0]
+	for _, body := range []string{
+		"", "{", `{"service":"","address":"127.0.0.1:1","slots":1,"state":"ready"}`,
+		`{"service":"s","address":"10.9.9.9:1","slots":1,"state":"ready"}`,
+		`{"service":"s","address":"127.0.0.1:1","slots":0,"state":"ready"}`,
+		`{"service":"s","address":"127.0.0.1:1","slots":1,"state":"odd"}`,
+		`{"service":"s","address":"127.0.0.1:1","slots":1,"state":"ready","sequence":-1}`,
+	} {
+		must.Eq(t, http.StatusBadRequest, f.backendCall(d, http.MethodPut, "/v1/backend-servers/i-1", body), must.Sprint(body))
+	}
+	must.Nil(t, d.board.Local.Load())
+}
+
+// The store goes away. A daemon that starts then gets the document from another one.
+func TestStore_StartWithTheStoreAway(t *testing.T) {
+	f := newStoreFleet(t, 2)
+	f.document(3)
+	f.store.Fail(storetest.Unavailable)
+	contact := f.daemons[0].ln.peers.Addr().String()
+	change := f.change
+	f.change = func(s *settings.Settings) {
+		change(s)
+		s.Contacts = []string{contact}
+	}
+	d := f.start()
+	f.eventually("the document came from a daemon", func() bool {
+		snap := d.board.Snapshot.Load()
+		return snap != nil && snap.Document() != nil
+	})
+}
+
+// The store forgets its history while daemons hold an older document.
+func TestStore_Compaction(t *testing.T) {
+	f := newStoreFleet(t, 2)
+	f.document(3)
+	f.store.Put("keyed.op", "config", "no document")
+	f.store.Compact("keyed.op", 2)
+	f.document(7)
+	f.store.Compact("keyed.op", 3)
+	f.document(9)
+}
--- a/membership/codec.go
+++ b/membership/codec.go
@@ -194,6 +194,7 @@
 			Slots:    int(a.GetSlots()),
 			Draining: a.GetDraining(),
 			Age:      time.Duration(a.GetAgeMs()) * time.Millisecond,
+			Life:     a.GetLife(),
 		}
 	}
 	return announcements, nil
@@ -248,6 +249,7 @@
 			Slots:    uint32(a.Slots),
 			Draining: a.Draining,
 			AgeMs:    milliseconds(a.Age),
+			Life:     a.Life,
 		})
 	}
 	return p
--- a/membership/view.go
+++ b/membership/view.go
@@ -43,6 +43,9 @@
 	// Age is the time since the server first announced itself, when the
 	// announcement was last changed.
 	Age time.Duration
+	// Life tells this life of the server from others beside the same daemon; 0
+	// where the server has no id.
+	Life uint32
 }
 
 // Member is what is known of one daemon. Members are immutable.
