--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -75,6 +75,10 @@
 // itself, a daemon that starts. Callers that take whole seconds only are told one.
 const shortWait = 200 * time.Millisecond
 
+// shedWait suits a backend server that turns away calls though its gate had a slot
+// for them: the next try goes elsewhere, and has waited long enough by its way.
+const shedWait = 50 * time.Millisecond
+
 var table = map[Kind]Answer{
 	BadRequest:       {http.StatusBadRequest, NotRun, false, 0},
 	TooLarge:         {http.StatusRequestEntityTooLarge, NotRun, false, 0},
@@ -85,7 +89,7 @@
 	NotReady:         {http.StatusServiceUnavailable, NotRun, true, shortWait},
 	NoBackend:        {http.StatusServiceUnavailable, NotRun, true, shortWait},
 	Overloaded:       {http.StatusServiceUnavailable, NotRun, true, time.Second},
-	Shed:             {http.StatusServiceUnavailable, NotRun, true, shortWait},
+	Shed:             {http.StatusServiceUnavailable, NotRun, true, shedWait},
 	Draining:         {http.StatusServiceUnavailable, NotRun, true, shortWait},
 	Unreachable:      {http.StatusServiceUnavailable, NotRun, true, shortWait},
 	DeadlineNotRun:   {http.StatusServiceUnavailable, NotRun, true, shortWait},
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -17,6 +17,10 @@
 type Options struct {
 	// Slots is how many calls the backend server runs at once.
 	Slots int
+	// TrustSlots is whether a backend server that sheds calls while it has no more
+	// than its slots keeps all of them. It suits servers that shed part of their
+	// calls whatever their load: fewer slots would shed no less of them.
+	TrustSlots bool
 	// MaxQueue is how many calls may wait. It bounds memory; the time that
 	// calls have left bounds the wait.
 	MaxQueue int
@@ -68,7 +72,7 @@
 	g := &Gate{
 		opts:  opts,
 		idle:  make(chan struct{}),
-		limit: newLimit(opts.Slots),
+		limit: newLimit(opts.Slots, opts.TrustSlots),
 		queue: newFairQueue(opts.ServiceTime),
 	}
 	g.publish()
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -285,3 +285,20 @@
 		})
 	}
 }
+
+// A backend server sheds half of its calls whatever its load. With slots that shrink
+// at each shed, one is left after a few calls, and callers are refused though the
+// server could run the other half.
+func TestTrustedSlotsStayUnderSheds(t *testing.T) {
+	for _, trusted := range []bool{false, true} {
+		opts := gate.DefaultOptions()
+		opts.Slots, opts.TrustSlots = 9, trusted
+		g := gate.New(opts)
+		for range 20 {
+			ticket, err := g.Enter(t.Context(), "a", time.Hour)
+			must.NoError(t, err)
+			ticket.Done(gate.Shed)
+		}
+		must.Eq(t, trusted, g.Load().Slots == 9)
+	}
+}
--- a/gate/limit.go
+++ b/gate/limit.go
@@ -11,14 +11,16 @@
 // limit is how many slots are handed out: those that were announced, or fewer
 // while the backend server sheds calls although it has had no more than that.
 type limit struct {
+	// trusted is whether sheds change nothing.
+	trusted   bool
 	announced int
 	current   int
 	changed   time.Time
 }
 
-func newLimit(slots int) limit {
+func newLimit(slots int, trusted bool) limit {
 	slots = max(slots, 1)
-	return limit{announced: slots, current: slots}
+	return limit{trusted: trusted, announced: slots, current: slots}
 }
 
 func (l *limit) slots() int { return l.current }
@@ -38,6 +40,7 @@
 // shed in turn, until the queue is empty.
 func (l *limit) learn(o Outcome, level int, now time.Time) {
 	switch {
+	case l.trusted:
 	case o == Shed:
 		l.current = max(min(l.current, level-1), 1)
 		l.changed = now
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -247,7 +247,7 @@
 	attempts.Bounds.MaxRecords, attempts.Bounds.MaxBytes = keptRecords, keptBytes
 	p.attempts = once.NewAttempts(attempts)
 	p.inbound = inbound.NewHandler(inbound.Options{
-		Local: &d.board.Local, NewGate: func() *gate.Gate { return gate.New(gate.DefaultOptions()) },
+		Local: &d.board.Local, NewGate: d.newGate,
 		Attempts: p.attempts, Dialect: d.dialect(), Misplaced: p.announce.Misplaced,
 		Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
 	})
@@ -359,6 +359,14 @@
 	return dialect.Default()
 }
 
+// newGate returns the gate of a backend server. On the platform servers announce how
+// many calls they run at once and queue some more: a shed is no lack of slots.
+func (d *Daemon) newGate() *gate.Gate {
+	o := gate.DefaultOptions()
+	o.TrustSlots = d.onStore()
+	return gate.New(o)
+}
+
 // localService returns the service of the backend server beside the daemon.
 func (d *Daemon) localService() string {
 	if d.settings.Backend.Service != "" {
@@ -372,7 +380,7 @@
 
 // budgetShare is the part of the fleet's retries that the daemons hand out. A retry
 // that has calls of its own brings about as many again.
-const budgetShare = 0.5
+const budgetShare = 0.7
 
 // shareBudget keeps this daemon's part of what the fleet may send again at an equal
 // share. Daemons that are believed dead count: beyond a cut they use theirs.
