--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -346,7 +346,7 @@
 		d.membership.Run, d.members.Run, d.backends.Run,
 		d.distribute.Run, d.apply.Run, d.announce.Run,
 		d.checkpointLoop, d.contacts.Run, d.claimLoop,
-		d.quota.Run, d.followQuota, d.inbound.Run, d.shareBudget, d.followSettings,
+		d.quota.Run, d.followQuota, d.inbound.Run, d.shareBudget, d.followSettings, d.discover,
 		d.self.Run, d.lifecycle.Run,
 	}
 }
@@ -359,6 +359,33 @@
 	return dialect.Default()
 }
 
+// discover asks the backend server beside the daemon who it is, where the platform's
+// servers tell.
+func (d *Daemon) discover(ctx context.Context) error {
+	if d.dialect().ServerID == "" || d.settings.Backend.Address == "" {
+		return idle(ctx)
+	}
+	a := &announce.Discoverer{
+		Controller: d.announce, Service: d.settings.Backend.Service, ServerID: d.dialect().ServerID,
+		HealthPath: d.healthPath,
+		Changed: func() <-chan struct{} {
+			_, changed := d.board.Snapshot.Watch()
+			return changed
+		},
+	}
+	return a.Run(ctx)
+}
+
+// healthPath returns where the backend server beside the daemon tells of its health,
+// by the document in force.
+func (d *Daemon) healthPath() (string, bool) {
+	snap := d.board.Snapshot.Load()
+	if snap == nil || snap.Document() == nil {
+		return "", false
+	}
+	return snap.Document().HealthPath(d.settings.Backend.Service)
+}
+
 // newGate returns the gate of a backend server. On the platform servers announce how
 // many calls they run at once and queue some more: a shed is no lack of slots.
 func (d *Daemon) newGate() *gate.Gate {
--- a/internal/daemon/recover.go
+++ b/internal/daemon/recover.go
@@ -24,6 +24,9 @@
 	joinRound = 15 * time.Second
 	// rejoinAfter is the mean wait before the next join.
 	rejoinAfter = 500 * time.Millisecond
+	// maxRejoinAfter bounds that wait. A daemon that found no contacts is not
+	// alone for that: the platform may have been away when it looked.
+	maxRejoinAfter = 3 * time.Second
 	// findTimeout bounds the read of the contacts stream.
 	findTimeout = 2 * time.Second
 	// storeBackoff bounds the wait between two rounds of a recovery while neither
@@ -43,19 +46,23 @@
 	if err != nil {
 		return err
 	}
+	wait := rejoinAfter
 	for joins := 0; ctx.Err() == nil; {
-		n, err := d.joinOnce(ctx, configured)
+		_, err := d.joinOnce(ctx, configured)
 		if err != nil {
 			d.logger.Warn("daemon: no contact answers", "error", err)
 			continue
 		}
 		joins++
 		d.joinedOnce.Do(func() { close(d.joined) })
-		alone := n > 0 && len(d.membership.View().Live()) <= 1
+		alone := len(d.membership.View().Live()) <= 1
 		if joins > 1 && !alone {
 			return nil
 		}
-		sleep(ctx, rejoinAfter/2+rand.N(rejoinAfter))
+		sleep(ctx, wait/2+rand.N(wait))
+		if joins > 1 {
+			wait = min(2*wait, maxRejoinAfter)
+		}
 	}
 	return nil
 }
--- a/internal/daemon/store_test.go
+++ b/internal/daemon/store_test.go
@@ -264,3 +264,21 @@
 	f.store.Compact("keyed.op", 3)
 	f.document(9)
 }
+
+// A daemon starts on a new host while the store is away: it has nowhere to find the
+// others, and nobody knows of it. Callers were refused for want of a backend server
+// for as long as it ran, though the store came back: it had taken its empty list of
+// contacts for the whole fleet twice, and never looked again.
+func TestStore_JoinsWhenTheStoreReturns(t *testing.T) {
+	f := newStoreFleet(t, 1)
+	f.document(3)
+	f.store.Fail(storetest.Unavailable)
+	d := f.start()
+	f.eventually("the daemon has looked for the others a few times", func() bool {
+		return f.store.Calls("/api/log-newest") >= 12
+	})
+	f.store.Fail(storetest.None)
+	f.eventually("both know each other", func() bool {
+		return len(d.board.Members.Load().Live()) == 2 && len(f.daemons[0].board.Members.Load().Live()) == 2
+	})
+}
--- a/snapshot/document.go
+++ b/snapshot/document.go
@@ -83,6 +83,17 @@
 	return n.value, true
 }
 
+// HealthPath returns where the backend servers of a service tell of their health; ok
+// is false where the document does not say.
+func (d *Document) HealthPath(service string) (path string, ok bool) {
+	for _, s := range d.source.GetServices() {
+		if s.GetName() == service && strings.HasPrefix(s.GetHealthPath(), "/") {
+			return s.GetHealthPath(), true
+		}
+	}
+	return "", false
+}
+
 // virtualHost returns a Host field's value without its port and in lower case.
 func virtualHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
