--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,145 @@
+// Package explain finds what became of one request in the logs of several daemons and
+// puts the lines in the order in which things happened.
+package explain
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// maxLineBytes bounds a line that is looked at.
+const maxLineBytes = 1 << 20
+
+// Line is one log line of a request.
+type Line struct {
+	// Host of the daemon that wrote it.
+	Host string `json:"host"`
+	// Message begins with the part of the daemon that wrote it.
+	Message string `json:"msg"`
+	Request string `json:"request"`
+	// To is the host that an attempt went to, set by outbound.
+	To string `json:"to"`
+	// Attempt is the attempt's number, from 1.
+	Attempt int    `json:"attempt"`
+	Kind    string `json:"kind"`
+	Error   string `json:"error"`
+	Reason  string `json:"reason"`
+	Status  int    `json:"status"`
+	// Refusals and Attempts are counted over the whole request.
+	Refusals int `json:"refusals"`
+	Attempts int `json:"attempts"`
+	// Raw is the line as it was written.
+	Raw string `json:"-"`
+}
+
+func (l Line) inbound() bool { return strings.HasPrefix(l.Message, "inbound:") }
+
+// ended reports whether the line is the last of its request.
+func (l Line) ended() bool {
+	return strings.HasPrefix(l.Message, "outbound: request ended") || strings.HasPrefix(l.Message, "outbound: request not admitted")
+}
+
+// Read returns the lines of a request in a log, in the order of the log. Text before
+// the JSON of a line, such as another program's time stamp, is passed over, and so are
+// lines that are no JSON.
+func Read(r io.Reader, request string) ([]Line, error) {
+	var lines []Line
+	in := bufio.NewScanner(r)
+	in.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
+	for in.Scan() {
+		text := in.Text()
+		if !strings.Contains(text, request) {
+			continue
+		}
+		start := strings.IndexByte(text, '{')
+		if start < 0 {
+			continue
+		}
+		var l Line
+		if json.Unmarshal([]byte(text[start:]), &l) != nil || l.Request != request {
+			continue
+		}
+		l.Raw = text[start:]
+		lines = append(lines, l)
+	}
+	return lines, in.Err()
+}
+
+// Order puts lines of one request, of any number of logs, in the order in which things
+// happened. Wall clocks of hosts differ, so times do not count: what a gate wrote of an
+// attempt comes before what the daemon that made it wrote of its end. Lines of one
+// daemon keep their order.
+func Order(lines []Line) []Line {
+	var ordered, gate []Line
+	for _, l := range lines {
+		if l.inbound() {
+			gate = append(gate, l)
+		}
+	}
+	take := func(match func(Line) bool) {
+		kept := gate[:0]
+		for _, g := range gate {
+			if match(g) {
+				ordered = append(ordered, g)
+			} else {
+				kept = append(kept, g)
+			}
+		}
+		gate = kept
+	}
+	for _, l := range lines {
+		switch {
+		case l.inbound():
+			continue
+		case l.ended():
+			take(func(Line) bool { return true })
+		default:
+			take(func(g Line) bool { return g.Host == l.To && g.Attempt == l.Attempt })
+		}
+		ordered = append(ordered, l)
+	}
+	return append(ordered, gate...)
+}
+
+// meanings tells what decided a request that ended with a kind, for people.
+var meanings = map[string]string{
+	"no_route":          "no route of the document in force matches its host and path",
+	"not_ready":         "the daemon had no configuration in force yet",
+	"no_backend":        "the daemon knew of no backend server that takes calls of the service",
+	"overloaded":        "the queues of the backend servers were too long for its latency objective; it has not run",
+	"shed":              "the backend servers turned it away themselves; it has not run",
+	"draining":          "the backend servers that were tried leave; it has not run",
+	"unreachable":       "the backend servers that were tried could not be reached; it has not run",
+	"deadline_not_run":  "too little time was left to run it",
+	"deadline_exceeded": "its time, or its route's timeout, was over before the answer came",
+	"outcome_unknown":   "the link to the backend server's host broke, and nobody can tell whether it ran",
+	"backend_failed":    "the backend server broke off, or gave no answer that can be passed on",
+	"canceled":          "the caller went away before the answer",
+	"bad_request":       "the caller's request cannot be served as it is",
+	"too_large":         "the caller's body is larger than allowed",
+}
+
+// Verdict says in a sentence what decided a request, from its ordered lines.
+func Verdict(lines []Line) string {
+	for _, l := range lines {
+		if !l.ended() {
+			continue
+		}
+		if l.Kind == "" {
+			return fmt.Sprintf("Answered by the backend server on %s with status %d, after %d attempts, %d of them refused by gates.",
+				l.To, l.Status, l.Attempts, l.Refusals)
+		}
+		meaning, ok := meanings[l.Kind]
+		if !ok {
+			meaning = l.Error
+		}
+		return fmt.Sprintf("Ended as %s at %s after %d attempts, %d of them refused by gates: %s.", l.Kind, l.Host, l.Attempts, l.Refusals, meaning)
+	}
+	if len(lines) == 0 {
+		return "No line tells of the request: it may have gone well among many, or the log of its daemon is missing."
+	}
+	return "The end of the request is not told: the log of the daemon that took it is missing, or that daemon ended."
+}
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -51,11 +51,12 @@
 type Handler struct {
 	opts  Options
 	sites sites
+	lines telemetry.LineLimit
 }
 
 // NewHandler returns a handler.
 func NewHandler(opts Options) *Handler {
-	h := &Handler{opts: opts}
+	h := &Handler{opts: opts, lines: telemetry.NewLineLimit(refusedLines)}
 	h.sites.init(opts)
 	return h
 }
@@ -99,6 +100,7 @@
 	kind := errkind.Of(err)
 	c.span.SetAttributes(attribute.String("crocuscross.kind", string(kind)))
 	h.opts.Metrics.Inbound(kind, time.Since(c.start))
+	c.logEnd(err)
 	return err
 }
 
