--- a/recovery/recover_test.go
+++ b/recovery/recover_test.go
@@ -1,6 +1,7 @@
 package recovery
 
 import (
+	"context"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -296,3 +297,26 @@
 	must.NoError(t, err)
 	must.Eq(t, uint64(9), res.State.Offset)
 }
+
+// fresherPeers hand out a state that is newer than they said: a change was published
+// between the question and the transfer.
+type fresherPeers struct {
+	Peers
+	w *world
+}
+
+func (p fresherPeers) State(context.Context, string) (*fold.State, error) {
+	p.w.publish(1, "meanwhile")
+	return p.w.states[len(p.w.states)-1], nil
+}
+
+// Changes come in quick succession while a daemon restarts. The state that it fetches
+// from another one is beyond the log's end as it was read a moment before. Taken for a
+// log that has lost its end, that kept the daemon from serving for another round.
+func TestStateIsNewerThanTheEndThatWasRead(t *testing.T) {
+	w := newWorld(9)
+	w.peer("a", 9, 9)
+	w.opts.Peers = fresherPeers{&w.peers, w}
+	w.mustServe(t, 10, NoProblem)
+	must.Zero(t, w.waits)
+}
--- a/recovery/round.go
+++ b/recovery/round.go
@@ -173,6 +173,7 @@
 	st, err := r.stateOf(ctx, from)
 	if err == nil {
 		r.state, r.from = st, from.From
+		r.readEnd(ctx, in)
 		return
 	}
 	r.opts.Logger.Debug("recovery: state not fetched", "host", from.Host, "error", err)
@@ -183,6 +184,20 @@
 	}
 }
 
+// readEnd reads the log's end again where the state at hand is beyond it: the state is
+// newer than its daemon had said, and so may be the end. A log that has lost its end
+// still ends before the state then.
+func (r *recoverer) readEnd(ctx context.Context, in *Input) {
+	if !in.Log.Readable || r.state.Offset < in.Log.Bounds.End {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.opts.LogTimeout)
+	defer cancel()
+	bounds, err := r.opts.Config.Bounds(ctx)
+	in.Log.Readable = err == nil
+	in.Log.Bounds = bounds
+}
+
 func (r *recoverer) stateOf(ctx context.Context, s Start) (*fold.State, error) {
 	switch s.From {
 	case FromCheckpoint:
