--- a/internal/daemon/address.go
+++ b/internal/daemon/address.go
@@ -4,6 +4,9 @@
 	"context"
 	"net"
 	"net/netip"
+	"time"
+
+	"github.com/crocuscross/crocuscross/internal/netopt"
 )
 
 // peerAddr is the address that the other daemons are told.
@@ -14,6 +17,11 @@
 	return addrOf(d.ln.peers)
 }
 
+// peerUserTimeout is how long another daemon's host may leave bytes unacknowledged. It
+// is far above a round trip between regions, and below the time after which peer gives
+// up a session whose pings are not answered.
+const peerUserTimeout = 600 * time.Millisecond
+
 // dialFunc connects a session to another daemon.
 type dialFunc = func(context.Context, netip.AddrPort) (net.Conn, error)
 
@@ -22,7 +30,9 @@
 // be seen under one of the kernel's choice, which filters in between may not
 // know.
 func dialFrom(ip netip.Addr) dialFunc {
-	d := net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0))}
+	d := net.Dialer{
+		LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0)), Control: netopt.UserTimeout(peerUserTimeout),
+	}
 	return func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 		return d.DialContext(ctx, "tcp", addr.String())
 	}
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/crocuscross/crocuscross/internal/netopt"
 	"github.com/crocuscross/crocuscross/internal/settings"
 	"github.com/crocuscross/crocuscross/pipeline"
 )
@@ -63,6 +64,7 @@
 		return nil, errors.Wrap(err, "listen.peers")
 	}
 	l.packets = conn
+	l.peers = netopt.Listener(l.peers, peerUserTimeout)
 	return l, nil
 }
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -37,7 +37,6 @@
 	must.StrContains(t, Verdict(Order(lines)), "Ended as deadline_exceeded at a after 2 attempts")
 }
 
-
 func TestVerdictWithoutAnEnd(t *testing.T) {
 	must.StrContains(t, Verdict(nil), "No line")
 	lines, err := Read(strings.NewReader(logBC), "r1")
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -11,11 +11,12 @@
 const (
 	// watchInterval is how often sessions with streams are checked. With
 	// pingTimeout it bounds the time until a connection that went silent is
-	// given up: below a second.
+	// given up: little above a second.
 	watchInterval = 250 * time.Millisecond
 	// pingTimeout is far above a round trip between regions and a scheduler's
-	// delay under load.
-	pingTimeout = 600 * time.Millisecond
+	// delay under load, and leaves the kernel the time to notice first that a host
+	// is gone.
+	pingTimeout = 900 * time.Millisecond
 	// idleInterval is how often idle sessions are looked for.
 	idleInterval = 10 * time.Second
 )
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -96,11 +97,12 @@
 			if s.closed.Load() {
 				return ErrClosed
 			}
-			var netErr net.Error
-			if errors.As(err, &netErr) && netErr.Timeout() {
-				continue
+			if !passing(err) {
+				return err
 			}
-			return err
+			s.opts.Logger.Warn("pipeline: connection not accepted", "error", err)
+			time.Sleep(acceptPause)
+			continue
 		}
 		if c := s.add(nc); c != nil {
 			go c.serve()
@@ -108,6 +110,17 @@
 	}
 }
 
+// acceptPause is the wait after a connection could not be accepted for want of
+// something that others will give back, such as descriptors.
+const acceptPause = 10 * time.Millisecond
+
+// passing reports whether an error of Accept says nothing of the listener itself.
+func passing(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout() || errors.Is(err, syscall.EMFILE) ||
+		errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ECONNABORTED)
+}
+
 func (s *Server) addListener(ln net.Listener) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
