A call with a large body leaves the gate's queue when its caller goes away

The gate waits for its slot before it asks for the body, and read nothing meanwhile: TestStore_LargeCallLeavesTheQueueWithItsCaller, seen failing before.

--- a/internal/daemon/store_test.go
+++ b/internal/daemon/store_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -282,3 +283,50 @@
 		return len(d.board.Members.Load().Live()) == 2 && len(f.daemons[0].board.Members.Load().Live()) == 2
 	})
 }
+
+// The backend server is full. A caller with a large body goes away while its call
+// waits for a slot; the body has not been asked for yet, so nothing but the end of the
+// stream tells the gate. The call must leave the queue: else it would be run for
+// nobody, up to a second later.
+func TestStore_LargeCallLeavesTheQueueWithItsCaller(t *testing.T) {
+	f := newStoreFleet(t, 2)
+	f.document(3)
+	began, release := make(chan struct{}, 8), make(chan struct{})
+	s := &server{id: "i-1"}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		began <- struct{}{}
+		<-release
+		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+		w.Header().Set(names.Signature, "signed")
+	}))
+	t.Cleanup(s.Close)
+	f.announce(f.daemons[1], s, "ready", 1)
+	f.eventually("the server is known", func() bool {
+		b := f.daemons[0].board.Backends.Load()
+		return b != nil && len(b.Of("signs")) == 1
+	})
+	send := func(ctx context.Context, payload string) {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.daemons[0].ln.callers.Addr().String()+"/put/x", strings.NewReader(payload))
+		must.NoError(t, err)
+		req.Host = "h.example"
+		req.Header.Set(names.RequestID, "r")
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			_ = resp.Body.Close()
+		}
+	}
+	var all sync.WaitGroup
+	for range 4 {
+		all.Go(func() { send(t.Context(), "") })
+	}
+	for range 4 {
+		<-began
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	all.Go(func() { send(ctx, strings.Repeat("x", 100<<10)) })
+	f.eventually("the call waits", func() bool { return f.daemons[1].inbound.Load().Queued == 1 })
+	leave()
+	f.eventually("the call has left", func() bool { return f.daemons[1].inbound.Load().Queued == 0 })
+	close(release)
+	all.Wait()
+	must.Eq(t, 0, len(began))
+}
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -152,10 +152,10 @@
 	}
 	up := newUpload(c.st, c.cancel, c.onLinkLost)
 	defer up.stop()
-	if !c.head.GetExpectContinue() {
-		if err := up.prefetch(); err != nil {
-			return c.refuse(err)
-		}
+	if c.head.GetExpectContinue() {
+		up.await()
+	} else if err := up.prefetch(); err != nil {
+		return c.refuse(err)
 	}
 	ticket, err := c.site.gate.Admit(c.ctx, gate.Call{
 		Customer:  c.head.GetCustomer(),
--- a/internal/proxy/inbound/upload.go
+++ b/internal/proxy/inbound/upload.go
@@ -21,6 +21,9 @@
 
 	watching atomic.Bool
 	watched  chan struct{}
+	// awaited is closed when the first part of a body that was asked for has come;
+	// nil for one that comes unasked.
+	awaited chan struct{}
 }
 
 func newUpload(st *peer.Stream, canceled, linkLost func()) *upload {
@@ -36,12 +39,34 @@
 	if err := u.src.Fill(); err != nil {
 		return errkind.Wrap(errkind.BadRequest, err, "read request body")
 	}
+	if u.src.Complete() && u.st.Buffered() > 0 {
+		// Nothing follows a body but the word that the caller went away. Over a link
+		// that stalls both arrive together, and the call would be on its way to the
+		// backend server before the watch has read it.
+		return errkind.New(errkind.Canceled, "the caller went away")
+	}
 	u.watchIfComplete()
 	return nil
 }
 
+// await watches for the first part of a body that the other daemon sends once it is
+// asked. Before that, nothing can come but the end of the stream: the caller went away
+// while the call waited for its slot.
+func (u *upload) await() {
+	u.awaited = make(chan struct{})
+	go func() {
+		defer close(u.awaited)
+		if u.src.Fill() != nil {
+			u.canceled()
+		}
+	}()
+}
+
 // Read implements io.Reader.
 func (u *upload) Read(p []byte) (int, error) {
+	if u.awaited != nil {
+		<-u.awaited
+	}
 	n, err := u.src.Read(p)
 	u.watchIfComplete()
 	return n, err
@@ -71,6 +96,9 @@
 // stop ends the watch before the stream is closed.
 func (u *upload) stop() {
 	_ = u.st.SetReadDeadline(time.Unix(1, 0))
+	if u.awaited != nil {
+		<-u.awaited
+	}
 	if u.watching.Load() {
 		<-u.watched
 	}
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -125,6 +125,10 @@
 	return err
 }
 
+// Buffered returns how many bytes have arrived that no message has been read of yet.
+// There may be more behind them.
+func (s *Stream) Buffered() int { return s.r.Buffered() }
+
 // SetDeadline bounds all reads and writes.
 func (s *Stream) SetDeadline(t time.Time) error { return s.conn.SetDeadline(t) }
 
