--- a/internal/daemon/store_test.go
+++ b/internal/daemon/store_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -35,6 +36,7 @@
 		s.Platform.URL, s.Platform.Protocol = f.store.URL(), settings.ProtocolStore
 		s.Requests.Customers = settings.CustomersOptional
 		s.Membership.JoinPatience = 0
+		s.Backend.Expires = settings.Duration(time.Minute)
 		s.Backend.Service = "service-of-" + s.Host
 		s.Contacts = nil
 	}
@@ -49,7 +51,7 @@
 	f.t.Helper()
 	f.store.Put("keyed.op", "config", fmt.Sprintf(`{"version":%d,"services":[{"name":"signs"}],"routes":[
 		{"name":"get","virtual_host":"h.example","path_prefix":"/get/","kind":"CALL_KIND_IDEMPOTENT","timeout_ms":5000,"latency_objective_ms":600,"service":"signs","max_attempts":2},
-		{"name":"put","virtual_host":"h.example","path_prefix":"/put/","kind":"CALL_KIND_UPLOAD","timeout_ms":5000,"service":"signs","max_attempts":2}]}`, version))
+		{"name":"put","virtual_host":"h.example","path_prefix":"/put/","kind":"CALL_KIND_UPLOAD","timeout_ms":60000,"service":"signs","max_attempts":2}]}`, version))
 	f.eventually("the document is in force", func() bool {
 		for _, d := range f.daemons {
 			snap := d.board.Snapshot.Load()
