--- a/gate/admit.go
+++ b/gate/admit.go
@@ -14,6 +14,11 @@
 	// forecastSlack is the inverse of the part by which a call's wait may exceed
 	// what it was ready to wait.
 	forecastSlack = 4
+	// serviceSlack is the inverse of the part by which a call may take longer than
+	// the mean and still be answered within its objective, leastWaitShare that of the
+	// objective that a call may wait in any case.
+	serviceSlack   = 4
+	leastWaitShare = 8
 	// leastSlots is what a rank can count on at least, in slots, where more urgent
 	// ones take all: their load wavers.
 	leastSlots = 0.25
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -98,6 +98,20 @@
 	// MaxWait is how long the call may be expected to wait for its slot; with a
 	// longer wait ahead it is refused on arrival. 0 sets no bound but Remaining.
 	MaxWait time.Duration
+	// ObjectiveLeft is the time left until the call's latency objective, 0 for none.
+	// A wait after which the answer would be expected to come later counts as too
+	// long, but for a small part of it.
+	ObjectiveLeft time.Duration
+}
+
+// maxWait returns how long the call may have to wait where calls of its kind take
+// serviceTime.
+func (c Call) maxWait(serviceTime time.Duration) time.Duration {
+	if c.MaxWait == 0 || c.ObjectiveLeft == 0 {
+		return c.MaxWait
+	}
+	inTime := c.ObjectiveLeft - serviceTime - serviceTime/serviceSlack
+	return min(c.MaxWait, max(inTime, c.ObjectiveLeft/leastWaitShare))
 }
 
 // Admit is Enter for calls with a rank.
@@ -109,10 +123,10 @@
 		return nil, errTooLate
 	}
 	now := g.opts.Now()
-	t := &Ticket{gate: g, deadline: now.Add(c.Remaining), maxWait: c.MaxWait}
+	t := &Ticket{gate: g, deadline: now.Add(c.Remaining)}
 
 	g.mu.Lock()
-	err := g.arrive(t, shareKey{c.Customer, c.Priority}, now)
+	err := g.arrive(t, c, now)
 	queued := t.state == waiting
 	g.publish()
 	g.mu.Unlock()
@@ -129,11 +143,12 @@
 // arrive starts the ticket, queues it or returns why neither. The caller holds
 // mu. A free slot goes to the newcomer even if others wait: dispatch has left
 // it free because they may not have it.
-func (g *Gate) arrive(t *Ticket, k shareKey, now time.Time) error {
+func (g *Gate) arrive(t *Ticket, c Call, now time.Time) error {
 	if g.draining {
 		return errDraining
 	}
-	t.share = g.queue.share(k, now)
+	t.share = g.queue.share(shareKey{c.Customer, c.Priority}, now)
+	t.maxWait = c.maxWait(t.share.serviceTime.value)
 	g.queue.review(g.limit.slots(), now)
 	if g.inUse < g.limit.slots() && g.mayStart(t.share) {
 		g.start(t, now)
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -302,3 +302,29 @@
 		must.Eq(t, trusted, g.Load().Slots == 9)
 	}
 }
+
+// All slots are taken by calls of 100 ms. A call with 150 ms until its objective must not
+// wait for one: it would come late, and so would those behind it. One with more time
+// may.
+func TestWaitIsBoundedByTheObjective(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		opts := gate.DefaultOptions()
+		opts.Slots, opts.ServiceTime = 1, 100*time.Millisecond
+		g := gate.New(opts)
+		first, err := g.Enter(t.Context(), "a", time.Hour)
+		must.NoError(t, err)
+		c := gate.Call{Customer: "a", Remaining: time.Hour, MaxWait: 300 * time.Millisecond, ObjectiveLeft: 150 * time.Millisecond}
+		_, err = g.Admit(t.Context(), c)
+		must.Eq(t, errkind.Overloaded, errkind.Of(err))
+		c.ObjectiveLeft = 400 * time.Millisecond
+		entered := make(chan error, 1)
+		go func() {
+			_, err := g.Admit(t.Context(), c)
+			entered <- err
+		}()
+		synctest.Wait()
+		must.Eq(t, 1, g.Load().Queued)
+		first.Done(gate.Answered)
+		must.NoError(t, <-entered)
+	})
+}
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -162,6 +162,8 @@
 		Priority:  int(c.head.GetPriority()),
 		Remaining: time.Until(c.deadline),
 		MaxWait:   time.Duration(c.head.GetMaxQueueMs()) * time.Millisecond,
+
+		ObjectiveLeft: time.Duration(c.head.GetObjectiveLeftMs()) * time.Millisecond,
 	})
 	if err != nil {
 		return c.refuse(err)
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -327,6 +327,9 @@
 		Attempt:        c.inherited + uint32(c.attempts) - 1,
 		Traceparent:    telemetry.Traceparent(ctx),
 	}
+	if c.route != nil && c.route.Objective > 0 {
+		h.ObjectiveLeftMs = uint32(max(c.route.Objective-time.Since(c.start), time.Millisecond) / time.Millisecond)
+	}
 	if left > 0 {
 		h.RemainingMs = uint32(left / time.Millisecond)
 	}
