Calls that come back too late rank behind those that can be in time

Cause: half of the slots went to callers that had been refused and came back late, which made the next ones late in turn.

--- a/internal/proxy/outbound/anonymous.go
+++ b/internal/proxy/outbound/anonymous.go
@@ -15,6 +15,10 @@
 // bounds that.
 const defaultWait = 30 * time.Second
 
+// returnedShare is the inverse of the part of the objective that a call needs at least
+// to be answered within it.
+const returnedShare = 3
+
 // admitAnonymous admits a call without a customer under the terms of its route in
 // the document in force.
 func (h *Handler) admitAnonymous(r *http.Request, snap *snapshot.Snapshot, start time.Time) (*call, error) {
@@ -40,12 +44,31 @@
 		start: start, deadline: start.Add(wait), inherited: 1, maxBody: h.opts.MaxBody,
 		requestID: dialect.Get(r.Header, h.opts.Dialect.RequestID),
 	}
+	c.began = start.Add(-h.usual.elapsed(route.Name, wait))
 	if limit := doc.Limits.MaxBodyBytes; limit > 0 {
 		c.maxBody = min(c.maxBody, limit)
 	}
 	return c, nil
 }
 
+// returned reports whether the call can hardly be answered within its objective any
+// more: its caller has been refused before, and has come back.
+func (c *call) returned() bool {
+	objective := c.route.Objective
+	return objective > 0 && c.start.Sub(c.began) > objective-objective/returnedShare
+}
+
+// rank returns the call's priority at gates. Within one priority of the document, calls
+// that can be answered in time go before those that come back too late for that: they
+// would else take the slots from callers who then come back late in turn.
+func (c *call) rank() uint32 {
+	rank := 2 * uint32(c.route.Priority)
+	if c.returned() {
+		rank++
+	}
+	return rank
+}
+
 // rawPath returns the path as the caller sent it, without the query.
 func rawPath(r *http.Request) string {
 	if !strings.HasPrefix(r.RequestURI, "/") {
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -53,6 +53,9 @@
 	customer string
 	grant    *quota.Grant
 	start    time.Time
+	// began is when the caller began with the call, as far as that is known: start,
+	// or before it where the caller was refused and has come back.
+	began    time.Time
 	deadline time.Time
 	maxBody  int64
 	// route is set for a call under a document's terms.
@@ -102,7 +105,7 @@
 		RequestId:     c.requestID,
 	}
 	if c.route != nil {
-		c.head.Priority = uint32(c.route.Priority)
+		c.head.Priority = c.rank()
 	}
 	c.control = http.NewResponseController(w)
 	limited := http.MaxBytesReader(w, r.Body, c.maxBody)
@@ -242,6 +245,9 @@
 	// would wait in turn: refused at once, the caller comes back when the queue is
 	// shorter.
 	patientShare = 0.6
+	// returnedWaitShare is the inverse of the part of its time that a call waits
+	// which can only come late.
+	returnedWaitShare = 4
 )
 
 // maxQueue returns how long the next attempt may have to wait for a slot, 0 for as
@@ -252,10 +258,13 @@
 	if c.route == nil || c.route.Objective == 0 {
 		return 0
 	}
+	if c.returned() {
+		return max(time.Until(c.deadline)/returnedWaitShare, time.Millisecond)
+	}
 	objective := float64(c.route.Objective)
 	least := time.Duration(impatientShare * objective)
 	// What earlier gates took is gone.
-	most := max(time.Duration(patientShare*objective)-time.Since(c.start), least)
+	most := max(time.Duration(patientShare*objective)-time.Since(c.began), least)
 	if c.patient || c.refusals >= impatientTries {
 		return most
 	}
@@ -327,8 +336,8 @@
 		Attempt:        c.inherited + uint32(c.attempts) - 1,
 		Traceparent:    telemetry.Traceparent(ctx),
 	}
-	if c.route != nil && c.route.Objective > 0 {
-		h.ObjectiveLeftMs = uint32(max(c.route.Objective-time.Since(c.start), time.Millisecond) / time.Millisecond)
+	if c.route != nil && c.route.Objective > 0 && !c.returned() {
+		h.ObjectiveLeftMs = uint32(max(c.route.Objective-time.Since(c.began), time.Millisecond) / time.Millisecond)
 	}
 	if left > 0 {
 		h.RemainingMs = uint32(left / time.Millisecond)
--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -63,6 +63,7 @@
 	router   *bunrouter.Router
 	lanes    *once.Lanes
 	sizes    sizes
+	usual    usualTimes
 	lines    telemetry.LineLimit
 	inFlight atomic.Int64
 }
