--- /dev/null
+++ b/balance/need_test.go
@@ -0,0 +1,71 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/backend"
+	"github.com/crocuscross/crocuscross/errkind"
+)
+
+func needPicker(now *time.Time) *Picker {
+	o := DefaultOptions()
+	o.AvailabilityZone, o.Region, o.KeepSlow = "a", "r", true
+	o.Now = func() time.Time { return *now }
+	return New(o)
+}
+
+func twoServers() []*backend.Server {
+	old := time.Unix(0, 0)
+	return []*backend.Server{
+		{ID: backend.ID{Host: "near", Service: "s"}, AvailabilityZone: "a", Region: "r", Slots: 9, Since: old},
+		{ID: backend.ID{Host: "far", Service: "s"}, AvailabilityZone: "b", Region: "r", Slots: 9, Since: old},
+	}
+}
+
+// finish makes a call at a server end with a latency and a wait told by its gate.
+func finish(t *testing.T, p *Picker, servers []*backend.Server, host string, latency, wait time.Duration) {
+	t.Helper()
+	l, err := p.PickFor(servers, Need{Exclude: func(id backend.ID) bool { return id.Host != host }})
+	must.NoError(t, err)
+	l.Done(Result{Status: 200, Latency: latency, Load: &Load{Slots: 9, Wait: wait}})
+}
+
+// The near server takes 250 ms, the far one 100 ms. With an objective of 600 ms either is
+// in time, and the call's bytes stay in the availability zone; with one of 200 ms only
+// the far one is.
+func TestBytesStayWhereTheObjectiveIsMet(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for objective, want := range map[time.Duration]string{600 * time.Millisecond: "near", 200 * time.Millisecond: "far"} {
+		p, servers := needPicker(&now), twoServers()
+		for range 20 {
+			finish(t, p, servers, "near", 250*time.Millisecond, 0)
+			finish(t, p, servers, "far", 100*time.Millisecond, 0)
+			now = now.Add(100 * time.Millisecond)
+		}
+		l, err := p.PickFor(servers, Need{Objective: objective, RemoteCost: 50 * time.Millisecond})
+		must.NoError(t, err)
+		must.Eq(t, want, l.Server().Host, must.Sprint(objective))
+	}
+}
+
+// Gates have just told of queues longer than the call may wait. It is refused without
+// being sent, with the time after which the shortest will have been served; a moment
+// later the word is old and the servers are tried again.
+func TestBusyGatesArePassedOver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p, servers := needPicker(&now), twoServers()
+	finish(t, p, servers, "near", time.Millisecond, 300*time.Millisecond)
+	l, err := p.PickFor(servers, Need{MaxWait: 100 * time.Millisecond})
+	must.NoError(t, err)
+	must.Eq(t, "far", l.Server().Host)
+	finish(t, p, servers, "far", time.Millisecond, 200*time.Millisecond)
+	_, err = p.PickFor(servers, Need{MaxWait: 100 * time.Millisecond})
+	must.Eq(t, errkind.Overloaded, errkind.Of(err))
+	must.Eq(t, 200*time.Millisecond, errkind.RetryAfterOf(err))
+	now = now.Add(time.Duration(waitMemory))
+	_, err = p.PickFor(servers, Need{MaxWait: 100 * time.Millisecond})
+	must.NoError(t, err)
+}
--- /dev/null
+++ b/internal/daemon/calls.go
@@ -0,0 +1,167 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/crocuscross/crocuscross/backend"
+	"github.com/crocuscross/crocuscross/balance"
+	"github.com/crocuscross/crocuscross/gate"
+	"github.com/crocuscross/crocuscross/internal/controller/announce"
+	"github.com/crocuscross/crocuscross/internal/controller/backends"
+	"github.com/crocuscross/crocuscross/internal/controller/drain"
+	"github.com/crocuscross/crocuscross/internal/proxy/dialect"
+	"github.com/crocuscross/crocuscross/internal/proxy/inbound"
+	"github.com/crocuscross/crocuscross/internal/proxy/outbound"
+	"github.com/crocuscross/crocuscross/internal/settings"
+	"github.com/crocuscross/crocuscross/internal/telemetry"
+	"github.com/crocuscross/crocuscross/once"
+	"github.com/crocuscross/crocuscross/platform"
+	"github.com/crocuscross/crocuscross/quota"
+	"github.com/crocuscross/crocuscross/retry"
+)
+
+// buildCalls makes what a call passes through.
+func (p *parts) buildCalls(d *Daemon) error {
+	metrics := telemetry.NewCalls(d.registry)
+	attempts := once.DefaultAttemptsOptions(d.boot)
+	attempts.Bounds.MaxRecords, attempts.Bounds.MaxBytes = keptRecords, keptBytes
+	p.attempts = once.NewAttempts(attempts)
+	p.inbound = inbound.NewHandler(inbound.Options{
+		Local: &d.board.Local, NewGate: d.newGate,
+		Attempts: p.attempts, Dialect: d.dialect(), Misplaced: p.announce.Misplaced,
+		Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
+	})
+	balancing := balance.DefaultOptions()
+	balancing.AvailabilityZone, balancing.Region = d.settings.AvailabilityZone, d.settings.Region
+	balancing.ZoneCost = time.Duration(d.settings.Requests.ZoneCost)
+	balancing.KeepSlow = d.settings.Requests.SlowServers == settings.SlowKeep
+	p.picker = balance.New(balancing)
+	p.backends = &backends.Controller{Board: d.board, OnChange: func(s *backend.Set) { p.picker.Forget(s) }}
+	quotas := quota.DefaultOptions()
+	quotas.Host = d.settings.Host
+	quotas.Peers = quotaPeers{p.control}
+	quotas.Logger = d.logger
+	p.quota = quota.New(quotas)
+	p.budget = retry.NewBudget(retry.BudgetOptions{Ratio: d.settings.Retries.Ratio, Burst: d.settings.Retries.Extra})
+	if err := p.buildKeys(d); err != nil {
+		return err
+	}
+	p.outbound = outbound.NewHandler(outbound.Options{
+		Board: d.board, Pool: p.calls, Picker: p.picker, Quota: p.quota,
+		Budget: p.budget,
+		Keys:   p.keys, OwnKeys: p.ownKeys, Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
+		Host: d.settings.Host, Boot: d.boot,
+		MaxBody: d.settings.Requests.MaxBodyBytes, MaxCalls: d.settings.Requests.MaxInFlight,
+		Dialect: d.dialect(), Anonymous: d.settings.Requests.Customers == settings.CustomersOptional,
+		CallerService: d.localService,
+		KilobyteCost:  func() time.Duration { return time.Duration(d.live().Requests.KilobyteCost) },
+	})
+	p.lifecycle = &drain.Controller{
+		Board: d.board, Logger: d.logger, Quiet: quiet,
+		Timeout: time.Duration(d.settings.Drain.Timeout),
+		Work:    []drain.InFlight{p.inbound, p.outbound},
+		Refuse:  p.inbound.Refuse,
+	}
+	return nil
+}
+
+// buildKeys makes the tables of idempotency keys. Keys of callers' own making
+// need the platform's log and are off unless the settings ask for them.
+func (p *parts) buildKeys(d *Daemon) error {
+	o := once.DefaultKeysOptions(d.settings.Host, d.boot)
+	o.Bounds.MaxRecords, o.Bounds.MaxBytes, o.MaxKeys = keptRecords, keptBytes, keysOut
+	p.keys = once.NewKeys(o)
+	p.ownKeys = once.NoOwnKeys{}
+	p.claimLoop = idle
+	if d.settings.Requests.OwnKeys != settings.On {
+		return nil
+	}
+	claiming := once.DefaultClaimsOptions(p.stream(once.StreamClaims), p.keys)
+	claiming.Logger = d.logger
+	claims, err := once.NewClaims(claiming)
+	if err != nil {
+		return err
+	}
+	p.ownKeys, p.claimLoop = claims, claims.Run
+	return nil
+}
+
+// dialect returns the names of header fields on the platform.
+func (d *Daemon) dialect() dialect.Dialect {
+	if d.onStore() {
+		return platform.Dialect()
+	}
+	return dialect.Default()
+}
+
+// discover asks the backend server beside the daemon who it is, where the platform's
+// servers tell.
+func (d *Daemon) discover(ctx context.Context) error {
+	if d.dialect().ServerID == "" || d.settings.Backend.Address == "" {
+		return idle(ctx)
+	}
+	a := &announce.Discoverer{
+		Controller: d.announce, Service: d.settings.Backend.Service, ServerID: d.dialect().ServerID,
+		HealthPath: d.healthPath,
+		Changed: func() <-chan struct{} {
+			_, changed := d.board.Snapshot.Watch()
+			return changed
+		},
+	}
+	return a.Run(ctx)
+}
+
+// healthPath returns where the backend server beside the daemon tells of its health,
+// by the document in force.
+func (d *Daemon) healthPath() (string, bool) {
+	snap := d.board.Snapshot.Load()
+	if snap == nil || snap.Document() == nil {
+		return "", false
+	}
+	return snap.Document().HealthPath(d.settings.Backend.Service)
+}
+
+// newGate returns the gate of a backend server. On the platform servers announce how
+// many calls they run at once and queue some more: a shed is no lack of slots.
+func (d *Daemon) newGate() *gate.Gate {
+	o := gate.DefaultOptions()
+	o.TrustSlots = d.onStore()
+	return gate.New(o)
+}
+
+// localService returns the service of the backend server beside the daemon.
+func (d *Daemon) localService() string {
+	if d.settings.Backend.Service != "" {
+		return d.settings.Backend.Service
+	}
+	if local := d.board.Local.Load(); local != nil {
+		return local.Service
+	}
+	return ""
+}
+
+// budgetShare is the part of the fleet's retries that the daemons hand out. A retry
+// that has calls of its own brings about as many again.
+const budgetShare = 0.7
+
+// shareBudget keeps this daemon's part of what the fleet may send again at an equal
+// share. Daemons that are believed dead count: beyond a cut they use theirs.
+func (d *Daemon) shareBudget(ctx context.Context) error {
+	t := time.NewTicker(watchInterval)
+	defer t.Stop()
+	for {
+		view, changed := d.board.Members.Watch()
+		members := 1
+		if view != nil {
+			members = max(len(view.Members), 1)
+		}
+		d.budget.SetBurst(max(1, budgetShare*float64(d.live().Retries.Extra)/float64(members)))
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- a/internal/daemon/input.go
+++ b/internal/daemon/input.go
@@ -50,16 +50,6 @@
 	return w
 }
 
-// open returns the number of open connections.
-func (w *inputWatch) open() int {
-	n := 0
-	w.conns.Range(func(any, any) bool {
-		n++
-		return true
-	})
-	return n
-}
-
 func (w *inputWatch) connContext(ctx context.Context, conn net.Conn) context.Context {
 	in := &connInput{}
 	w.conns.Store(conn, in)
--- a/internal/daemon/store_test.go
+++ b/internal/daemon/store_test.go
@@ -49,7 +49,7 @@
 // document puts a document with a route of each kind in force.
 func (f *storeFleet) document(version int) {
 	f.t.Helper()
-	f.store.Put("keyed.op", "config", fmt.Sprintf(`{"version":%d,"services":[{"name":"signs"}],"routes":[
+	f.store.PutConfig(fmt.Sprintf(`{"version":%d,"services":[{"name":"signs"}],"routes":[
 		{"name":"get","virtual_host":"h.example","path_prefix":"/get/","kind":"CALL_KIND_IDEMPOTENT","timeout_ms":5000,"latency_objective_ms":600,"service":"signs","max_attempts":2},
 		{"name":"put","virtual_host":"h.example","path_prefix":"/put/","kind":"CALL_KIND_UPLOAD","timeout_ms":60000,"service":"signs","max_attempts":2}]}`, version))
 	f.eventually("the document is in force", func() bool {
@@ -261,10 +261,10 @@
 func TestStore_Compaction(t *testing.T) {
 	f := newStoreFleet(t, 2)
 	f.document(3)
-	f.store.Put("keyed.op", "config", "no document")
-	f.store.Compact("keyed.op", 2)
+	f.store.PutConfig("no document")
+	f.store.CompactConfig(2)
 	f.document(7)
-	f.store.Compact("keyed.op", 3)
+	f.store.CompactConfig(3)
 	f.document(9)
 }
 
@@ -278,7 +278,7 @@
 	f.store.Fail(storetest.Unavailable)
 	d := f.start()
 	f.eventually("the daemon has looked for the others a few times", func() bool {
-		return f.store.Calls("/api/log-newest") >= 12
+		return f.store.Calls(storetest.PathNewest) >= 12
 	})
 	f.store.Fail(storetest.None)
 	f.eventually("both know each other", func() bool {
--- /dev/null
+++ b/internal/proxy/dialect/dialect_test.go
@@ -0,0 +1,26 @@
+package dialect
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestRetryAfter(t *testing.T) {
+	must.Eq(t, "2", Default().RetryAfter(1200*time.Millisecond))
+	must.Eq(t, "1.200", Dialect{FractionalRetryAfter: true}.RetryAfter(1200*time.Millisecond))
+}
+
+// Only a dialect with a field for it lets a backend server say that it has not run a
+// call: in the project's own, a 503 or 421 is an answer like others.
+func TestRefusedUnrun(t *testing.T) {
+	d := Dialect{NotRun: "Not-Run", ExpectedServer: "Expected"}
+	refusal := http.Header{"Not-Run": {"1"}}
+	must.True(t, d.RefusedUnrun(http.StatusServiceUnavailable, refusal))
+	must.True(t, d.RefusedUnrun(http.StatusMisdirectedRequest, http.Header{}))
+	must.False(t, d.RefusedUnrun(http.StatusServiceUnavailable, http.Header{}))
+	must.False(t, Default().RefusedUnrun(http.StatusServiceUnavailable, refusal))
+	must.False(t, Default().RefusedUnrun(http.StatusMisdirectedRequest, http.Header{}))
+}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -208,3 +208,33 @@
 		}
 	})
 }
+
+// Gates refuse a call before it reaches a backend server. That draws on no budget and
+// counts as no attempt; under overload it is tried at three gates at most, and at more
+// where backend servers only leave.
+func TestRefusalsAreFreeAndBounded(t *testing.T) {
+	c := retry.Call{Inherited: 1, MaxAttempts: 2, NonIdempotent: true, Remaining: time.Second, Unsent: true}
+	for refusals, again := range map[int]bool{1: true, 2: true, 3: false} {
+		c.Refusals = refusals
+		d := retry.Allowed(errkind.Overloaded, c)
+		must.Eq(t, again, d.Retry)
+		must.Eq(t, again, d.Free)
+	}
+	c.Refusals = 3
+	must.True(t, retry.Allowed(errkind.Draining, c).Retry)
+	c.Unsent, c.Attempts = false, 2
+	must.False(t, retry.Allowed(errkind.Shed, c).Retry)
+	c.Attempts = 1
+	d := retry.Allowed(errkind.Shed, c)
+	must.True(t, d.Retry)
+	must.False(t, d.Free)
+}
+
+// The fleet has grown, and with it the number of daemons that share the retries: what a
+// daemon holds beyond its part is lost at once.
+func TestBudgetShrinks(t *testing.T) {
+	b := retry.NewBudget(retry.BudgetOptions{Burst: 10})
+	b.SetBurst(1.5)
+	must.True(t, b.Withdraw())
+	must.False(t, b.Withdraw())
+}
