--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -93,7 +93,7 @@
 			return c.ctx.Err()
 		}
 		if !c.begin(x) {
-			return nil
+			return c.watchLast()
 		}
 		if x.stream != nil {
 			<-x.stream.done
@@ -113,6 +113,12 @@
 // watchLast notices a caller that goes away before its last answer. Whatever it
 // sends is thrown away.
 func (c *conn) watchLast() error {
+	c.mu.Lock()
+	answered := len(c.queue) == 0
+	c.mu.Unlock()
+	if answered {
+		return nil
+	}
 	_, _ = io.Copy(io.Discard, c.br)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -204,14 +210,20 @@
 }
 
 // begin runs a request; it reports false where the connection ends before it, which
-// then counts as not read.
+// then counts as not read: the caller sends it again.
 func (c *conn) begin(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
+	if c.srv.draining.Load() && len(c.queue) > 0 {
+		// A caller that always has a request behind the one that is answered would
+		// keep the connection for good.
+		c.closing = true
+	}
 	if c.closing {
+		_ = c.nc.SetReadDeadline(time.Time{})
 		return false
 	}
-	c.reading = false
 	x.last = x.req.Close || !x.req.ProtoAtLeast(1, 1)
 	c.closing = x.last
 	c.queue = append(c.queue, x)
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -304,3 +304,31 @@
 		must.Eq(t, closes, resp.Close)
 	}
 }
+
+// A server drains while a caller always has another request behind the one that is
+// answered. The connection must end all the same, with the answers to the requests in
+// progress: else it goes on until the process is killed, which loses one. What is behind
+// the last answer counts as not read, and the caller sends it again.
+func TestDrainEndsAConnectionThatIsNeverIdle(t *testing.T) {
+	began, release := make(chan struct{}, 1), make(chan struct{})
+	s, dial := start(t, func(http.ResponseWriter, *http.Request) {
+		began <- struct{}{}
+		<-release
+	}, nil)
+	nc := dial()
+	send(t, nc, get("/1"))
+	<-began
+	s.Drain()
+	send(t, nc, get("/2"))
+	select {
+	case <-began:
+		t.Error("a request behind another began while the server drained")
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(release)
+	br := bufio.NewReader(nc)
+	first, _ := read(t, br)
+	must.True(t, first.Close)
+	_, err := br.ReadByte()
+	must.ErrorIs(t, err, io.EOF)
+}
