--- a/bench/procs/procs.go
+++ b/bench/procs/procs.go
@@ -60,6 +60,7 @@
 	if err != nil {
 		return nil, "", err
 	}
+	p.cmd.Stdout = nil
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
 		return nil, "", errors.Wrap(err, name)
