--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -55,8 +55,6 @@
 	Draining  bool
 	// Sequence of the latest announcement of a server with an id.
 	Sequence uint64
-	// WarmUntil is until when the server is slow after its start.
-	WarmUntil time.Time
 	// FirstSeen is when it first announced itself in an unbroken run.
 	FirstSeen time.Time
 	// Expires is when the announcement lapses unless renewed.
--- a/internal/controller/announce/discover.go
+++ b/internal/controller/announce/discover.go
@@ -98,7 +98,7 @@
 		c.Logger.Info("announce: backend server discovered", "id", id, "service", d.Service)
 		return &blackboard.LocalBackend{
 			ID: id, Service: d.Service, URL: "http://" + c.Address, Slots: assumedSlots,
-			FirstSeen: now, WarmUntil: now, Expires: now.Add(c.Expires),
+			FirstSeen: now, Expires: now.Add(c.Expires),
 		}
 	})
 }
--- a/internal/controller/announce/servers.go
+++ b/internal/controller/announce/servers.go
@@ -42,7 +42,8 @@
 	Slots   int    `json:"slots"`
 	// State is ready or draining.
 	State string `json:"state"`
-	// WarmUpMs is how much longer the server is slow after its start.
+	// WarmUpMs is how much longer the server is slow after its start. It is checked
+	// and nothing else: the choice of a server goes by what is seen of it.
 	WarmUpMs float64 `json:"warm_up_ms"`
 	// Sequence rises with each announcement of one server.
 	Sequence uint64 `json:"sequence"`
@@ -83,7 +84,6 @@
 	n := &blackboard.LocalBackend{
 		ID: id, Service: a.Service, URL: "http://" + a.Address, Slots: a.Slots, Sequence: a.Sequence,
 		Draining: a.State == stateDraining, FirstSeen: now, Expires: now.Add(c.Expires),
-		WarmUntil: now.Add(time.Duration(a.WarmUpMs * float64(time.Millisecond))),
 	}
 	if same {
 		n.FirstSeen = old.FirstSeen
--- a/internal/controller/contacts/contacts.go
+++ b/internal/controller/contacts/contacts.go
@@ -1,5 +1,6 @@
-// Package contacts keeps a few daemons' addresses in a directory of the platform, so that a daemon whose contacts in the settings have all been replaced
-// still finds the fleet.
+// Package contacts keeps a few daemons' addresses in a directory of the platform,
+// so that a daemon whose contacts in the settings have all been replaced still
+// finds the fleet.
 package contacts
 
 import (
@@ -65,17 +66,22 @@
 		<-ctx.Done()
 		return nil
 	}
-	for {
-		// The jitter keeps daemons that started together from appending
-		// together.
-		wait := time.NewTimer(checkInterval/2 + rand.N(checkInterval))
-		select {
-		case <-wait.C:
-			c.reconcile(ctx)
-		case <-ctx.Done():
-			wait.Stop()
-			return nil
-		}
+	for waitAround(ctx, checkInterval) {
+		c.reconcile(ctx)
+	}
+	return nil
+}
+
+// waitAround waits about d and reports false where ctx is done before. The jitter
+// keeps daemons that started together from appending together.
+func waitAround(ctx context.Context, d time.Duration) bool {
+	wait := time.NewTimer(d/2 + rand.N(d))
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -102,12 +108,7 @@
 			return
 		}
 		c.opts.Logger.Info("contacts: own address not appended", "error", err)
-		wait := time.NewTimer(retryAfter/2 + rand.N(retryAfter))
-		select {
-		case <-wait.C:
-		case <-ctx.Done():
-			wait.Stop()
-		}
+		waitAround(ctx, retryAfter)
 	}
 }
 
--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -15,9 +15,9 @@
 // answers nothing, and the kernel would go on sending for a quarter of an hour.
 //
 // Waiting for the program to give such a connection up is no substitute: on the users'
-// platform closing one with unacknowledged bytes kept a process from running for 0.3
-// to 2.5 s, on up to 12 hosts at once after two had lost power; with the kernel giving
-// it up first, none was.
+// platform closing one with unacknowledged bytes kept a process from running for
+// 0.25 to 3.5 s, on up to 10 hosts at once after two had lost power (eight runs of one
+// day); with the kernel giving it up first, on none (one run).
 func UserTimeout(d time.Duration) func(network, address string, conn syscall.RawConn) error {
 	return func(_, _ string, conn syscall.RawConn) error {
 		var serr error
