Settings: no window for retries, the fleet's own ratio, drain time from the kill

Cause: retries.window had no effect (the budget is a token bucket, whose bound holds in any window); the deploy template fixed the ratio at 0.15 and the drain at 5 s, which a deployment with other bounds would break. Removing outbound.liveContext was tried and taken back: its test holds.

--- a/internal/controller/announce/discover.go
+++ b/internal/controller/announce/discover.go
@@ -66,6 +66,9 @@
 	return nil
 }
 
+// direct reaches the server beside the daemon whatever proxy the environment names.
+var direct = &http.Transport{DisableKeepAlives: true}
+
 func (d *Discoverer) ask(ctx context.Context, path string) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, discoverTimeout)
 	defer cancel()
@@ -74,7 +77,7 @@
 		return "", err
 	}
 	req.Close = true
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := direct.RoundTrip(req)
 	if err != nil {
 		return "", err
 	}
--- a/internal/controller/drain/drain.go
+++ b/internal/controller/drain/drain.go
@@ -21,7 +21,7 @@
 type Controller struct {
 	Board  *blackboard.Board
 	Logger *slog.Logger
-	// Timeout is how long requests in flight may take.
+	// Timeout is how long the whole drain may take; it bounds Quiet.
 	Timeout time.Duration
 	// Quiet is how long a draining daemon goes on taking calls, until all
 	// others know that it drains.
@@ -85,11 +85,9 @@
 // WaitQuiet blocks until the others know of the drain.
 func (c *Controller) WaitQuiet() { time.Sleep(min(c.Quiet, c.Timeout)) }
 
-// Wait blocks until no request is in flight or the timeout is up. It returns how
-// many still were. New requests must not come any more, or it may wait in vain.
+// Wait blocks until no request is in flight or ctx is done. It returns how many
+// still were. New requests must not come any more, or it may wait in vain.
 func (c *Controller) Wait(ctx context.Context) int {
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
-	defer cancel()
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
 	for n := c.inFlight(); n > 0; n = c.inFlight() {
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -43,7 +43,7 @@
 	quotas.Peers = quotaPeers{p.control}
 	quotas.Logger = d.logger
 	p.quota = quota.New(quotas)
-	p.budget = retry.NewBudget(retry.BudgetOptions{Ratio: d.settings.Retries.Ratio, Burst: d.settings.Retries.Extra})
+	p.budget = retry.NewBudget(retry.BudgetOptions{Ratio: budgetShare * d.settings.Retries.Ratio, Burst: d.settings.Retries.Extra})
 	if err := p.buildKeys(d); err != nil {
 		return err
 	}
@@ -59,7 +59,7 @@
 	})
 	p.lifecycle = &drain.Controller{
 		Board: d.board, Logger: d.logger, Quiet: quiet,
-		Timeout: time.Duration(d.settings.Drain.Timeout),
+		Timeout: drainTime(d.settings.Drain),
 		Work:    []drain.InFlight{p.inbound, p.outbound},
 		Refuse:  p.inbound.Refuse,
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -171,8 +171,7 @@
 // are let in, then the work in flight ends. Callers that keep connections are
 // told to close them.
 func (d *Daemon) drain(reason string) {
-	// All of it must fit into the time after which the process is killed.
-	until, done := context.WithTimeout(context.Background(), time.Duration(d.live().Drain.Timeout))
+	until, done := context.WithTimeout(context.Background(), drainTime(d.live().Drain))
 	defer done()
 	d.lifecycle.Drain(reason)
 	d.callers.Drain()
@@ -194,6 +193,11 @@
 	}
 }
 
+// drainTime returns how long calls in flight may take in a drain. A sixth of the time
+// until the process is killed is left for the goodbye and the end: calls cut off by
+// the kill get no answer at all, and the other daemons would suspect the host first.
+func drainTime(s settings.Drain) time.Duration { return time.Duration(s.Timeout) * 5 / 6 }
+
 // lingerOn serves for a while the connections that were let in before the door
 // was shut. The HTTP server closes a connection on which no request has begun at
 // once, and cuts off a request that is just arriving on it.
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -38,5 +38,11 @@
 	write("1000")
 	f.eventually("the change is followed", func() bool { return d.live().Retries.Extra == 1000 })
 	must.Eq(t, host, d.live().Host, must.Sprint("a host's name holds for its life"))
-	must.Eq(t, 10*time.Second, time.Duration(d.live().Retries.Window))
+	must.Eq(t, 0.1, d.live().Retries.Ratio, must.Sprint("what the file does not set has its default"))
+}
+
+// The platform kills a stopping process after a time that the settings name. Calls
+// that are cut off by a kill have no answer, so a drain must be over before it.
+func TestDaemon_DrainEndsBeforeTheKill(t *testing.T) {
+	must.Eq(t, 5*time.Second, drainTime(settings.Drain{Timeout: settings.Duration(6 * time.Second)}))
 }
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -91,12 +91,10 @@
 	ratio("retries.ratio", 0.1,
 		"Share of the calls of the whole fleet that may be sent to a backend server again."),
 	integer("retries.extra", 280, 0, 1<<20, "calls",
-		"Calls of the whole fleet that may be sent again in a window beside that share."),
-	duration("retries.window", 10*time.Second, time.Second, time.Minute,
-		"Time over which both are counted."),
+		"Calls of the whole fleet that may be sent again beside that share after a time without any."),
 
 	duration("drain.timeout", 30*time.Second, 100*time.Millisecond, time.Hour,
-		"How long calls in flight may take to end in a graceful shutdown."),
+		"Time from SIGTERM to the kill of the process. A graceful shutdown gives calls in flight five sixths of it."),
 
 	choice("log.level", []string{"info", "debug", "warn", "error"},
 		"Lowest level of the daemon's log lines."),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -169,14 +169,13 @@
 
 // Retries bounds what the whole fleet sends to backend servers again.
 type Retries struct {
-	Ratio  float64  `json:"ratio"`
-	Extra  int      `json:"extra"`
-	Window Duration `json:"window"`
+	Ratio float64 `json:"ratio"`
+	Extra int     `json:"extra"`
 }
 
 // Drain bounds a graceful shutdown.
 type Drain struct {
-	// Timeout is how long requests in flight may take to end.
+	// Timeout is the time from SIGTERM to the kill of the process.
 	Timeout Duration `json:"timeout"`
 }
 
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -10,9 +10,6 @@
 	Burst int
 }
 
-// DefaultBudgetOptions holds the extra load on backend servers to a tenth.
-func DefaultBudgetOptions() BudgetOptions { return BudgetOptions{Ratio: 0.1, Burst: 10} }
-
 // milli is the unit of the balance: a thousandth of a retry.
 const milli = 1000
 
--- a/retry/example_test.go
+++ b/retry/example_test.go
@@ -12,7 +12,7 @@
 // to another one, within the budget; a permit hold is not, since it may have
 // run.
 func Example() {
-	budget := retry.NewBudget(retry.DefaultBudgetOptions())
+	budget := retry.NewBudget(retry.BudgetOptions{Ratio: 0.1, Burst: 10})
 	call := retry.Call{Inherited: 1, Attempts: 1, Remaining: time.Second}
 
 	lookup := retry.Allowed(errkind.BackendFailed, call)
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -13,6 +13,9 @@
 	"github.com/crocuscross/crocuscross/retry"
 )
 
+// tenth holds the extra load on backend servers to a tenth.
+var tenth = retry.BudgetOptions{Ratio: 0.1, Burst: 10}
+
 func TestAllowed(t *testing.T) {
 	ok := retry.Call{Inherited: 1, Attempts: 1, Remaining: time.Second, Expected: time.Millisecond}
 	with := func(edit func(*retry.Call)) retry.Call {
@@ -129,7 +132,7 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	for range depth {
 		next := l
-		next.below, next.rng, next.budget = top, rng, retry.NewBudget(retry.DefaultBudgetOptions())
+		next.below, next.rng, next.budget = top, rng, retry.NewBudget(tenth)
 		top = &next
 		if deepest == nil {
 			deepest = top
@@ -200,7 +203,7 @@
 }
 
 func BenchmarkBudget(b *testing.B) {
-	budget := retry.NewBudget(retry.DefaultBudgetOptions())
+	budget := retry.NewBudget(tenth)
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
