--- a/internal/daemon/recover.go
+++ b/internal/daemon/recover.go
@@ -198,12 +198,16 @@
 	if m == nil {
 		return nil, errors.Newf("host %s is not known", host)
 	}
-	ans, err := p.pull(ctx, m, &peerpb.Pull{Host: p.d.settings.Host, WholeState: true})
+	ans, err := p.pull(ctx, m, &peerpb.Pull{Host: p.d.settings.Host, WholeState: true, TakesPacked: true})
 	if err != nil {
 		return nil, err
 	}
-	if ans.GetState() == nil {
+	state, err := spread.StateOf(ans)
+	if err != nil {
+		return nil, err
+	}
+	if state == nil {
 		return nil, errors.Newf("host %s gave no state", host)
 	}
-	return fold.Decode(ans.GetState())
+	return fold.Decode(state)
 }
--- a/spread/pull.go
+++ b/spread/pull.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/crocuscross/crocuscross/configpb"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/peerpb"
 )
@@ -225,7 +227,10 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, s.opts.PullTimeout)
 	defer cancel()
-	answer, err := s.opts.Peers.Pull(ctx, addr, &peerpb.Pull{Offset: st.Offset, Chain: st.Chain[:], Host: s.opts.Host})
+	_, held := s.history.recordAt(st.Offset)
+	answer, err := s.opts.Peers.Pull(ctx, addr, &peerpb.Pull{
+		Offset: st.Offset, Chain: st.Chain[:], Host: s.opts.Host, TakesPacked: true, HoldsRecord: held,
+	})
 	if err != nil {
 		return 0, err
 	}
@@ -244,7 +249,11 @@
 
 // takeAnswer puts in force what a pull brought.
 func (s *Spreader) takeAnswer(asked *fold.State, addr netip.AddrPort, answer *peerpb.PullAnswer) error {
-	if m := answer.GetState(); m != nil {
+	m, err := StateOf(answer)
+	if err != nil {
+		return err
+	}
+	if m != nil {
 		st, err := fold.Decode(m)
 		var unknown *fold.UnknownRuleError
 		if errors.As(err, &unknown) {
@@ -255,10 +264,11 @@
 		}
 		return err
 	}
-	if len(answer.GetRecords()) == 0 {
-		return nil
+	records, err := s.recordsOf(answer)
+	if err != nil || len(records) == 0 {
+		return err
 	}
-	b, err := newBatch(answer.GetBase(), asked.Chain[:], answer.GetRecords())
+	b, err := newBatch(answer.GetBase(), asked.Chain[:], records)
 	if err != nil {
 		return err
 	}
@@ -269,6 +279,22 @@
 	return err
 }
 
+// StateOf returns the whole state of an answer, packed or not, nil if it has none.
+func StateOf(a *peerpb.PullAnswer) (*configpb.State, error) {
+	if len(a.GetPackedState()) == 0 {
+		return a.GetState(), nil
+	}
+	return unpackState(a.GetPackedState())
+}
+
+// recordsOf returns the records of an answer, packed or not.
+func (s *Spreader) recordsOf(a *peerpb.PullAnswer) ([]*configpb.SequencedRecord, error) {
+	if len(a.GetPacked()) == 0 {
+		return a.GetRecords(), nil
+	}
+	return s.history.unpack(a.GetBase(), a.GetPacked())
+}
+
 // servePull answers with the records after an offset, or with the state where
 // it is asked for or the records are no longer remembered.
 func (s *Spreader) servePull(m *peerpb.Pull) *peerpb.PullAnswer {
@@ -295,10 +321,29 @@
 		answer.Busy = true
 		return answer
 	}
-	if b, ok := s.history.after(m.GetOffset(), maxBatchBytes); ok && !m.GetWholeState() {
+	b, ok := s.history.after(m.GetOffset(), maxBatchBytes)
+	switch {
+	case !ok || m.GetWholeState():
+		s.answerState(m, st, answer)
+	case m.GetTakesPacked():
+		answer.Base = b.base
+		answer.Records, answer.Packed = s.wireForm(b, !m.GetHoldsRecord())
+	default:
 		answer.Base, answer.Records = b.base, b.records
-	} else {
-		answer.State = st.Encode()
 	}
 	return answer
 }
+
+// answerState adds the whole state to an answer.
+func (s *Spreader) answerState(m *peerpb.Pull, st *fold.State, answer *peerpb.PullAnswer) {
+	state := st.Encode()
+	if m.GetTakesPacked() && proto.Size(state) >= packFrom {
+		packed, err := packState(state)
+		if err == nil {
+			answer.PackedState = packed
+			return
+		}
+		s.opts.Logger.Error("spread: state not packed", "offset", st.Offset, "error", err)
+	}
+	answer.State = state
+}
--- a/spread/push.go
+++ b/spread/push.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/crocuscross/crocuscross/configpb"
 	"github.com/crocuscross/crocuscross/peer"
 	"github.com/crocuscross/crocuscross/peerpb"
 )
@@ -95,14 +96,28 @@
 	case sendDigest:
 		return s.pushDigest(p)
 	}
-	m := &peerpb.Push{
-		Base: b.base, BaseChain: b.chain[:], Records: b.records,
-		Root: s.opts.Host, Source: encodeAddr(p.self),
-	}
+	m := &peerpb.Push{Base: b.base, BaseChain: b.chain[:], Root: s.opts.Host, Source: encodeAddr(p.self)}
+	m.Records, m.Packed = s.wireForm(b, false)
 	s.startTree(m, p.tree)
 	return b.end()
 }
 
+// wireForm returns a batch as it travels: packed where that is worth it.
+func (s *Spreader) wireForm(b batch, alone bool) ([]*configpb.SequencedRecord, []*peerpb.PackedRecord) {
+	if b.bytes() < packFrom {
+		return b.records, nil
+	}
+	packed, err := s.history.pack(b, alone)
+	if err != nil {
+		s.opts.Logger.Error("spread: records not packed", "base", b.base, "error", err)
+		return b.records, nil
+	}
+	return nil, packed
+}
+
+// isDigest reports whether a push only tells an offset.
+func isDigest(m *peerpb.Push) bool { return len(m.GetRecords()) == 0 && len(m.GetPacked()) == 0 }
+
 // startTree begins a push along this daemon's tree, once there is room.
 func (s *Spreader) startTree(m *peerpb.Push, tree []netip.AddrPort) {
 	select {
@@ -195,12 +210,12 @@
 	ack, err := s.opts.Peers.Push(ctx, addr, &peerpb.Push{
 		Base: m.GetBase(), BaseChain: m.GetBaseChain(), Records: m.GetRecords(),
 		Root: m.GetRoot(), Depth: m.GetDepth() + 1, Targets: encodeAddrs(below),
-		Source: m.GetSource(), Handoff: m.GetHandoff(),
+		Source: m.GetSource(), Handoff: m.GetHandoff(), Packed: m.GetPacked(),
 	})
 	if err == nil && ack.GetDiverged() {
 		err = errDiverged
 	}
-	s.opts.Meter.Pushed(len(m.GetRecords()) == 0, err)
+	s.opts.Meter.Pushed(isDigest(m), err)
 	return err
 }
 
--- a/spread/receive.go
+++ b/spread/receive.go
@@ -13,31 +13,47 @@
 // begins first; a sender that gets none takes them over.
 func (s *Spreader) servePush(m *peerpb.Push, reply func(*peerpb.PushAck) error) error {
 	s.touch()
-	if len(m.GetRecords()) == 0 {
+	if isDigest(m) {
 		return s.serveDigest(m, reply)
 	}
-	b, err := newBatch(m.GetBase(), m.GetBaseChain(), m.GetRecords())
-	if err != nil {
+	end := m.GetBase() + uint64(len(m.GetRecords())+len(m.GetPacked()))
+	b, err := s.pushed(m, end)
+	if err == nil {
+		_, err = s.fold(b, m.GetRoot())
+	}
+	if errors.Is(err, errMalformed) {
 		s.opts.Logger.Warn("spread: push refused", "root", m.GetRoot(), "error", err)
-		return reply(&peerpb.PushAck{Offset: s.history.offset(), Diverged: true})
 	}
-	_, err = s.fold(b, m.GetRoot())
-	if errors.Is(err, errDiverged) {
+	if errors.Is(err, errMalformed) || errors.Is(err, errDiverged) {
 		return reply(&peerpb.PushAck{Offset: s.history.offset(), Diverged: true})
 	}
-	s.noteCovered(b.end())
+	s.noteCovered(end)
 	if source, ok := decodeAddr(m.GetSource()); ok {
-		s.noteAhead(source, b.end())
+		s.noteAhead(source, end)
 	}
 	// A daemon that cannot fold a record passes it on all the same: those below
 	// may run a newer program.
 	var wg sync.WaitGroup
-	wg.Go(func() { s.relay(m, b.end()) })
+	wg.Go(func() { s.relay(m, end) })
 	err = reply(&peerpb.PushAck{Offset: s.history.offset()})
 	wg.Wait()
 	return err
 }
 
+// pushed returns the batch of a push that ends at an offset. What is in force already
+// is not unpacked again; what cannot be unpacked without the records before it is
+// pulled (errNoDictionary).
+func (s *Spreader) pushed(m *peerpb.Push, end uint64) (batch, error) {
+	records := m.GetRecords()
+	if len(m.GetPacked()) > 0 && s.history.offset() < end {
+		var err error
+		if records, err = s.history.unpack(m.GetBase(), m.GetPacked()); err != nil {
+			return batch{}, err
+		}
+	}
+	return newBatch(m.GetBase(), m.GetBaseChain(), records)
+}
+
 // serveDigest takes a push without records: it pulls what is missing and passes
 // the digest on.
 func (s *Spreader) serveDigest(m *peerpb.Push, reply func(*peerpb.PushAck) error) error {
@@ -69,7 +85,7 @@
 	}
 	next := &peerpb.Push{
 		Base: m.GetBase(), BaseChain: m.GetBaseChain(), Records: m.GetRecords(),
-		Root: m.GetRoot(), Depth: m.GetDepth(), Source: m.GetSource(),
+		Root: m.GetRoot(), Depth: m.GetDepth(), Source: m.GetSource(), Packed: m.GetPacked(),
 	}
 	if p := s.plan.Load(); p != nil && s.history.offset() >= end {
 		// Those below pull from here and not all from the root.
@@ -90,7 +106,7 @@
 func (s *Spreader) firstRelay(m *peerpb.Push) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.relayed.add(pushKey{root: m.GetRoot(), base: m.GetBase(), records: len(m.GetRecords())})
+	return s.relayed.add(pushKey{root: m.GetRoot(), base: m.GetBase(), records: len(m.GetRecords()) + len(m.GetPacked())})
 }
 
 // pushKey tells pushes apart.
--- a/spread/ring.go
+++ b/spread/ring.go
@@ -25,6 +25,33 @@
 	record *configpb.SequencedRecord
 	// chain is the digest after the record.
 	chain fold.Chain
+	// after and alone are the record packed with the one before it and without, nil
+	// until some daemon needs them.
+	after, alone []byte
+}
+
+// frame returns the packed form of a record, nil if it has not been made.
+func (r *ring) frame(offset uint64, alone bool) []byte {
+	e := r.at(offset)
+	switch {
+	case e == nil:
+		return nil
+	case alone:
+		return e.alone
+	}
+	return e.after
+}
+
+// keepFrame remembers the packed form of a record that is still held.
+func (r *ring) keepFrame(offset uint64, alone bool, frame []byte) {
+	e := r.at(offset)
+	switch {
+	case e == nil:
+	case alone:
+		e.alone = frame
+	default:
+		e.after = frame
+	}
 }
 
 // reset empties the ring; the next record follows offset.
@@ -34,7 +61,7 @@
 
 // add appends the next record and drops the oldest beyond the bounds.
 func (r *ring) add(rec *configpb.SequencedRecord, chain fold.Chain) {
-	r.entries = append(r.entries, ringEntry{rec, chain})
+	r.entries = append(r.entries, ringEntry{record: rec, chain: chain})
 	r.bytes += len(rec.GetData())
 	for len(r.entries) > maxRingRecords || r.bytes > maxRingBytes && len(r.entries) > 1 {
 		first := r.entries[0]
