outbound: small answers are taken whole before the caller gets any of them

Answers up to 64 kB, which the exchange buffered anyway, are now at hand before the head is written, so that a break is an attempt that failed: repeated where that is allowed, fetched from the gate where it kept the answer, else 502. Ruled out: the callers' own leaving, header timeouts, the drain. Test seen failing first (unexpected EOF for both).

--- a/internal/daemon/link_test.go
+++ b/internal/daemon/link_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -75,3 +77,44 @@
 	}
 	must.Eq(t, 2, runs.Load())
 }
+
+// The link between two daemons breaks while an answer of 40 kB is on it. A caller that
+// has been sent the head can only be cut off, and with it all requests behind on its
+// connection. None has been sent: a lookup is answered with a failure, as there is no
+// other backend server, the answer to a hold, which the gate has kept, is fetched over
+// a new link, and the request behind gets its own answer.
+func TestLink_BreaksWithinAnAnswer(t *testing.T) {
+	whole := strings.Repeat("space ", 7000)
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			var runs atomic.Int64
+			var link *atomic.Pointer[relay.Relay]
+			var f *testFleet
+			f, link = setUpBehindRelay(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if strings.HasSuffix(r.URL.Path, "warm") {
+					return
+				}
+				if runs.Add(1) == 1 {
+					link.Load().CutAfter(8 << 10)
+				}
+				w.Header().Set("Content-Length", strconv.Itoa(len(whole)))
+				_, _ = io.WriteString(w, whole)
+			}))
+			must.Eq(t, http.StatusOK, f.call(f.daemons[0], http.MethodGet, "/signs/warm", "", nil).StatusCode)
+			answers := pipelined(t, f.daemons[0], "X-Customer: garage", method+" /signs/hold", "GET /signs/warm")
+			first, err := http.ReadResponse(answers, nil)
+			must.NoError(t, err)
+			got := readAll(t, first.Body)
+			if method == http.MethodPost {
+				must.Eq(t, http.StatusOK, first.StatusCode, must.Sprint(first.Header))
+				must.Eq(t, whole, got)
+			} else {
+				must.Eq(t, http.StatusBadGateway, first.StatusCode, must.Sprint(first.Header))
+			}
+			second, err := http.ReadResponse(answers, nil)
+			must.NoError(t, err)
+			must.Eq(t, http.StatusOK, second.StatusCode)
+			must.Eq(t, 1, runs.Load())
+		})
+	}
+}
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -1,10 +1,12 @@
 package outbound
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
@@ -57,8 +59,13 @@
 		attribute.Int("crocuscross.attempt", a.c.attempts),
 	)
 	head, err := a.exchange(ctx)
+	latency := a.latency()
+	var src io.Reader
 	if err == nil {
-		return &answered{a: a, head: head, body: body.NewReader(a.st), latency: a.latency()}, nil
+		src, err = a.answerBody(head)
+	}
+	if err == nil {
+		return &answered{a: a, head: head, body: src, latency: latency}, nil
 	}
 	kept, err := a.settle(ctx, err)
 	a.close(balance.Result{Kind: errkind.Of(err), Latency: a.latency(), Load: loadOf(head)})
@@ -152,6 +159,29 @@
 	}
 }
 
+// maxHeldAnswer is the largest answer that is taken whole before any of it is passed
+// on, in bytes. The gates hold answers up to the same length.
+const maxHeldAnswer = 64 << 10
+
+// answerBody returns the body of an answer; a small one is at hand then. Where the
+// link breaks within an answer of which the caller has a part, only the caller's
+// connection can be cut, and the requests behind on it get no answer either. Before
+// that the attempt has failed like any other.
+func (a *attempt) answerBody(head *peerpb.AnswerHead) (io.Reader, error) {
+	src := body.NewReader(a.st)
+	if n := head.GetContentLength(); n < 0 || n > maxHeldAnswer {
+		return src, nil
+	}
+	held, err := io.ReadAll(src)
+	if errors.Is(err, body.ErrCut) {
+		return nil, errkind.Wrap(errkind.BackendFailed, err, "the backend server broke off its answer")
+	}
+	if err != nil {
+		return nil, linkLost(err)
+	}
+	return bytes.NewReader(held), nil
+}
+
 func (a *attempt) startUpload() {
 	if !a.c.head.GetExpectContinue() || a.upload != nil {
 		return
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -57,6 +57,9 @@
 	mu    sync.Mutex
 	modes [directions]Mode
 	links map[*link]struct{}
+	// cutAfter is how many bytes from the target are still delivered before a
+	// connection is cut; negative for no cut.
+	cutAfter int
 	// changed is closed when a mode changes.
 	changed chan struct{}
 }
@@ -75,7 +78,7 @@
 
 // New starts a relay from ln to the connections that dial returns.
 func New(ln net.Listener, dial func(context.Context) (net.Conn, error)) *Relay {
-	r := &Relay{ln: ln, dial: dial, links: map[*link]struct{}{}, changed: make(chan struct{})}
+	r := &Relay{ln: ln, dial: dial, links: map[*link]struct{}{}, cutAfter: noCut, changed: make(chan struct{})}
 	r.t.Go(r.accept)
 	return r
 }
@@ -103,6 +106,34 @@
 	r.wake()
 }
 
+// noCut lets all bytes pass.
+const noCut = -1
+
+// CutAfter closes one connection, the one that delivers the last of so many more
+// bytes from the target. An end that read them has a part of what was sent.
+func (r *Relay) CutAfter(bytes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cutAfter = bytes
+}
+
+// allowed returns how many of n bytes are delivered; cut says that the connection
+// ends behind them.
+func (r *Relay) allowed(n int) (deliver int, cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.cutAfter == noCut:
+		return n, false
+	case n < r.cutAfter:
+		r.cutAfter -= n
+		return n, false
+	}
+	deliver = r.cutAfter
+	r.cutAfter = noCut
+	return deliver, true
+}
+
 // Connections returns the number of open connections.
 func (r *Relay) Connections() int {
 	r.mu.Lock()
@@ -199,11 +230,9 @@
 	for {
 		n, err := src.Read(buf)
 		deliver := l.await(d)
-		if n > 0 && deliver {
-			if _, err := dst.Write(buf[:n]); err != nil {
-				l.close()
-				return
-			}
+		if n > 0 && deliver && !l.deliver(d, dst, buf[:n]) {
+			l.close()
+			return
 		}
 		if err == nil {
 			continue
@@ -215,6 +244,16 @@
 	}
 }
 
+// deliver passes bytes on and reports whether the connection goes on behind them.
+func (l *link) deliver(d Direction, dst net.Conn, p []byte) bool {
+	n, cut := len(p), false
+	if d == FromTarget {
+		n, cut = l.relay.allowed(n)
+	}
+	_, err := dst.Write(p[:n])
+	return err == nil && !cut
+}
+
 // end passes on how a direction ended.
 func (l *link) end(dst net.Conn, err error) {
 	half, ok := dst.(interface{ CloseWrite() error })
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -181,3 +181,27 @@
 	must.NoError(t, err)
 	must.Eq(t, "answer", string(answered))
 }
+
+// One connection is cut behind so many bytes; the next ones pass whole.
+func TestCutAfter(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer ln.Close()
+	r, err := Listen(ln.Addr().String())
+	must.NoError(t, err)
+	defer r.Close()
+	r.CutAfter(4)
+	for _, want := range []string{"answ", "answer"} {
+		caller, err := net.Dial("tcp", r.Addr().String())
+		must.NoError(t, err)
+		target, err := ln.Accept()
+		must.NoError(t, err)
+		_, err = io.WriteString(target, "answer")
+		must.NoError(t, err)
+		must.NoError(t, target.Close())
+		got, err := io.ReadAll(caller)
+		must.NoError(t, err)
+		must.Eq(t, want, string(got))
+		must.NoError(t, caller.Close())
+	}
+}
