inbound: bodies of up to 512 kB come before their call takes a slot

The gate is asked first whether it would let the call in (Check), then the body comes, then the call queues. A daemon whose caller leaves says so behind a body that was sent whole; else the call would have waited on for nobody (an existing test found that). New test failed before: the slot was held while the body was on its way.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -140,6 +140,27 @@
 	return t, nil
 }
 
+// Check returns the error with which Admit would refuse a call that came now, nil if
+// it would be let in. It changes nothing: what is found may be outdated at once.
+func (g *Gate) Check(c Call) error {
+	if c.Remaining <= 0 {
+		return errTooLate
+	}
+	now := g.opts.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.draining {
+		return errDraining
+	}
+	t := &Ticket{gate: g, deadline: now.Add(c.Remaining), share: g.queue.share(shareKey{c.Customer, c.Priority}, now)}
+	t.maxWait = c.maxWait(t.share.serviceTime.value)
+	g.queue.review(g.limit.slots(), now)
+	if g.inUse < g.limit.slots() && g.mayStart(t.share) {
+		return nil
+	}
+	return g.admit(t, now)
+}
+
 // arrive starts the ticket, queues it or returns why neither. The caller holds
 // mu. A free slot goes to the newcomer even if others wait: dispatch has left
 // it free because they may not have it.
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -60,6 +60,25 @@
 	})
 }
 
+// Before a large body is sent for, the gate is asked whether the call would be let in. It
+// says what Admit would say, and a question takes no slot.
+func TestCheckSaysWhatAdmitWould(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(1, 10)
+		must.Eq(t, errkind.DeadlineNotRun, errkind.Of(g.Check(gate.Call{Customer: "a"})))
+		must.NoError(t, g.Check(gate.Call{Customer: "a", Remaining: time.Second}))
+		must.Eq(t, 0, g.Load().InUse)
+		running := mustEnter(t, g, "a")
+		call := gate.Call{Customer: "a", Remaining: 7 * time.Millisecond}
+		_, err := g.Admit(t.Context(), call)
+		must.Eq(t, errkind.Of(err), errkind.Of(g.Check(call)))
+		must.Eq(t, 0, g.Load().Queued)
+		g.Drain()
+		must.Eq(t, errkind.Draining, errkind.Of(g.Check(gate.Call{Customer: "a", Remaining: time.Second})))
+		running.Done(gate.Answered)
+	})
+}
+
 // A call waits, its caller goes away, and the slot gets free at the same moment
 // or later. The slot is neither lost nor given twice.
 func TestCanceledWhileWaiting(t *testing.T) {
--- a/internal/daemon/link_test.go
+++ b/internal/daemon/link_test.go
@@ -118,3 +118,52 @@
 		})
 	}
 }
+
+// slowLink is a connection that lets no bytes beyond the first few through until it is
+// opened.
+type slowLink struct {
+	net.Conn
+	left atomic.Int64
+	open chan struct{}
+}
+
+func (l *slowLink) Write(p []byte) (int, error) {
+	if l.left.Add(-int64(len(p))) < 0 {
+		<-l.open
+	}
+	return l.Conn.Write(p)
+}
+
+// A body of 100 kB is on its way over a slow link to a backend server with one slot. A
+// call that held the slot meanwhile would keep all others waiting for as long as the
+// link takes: a lookup that comes in between is answered first.
+func TestLink_BodyOnItsWayHoldsNoSlot(t *testing.T) {
+	f := newStoreFleet(t, 0)
+	links := make(chan *slowLink, 8)
+	direct := f.dial
+	f.dial = func(_ context.Context, addr netip.AddrPort) (net.Conn, error) {
+		nc, err := net.Dial("tcp", addr.String())
+		l := &slowLink{Conn: nc, open: make(chan struct{})}
+		l.left.Store(32 << 10)
+		links <- l
+		return l, err
+	}
+	f.start()
+	f.dial = direct
+	f.start()
+	f.document(3)
+	s := newServer(t, "i-1")
+	f.announce(f.daemons[1], s, "ready", 1)
+	f.serves(f.daemons[1], s)
+	done := make(chan string)
+	go func() {
+		_, body := f.call(f.daemons[0], http.MethodPost, "/put/x", strings.Repeat("x", 100<<10))
+		done <- body
+	}()
+	f.eventually("the body is on its way", func() bool { return f.daemons[1].inbound.InFlight() == 1 })
+	must.Eq(t, 0, f.daemons[1].inbound.Load().InUse)
+	_, body := f.call(f.daemons[1], http.MethodGet, "/get/x", "")
+	must.Eq(t, "from i-1", body)
+	close((<-links).open)
+	must.Eq(t, "from i-1", <-done)
+}
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,7 +52,10 @@
 type Handler struct {
 	opts  Options
 	sites sites
-	lines telemetry.LineLimit
+	// receiving counts the calls whose bodies come before they queue, held their
+	// bytes.
+	receiving, held atomic.Int64
+	lines           telemetry.LineLimit
 }
 
 // NewHandler returns a handler.
@@ -61,10 +65,10 @@
 	return h
 }
 
-// InFlight returns the number of calls that run or wait.
+// InFlight returns the number of calls that run, wait or are being received.
 func (h *Handler) InFlight() int {
 	l := h.Load()
-	return l.InUse + l.Queued
+	return l.InUse + l.Queued + int(h.receiving.Load())
 }
 
 // Load returns the load of the backend server's gate.
@@ -152,19 +156,12 @@
 	}
 	up := newUpload(c.st, c.cancel, c.onLinkLost)
 	defer up.stop()
-	if c.head.GetExpectContinue() {
-		up.await()
-	} else if err := up.prefetch(); err != nil {
+	release, err := c.receiveBody(up)
+	if err != nil {
 		return c.refuse(err)
 	}
-	ticket, err := c.site.gate.Admit(c.ctx, gate.Call{
-		Customer:  c.head.GetCustomer(),
-		Priority:  int(c.head.GetPriority()),
-		Remaining: time.Until(c.deadline),
-		MaxWait:   time.Duration(c.head.GetMaxQueueMs()) * time.Millisecond,
-
-		ObjectiveLeft: time.Duration(c.head.GetObjectiveLeftMs()) * time.Millisecond,
-	})
+	defer release()
+	ticket, err := c.site.gate.Admit(c.ctx, c.gateCall())
 	if err != nil {
 		return c.refuse(err)
 	}
@@ -173,11 +170,25 @@
 	return err
 }
 
+// gateCall returns what the gate looks at.
+func (c *call) gateCall() gate.Call {
+	g := gate.Call{
+		Customer:  c.head.GetCustomer(),
+		Priority:  int(c.head.GetPriority()),
+		Remaining: time.Until(c.deadline),
+		MaxWait:   time.Duration(c.head.GetMaxQueueMs()) * time.Millisecond,
+	}
+	if left := time.Duration(c.head.GetObjectiveLeftMs()) * time.Millisecond; left > 0 {
+		g.ObjectiveLeft = max(left-time.Since(c.start), time.Millisecond)
+	}
+	return g
+}
+
 // runAdmitted runs a call that holds a slot.
 func (c *call) runAdmitted(up *upload) (gate.Outcome, error) {
-	if c.head.GetExpectContinue() {
-		if err := c.st.Send(&peerpb.AnswerHead{Status: http.StatusContinue}); err != nil {
-			return gate.NotStarted, linkBroken(err)
+	if up.awaited != nil {
+		if err := c.sendContinue(); err != nil {
+			return gate.NotStarted, err
 		}
 	}
 	if !c.head.GetNonIdempotent() {
@@ -186,6 +197,14 @@
 	return c.forwardOnce(up)
 }
 
+// sendContinue asks for the body.
+func (c *call) sendContinue() error {
+	if err := c.st.Send(&peerpb.AnswerHead{Status: http.StatusContinue}); err != nil {
+		return linkBroken(err)
+	}
+	return nil
+}
+
 // place finds the backend server beside this daemon, if it offers the service that
 // the call is for and takes calls. A server with an id that drains or has left takes
 // none from the moment on at which it was told that this is known, whatever other
--- a/internal/proxy/inbound/upload.go
+++ b/internal/proxy/inbound/upload.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"io"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,8 @@
 
 	watching atomic.Bool
 	watched  chan struct{}
+	// whole is a body that was received before its call queued, nil for others.
+	whole io.Reader
 	// awaited is closed when the first part of a body that was asked for has come;
 	// nil for one that comes unasked.
 	awaited chan struct{}
@@ -64,6 +67,9 @@
 
 // Read implements io.Reader.
 func (u *upload) Read(p []byte) (int, error) {
+	if u.whole != nil {
+		return u.whole.Read(p)
+	}
 	if u.awaited != nil {
 		<-u.awaited
 	}
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -40,6 +40,8 @@
 	unbind func() bool
 	// upload ends when a streamed body is no longer read.
 	upload chan struct{}
+	// uploaded is whether all of it was sent; it is read once upload is closed.
+	uploaded bool
 	// sent is whether the whole request body has been sent.
 	sent bool
 	// arrived is whether the call may have reached the backend server.
@@ -194,7 +196,7 @@
 	a.upload = make(chan struct{})
 	go func() {
 		defer close(a.upload)
-		_ = body.Send(a.st, src, a.c.head.GetContentLength())
+		a.uploaded = body.Send(a.st, src, a.c.head.GetContentLength()) == nil
 	}()
 }
 
@@ -230,15 +232,29 @@
 	a.c.uploadDone()
 }
 
-// cancel tells the gate that nobody waits for the answer any more.
+// cancel tells the gate that nobody waits for the answer any more. Within a body that
+// is still on its way the end of the stream tells it.
 func (a *attempt) cancel() {
-	if a.st == nil || !a.sent {
+	if a.st == nil || !a.sent && !a.wasUploaded() {
 		return
 	}
 	_ = a.st.SetWriteDeadline(time.Now().Add(cancelTimeout))
 	_ = body.SendCut(a.st, errkind.Canceled)
 }
 
+// wasUploaded reports whether the body was sent whole after the gate had asked for it.
+func (a *attempt) wasUploaded() bool {
+	if a.upload == nil || a.c.stream != nil && !a.c.stream.ended.Load() {
+		return false
+	}
+	select {
+	case <-a.upload:
+		return a.uploaded
+	case <-time.After(cancelTimeout):
+		return false
+	}
+}
+
 // refusedBy notes what a refusal tells of the lane, and returns it as an error.
 func (a *attempt) refusedBy(head *peerpb.AnswerHead) error {
 	err := gateError(head)
