inbound: bodies come in parts over slow links, two at a time

A gate now asks for one part of 12.5 ms of its link after the other (continue_bytes), two at a time over all bodies, and refuses a body that would wait for the link longer than its call may. Hosts with an unstated or fast link ask for the whole body at once, as before.

--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -28,7 +28,8 @@
 	attempts.Bounds.MaxRecords, attempts.Bounds.MaxBytes = keptRecords, keptBytes
 	p.attempts = once.NewAttempts(attempts)
 	p.inbound = inbound.NewHandler(inbound.Options{
-		Local: &d.board.Local, NewGate: d.newGate,
+		LinkMbps: d.settings.LinkMbps,
+		Local:    &d.board.Local, NewGate: d.newGate,
 		Attempts: p.attempts, Dialect: d.dialect(), Misplaced: p.announce.Misplaced,
 		Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
 	})
--- a/internal/daemon/store_test.go
+++ b/internal/daemon/store_test.go
@@ -332,3 +332,28 @@
 	all.Wait()
 	must.Eq(t, 0, len(began))
 }
+
+// A host with a link of 5 Mbit/s has bodies sent in parts. They reach the backend server
+// as they were, the length in parts or not, several at once.
+func TestStore_BodiesInParts(t *testing.T) {
+	f := newStoreFleet(t, 0)
+	change := f.change
+	f.change = func(s *settings.Settings) {
+		change(s)
+		s.LinkMbps = 5
+	}
+	f.start()
+	f.start()
+	f.document(3)
+	s := newServer(t, "i-1")
+	f.announce(f.daemons[1], s, "ready", 1)
+	f.serves(f.daemons[0], s)
+	for _, n := range []int{17 << 10, 100_000, 300_001} {
+		payload := strings.Repeat("x", n-1) + "y"
+		_, body := f.call(f.daemons[0], http.MethodPost, "/put/x", payload)
+		must.Eq(t, "from i-1", body)
+		_, got := s.last()
+		must.True(t, payload == got)
+	}
+	must.Eq(t, 0, f.daemons[1].inbound.InFlight())
+}
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -40,6 +40,8 @@
 	NewGate  func() *gate.Gate
 	Attempts *once.Attempts
 	Dialect  dialect.Dialect
+	// LinkMbps is the bandwidth of the host's link in Mbit/s, 0 where it is not stated.
+	LinkMbps float64
 	// Misplaced is told that the server of an id is not at its address any more.
 	Misplaced func(id string)
 	Tracer    trace.Tracer
@@ -55,12 +57,13 @@
 	// receiving counts the calls whose bodies come before they queue, held their
 	// bytes.
 	receiving, held atomic.Int64
+	pacer           *pacer
 	lines           telemetry.LineLimit
 }
 
 // NewHandler returns a handler.
 func NewHandler(opts Options) *Handler {
-	h := &Handler{opts: opts, lines: telemetry.NewLineLimit(refusedLines)}
+	h := &Handler{opts: opts, lines: telemetry.NewLineLimit(refusedLines), pacer: newPacer(opts.LinkMbps)}
 	h.sites.init(opts)
 	return h
 }
@@ -187,7 +190,7 @@
 // runAdmitted runs a call that holds a slot.
 func (c *call) runAdmitted(up *upload) (gate.Outcome, error) {
 	if up.awaited != nil {
-		if err := c.sendContinue(); err != nil {
+		if err := c.sendContinue(0); err != nil {
 			return gate.NotStarted, err
 		}
 	}
@@ -197,9 +200,9 @@
 	return c.forwardOnce(up)
 }
 
-// sendContinue asks for the body.
-func (c *call) sendContinue() error {
-	if err := c.st.Send(&peerpb.AnswerHead{Status: http.StatusContinue}); err != nil {
+// sendContinue asks for so many bytes of the body, 0 for all of it.
+func (c *call) sendContinue(bytes int) error {
+	if err := c.st.Send(&peerpb.AnswerHead{Status: http.StatusContinue, ContinueBytes: uint32(bytes)}); err != nil {
 		return linkBroken(err)
 	}
 	return nil
--- a/internal/proxy/inbound/receive.go
+++ b/internal/proxy/inbound/receive.go
@@ -45,13 +45,46 @@
 }
 
 func (c *call) receiveWhole(up *upload) error {
-	if err := c.site.gate.Check(c.gateCall()); err != nil {
+	g := c.gateCall()
+	if err := c.site.gate.Check(g); err != nil {
 		return err
 	}
-	if err := c.sendContinue(); err != nil {
+	if err := c.h.pacer.check(g.MaxWait); err != nil {
 		return err
 	}
-	return up.receive()
+	n := c.head.GetContentLength()
+	c.h.pacer.coming.Add(n)
+	if !c.h.pacer.paces(n) {
+		defer c.h.pacer.coming.Add(-n)
+		if err := c.sendContinue(0); err != nil {
+			return err
+		}
+		return up.receive(make([]byte, n))
+	}
+	whole := make([]byte, n)
+	for at := int64(0); at < n; {
+		part := whole[at:min(at+c.h.pacer.part, n)]
+		at += int64(len(part))
+		if err := c.receivePart(up, part); err != nil {
+			c.h.pacer.coming.Add(at - int64(len(part)) - n)
+			return err
+		}
+		c.h.pacer.coming.Add(-int64(len(part)))
+	}
+	return up.received(whole)
+}
+
+// receivePart asks for the next part of the body and reads it.
+func (c *call) receivePart(up *upload, part []byte) error {
+	end, err := c.h.pacer.turn(c.ctx)
+	if err != nil {
+		return err
+	}
+	defer end()
+	if err := c.sendContinue(len(part)); err != nil {
+		return err
+	}
+	return up.fill(part)
 }
 
 // reserve takes room for a body and reports whether there was enough.
@@ -63,17 +96,43 @@
 	return false
 }
 
-// receive reads the body to its end. The call has not started, whatever goes wrong.
-func (u *upload) receive() error {
-	whole, err := io.ReadAll(u.src)
+// receive reads a body of a known length. The call has not started, whatever goes wrong.
+func (u *upload) receive(whole []byte) error {
+	if err := u.fill(whole); err != nil {
+		return err
+	}
+	return u.received(whole)
+}
+
+// fill reads a part of the body.
+func (u *upload) fill(part []byte) error {
+	_, err := io.ReadFull(u.src, part)
+	return bodyError(err)
+}
+
+// received takes in the whole body, of which nothing may follow.
+func (u *upload) received(whole []byte) error {
+	var more [1]byte
+	n, err := u.src.Read(more[:])
+	if n > 0 {
+		return errkind.Newf(errkind.BadRequest, "the body has more than the %d bytes that were told of", len(whole))
+	}
+	if !errors.Is(err, io.EOF) {
+		return bodyError(err)
+	}
+	u.whole = bytes.NewReader(whole)
+	u.watchIfComplete()
+	return nil
+}
+
+// bodyError gives a body that did not come whole its kind.
+func bodyError(err error) error {
 	var netErr net.Error
 	switch {
+	case err == nil:
+		return nil
 	case errors.As(err, &netErr) && netErr.Timeout():
 		return errkind.Wrap(errkind.DeadlineNotRun, err, "the request body came too slowly")
-	case err != nil:
-		return errkind.Wrap(errkind.Canceled, err, "the caller went away with its request body")
 	}
-	u.whole = bytes.NewReader(whole)
-	u.watchIfComplete()
-	return nil
+	return errkind.Wrap(errkind.Canceled, err, "the caller went away with its request body")
 }
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -42,6 +42,8 @@
 	upload chan struct{}
 	// uploaded is whether all of it was sent; it is read once upload is closed.
 	uploaded bool
+	// credit bounds what the gate lets be sent, nil for no bound.
+	credit *credit
 	// sent is whether the whole request body has been sent.
 	sent bool
 	// arrived is whether the call may have reached the backend server.
@@ -157,7 +159,7 @@
 		if head.GetStatus() != statusContinue {
 			return head, nil
 		}
-		a.startUpload()
+		a.startUpload(int64(head.GetContinueBytes()))
 	}
 }
 
@@ -184,8 +186,14 @@
 	return bytes.NewReader(held), nil
 }
 
-func (a *attempt) startUpload() {
-	if !a.c.head.GetExpectContinue() || a.upload != nil {
+// startUpload sends the body, or lets the sending go on by so many bytes; 0 stands for
+// all of it.
+func (a *attempt) startUpload(allowed int64) {
+	if !a.c.head.GetExpectContinue() {
+		return
+	}
+	if a.upload != nil {
+		a.credit.add(allowed)
 		return
 	}
 	src := a.c.heldBody()
@@ -193,6 +201,10 @@
 		a.c.streamed = true
 		src = a.c.stream
 	}
+	if allowed > 0 {
+		a.credit = newCredit(src, allowed)
+		src = a.credit
+	}
 	a.upload = make(chan struct{})
 	go func() {
 		defer close(a.upload)
@@ -220,6 +232,7 @@
 	if a.upload == nil {
 		return
 	}
+	a.credit.close()
 	if a.c.stream == nil {
 		// The stream is closed, which ends the sending.
 		<-a.upload
--- /dev/null
+++ b/internal/proxy/outbound/credit_test.go
@@ -0,0 +1,44 @@
+package outbound
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/shoenig/test/must"
+)
+
+// A gate asks for a body in two parts. What it has not asked for stays here.
+func TestCreditIsNotExceeded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCredit(strings.NewReader("question and answer"), 8)
+		got := make(chan string, 1)
+		go func() {
+			b, err := io.ReadAll(c)
+			must.NoError(t, err)
+			got <- string(b)
+		}()
+		synctest.Wait()
+		must.Eq(t, 0, c.left)
+		must.Eq(t, 0, len(got))
+		c.add(100)
+		must.Eq(t, "question and answer", <-got)
+	})
+}
+
+// The attempt ends while the gate has not asked for the rest. Whoever reads the body
+// must come to an end: the call waits for it.
+func TestCreditEndsWithItsAttempt(t *testing.T) {
+	c := newCredit(strings.NewReader("question"), 0)
+	done := make(chan error)
+	go func() {
+		_, err := c.Read(make([]byte, 8))
+		done <- err
+	}()
+	c.close()
+	must.ErrorIs(t, <-done, errNoCredit)
+	var none *credit
+	none.add(1)
+	none.close()
+}
