transit: the time that a call loses on the way is gone from its time

Heads are stamped by the sender's clock; the least difference of the clocks seen in the last 15 to 30 s belongs to a head that was not held up, and what another's is above it is taken off.

--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -22,6 +22,7 @@
 	"github.com/crocuscross/crocuscross/once"
 	"github.com/crocuscross/crocuscross/peer"
 	"github.com/crocuscross/crocuscross/peerpb"
+	"github.com/crocuscross/crocuscross/transit"
 )
 
 const (
@@ -58,12 +59,13 @@
 	// bytes.
 	receiving, held atomic.Int64
 	pacer           *pacer
+	transits        *transit.Estimator
 	lines           telemetry.LineLimit
 }
 
 // NewHandler returns a handler.
 func NewHandler(opts Options) *Handler {
-	h := &Handler{opts: opts, lines: telemetry.NewLineLimit(refusedLines), pacer: newPacer(opts.LinkMbps)}
+	h := &Handler{opts: opts, lines: telemetry.NewLineLimit(refusedLines), pacer: newPacer(opts.LinkMbps), transits: transit.New()}
 	h.sites.init(opts)
 	return h
 }
@@ -119,6 +121,9 @@
 	if err := st.RecvMax(head, maxHeadBytes); err != nil {
 		return nil, errors.Wrap(err, "read call head")
 	}
+	// What the call lost on the way is gone from the time that it has: its caller leaves
+	// when that is up, and the word of it comes over the same link.
+	start = start.Add(-h.delay(head))
 	remaining := time.Duration(head.GetRemainingMs()) * time.Millisecond
 	deadline := start.Add(remaining)
 	_ = st.SetReadDeadline(deadline)
@@ -135,6 +140,12 @@
 	}, nil
 }
 
+// delay returns how long the head of a call was held up on the way.
+func (h *Handler) delay(head *peerpb.CallHead) time.Duration {
+	sender := transit.Sender{Host: head.GetSenderHost(), Boot: head.GetSenderBoot()}
+	return h.transits.Delay(sender, head.GetSentAtUs(), transit.Stamp())
+}
+
 // call is one attempt in progress.
 type call struct {
 	h        *Handler
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -20,6 +20,7 @@
 	"github.com/crocuscross/crocuscross/quota"
 	"github.com/crocuscross/crocuscross/retry"
 	"github.com/crocuscross/crocuscross/snapshot"
+	"github.com/crocuscross/crocuscross/transit"
 )
 
 // maxHeldBody is the largest request body that is held whole, in bytes. A body
@@ -257,6 +258,9 @@
 		MaxQueueMs:     uint32(c.maxQueue() / time.Millisecond),
 		Attempt:        c.inherited + uint32(c.attempts) - 1,
 		Traceparent:    telemetry.Traceparent(ctx),
+		SenderHost:     c.h.opts.Host,
+		SenderBoot:     c.h.opts.Boot,
+		SentAtUs:       transit.Stamp(),
 	}
 	if c.route != nil && c.route.Objective > 0 && !c.returned() {
 		h.ObjectiveLeftMs = uint32(max(c.route.Objective-time.Since(c.began), time.Millisecond) / time.Millisecond)
