--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uptrace/bunrouter"
 
 	"github.com/crocuscross/crocuscross/internal/netopt"
 	"github.com/crocuscross/crocuscross/internal/settings"
@@ -32,7 +34,9 @@
 // taken is told at once.
 type listeners struct {
 	callers, peers, operators, backend net.Listener
-	packets                            *net.UDPConn
+	// metrics is nil where the settings name no such listener.
+	metrics net.Listener
+	packets *net.UDPConn
 	// callersDoor is callers.
 	callersDoor *door
 }
@@ -47,7 +51,11 @@
 		{"listen.peers", s.Peers, &l.peers},
 		{"listen.operators", s.Operators, &l.operators},
 		{"listen.backend", s.Backend, &l.backend},
+		{"listen.metrics", s.Metrics, &l.metrics},
 	} {
+		if b.field == "listen.metrics" && b.addr == "" {
+			continue
+		}
 		ln, err := net.Listen("tcp", b.addr)
 		if err != nil {
 			l.close()
@@ -69,7 +77,7 @@
 }
 
 func (l *listeners) close() {
-	for _, ln := range []net.Listener{l.callers, l.peers, l.operators, l.backend} {
+	for _, ln := range []net.Listener{l.callers, l.peers, l.operators, l.backend, l.metrics} {
 		if ln != nil {
 			_ = ln.Close()
 		}
@@ -155,6 +163,27 @@
 	return slog.NewLogLogger(logger.With("listener", listener).Handler(), slog.LevelDebug)
 }
 
+// metricsPath is where the metrics listener serves.
+const metricsPath = "/metrics"
+
+// serveMetrics serves the metrics on a listener of their own, if there is one.
+func (d *Daemon) serveMetrics(ctx context.Context) error {
+	if d.ln.metrics == nil {
+		return idle(ctx)
+	}
+	router := bunrouter.New()
+	router.GET(metricsPath, bunrouter.HTTPHandler(d.exposition()))
+	srv := operatorServer(router, d.logger)
+	watchInput(srv, "metrics", d.meter, d.logger)
+	defer context.AfterFunc(ctx, func() { shutdown(srv, closeTimeout) })()
+	return serve(srv, d.ln.metrics)
+}
+
+// exposition returns the handler of the metrics.
+func (d *Daemon) exposition() http.Handler {
+	return promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{})
+}
+
 // serve runs an HTTP server until it is shut down.
 func serve(srv *http.Server, ln net.Listener) error {
 	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus/promhttp"
-
 	"github.com/crocuscross/crocuscross/balance"
 	"github.com/crocuscross/crocuscross/checkpoint"
 	"github.com/crocuscross/crocuscross/eventlog"
@@ -252,7 +250,7 @@
 	p.operatorAPI = operator.New(operator.Options{
 		Board: d.board, Fleet: f, Logger: d.logger,
 		NeedDocument: d.settings.Requests.Customers == settings.CustomersOptional,
-		Metrics:      promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}),
+		Metrics:      d.exposition(),
 	})
 }
 
@@ -273,6 +271,7 @@
 	return []loop.Func{
 		func(context.Context) error { return d.server.Serve(d.ln.peers) },
 		func(context.Context) error { return serve(d.operators, d.ln.operators) },
+		d.serveMetrics,
 		func(context.Context) error { return serve(d.backend, d.ln.backend) },
 		d.serveCallers,
 		d.joinFleet, d.recoverConfiguration, d.calls.Run, d.control.Run,
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -22,6 +22,8 @@
 		"What the other daemons are told in place of listen.peers, where they reach this host by a translated address.").optional(),
 	address("listen.operators", "10.1.2.3:7401",
 		"HTTP for operators: status, drain, metrics."),
+	address("listen.metrics", "10.1.2.3:9464",
+		"HTTP for the metrics alone, for a scraper that must not reach the rest of listen.operators. Left out, they are served there only.").optional(),
 	address("listen.backend", "127.0.0.1:7402",
 		"HTTP where the backend server beside the daemon announces itself."),
 
--- a/internal/settings/relations.go
+++ b/internal/settings/relations.go
@@ -34,7 +34,7 @@
 	l := c.settings.Listen
 	list := []struct{ path, address string }{
 		{"listen.callers", l.Callers}, {"listen.peers", l.Peers},
-		{"listen.operators", l.Operators}, {"listen.backend", l.Backend},
+		{"listen.operators", l.Operators}, {"listen.metrics", l.Metrics}, {"listen.backend", l.Backend},
 	}
 	for i, a := range list {
 		for _, b := range list[:i] {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,6 +68,8 @@
 	// AdvertisePeers is told to the other daemons in place of Peers.
 	AdvertisePeers string `json:"advertise_peers"`
 	Operators      string `json:"operators"`
+	// Metrics serves the metrics alone, beside Operators; empty for no such listener.
+	Metrics string `json:"metrics"`
 	// Backend is where the backend server beside the daemon announces itself.
 	Backend string `json:"backend"`
 }
