inbound: receiving a body reads in smaller steps; a test waits for the server to be known

The test of bodies on their way failed once under the race detector: the daemon beside the caller had not heard of the backend server yet, and answered no_backend.

--- a/internal/daemon/link_test.go
+++ b/internal/daemon/link_test.go
@@ -155,6 +155,10 @@
 	s := newServer(t, "i-1")
 	f.announce(f.daemons[1], s, "ready", 1)
 	f.serves(f.daemons[1], s)
+	f.eventually("the other daemon knows the server", func() bool {
+		b := f.daemons[0].board.Backends.Load()
+		return b != nil && len(b.Of("signs")) == 1
+	})
 	done := make(chan string)
 	go func() {
 		_, body := f.call(f.daemons[0], http.MethodPost, "/put/x", strings.Repeat("x", 100<<10))
--- a/internal/proxy/inbound/pace.go
+++ b/internal/proxy/inbound/pace.go
@@ -30,8 +30,9 @@
 type pacer struct {
 	// part is the length of a part in bytes, perSecond what the link carries; 0 where
 	// the link is not stated.
-	part, perSecond int64
-	turns           *semaphore.Weighted
+	part      int
+	perSecond int64
+	turns     *semaphore.Weighted
 	// coming counts the bytes of the bodies that are asked for or wait for their turn.
 	coming atomic.Int64
 }
@@ -40,13 +41,13 @@
 func newPacer(linkMbps float64) *pacer {
 	p := &pacer{perSecond: int64(linkMbps * 1e6 / 8), turns: semaphore.NewWeighted(partsAtOnce)}
 	if p.perSecond > 0 {
-		p.part = max(int64(partTime.Seconds()*float64(p.perSecond)), leastPart)
+		p.part = max(int(partTime.Seconds()*float64(p.perSecond)), leastPart)
 	}
 	return p
 }
 
 // paces reports whether a body of n bytes comes in parts.
-func (p *pacer) paces(n int64) bool { return p.part > 0 && n > p.part }
+func (p *pacer) paces(n int) bool { return p.part > 0 && n > p.part }
 
 // wait returns how long the link is taken by what is still to come.
 func (p *pacer) wait() time.Duration {
--- a/internal/proxy/inbound/receive.go
+++ b/internal/proxy/inbound/receive.go
@@ -44,6 +44,7 @@
 	return release, nil
 }
 
+// receiveWhole receives the body if the gate and the host's link would take it.
 func (c *call) receiveWhole(up *upload) error {
 	g := c.gateCall()
 	if err := c.site.gate.Check(g); err != nil {
@@ -52,26 +53,34 @@
 	if err := c.h.pacer.check(g.MaxWait); err != nil {
 		return err
 	}
-	n := c.head.GetContentLength()
-	c.h.pacer.coming.Add(n)
-	if !c.h.pacer.paces(n) {
-		defer c.h.pacer.coming.Add(-n)
+	whole := make([]byte, c.head.GetContentLength())
+	if err := c.receiveParts(up, whole); err != nil {
+		return err
+	}
+	return up.received(whole)
+}
+
+// receiveParts asks for the body, all of it at once where the link is wide, and reads it.
+func (c *call) receiveParts(up *upload, whole []byte) error {
+	p := c.h.pacer
+	rest := whole
+	p.coming.Add(int64(len(rest)))
+	defer func() { p.coming.Add(-int64(len(rest))) }()
+	if !p.paces(len(whole)) {
 		if err := c.sendContinue(0); err != nil {
 			return err
 		}
-		return up.receive(make([]byte, n))
+		return up.fill(whole)
 	}
-	whole := make([]byte, n)
-	for at := int64(0); at < n; {
-		part := whole[at:min(at+c.h.pacer.part, n)]
-		at += int64(len(part))
-		if err := c.receivePart(up, part); err != nil {
-			c.h.pacer.coming.Add(at - int64(len(part)) - n)
+	for len(rest) > 0 {
+		n := min(p.part, len(rest))
+		if err := c.receivePart(up, rest[:n]); err != nil {
 			return err
 		}
-		c.h.pacer.coming.Add(-int64(len(part)))
+		p.coming.Add(-int64(n))
+		rest = rest[n:]
 	}
-	return up.received(whole)
+	return nil
 }
 
 // receivePart asks for the next part of the body and reads it.
@@ -96,15 +105,7 @@
 	return false
 }
 
-// receive reads a body of a known length. The call has not started, whatever goes wrong.
-func (u *upload) receive(whole []byte) error {
-	if err := u.fill(whole); err != nil {
-		return err
-	}
-	return u.received(whole)
-}
-
-// fill reads a part of the body.
+// fill reads a part of the body. The call has not started, whatever goes wrong.
 func (u *upload) fill(part []byte) error {
 	_, err := io.ReadFull(u.src, part)
 	return bodyError(err)
