Drain: calls that are left at its end are answered, not cut

Calls in progress are now given up 0.3 s before: one that has not run is answered 503 (a gate that asks for parts of a body begins with a whole one only, other gates are asked once), one that may have run 502. Test seen failing first: the caller got no answer, and the test ran into its timeout.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -35,6 +35,9 @@
 	lingerPoll = 10 * time.Millisecond
 	// leaveTimeout bounds the goodbye to the other daemons.
 	leaveTimeout = 300 * time.Millisecond
+	// lastAnswersTimeout bounds the answers to calls that are given up: an ask of a gate
+	// and a write to the caller.
+	lastAnswersTimeout = 300 * time.Millisecond
 	// closeTimeout bounds the end of what is left after the drain, at each listener.
 	closeTimeout = 150 * time.Millisecond
 )
@@ -178,8 +181,8 @@
 	d.lifecycle.WaitQuiet()
 	d.ln.callersDoor.Shut()
 	d.lingerOn()
-	if err := d.callers.Shutdown(until); err != nil {
-		d.logger.Warn("daemon: callers' connections cut off by the drain timeout", "connections", d.callers.Open())
+	if d.callers.Shutdown(until) != nil {
+		d.answerTheRest()
 	}
 	left := d.lifecycle.Wait(until)
 	if left > 0 {
@@ -193,6 +196,17 @@
 	}
 }
 
+// answerTheRest has the calls answered for which there is no time left.
+func (d *Daemon) answerTheRest() {
+	d.logger.Warn("daemon: calls given up by the drain timeout", "calls", d.outbound.InFlight(), "connections", d.callers.Open())
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswersTimeout)
+	defer cancel()
+	d.outbound.GiveUp()
+	if d.callers.Shutdown(ctx) != nil {
+		d.logger.Warn("daemon: callers' connections cut off", "connections", d.callers.Open())
+	}
+}
+
 // drainTime returns how long calls in flight may take in a drain. A sixth of the time
 // until the process is killed is left for the goodbye and the end: calls cut off by
 // the kill get no answer at all, and the other daemons would suspect the host first.
--- a/internal/daemon/link_test.go
+++ b/internal/daemon/link_test.go
@@ -3,17 +3,21 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/crocuscross/crocuscross/internal/answer"
+	"github.com/crocuscross/crocuscross/internal/settings"
 	"github.com/crocuscross/crocuscross/internal/standin/relay"
 )
 
@@ -119,32 +123,52 @@
 	}
 }
 
-// slowLink is a connection that lets no bytes beyond the first few through until it is
-// opened.
+// slowLink is a connection that keeps back all bytes beyond the first few until it is
+// opened, as a link with a long queue does.
 type slowLink struct {
 	net.Conn
-	left atomic.Int64
-	open chan struct{}
+
+	mu   sync.Mutex
+	left int
+	held []byte
 }
 
 func (l *slowLink) Write(p []byte) (int, error) {
-	if l.left.Add(-int64(len(p))) < 0 {
-		<-l.open
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.held) > 0 || len(p) > l.left {
+		l.held = append(l.held, p...)
+		return len(p), nil
 	}
+	l.left -= len(p)
 	return l.Conn.Write(p)
 }
 
-// A body of 100 kB is on its way over a slow link to a backend server with one slot. A
-// call that held the slot meanwhile would keep all others waiting for as long as the
-// link takes: a lookup that comes in between is answered first.
-func TestLink_BodyOnItsWayHoldsNoSlot(t *testing.T) {
+// open lets everything through.
+func (l *slowLink) open() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.left = math.MaxInt
+	_, _ = l.Conn.Write(l.held)
+	l.held = nil
+}
+
+// setUpSlowLink is a fleet of two whose first daemon reaches the second over slow links,
+// with a backend server beside the second. It returns the links in the order in which
+// they were made.
+func setUpSlowLink(t *testing.T, adjust func(*settings.Settings)) (*storeFleet, *server, chan *slowLink) {
+	t.Helper()
 	f := newStoreFleet(t, 0)
+	change := f.change
+	f.change = func(s *settings.Settings) {
+		change(s)
+		adjust(s)
+	}
 	links := make(chan *slowLink, 8)
 	direct := f.dial
 	f.dial = func(_ context.Context, addr netip.AddrPort) (net.Conn, error) {
 		nc, err := net.Dial("tcp", addr.String())
-		l := &slowLink{Conn: nc, open: make(chan struct{})}
-		l.left.Store(32 << 10)
+		l := &slowLink{Conn: nc, left: 32 << 10}
 		links <- l
 		return l, err
 	}
@@ -159,6 +183,14 @@
 		b := f.daemons[0].board.Backends.Load()
 		return b != nil && len(b.Of("signs")) == 1
 	})
+	return f, s, links
+}
+
+// A body of 100 kB is on its way over a slow link to a backend server with one slot. A
+// call that held the slot meanwhile would keep all others waiting for as long as the
+// link takes: a lookup that comes in between is answered first.
+func TestLink_BodyOnItsWayHoldsNoSlot(t *testing.T) {
+	f, _, links := setUpSlowLink(t, func(*settings.Settings) {})
 	done := make(chan string)
 	go func() {
 		_, body := f.call(f.daemons[0], http.MethodPost, "/put/x", strings.Repeat("x", 100<<10))
@@ -168,6 +200,30 @@
 	must.Eq(t, 0, f.daemons[1].inbound.Load().InUse)
 	_, body := f.call(f.daemons[1], http.MethodGet, "/get/x", "")
 	must.Eq(t, "from i-1", body)
-	close((<-links).open)
+	(<-links).open()
 	must.Eq(t, "from i-1", <-done)
 }
+
+// A host is stopped while an upload of one of its callers is still on its way to a
+// backend server. At the end of the drain its connection was closed without a word, and
+// the caller, who must not send the upload twice, could do nothing. The gate has asked for
+// a part of the body only and cannot have begun, and the caller is told so.
+func TestLink_UploadLeftAtTheEndOfADrain(t *testing.T) {
+	f, s, links := setUpSlowLink(t, func(s *settings.Settings) {
+		s.Drain.Timeout = settings.Duration(1200 * time.Millisecond)
+		s.LinkMbps = 5
+	})
+	type result struct{ status, run string }
+	done := make(chan result)
+	go func() {
+		resp, _ := f.call(f.daemons[0], http.MethodPost, "/put/x", strings.Repeat("x", 100<<10))
+		done <- result{resp.Status, resp.Header.Get(answer.HeaderRun)}
+	}()
+	f.eventually("the body is on its way", func() bool { return f.daemons[1].inbound.InFlight() == 1 })
+	before, _ := s.last()
+	f.daemons[0].stop()
+	must.Eq(t, result{"503 Service Unavailable", "no"}, <-done)
+	last, _ := s.last()
+	must.True(t, before == last, must.Sprint("the upload has not run"))
+	(<-links).open()
+}
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -202,7 +202,7 @@
 		src = a.c.stream
 	}
 	if allowed > 0 {
-		a.credit = newCredit(src, allowed)
+		a.credit = newCredit(src, a.c.head.GetContentLength(), allowed)
 		src = a.credit
 	}
 	a.upload = make(chan struct{})
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -39,6 +39,8 @@
 
 var (
 	errDeadline = errors.New("the call's time is up")
+	// errLeaving ends the calls of a process that is about to end.
+	errLeaving = errors.New("this host is leaving")
 	// errAnswerCut means that an answer broke off after its head was written.
 	errAnswerCut = errors.New("answer cut short")
 )
@@ -303,8 +305,22 @@
 // was paused makes the HTTP library cancel the request as if the caller had gone.
 func contextKind(ctx context.Context, onDeadline errkind.Kind) error {
 	end, ok := ctx.Deadline()
+	if isLeaving(ctx) {
+		return errkind.Wrap(leavingKind(onDeadline), errLeaving, "give up")
+	}
 	if errors.Is(context.Cause(ctx), errDeadline) || ok && !time.Now().Before(end) {
 		return errkind.Wrap(onDeadline, errDeadline, "give up")
 	}
 	return errkind.Wrap(errkind.Canceled, context.Cause(ctx), "the caller went away")
 }
+
+func isLeaving(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errLeaving) }
+
+// leavingKind is the kind of a call that is given up as the host leaves, by the one that
+// it would have if its time were up: only that tells whether it may have run.
+func leavingKind(onDeadline errkind.Kind) errkind.Kind {
+	if onDeadline == errkind.DeadlineNotRun {
+		return errkind.Draining
+	}
+	return errkind.OutcomeUnknown
+}
--- a/internal/proxy/outbound/credit.go
+++ b/internal/proxy/outbound/credit.go
@@ -14,15 +14,18 @@
 // has no bound.
 type credit struct {
 	src io.Reader
+	// length of the whole body.
+	length int64
 
-	mu     sync.Mutex
-	more   *sync.Cond
-	left   int64
-	closed bool
+	mu   sync.Mutex
+	more *sync.Cond
+	// left may still be read, sent has been.
+	left, sent      int64
+	reading, closed bool
 }
 
-func newCredit(src io.Reader, allowed int64) *credit {
-	c := &credit{src: src, left: allowed}
+func newCredit(src io.Reader, length, allowed int64) *credit {
+	c := &credit{src: src, length: length, left: allowed}
 	c.more = sync.NewCond(&c.mu)
 	return c
 }
@@ -49,6 +52,17 @@
 	c.more.Broadcast()
 }
 
+// partOnly closes the body and reports whether a part of it will certainly never be sent.
+func (c *credit) partOnly() bool {
+	if c == nil {
+		return false
+	}
+	c.close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.reading && c.sent < c.length
+}
+
 // Read implements io.Reader. It waits until the gate has asked for something.
 func (c *credit) Read(p []byte) (int, error) {
 	c.mu.Lock()
@@ -60,10 +74,13 @@
 		return 0, errNoCredit
 	}
 	p = p[:min(int64(len(p)), c.left)]
+	c.reading = true
 	c.mu.Unlock()
 	n, err := c.src.Read(p)
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
 	c.left -= int64(n)
-	c.mu.Unlock()
+	c.sent += int64(n)
 	return n, err
 }
--- a/internal/proxy/outbound/credit_test.go
+++ b/internal/proxy/outbound/credit_test.go
@@ -12,7 +12,7 @@
 // A gate asks for a body in two parts. What it has not asked for stays here.
 func TestCreditIsNotExceeded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCredit(strings.NewReader("question and answer"), 8)
+		c := newCredit(strings.NewReader("question and answer"), 19, 8)
 		got := make(chan string, 1)
 		go func() {
 			b, err := io.ReadAll(c)
@@ -30,7 +30,7 @@
 // The attempt ends while the gate has not asked for the rest. Whoever reads the body
 // must come to an end: the call waits for it.
 func TestCreditEndsWithItsAttempt(t *testing.T) {
-	c := newCredit(strings.NewReader("question"), 0)
+	c := newCredit(strings.NewReader("question"), 8, 0)
 	done := make(chan error)
 	go func() {
 		_, err := c.Read(make([]byte, 8))
@@ -42,3 +42,17 @@
 	none.add(1)
 	none.close()
 }
+
+// The link breaks. Whether the call may have run depends on whether its gate can ever
+// have the whole body.
+func TestCreditTellsAPartFromTheWhole(t *testing.T) {
+	for allowed, part := range map[int64]bool{4: true, 8: false} {
+		c := newCredit(strings.NewReader("question"), 8, allowed)
+		_, err := c.Read(make([]byte, 32))
+		must.NoError(t, err)
+		must.Eq(t, part, c.partOnly())
+		_, err = c.Read(make([]byte, 32))
+		must.ErrorIs(t, err, errNoCredit)
+	}
+	must.False(t, (*credit)(nil).partOnly())
+}
--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +67,8 @@
 	usual    usualTimes
 	lines    telemetry.LineLimit
 	inFlight atomic.Int64
+	// running holds the context.CancelCauseFunc of each call in progress.
+	running sync.Map
 }
 
 // NewHandler returns the handler for the callers' listener.
@@ -83,6 +86,16 @@
 // InFlight returns the number of requests in progress.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
 
+// GiveUp ends the calls in progress: the process is about to end, and a call that is
+// then still without an answer gets none. One that has not run is answered so, one that
+// may have run as a failure, unless its gate has the answer already.
+func (h *Handler) GiveUp() {
+	h.running.Range(func(call, cancel any) bool {
+		cancel.(context.CancelCauseFunc)(errLeaving)
+		return true
+	})
+}
+
 // proxy serves one call from end to end.
 func (h *Handler) proxy(w http.ResponseWriter, r bunrouter.Request) error {
 	start := time.Now()
@@ -145,6 +158,10 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline, errDeadline)
 	defer cancel()
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	h.running.Store(c, giveUp)
+	defer h.running.Delete(c)
 	if err := c.readBody(ctx, w, r); err != nil {
 		return c, refusedWithKey(key, err)
 	}
--- a/internal/proxy/outbound/settle.go
+++ b/internal/proxy/outbound/settle.go
@@ -34,6 +34,14 @@
 	if !errors.As(err, &lost) {
 		return nil, err
 	}
+	if a.credit.partOnly() {
+		// A gate that asks for parts begins with a whole body only.
+		a.arrived = false
+		return nil, a.unreachable(ctx, lost)
+	}
+	if isLeaving(ctx) && a.c.terms.NonIdempotent {
+		return a.askLast()
+	}
 	if ctx.Err() != nil {
 		a.cancel()
 		return nil, contextKind(ctx, errkind.Deadline)
@@ -44,6 +52,31 @@
 	return a.ask(ctx)
 }
 
+// lastAskTimeout bounds the ask of a host that is leaving: it has a sixth of the time
+// until its kill for all that is left to do.
+const lastAskTimeout = 200 * time.Millisecond
+
+// askLast asks once for a call that can wait no longer. Whatever the gate has barred has
+// not run, and the caller may send it again.
+func (a *attempt) askLast() (*keptAnswer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), lastAskTimeout)
+	defer cancel()
+	ans, err := a.askOnce(ctx)
+	if err == nil {
+		a.c.h.opts.Metrics.Ask(ans.GetOutcome())
+	}
+	kept, kind, text := a.read(ans)
+	switch {
+	case kept != nil:
+		return kept, nil
+	case kind == errkind.Unreachable:
+		return nil, errkind.Wrap(errkind.Draining, errLeaving, text)
+	case kind != errkind.None:
+		return nil, errkind.New(kind, text)
+	}
+	return nil, errkind.Wrap(errkind.OutcomeUnknown, errLeaving, "the call still runs")
+}
+
 // ask learns the outcome of a non-idempotent attempt over another stream; the
 // pool has connected anew if the session itself broke or was silent. The gate
 // bars an attempt that has not started, so that "not run" stays true. It is
