--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,12 @@
 fmt:
 	gofmt -w .
 
+# The benchmarks of all packages, or of those in PKGS. What repeats, such as
+# allocations, bytes and messages, is bounded by tests and holds in "make test".
+PKGS ?= ./...
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem $(ARGS) $(PKGS)
+
 # The whole path as separate processes; ends by itself in under a minute.
 demo: build
 	$(GO) run ./bench/demo
--- a/balance/picker_test.go
+++ b/balance/picker_test.go
@@ -321,3 +321,14 @@
 		})
 	}
 }
+
+// Each attempt of each call picks once.
+func TestPickAllocatesItsLeaseOnly(t *testing.T) {
+	servers := newBench(100).servers
+	p := New(DefaultOptions())
+	load := &Load{InUse: 1, Slots: 10}
+	must.LessEq(t, 1, testing.AllocsPerRun(1000, func() {
+		l, _ := p.Pick(servers, nil)
+		l.Done(Result{Status: 200, Latency: time.Millisecond, Load: load})
+	}))
+}
--- a/transit/transit_test.go
+++ b/transit/transit_test.go
@@ -54,3 +54,13 @@
 	must.Eq(t, 0, New().Delay(Sender{}, 0, Stamp()))
 	must.Positive(t, Stamp())
 }
+
+// Each call of another daemon asks for its delay.
+func TestDelayAllocatesNothing(t *testing.T) {
+	e, s := New(), Sender{"host-1", 7}
+	at := second
+	must.Zero(t, testing.AllocsPerRun(1000, func() {
+		at += ms
+		e.Delay(s, at, at+ms)
+	}))
+}
