--- a/gate/gate.go
+++ b/gate/gate.go
@@ -141,7 +141,8 @@
 }
 
 // Check returns the error with which Admit would refuse a call that came now, nil if
-// it would be let in. It changes nothing: what is found may be outdated at once.
+// it would be let in. It takes no slot and queues nothing: what it finds may be outdated at
+// once.
 func (g *Gate) Check(c Call) error {
 	if c.Remaining <= 0 {
 		return errTooLate
