--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -152,6 +152,9 @@
 		if s.Listen.AdvertisePeers == "" {
 			again = bytes.Replace(again, []byte(`"advertise_peers":"",`), nil, 1)
 		}
+		if s.Listen.Metrics == "" {
+			again = bytes.Replace(again, []byte(`"metrics":"",`), nil, 1)
+		}
 		if s.Backend.Service == "" {
 			again = bytes.Replace(again, []byte(`"service":"",`), nil, 1)
 		}
