--- a/gate/gate.go
+++ b/gate/gate.go
@@ -148,37 +148,39 @@
 		return errTooLate
 	}
 	now := g.opts.Now()
+	t := &Ticket{gate: g, deadline: now.Add(c.Remaining)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	_, err := g.decide(t, c, now)
+	return err
+}
+
+// decide reports whether the ticket may start at once; an error says why it may not
+// even wait. The caller holds mu. A free slot goes to the newcomer even if others
+// wait: dispatch has left it free because they may not have it.
+func (g *Gate) decide(t *Ticket, c Call, now time.Time) (start bool, err error) {
 	if g.draining {
-		return errDraining
+		return false, errDraining
 	}
-	t := &Ticket{gate: g, deadline: now.Add(c.Remaining), share: g.queue.share(shareKey{c.Customer, c.Priority}, now)}
+	t.share = g.queue.share(shareKey{c.Customer, c.Priority}, now)
 	t.maxWait = c.maxWait(t.share.serviceTime.value)
 	g.queue.review(g.limit.slots(), now)
 	if g.inUse < g.limit.slots() && g.mayStart(t.share) {
-		return nil
+		return true, nil
 	}
-	return g.admit(t, now)
+	return false, g.admit(t, now)
 }
 
-// arrive starts the ticket, queues it or returns why neither. The caller holds
-// mu. A free slot goes to the newcomer even if others wait: dispatch has left
-// it free because they may not have it.
+// arrive starts the ticket, queues it or returns why neither. The caller holds mu.
 func (g *Gate) arrive(t *Ticket, c Call, now time.Time) error {
-	if g.draining {
-		return errDraining
+	start, err := g.decide(t, c, now)
+	if err != nil {
+		return err
 	}
-	t.share = g.queue.share(shareKey{c.Customer, c.Priority}, now)
-	t.maxWait = c.maxWait(t.share.serviceTime.value)
-	g.queue.review(g.limit.slots(), now)
-	if g.inUse < g.limit.slots() && g.mayStart(t.share) {
+	if start {
 		g.start(t, now)
 		return nil
 	}
-	if err := g.admit(t, now); err != nil {
-		return err
-	}
 	if g.queue.len >= g.opts.MaxQueue && !g.displace(t.share) {
 		return errOverloaded.After(maxRetryAfter)
 	}
--- a/internal/controller/contacts/contacts.go
+++ b/internal/controller/contacts/contacts.go
@@ -15,6 +15,7 @@
 	"github.com/crocuscross/crocuscross/configpb"
 	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
+	"github.com/crocuscross/crocuscross/internal/loop"
 )
 
 const (
@@ -66,25 +67,12 @@
 		<-ctx.Done()
 		return nil
 	}
-	for waitAround(ctx, checkInterval) {
+	for loop.SleepAround(ctx, checkInterval) {
 		c.reconcile(ctx)
 	}
 	return nil
 }
 
-// waitAround waits about d and reports false where ctx is done before. The jitter
-// keeps daemons that started together from appending together.
-func waitAround(ctx context.Context, d time.Duration) bool {
-	wait := time.NewTimer(d/2 + rand.N(d))
-	defer wait.Stop()
-	select {
-	case <-wait.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // reconcile appends the address if this daemon is a reader and has not done so
 // of late. An append whose outcome is unknown counts: a second record does no
 // harm, but a log that is slow must not be asked more often for it.
@@ -108,7 +96,7 @@
 			return
 		}
 		c.opts.Logger.Info("contacts: own address not appended", "error", err)
-		waitAround(ctx, retryAfter)
+		loop.SleepAround(ctx, retryAfter)
 	}
 }
 
--- a/internal/controller/drain/drain.go
+++ b/internal/controller/drain/drain.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/crocuscross/crocuscross/internal/blackboard"
+	"github.com/crocuscross/crocuscross/internal/loop"
 )
 
 const pollInterval = 20 * time.Millisecond
@@ -21,8 +22,6 @@
 type Controller struct {
 	Board  *blackboard.Board
 	Logger *slog.Logger
-	// Timeout is how long the whole drain may take; it bounds Quiet.
-	Timeout time.Duration
 	// Quiet is how long a draining daemon goes on taking calls, until all
 	// others know that it drains.
 	Quiet time.Duration
@@ -82,8 +81,8 @@
 	return l != nil && l.Phase >= blackboard.Draining
 }
 
-// WaitQuiet blocks until the others know of the drain.
-func (c *Controller) WaitQuiet() { time.Sleep(min(c.Quiet, c.Timeout)) }
+// WaitQuiet blocks until the others know of the drain, or ctx is done.
+func (c *Controller) WaitQuiet(ctx context.Context) { loop.Sleep(ctx, c.Quiet) }
 
 // Wait blocks until no request is in flight or ctx is done. It returns how many
 // still were. New requests must not come any more, or it may wait in vain.
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -60,9 +60,8 @@
 	})
 	p.lifecycle = &drain.Controller{
 		Board: d.board, Logger: d.logger, Quiet: quiet,
-		Timeout: drainTime(d.settings.Drain),
-		Work:    []drain.InFlight{p.inbound, p.outbound},
-		Refuse:  p.inbound.Refuse,
+		Work:   []drain.InFlight{p.inbound, p.outbound},
+		Refuse: p.inbound.Refuse,
 	}
 	return nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -178,7 +178,7 @@
 	defer done()
 	d.lifecycle.Drain(reason)
 	d.callers.Drain()
-	d.lifecycle.WaitQuiet()
+	d.lifecycle.WaitQuiet(until)
 	d.ln.callersDoor.Shut()
 	d.lingerOn()
 	if d.callers.Shutdown(until) != nil {
--- a/internal/daemon/link_test.go
+++ b/internal/daemon/link_test.go
@@ -179,10 +179,7 @@
 	s := newServer(t, "i-1")
 	f.announce(f.daemons[1], s, "ready", 1)
 	f.serves(f.daemons[1], s)
-	f.eventually("the other daemon knows the server", func() bool {
-		b := f.daemons[0].board.Backends.Load()
-		return b != nil && len(b.Of("signs")) == 1
-	})
+	f.knowsServer(f.daemons[0])
 	return f, s, links
 }
 
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -15,6 +15,7 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/crocuscross/crocuscross/internal/netopt"
+	"github.com/crocuscross/crocuscross/internal/operator"
 	"github.com/crocuscross/crocuscross/internal/settings"
 	"github.com/crocuscross/crocuscross/pipeline"
 )
@@ -53,7 +54,8 @@
 		{"listen.backend", s.Backend, &l.backend},
 		{"listen.metrics", s.Metrics, &l.metrics},
 	} {
-		if b.field == "listen.metrics" && b.addr == "" {
+		if b.addr == "" {
+			// The settings let no required one be empty.
 			continue
 		}
 		ln, err := net.Listen("tcp", b.addr)
@@ -163,16 +165,13 @@
 	return slog.NewLogLogger(logger.With("listener", listener).Handler(), slog.LevelDebug)
 }
 
-// metricsPath is where the metrics listener serves.
-const metricsPath = "/metrics"
-
 // serveMetrics serves the metrics on a listener of their own, if there is one.
 func (d *Daemon) serveMetrics(ctx context.Context) error {
 	if d.ln.metrics == nil {
 		return idle(ctx)
 	}
 	router := bunrouter.New()
-	router.GET(metricsPath, bunrouter.HTTPHandler(d.exposition()))
+	router.GET(operator.PathMetrics, bunrouter.HTTPHandler(d.exposition()))
 	srv := operatorServer(router, d.logger)
 	watchInput(srv, "metrics", d.meter, d.logger)
 	defer context.AfterFunc(ctx, func() { shutdown(srv, closeTimeout) })()
--- a/internal/daemon/recover.go
+++ b/internal/daemon/recover.go
@@ -12,6 +12,7 @@
 	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
+	"github.com/crocuscross/crocuscross/internal/loop"
 	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/peerpb"
 	"github.com/crocuscross/crocuscross/recovery"
@@ -59,7 +60,7 @@
 		if joins > 1 && !alone {
 			return nil
 		}
-		sleep(ctx, wait/2+rand.N(wait))
+		loop.SleepAround(ctx, wait)
 		if joins > 1 {
 			wait = min(2*wait, maxRejoinAfter)
 		}
@@ -73,15 +74,6 @@
 	return d.membership.Join(ctx, d.withFound(ctx, configured))
 }
 
-func sleep(ctx context.Context, wait time.Duration) {
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // withFound adds the contacts found in the platform's log.
 func (d *Daemon) withFound(ctx context.Context, configured []netip.AddrPort) []netip.AddrPort {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
--- a/internal/daemon/store_test.go
+++ b/internal/daemon/store_test.go
@@ -134,6 +134,15 @@
 	return resp, string(b)
 }
 
+// knowsServer waits until a daemon knows of a backend server.
+func (f *storeFleet) knowsServer(d *testDaemon) {
+	f.t.Helper()
+	f.eventually("the server is known", func() bool {
+		b := d.board.Backends.Load()
+		return b != nil && len(b.Of("signs")) == 1
+	})
+}
+
 // serves waits until calls through a daemon reach a server.
 func (f *storeFleet) serves(d *testDaemon, s *server) {
 	f.t.Helper()
@@ -303,10 +312,7 @@
 	}))
 	t.Cleanup(s.Close)
 	f.announce(f.daemons[1], s, "ready", 1)
-	f.eventually("the server is known", func() bool {
-		b := f.daemons[0].board.Backends.Load()
-		return b != nil && len(b.Of("signs")) == 1
-	})
+	f.knowsServer(f.daemons[0])
 	send := func(ctx context.Context, payload string) {
 		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.daemons[0].ln.callers.Addr().String()+"/put/x", strings.NewReader(payload))
 		must.NoError(t, err)
--- a/internal/fleet/convergence.go
+++ b/internal/fleet/convergence.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/crocuscross/crocuscross/internal/loop"
 	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/peerpb"
 )
@@ -52,7 +53,7 @@
 	w := wait{fleet: f, offset: offset, start: start, seen: map[memberID]Progress{}}
 	for {
 		c := w.round(ctx)
-		if c.Converged || !sleep(ctx, f.opts.PollInterval) {
+		if c.Converged || !loop.Sleep(ctx, f.opts.PollInterval) {
 			return c
 		}
 	}
@@ -128,15 +129,3 @@
 }
 
 func idOf(m *membership.Member) memberID { return memberID{m.Host, m.Boot} }
-
-// sleep reports whether d passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -16,10 +16,12 @@
 	pathState       = "/v1/state"
 	pathConvergence = "/v1/convergence"
 	pathDrain       = "/v1/drain"
-	pathMetrics     = "/metrics"
 	pathHealthz     = "/healthz"
 	pathReadyz      = "/readyz"
 	pathProfiles    = "/debug/pprof"
+
+	// PathMetrics is the same on a listener for the metrics alone.
+	PathMetrics = "/metrics"
 )
 
 // Bounds of what operators may ask.
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -52,7 +52,7 @@
 	r.GET(pathState, h.state)
 	r.GET(pathConvergence, h.convergence)
 	r.POST(pathDrain, h.drain)
-	r.GET(pathMetrics, bunrouter.HTTPHandler(opts.Metrics))
+	r.GET(PathMetrics, bunrouter.HTTPHandler(opts.Metrics))
 	r.GET(pathHealthz, h.healthz)
 	r.GET(pathReadyz, h.readyz)
 	routeProfiles(r)
--- a/internal/proxy/body/body.go
+++ b/internal/proxy/body/body.go
@@ -16,6 +16,12 @@
 // ErrCut means that the sender ended a body early and said so.
 var ErrCut = errors.New("body was cut short by its sender")
 
+// MaxWholeAnswer is the largest answer that a gate, and the daemon that the caller
+// reached, take whole before they pass any of it on, in bytes. One that breaks off on its
+// way can then be had again: where the caller has a part, only its connection can be cut,
+// and the requests behind on it get no answer either.
+const MaxWholeAnswer = 64 << 10
+
 // maxChunkMessage bounds one chunk message: its data and the fields around it.
 const maxChunkMessage = peer.ChunkBytes + 1024
 
--- a/internal/proxy/inbound/forward.go
+++ b/internal/proxy/inbound/forward.go
@@ -20,10 +20,6 @@
 	"github.com/crocuscross/crocuscross/peerpb"
 )
 
-// maxWholeAnswer is the largest answer that is read whole before any of it is passed
-// on, in bytes. One that breaks off can then be had from another backend server.
-const maxWholeAnswer = 64 << 10
-
 // request builds the request to the backend server.
 func (c *call) request(up *upload) (*backendconn.Request, error) {
 	h := c.head
@@ -124,17 +120,28 @@
 		return outcomeOfError(err), c.refuse(err)
 	}
 	defer resp.Body.Close()
-	start, err := io.ReadAll(io.LimitReader(resp.Body, maxWholeAnswer+1))
+	start, err := readStart(resp, body.MaxWholeAnswer)
 	if err != nil {
 		return gate.Failed, c.refuse(c.backendError(err))
 	}
-	rest := io.MultiReader(bytes.NewReader(start), resp.Body)
-	if err := c.sendAnswer(c.answerHead(resp), rest, answerLength(c.head.GetMethod(), resp)); err != nil {
+	if err := c.passOn(c.answerHead(resp), start, resp); err != nil {
 		return gate.Failed, linkBroken(err)
 	}
 	return outcomeOf(resp), nil
 }
 
+// readStart reads an answer's body to its end or, where that lies beyond limit, a byte
+// more than that.
+func readStart(resp *http.Response, limit int64) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(resp.Body, limit+1))
+}
+
+// passOn sends an answer of whose body the start has been read.
+func (c *call) passOn(head *peerpb.AnswerHead, start []byte, resp *http.Response) error {
+	rest := io.MultiReader(bytes.NewReader(start), resp.Body)
+	return c.sendAnswer(head, rest, answerLength(c.head.GetMethod(), resp))
+}
+
 // outcomeOfError tells a call that the backend server turned away from one that it
 // broke off.
 func outcomeOfError(err error) gate.Outcome {
--- a/internal/proxy/inbound/once.go
+++ b/internal/proxy/inbound/once.go
@@ -1,9 +1,7 @@
 package inbound
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -60,7 +58,7 @@
 // only that the call ran is kept.
 func (c *call) answerOnce(id once.ID, resp *http.Response) (gate.Outcome, error) {
 	head := c.answerHead(resp)
-	start, err := io.ReadAll(io.LimitReader(resp.Body, maxKeptBody+1))
+	start, err := readStart(resp, maxKeptBody)
 	if err != nil {
 		c.h.opts.Attempts.Fail(id)
 		return gate.Failed, c.refuse(errkind.Wrap(errkind.OutcomeUnknown, err, "the backend server's answer broke off"))
@@ -70,8 +68,7 @@
 	} else {
 		c.h.opts.Attempts.Finish(id, nil)
 	}
-	rest := io.MultiReader(bytes.NewReader(start), resp.Body)
-	if err := c.sendAnswer(head, rest, answerLength(c.head.GetMethod(), resp)); err != nil {
+	if err := c.passOn(head, start, resp); err != nil {
 		return gate.Answered, linkBroken(err)
 	}
 	return outcomeOf(resp), nil
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -163,17 +163,11 @@
 	}
 }
 
-// maxHeldAnswer is the largest answer that is taken whole before any of it is passed
-// on, in bytes. The gates hold answers up to the same length.
-const maxHeldAnswer = 64 << 10
-
 // answerBody returns the body of an answer; a small one is at hand then. Where the
-// link breaks within an answer of which the caller has a part, only the caller's
-// connection can be cut, and the requests behind on it get no answer either. Before
-// that the attempt has failed like any other.
+// link breaks before, the attempt has failed like any other.
 func (a *attempt) answerBody(head *peerpb.AnswerHead) (io.Reader, error) {
 	src := body.NewReader(a.st)
-	if n := head.GetContentLength(); n < 0 || n > maxHeldAnswer {
+	if n := head.GetContentLength(); n < 0 || n > body.MaxWholeAnswer {
 		return src, nil
 	}
 	held, err := io.ReadAll(src)
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -122,12 +122,11 @@
 	// A caller that is slow to send must not hold the call beyond its time.
 	_ = c.control.SetReadDeadline(c.deadline)
 	defer c.control.SetReadDeadline(time.Time{})
-	held, err := io.ReadAll(limited)
-	if err != nil {
+	c.held = make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(limited, c.held); err != nil {
 		return bodyError(ctx, err)
 	}
-	c.held = held
-	c.head.ExpectContinue = len(held) > maxPromptBody
+	c.head.ExpectContinue = len(c.held) > maxPromptBody
 	return nil
 }
 
--- a/internal/proxy/outbound/settle.go
+++ b/internal/proxy/outbound/settle.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/crocuscross/crocuscross/errkind"
+	"github.com/crocuscross/crocuscross/internal/loop"
 	"github.com/crocuscross/crocuscross/peerpb"
 )
 
@@ -61,10 +62,7 @@
 func (a *attempt) askLast() (*keptAnswer, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), lastAskTimeout)
 	defer cancel()
-	ans, err := a.askOnce(ctx)
-	if err == nil {
-		a.c.h.opts.Metrics.Ask(ans.GetOutcome())
-	}
+	ans, _ := a.askOnce(ctx)
 	kept, kind, text := a.read(ans)
 	switch {
 	case kept != nil:
@@ -89,15 +87,12 @@
 			a.c.h.opts.Metrics.Ask(peerpb.Outcome_OUTCOME_UNKNOWN)
 			return nil, errkind.Wrap(errkind.OutcomeUnknown, err, "the backend server's host is gone")
 		}
-		if err == nil {
-			a.c.h.opts.Metrics.Ask(ans.GetOutcome())
-		}
 		if kept, kind, text := a.read(ans); kept != nil {
 			return kept, nil
 		} else if kind != errkind.None {
 			return nil, errkind.New(kind, text)
 		}
-		if pause(ctx, askPause) != nil {
+		if !loop.Sleep(ctx, askPause) {
 			return nil, contextKind(ctx, errkind.Deadline)
 		}
 	}
@@ -133,17 +128,8 @@
 	ans := new(peerpb.AskAnswer)
 	req := &peerpb.Ask{AttemptId: a.id[:], Bar: true}
 	err := a.c.h.opts.Pool.Call(ctx, a.server.PeerAddr, peerpb.Kind_KIND_ASK, req, ans)
-	return ans, err
-}
-
-// pause waits for d; it fails where ctx is done before.
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	if err == nil {
+		a.c.h.opts.Metrics.Ask(ans.GetOutcome())
 	}
+	return ans, err
 }
--- a/internal/publish/publish.go
+++ b/internal/publish/publish.go
@@ -17,6 +17,7 @@
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/bundle"
 	"github.com/crocuscross/crocuscross/internal/configlog"
+	"github.com/crocuscross/crocuscross/internal/loop"
 )
 
 const (
@@ -142,14 +143,7 @@
 	if backoff <= 0 {
 		backoff = defaultBackoff
 	}
-	t := time.NewTimer(backoff)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return loop.Sleep(ctx, backoff)
 }
 
 // bundle returns the message of a request, with the revisions that the file
--- a/spread/pack.go
+++ b/spread/pack.go
@@ -86,18 +86,22 @@
 // frame packs one record, once for all daemons that ask for it.
 func (h *history) frame(r *configpb.SequencedRecord, before []byte, alone bool) ([]byte, error) {
 	h.mu.Lock()
-	frame := h.ring.frame(r.GetOffset(), alone)
-	h.mu.Unlock()
-	if frame != nil {
-		return frame, nil
+	kept := h.ring.frame(r.GetOffset(), alone)
+	if kept != nil && *kept != nil {
+		defer h.mu.Unlock()
+		return *kept, nil
 	}
+	h.mu.Unlock()
 	frame, err := packFrame(before, r.GetData())
 	if err != nil {
 		return nil, err
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.ring.keepFrame(r.GetOffset(), alone, frame)
+	// The record may have been dropped meanwhile.
+	if kept := h.ring.frame(r.GetOffset(), alone); kept != nil {
+		*kept = frame
+	}
 	return frame, nil
 }
 
--- a/spread/ring.go
+++ b/spread/ring.go
@@ -30,28 +30,17 @@
 	after, alone []byte
 }
 
-// frame returns the packed form of a record, nil if it has not been made.
-func (r *ring) frame(offset uint64, alone bool) []byte {
+// frame returns the place of the packed form of a record, nil if the record is not
+// held.
+func (r *ring) frame(offset uint64, alone bool) *[]byte {
 	e := r.at(offset)
 	switch {
 	case e == nil:
 		return nil
 	case alone:
-		return e.alone
-	}
-	return e.after
-}
-
-// keepFrame remembers the packed form of a record that is still held.
-func (r *ring) keepFrame(offset uint64, alone bool, frame []byte) {
-	e := r.at(offset)
-	switch {
-	case e == nil:
-	case alone:
-		e.alone = frame
-	default:
-		e.after = frame
+		return &e.alone
 	}
+	return &e.after
 }
 
 // reset empties the ring; the next record follows offset.
