Tell the lives of a backend server apart by their start

A server may start again under the id that it had, with its counts anew. Its announcements were passed over as late, and after an acknowledged leaving its id stayed out for good. The start that it tells (born) now tells the lives apart, in the announcements, at the gate and in the membership. Announcements of other writers (members missing, of another type, unknown states or services) name no server and displace none; one bounded line each.

Ruled out: a new sequence alone as the sign of a new life (a late announcement of the old one would undo it).

--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -44,8 +44,12 @@
 
 // LocalBackend is what the backend server beside the daemon announced.
 type LocalBackend struct {
-	// ID names this life of the server, empty for one that has no id.
-	ID      string
+	// ID names the server, empty for one that has no id. A server that starts again may
+	// have the ID that it had.
+	ID string
+	// Born tells the lives of an ID apart: the start in Unix milliseconds by the server's
+	// clock, 0 while it is not known.
+	Born    int64
 	Service string
 	// URL of the backend server on loopback.
 	URL   string
@@ -53,7 +57,7 @@
 	// HealthURL is polled as a hint, if set.
 	HealthURL string
 	Draining  bool
-	// Sequence of the latest announcement of a server with an id.
+	// Sequence of the latest announcement of this life of a server with an id.
 	Sequence uint64
 	// FirstSeen is when it first announced itself in an unbroken run.
 	FirstSeen time.Time
--- a/internal/controller/announce/announce.go
+++ b/internal/controller/announce/announce.go
@@ -17,6 +17,7 @@
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/internal/answer"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
+	"github.com/crocuscross/crocuscross/internal/telemetry"
 )
 
 const (
@@ -54,9 +55,14 @@
 	// Expires is how long an announcement of a server with an id holds.
 	Expires time.Duration
 
-	// endedIDs are servers that have left or been replaced, the latest last. They
-	// are guarded by the updates of the Local cell.
-	endedIDs []string
+	// Service of the backend server by the settings, empty where only its announcement
+	// tells.
+	Service string
+	// RefusedLines bounds the log lines about announcements that are refused.
+	RefusedLines telemetry.LineLimit
+
+	// lives that have ended are guarded by the updates of the Local cell.
+	lives lives
 }
 
 // Handler returns the handler of the backend listener.
--- a/internal/controller/announce/discover.go
+++ b/internal/controller/announce/discover.go
@@ -94,7 +94,7 @@
 func (d *Discoverer) found(id string) {
 	c := d.Controller
 	c.Board.Local.Update(func(old *blackboard.LocalBackend) *blackboard.LocalBackend {
-		if old != nil || c.ended(id) {
+		if old != nil || c.lives.has(life{id: id}) {
 			return old
 		}
 		now := c.Now()
--- a/internal/controller/announce/discover_test.go
+++ b/internal/controller/announce/discover_test.go
@@ -50,7 +50,7 @@
 				local := c.Board.Local.Load()
 				must.Eq(t, "i-1", local.ID)
 				must.Eq(t, "signs", local.Service)
-				next := c.registered(local, "i-1", ServerAnnouncement{Service: "signs", Address: c.Address, Slots: 3, State: stateDraining, Sequence: 1})
+				next := c.registered(local, "i-1", ServerAnnouncement{Service: "signs", Address: c.Address, Slots: 3, State: stateDraining, Sequence: new(uint64(1))})
 				must.True(t, next.Draining)
 			} else {
 				for range discoverTries {
--- a/internal/controller/announce/servers.go
+++ b/internal/controller/announce/servers.go
@@ -2,11 +2,12 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/netip"
-	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/uptrace/bunrouter"
 
 	"github.com/crocuscross/crocuscross/errkind"
@@ -20,11 +21,10 @@
 	ServersPath = "/v1/backend-servers"
 	paramID     = "id"
 
-	// maxEnded bounds the ids remembered of servers that have left or been
-	// replaced. Announcements of one come late by seconds, replacements seconds
-	// apart.
-	maxEnded = 64
-	maxID    = 256
+	maxID = 256
+	// maxBorn bounds the start of a life, in Unix milliseconds: the year 5138, beyond
+	// which a number is no time.
+	maxBorn = 100_000_000_000_000
 )
 
 // States of a backend server.
@@ -34,7 +34,7 @@
 )
 
 // ServerAnnouncement is the body of a PUT on ServersPath/ID. Members that are not
-// listed are passed over.
+// listed are passed over. Other writers' announcements may lack any of them.
 type ServerAnnouncement struct {
 	Service string `json:"service"`
 	// Address is where the server takes calls, as IP:port.
@@ -42,11 +42,24 @@
 	Slots   int    `json:"slots"`
 	// State is ready or draining.
 	State string `json:"state"`
+	// AvailabilityZone and Version of the server's program are only checked: what counts
+	// is where the daemon is.
+	AvailabilityZone string `json:"availability_zone"`
+	Version          string `json:"version"`
 	// WarmUpMs is how much longer the server is slow after its start. It is checked
 	// and nothing else: the choice of a server goes by what is seen of it.
 	WarmUpMs float64 `json:"warm_up_ms"`
-	// Sequence rises with each announcement of one server.
-	Sequence uint64 `json:"sequence"`
+	// Sequence rises with each announcement of one life of the server.
+	Sequence *uint64 `json:"sequence"`
+	// Born is the start of this life in Unix milliseconds, 0 where the server does not
+	// tell it. A server may start again under the id that it had.
+	Born int64 `json:"born"`
+}
+
+// withdrawal is the body of a DELETE on ServersPath/ID; it may be empty.
+type withdrawal struct {
+	// Born is the start of the life that ends, 0 for the one that is known.
+	Born int64 `json:"born"`
 }
 
 // register takes an announcement. It is acknowledged once the gate acts on it: a
@@ -55,12 +68,11 @@
 	id := r.Param(paramID)
 	var a ServerAnnouncement
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&a); err != nil {
-		answer.Write(w, errkind.Wrap(errkind.BadRequest, err, "read announcement"))
+		c.refuse(w, id, errkind.Wrap(errkind.BadRequest, err, "read announcement"))
 		return nil
 	}
 	if err := c.checkServer(id, a); err != nil {
-		c.Logger.Warn("announce: announcement refused", "id", id, "error", err)
-		answer.Write(w, err)
+		c.refuse(w, id, err)
 		return nil
 	}
 	c.Board.Local.Update(func(old *blackboard.LocalBackend) *blackboard.LocalBackend {
@@ -70,51 +82,100 @@
 	return nil
 }
 
-// registered returns the backend server after an announcement. One of a server that
-// has left or been replaced changes nothing, nor does an older one than was seen: a
-// late ready must not take a draining back, nor a server that has crashed the place
-// of its successor at the same address.
+// refuse answers an announcement that names no server to use. What is known stays.
+func (c *Controller) refuse(w http.ResponseWriter, id string, err error) {
+	if c.RefusedLines.Allow() {
+		c.Logger.Warn("announce: announcement refused", "id", id[:min(len(id), maxID)], "error", err)
+	}
+	answer.Write(w, err)
+}
+
+// registered returns the backend server after an announcement. One of a life that has
+// left or been replaced changes nothing, nor does an older one than was seen: a late
+// ready must not take a draining back, nor a server that has crashed the place of its
+// successor at the same address or under the same id.
 func (c *Controller) registered(old *blackboard.LocalBackend, id string, a ServerAnnouncement) *blackboard.LocalBackend {
-	same := old != nil && old.ID == id
-	if c.ended(id) || same && a.Sequence <= old.Sequence {
-		c.Logger.Info("announce: late announcement passed over", "id", id, "sequence", a.Sequence, "state", a.State)
+	sequence := *a.Sequence
+	same := sameLife(old, id, a.Born)
+	if c.lives.has(life{id, a.Born}) || isEarlierLife(old, id, a.Born) || same && sequence <= old.Sequence {
+		c.Logger.Info("announce: late announcement passed over", "id", id, "born", a.Born, "sequence", sequence, "state", a.State)
 		return old
 	}
 	now := c.Now()
 	n := &blackboard.LocalBackend{
-		ID: id, Service: a.Service, URL: "http://" + a.Address, Slots: a.Slots, Sequence: a.Sequence,
+		ID: id, Born: a.Born, Service: a.Service, URL: "http://" + a.Address, Slots: a.Slots, Sequence: sequence,
 		Draining: a.State == stateDraining, FirstSeen: now, Expires: now.Add(c.Expires),
 	}
 	if same {
 		n.FirstSeen = old.FirstSeen
+		n.Born = max(old.Born, a.Born)
 	} else {
-		if old != nil && old.ID != "" {
-			c.end(old.ID)
-		}
-		c.Logger.Info("announce: backend server announced itself", "id", id, "service", a.Service,
-			"slots", a.Slots, "sequence", a.Sequence, "state", a.State)
+		c.replace(old)
+		c.Logger.Info("announce: backend server announced itself", "id", id, "born", a.Born, "service", a.Service,
+			"slots", a.Slots, "sequence", sequence, "state", a.State)
 	}
 	if n.Draining && (!same || !old.Draining) {
-		c.Logger.Info("announce: backend server drains", "id", id, "service", a.Service, "sequence", a.Sequence)
+		c.Logger.Info("announce: backend server drains", "id", id, "service", a.Service, "sequence", sequence)
 	}
 	return n
 }
 
+// sameLife reports whether an announcement is of the life that is known. One of the two
+// may lack its start: a server found by a question has not told it yet.
+func sameLife(old *blackboard.LocalBackend, id string, born int64) bool {
+	return old != nil && old.ID == id && (old.Born == born || old.Born == 0 || born == 0)
+}
+
+func isEarlierLife(old *blackboard.LocalBackend, id string, born int64) bool {
+	return old != nil && old.ID == id && born != 0 && born < old.Born
+}
+
+// replace notes that another life has taken the place of a known one.
+func (c *Controller) replace(old *blackboard.LocalBackend) {
+	if old != nil {
+		c.lives.end(life{old.ID, old.Born}, c.Now())
+	}
+}
+
 // deregister takes the word of a server that leaves.
 func (c *Controller) deregister(w http.ResponseWriter, r bunrouter.Request) error {
 	id := r.Param(paramID)
+	born, err := withdrawnLife(w, r.Request)
+	if err != nil {
+		c.refuse(w, id, err)
+		return nil
+	}
 	c.Board.Local.Update(func(old *blackboard.LocalBackend) *blackboard.LocalBackend {
-		c.end(id)
-		if old == nil || old.ID != id {
-			return old
-		}
-		c.Logger.Info("announce: backend server left", "id", id, "service", old.Service)
-		return &blackboard.LocalBackend{}
+		return c.deregistered(old, life{id, born})
 	})
 	w.WriteHeader(http.StatusOK)
 	return nil
 }
 
+// withdrawnLife returns the start of the life that a DELETE is about, 0 where it does
+// not say.
+func withdrawnLife(w http.ResponseWriter, r *http.Request) (int64, error) {
+	var d withdrawal
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&d)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return 0, errkind.Wrap(errkind.BadRequest, err, "read withdrawal")
+	}
+	return d.Born, checkBorn(d.Born)
+}
+
+// deregistered returns the backend server after one has left: none, or the one that is
+// known where the word is of another life.
+func (c *Controller) deregistered(old *blackboard.LocalBackend, l life) *blackboard.LocalBackend {
+	if old == nil || old.ID != l.id || isEarlierLife(old, l.id, l.born) {
+		c.lives.end(l, c.Now())
+		return old
+	}
+	l.born = max(l.born, old.Born)
+	c.lives.end(l, c.Now())
+	c.Logger.Info("announce: backend server left", "id", l.id, "born", l.born, "service", old.Service)
+	return &blackboard.LocalBackend{}
+}
+
 // Misplaced notes that another server than the one announced answers at its address.
 // Nothing is sent there until that one has announced itself.
 func (c *Controller) Misplaced(id string) {
@@ -122,32 +183,22 @@
 		if old == nil || old.ID != id {
 			return old
 		}
-		c.end(id)
+		c.replace(old)
 		c.Logger.Warn("announce: another backend server has the address", "id", id, "service", old.Service)
 		return &blackboard.LocalBackend{}
 	})
 }
 
-// ended reports whether a server has left or been replaced. It is called within an
-// update of the cell, which lets one in at a time.
-func (c *Controller) ended(id string) bool { return slices.Contains(c.endedIDs, id) }
-
-func (c *Controller) end(id string) {
-	if c.ended(id) {
-		return
-	}
-	c.endedIDs = append(c.endedIDs, id)
-	if len(c.endedIDs) > maxEnded {
-		c.endedIDs = c.endedIDs[1:]
-	}
-}
-
 func (c *Controller) checkServer(id string, a ServerAnnouncement) error {
 	switch {
 	case id == "" || len(id) > maxID:
 		return errkind.Newf(errkind.BadRequest, "the id must have 1 to %d bytes", maxID)
 	case a.Service == "":
 		return errkind.New(errkind.BadRequest, "service is empty")
+	case !c.knowsService(id, a.Service):
+		return errkind.Newf(errkind.BadRequest, "service %q is not in the configuration in force", a.Service)
+	case a.Sequence == nil:
+		return errkind.New(errkind.BadRequest, "sequence is missing")
 	case a.Slots < 1 || a.Slots > maxSlots:
 		return errkind.Newf(errkind.BadRequest, "slots must be 1 to %d, not %d", maxSlots, a.Slots)
 	case a.State != stateReady && a.State != stateDraining:
@@ -155,9 +206,34 @@
 	case a.WarmUpMs < 0 || a.WarmUpMs > float64(time.Hour/time.Millisecond):
 		return errkind.Newf(errkind.BadRequest, "warm_up_ms is out of range: %g", a.WarmUpMs)
 	}
+	if err := checkBorn(a.Born); err != nil {
+		return err
+	}
 	return c.checkAddress(a.Address)
 }
 
+func checkBorn(born int64) error {
+	if born < 0 || born > maxBorn {
+		return errkind.Newf(errkind.BadRequest, "born is out of range: %d", born)
+	}
+	return nil
+}
+
+// knowsService reports whether an announcement may name a service: one of the
+// configuration in force, this host's own, or that of the server which is known already.
+// Without the check an announcement with a made-up service would take the place of the
+// server that is there, and that one's own would be passed over from then on.
+func (c *Controller) knowsService(id, service string) bool {
+	if local := c.Board.Local.Load(); local != nil && local.ID == id && local.Service == service {
+		return true
+	}
+	snap := c.Board.Snapshot.Load()
+	if snap == nil || snap.Document() == nil || service == c.Service {
+		return true
+	}
+	return snap.Document().HasService(service)
+}
+
 // checkAddress lets through only the address that the settings name and loopback
 // ones: the daemon must not be made to send calls to another host, past that host's
 // gate.
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -85,18 +86,20 @@
 func announcedBy(local *blackboard.LocalBackend, phase *blackboard.Lifecycle) announced {
 	var a announced
 	if local != nil {
-		a.service, a.slots, a.draining, a.life = local.Service, local.Slots, local.Draining, lifeOf(local.ID)
+		a.service, a.slots, a.draining, a.life = local.Service, local.Slots, local.Draining, lifeOf(local)
 	}
 	a.hostDraining = phase != nil && phase.Phase >= blackboard.Draining
 	return a
 }
 
-// lifeOf returns a digest of a server's id, 0 for one that has none.
-func lifeOf(id string) uint32 {
-	if id == "" {
+// lifeOf returns a digest of the life that a server with an id is in, 0 for one without.
+// The moment at which this daemon first saw it stands for its start, which the server may
+// tell later or never.
+func lifeOf(local *blackboard.LocalBackend) uint32 {
+	if local.ID == "" {
 		return 0
 	}
-	return uint32(xxhash.Sum64String(id)) | 1
+	return uint32(xxhash.Sum64String(local.ID+"@"+strconv.FormatInt(local.FirstSeen.UnixNano(), 36))) | 1
 }
 
 func (a announced) announcements(local *blackboard.LocalBackend, now time.Time) []membership.Announcement {
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -45,6 +45,10 @@
 	keysOut     = 1 << 20
 )
 
+// refusedAnnouncementLines is how many log lines a second tell of announcements that were
+// refused: other writers may send any number of them.
+const refusedAnnouncementLines = 5
+
 // parts are the pieces of a daemon, in the order in which they depend on each
 // other.
 type parts struct {
@@ -199,6 +203,7 @@
 	p.announce = &announce.Controller{
 		Board: d.board, Logger: d.logger, Now: time.Now,
 		Address: d.settings.Backend.Address, Expires: time.Duration(d.settings.Backend.Expires),
+		Service: d.settings.Backend.Service, RefusedLines: telemetry.NewLineLimit(refusedAnnouncementLines),
 	}
 }
 
--- a/internal/proxy/inbound/site.go
+++ b/internal/proxy/inbound/site.go
@@ -11,15 +11,26 @@
 	"github.com/crocuscross/crocuscross/internal/proxy/backendconn"
 )
 
-// site is one backend server with its gate and the connections to it.
+// site is one life of a backend server with its gate and the connections to it.
 type site struct {
 	id, url string
-	gate    *gate.Gate
-	client  *backendconn.Client
+	// born is the start of the life, 0 until the server has told it.
+	born   atomic.Int64
+	gate   *gate.Gate
+	client *backendconn.Client
 }
 
-// sites holds the backend server beside the daemon. A server with another id gets a
-// gate of its own: the calls that its predecessor still runs hold none of its slots.
+// serves reports whether the site is that of an announced server.
+func (s *site) serves(local *blackboard.LocalBackend) bool {
+	if s.id != local.ID || s.url != local.URL {
+		return false
+	}
+	return s.born.Load() == local.Born || s.born.CompareAndSwap(0, local.Born)
+}
+
+// sites holds the backend server beside the daemon. Another server, or another life of
+// one, gets a gate of its own: the calls that its predecessor still runs hold none of its
+// slots.
 type sites struct {
 	opts    Options
 	current atomic.Pointer[site]
@@ -35,7 +46,7 @@
 
 // of returns the site of an announced server.
 func (s *sites) of(local *blackboard.LocalBackend) (*site, error) {
-	if cur := s.current.Load(); cur.id == local.ID && cur.url == local.URL {
+	if cur := s.current.Load(); cur.serves(local) {
 		return cur, nil
 	}
 	u, err := url.Parse(local.URL)
@@ -45,17 +56,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cur := s.current.Load()
-	if cur.id == local.ID && cur.url == local.URL {
+	if cur.serves(local) {
 		return cur, nil
 	}
 	next := &site{
 		id: local.ID, url: local.URL, gate: cur.gate,
 		client: backendconn.New(backendconn.Options{Address: u.Host, RequestID: s.opts.Dialect.RequestID}),
 	}
+	next.born.Store(local.Born)
 	if cur.client != nil {
 		cur.client.Close()
 	}
-	if cur.id != local.ID {
+	if cur.id != local.ID || cur.born.Load() != local.Born {
 		cur.gate.Evict()
 		next.gate = s.newGate(local.Slots)
 	}
--- a/internal/telemetry/limit.go
+++ b/internal/telemetry/limit.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// LineLimit lets a number of log lines through each second. It is safe for
-// concurrent use; around the turn of a second a few lines too many may pass.
+// LineLimit lets a number of log lines through each second, the zero value all. It is
+// safe for concurrent use; around the turn of a second a few lines too many may pass.
 type LineLimit struct {
 	perSecond int64
 	state     *limitState
@@ -23,6 +23,9 @@
 
 // Allow reports whether the next line may be written.
 func (l LineLimit) Allow() bool {
+	if l.state == nil {
+		return true
+	}
 	now := time.Now().Unix()
 	if l.state.second.Swap(now) != now {
 		l.state.passed.Store(0)
--- a/snapshot/document.go
+++ b/snapshot/document.go
@@ -94,6 +94,16 @@
 	return "", false
 }
 
+// HasService reports whether the document names a service.
+func (d *Document) HasService(name string) bool {
+	for _, s := range d.source.GetServices() {
+		if s.GetName() == name {
+			return true
+		}
+	}
+	return false
+}
+
 // virtualHost returns a Host field's value without its port and in lower case.
 func virtualHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
