Calls between services go first, and gates use all of their slots

Since calls of one route share the slots with those of others, it showed that the headroom for customers with quick calls left one slot of six unused, that a gate with a kept slot told of no wait at all, and that calls with early deadlines pushed others out of their patience: half of the lookups waited at two gates in turn.

Gates learn which routes are those of services (admission.Origins: the services at whose hosts calls begin, and whether any run there could have made them) and tell the senders. Such calls go first, wait for as long as their parent has, and keep as many slots as they use on average. Routes share slots as customers do; ordered by patience; the wait told counts each call's time.

Ruled out: telling such calls by their address (the callers' own), by the form of their ids (no page promises it), by their deadline alone (callers' vary too).

--- a/internal/proxy/outbound/elapsed.go
+++ b/admission/usual.go
@@ -1,4 +1,4 @@
-package outbound
+package admission
 
 import (
 	"sync"
@@ -18,9 +18,10 @@
 	usualSlack = 20 * time.Millisecond
 )
 
-// usualTimes learns with how much time callers begin the calls of each route. A caller
-// that was refused comes back with less; how much less tells how long ago it began.
-type usualTimes struct {
+// UsualTimes learns with how much time callers begin the calls of each route. A caller
+// that was refused comes back with less; how much less tells how long ago it began. It is
+// safe for concurrent use.
+type UsualTimes struct {
 	mu      sync.Mutex
 	byRoute map[string]*usualTime
 }
@@ -31,9 +32,9 @@
 	calls, atLongest int
 }
 
-// elapsed takes in a call and returns how long ago its caller began with it, 0 where
+// Elapsed takes in a call and returns how long ago its caller began with it, 0 where
 // that is not known.
-func (u *usualTimes) elapsed(route string, remaining time.Duration) time.Duration {
+func (u *UsualTimes) Elapsed(route string, remaining time.Duration) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.byRoute == nil {
--- a/gate/admit.go
+++ b/gate/admit.go
@@ -14,10 +14,8 @@
 	// forecastSlack is the inverse of the part by which a call's wait may exceed
 	// what it was ready to wait.
 	forecastSlack = 4
-	// serviceSlack is the inverse of the part by which a call may take longer than
-	// the mean and still be answered within its objective, leastWaitShare that of the
-	// objective that a call may wait in any case.
-	serviceSlack   = 4
+	// leastWaitShare is the inverse of the part of the objective that a call may wait in
+	// any case.
 	leastWaitShare = 8
 	// leastSlots is what a rank can count on at least, in slots, where more urgent
 	// ones take all: their load wavers.
@@ -36,7 +34,7 @@
 func (g *Gate) admit(t *Ticket, now time.Time) error {
 	s := t.share
 	f := g.forecast(s)
-	at := s.position(t.deadline)
+	at := s.position(t.due)
 	left := t.deadline.Sub(now)
 	if left < f.wait(at)+s.serviceTime.value {
 		return g.refusal(s, left, f)
@@ -48,14 +46,24 @@
 		if i >= at {
 			i++
 		}
-		margin := promiseMargin*s.serviceTime.value + f.wait(i)/forecastError
-		if w.deadline.Sub(now) < f.wait(i)+margin {
+		if w.misses(f.wait(i), now) {
 			return errOverloaded.After(retryAfter(f.wait(len(s.waiting))))
 		}
 	}
 	return nil
 }
 
+// misses reports whether a waiting call would have waited in vain if it had to wait so much
+// longer. A call that may wait so long only is not overtaken beyond that: it would leave
+// when its patience is up, and have to begin anew at another gate.
+func (t *Ticket) misses(wait time.Duration, now time.Time) bool {
+	if t.maxWait > 0 {
+		return t.due.Sub(now) < wait
+	}
+	margin := promiseMargin*t.share.serviceTime.value + wait/forecastError
+	return t.due.Sub(now) < wait+margin
+}
+
 // refusal tells a call that has too little time left for the service time, or
 // for the queue.
 func (g *Gate) refusal(s *share, left time.Duration, f forecast) error {
--- a/gate/fairqueue.go
+++ b/gate/fairqueue.go
@@ -42,17 +42,20 @@
 
 // shareKey names a share.
 type shareKey struct {
-	customer string
-	// rank orders shares before fairness between customers does, 0 first.
+	customer, route string
+	// rank orders shares before fairness between customers does, lower ones first.
 	rank int
 }
 
-// share is one customer's part of the gate at one rank.
+// nestedRank is the rank of nested calls, before all priorities.
+const nestedRank = -1
+
+// share is one customer's or route's part of the gate at one rank.
 type share struct {
 	shareKey
 	// tag is the slot time consumed, on the scale of fairQueue.present.
 	tag time.Duration
-	// waiting is sorted by deadline.
+	// waiting is sorted by due.
 	waiting     []*Ticket
 	running     int
 	serviceTime movingMean
@@ -65,7 +68,7 @@
 }
 
 func newFairQueue(serviceTime time.Duration) *fairQueue {
-	return &fairQueue{shares: make(map[shareKey]*share), usage: make(map[int]float64), serviceTime: movingMean{serviceTime, 1}, assumed: serviceTime}
+	return &fairQueue{shares: make(map[shareKey]*share), usage: make(map[int]float64), serviceTime: movingMean{value: serviceTime, samples: 1}, assumed: serviceTime}
 }
 
 // before reports whether a share's calls go before another's.
@@ -83,7 +86,7 @@
 		if len(q.shares) >= maxIdleShares {
 			q.forgetIdle()
 		}
-		s = &share{shareKey: k, serviceTime: movingMean{q.assumed, 1}}
+		s = &share{shareKey: k, serviceTime: movingMean{value: q.assumed, samples: 1}}
 		q.shares[k] = s
 		q.reserve.due = true
 	}
@@ -100,23 +103,23 @@
 	}
 }
 
-// push puts a ticket into its customer's queue. Within a customer the earliest
-// deadline goes first.
+// push puts a ticket into its share's queue, in which the one that is due first goes
+// first.
 func (q *fairQueue) push(t *Ticket) {
 	s := t.share
 	if len(s.waiting) == 0 {
 		s.tag = max(s.tag, q.present)
 		q.active = append(q.active, s)
 	}
-	s.waiting = slices.Insert(s.waiting, s.position(t.deadline), t)
+	s.waiting = slices.Insert(s.waiting, s.position(t.due), t)
 	q.len++
 }
 
-// position returns where a call with the deadline goes in the share's queue:
-// behind those with an equal or earlier one.
-func (s *share) position(deadline time.Time) int {
-	i, _ := slices.BinarySearchFunc(s.waiting, deadline, func(t *Ticket, d time.Time) int {
-		if t.deadline.After(d) {
+// position returns where a call that is due at a time goes in the share's queue: behind
+// those that are due then or before.
+func (s *share) position(due time.Time) int {
+	i, _ := slices.BinarySearchFunc(s.waiting, due, func(t *Ticket, d time.Time) int {
+		if t.due.After(d) {
 			return 1
 		}
 		return -1
@@ -157,6 +160,9 @@
 	s.tag = q.present + t.charged
 	s.running++
 	q.releases += releaseScale / int64(t.charged)
+	if s.rank == nestedRank {
+		q.reserve.nested++
+	}
 	if t.quick {
 		q.reserve.running++
 	}
@@ -167,6 +173,9 @@
 	s, held := t.share, now.Sub(t.started)
 	s.running--
 	q.releases -= releaseScale / int64(t.charged)
+	if s.rank == nestedRank {
+		q.reserve.nested--
+	}
 	if t.quick {
 		q.reserve.running--
 	}
@@ -187,8 +196,10 @@
 // ones. A shorter memory makes long forecasts waver by more than the margin of
 // a promise.
 type movingMean struct {
-	value   time.Duration
-	samples int
+	value time.Duration
+	// deviation is the mean distance of the samples from the mean.
+	deviation time.Duration
+	samples   int
 }
 
 // maxSamples is the length of a moving mean's memory.
@@ -196,5 +207,6 @@
 
 func (m *movingMean) add(sample time.Duration) {
 	m.samples = min(m.samples+1, maxSamples)
+	m.deviation += ((sample - m.value).Abs() - m.deviation) / time.Duration(m.samples)
 	m.value += (sample - m.value) / time.Duration(m.samples)
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -91,7 +91,14 @@
 // Call is what a gate looks at.
 type Call struct {
 	Customer string
-	// Priority ranks calls, 0 first. A call waits for none of a higher number.
+	// Route names the kind of a call that belongs to no customer. Calls of a route share
+	// the slots with those of others as a customer's do, so that none of them pays for
+	// another's excess and the time that its calls take is known for each.
+	Route string
+	// Nested calls are made by a service for a request that it works on. They go before
+	// all others: refused or late, they lose the work done for that request so far.
+	Nested bool
+	// Priority ranks the other calls, 0 first. A call waits for none of a higher number.
 	Priority int
 	// Remaining is how long the call may still take.
 	Remaining time.Duration
@@ -104,13 +111,21 @@
 	ObjectiveLeft time.Duration
 }
 
+// share returns the key of the call's share.
+func (c Call) share() shareKey {
+	if c.Nested {
+		return shareKey{customer: c.Customer, route: c.Route, rank: nestedRank}
+	}
+	return shareKey{customer: c.Customer, route: c.Route, rank: c.Priority}
+}
+
 // maxWait returns how long the call may have to wait where calls of its kind take
 // serviceTime.
-func (c Call) maxWait(serviceTime time.Duration) time.Duration {
+func (c Call) maxWait(serviceTime movingMean) time.Duration {
 	if c.MaxWait == 0 || c.ObjectiveLeft == 0 {
 		return c.MaxWait
 	}
-	inTime := c.ObjectiveLeft - serviceTime - serviceTime/serviceSlack
+	inTime := c.ObjectiveLeft - serviceTime.value - serviceTime.deviation
 	return min(c.MaxWait, max(inTime, c.ObjectiveLeft/leastWaitShare))
 }
 
@@ -162,8 +177,12 @@
 	if g.draining {
 		return false, errDraining
 	}
-	t.share = g.queue.share(shareKey{c.Customer, c.Priority}, now)
-	t.maxWait = c.maxWait(t.share.serviceTime.value)
+	t.share = g.queue.share(c.share(), now)
+	t.maxWait = c.maxWait(t.share.serviceTime)
+	t.due = t.deadline
+	if t.maxWait > 0 {
+		t.due = now.Add(min(t.maxWait+t.maxWait/forecastSlack, t.deadline.Sub(now)-t.share.serviceTime.value))
+	}
 	g.queue.review(g.limit.slots(), now)
 	if g.inUse < g.limit.slots() && g.mayStart(t.share) {
 		return true, nil
@@ -185,9 +204,9 @@
 		return errOverloaded.After(maxRetryAfter)
 	}
 	t.ready = make(chan error, 1)
-	t.patience = t.deadline.Sub(now) - t.share.serviceTime.value
-	if t.maxWait > 0 {
-		t.patience = min(t.patience, t.maxWait+t.maxWait/forecastSlack)
+	t.patience = t.due.Sub(now)
+	if t.maxWait == 0 {
+		t.patience -= t.share.serviceTime.value
 	}
 	t.state = waiting
 	g.queue.push(t)
--- a/gate/load.go
+++ b/gate/load.go
@@ -52,10 +52,15 @@
 	}
 }
 
-// expectedWait takes all calls for alike. The caller holds mu.
+// expectedWait is for a call that comes last and takes as long as the mean. The caller
+// holds mu.
 func (g *Gate) expectedWait() time.Duration {
-	if g.inUse < g.limit.slots() {
+	if g.inUse+g.kept() < g.limit.slots() {
 		return 0
 	}
-	return g.queue.serviceTime.value * time.Duration(g.queue.len+1) / time.Duration(g.limit.slots())
+	ahead := g.queue.serviceTime.value
+	for _, s := range g.queue.active {
+		ahead += time.Duration(len(s.waiting)) * s.serviceTime.value
+	}
+	return ahead / time.Duration(g.limit.slots())
 }
--- a/gate/reserve.go
+++ b/gate/reserve.go
@@ -1,6 +1,9 @@
 package gate
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// reviewInterval is how often customers are told apart by the time their
@@ -12,12 +15,14 @@
 	// minReserveWait is the expected wait for a slot below which no headroom is
 	// kept: one is free soon enough.
 	minReserveWait = 2 * time.Millisecond
+	// mostKept is the inverse of the part of the slots that may be kept for nested calls.
+	mostKept = 2
 	// minSlowRatio is how many times as long as the quickest customer's a slow
 	// one's calls take at least, however few the slots are.
 	minSlowRatio = 10
 )
 
-// reserve keeps slots free for customers whose calls are quick. Without it, ten
+// reserve keeps slots free for nested calls, and for customers whose calls are quick. Without it, ten
 // long uploads of one customer hold all slots, and another one's lookups,
 // though first in line, wait for the end of an upload.
 type reserve struct {
@@ -28,6 +33,19 @@
 	quick, running int
 	// usage is the slots that they hold on average.
 	usage float64
+	// keep is how many slots nested calls have for themselves, nested how many they hold.
+	keep, nested int
+}
+
+// kept returns how many free slots are kept for nested calls that are yet to come. Without
+// it they wait for the end of a longer call, with their parent's slot elsewhere in use all
+// the time; where services call each other in a ring, all slots may be held by calls that
+// wait for one of those slots.
+func (g *Gate) kept() int { return max(g.queue.reserve.keep-g.queue.reserve.nested, 0) }
+
+// keepForNested sets how many slots are kept: as many as nested calls use on average.
+func (q *fairQueue) keepForNested(slots int) {
+	q.reserve.keep = min(int(math.Round(q.usage[nestedRank])), slots/mostKept)
 }
 
 // review tells slow customers from quick ones. A customer is slow if waiting
@@ -40,17 +58,18 @@
 		return
 	}
 	q.measureUsage(now, elapsed)
+	q.keepForNested(slots)
 	quickest := time.Duration(-1)
 	for _, s := range q.shares {
-		if now.Sub(s.seen) <= reserveFor && (quickest < 0 || s.serviceTime.value < quickest) {
+		if s.route == "" && now.Sub(s.seen) <= reserveFor && (quickest < 0 || s.serviceTime.value < quickest) {
 			quickest = s.serviceTime.value
 		}
 	}
 	slow := max(quickest, minReserveWait) * time.Duration(max(slots, minSlowRatio))
 	r.due, r.quick, r.usage = false, 0, 0
 	for _, s := range q.shares {
-		s.slow = s.serviceTime.value > slow
-		if !s.slow && now.Sub(s.seen) <= reserveFor {
+		s.slow = s.route == "" && s.serviceTime.value > slow
+		if !s.slow && s.route == "" && now.Sub(s.seen) <= reserveFor {
 			r.quick++
 			r.usage += s.usage
 		}
@@ -71,13 +90,16 @@
 	q.reserve.reviewed = now
 }
 
-// mayStart reports whether the share may take one of the free slots. A slow
-// customer that has its fair part leaves those that the quick ones use on
+// mayStart reports whether the share may take one of the free slots. Those kept for nested
+// calls are left to them. A slow customer that has its fair part leaves those that the quick ones use on
 // average and do not hold at the moment, and one more so that their use can
 // grow.
 func (g *Gate) mayStart(s *share) bool {
 	r := &g.queue.reserve
 	slots := g.limit.slots()
+	if s.rank != nestedRank && slots-g.inUse <= g.kept() {
+		return false
+	}
 	if !s.slow || r.quick == 0 || s.running < max(slots/(r.quick+1), 1) {
 		return true
 	}
--- a/gate/ticket.go
+++ b/gate/ticket.go
@@ -31,6 +31,9 @@
 	gate     *Gate
 	share    *share
 	deadline time.Time
+	// due orders the waiting calls of a share: the deadline or, for a call that may wait
+	// so long only, when it leaves.
+	due time.Time
 	// ready tells a waiting call that it has a slot, or why not.
 	ready chan error
 	// maxWait is how long the call may be expected to wait, 0 for no bound.
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/crocuscross/crocuscross/admission"
 	"github.com/crocuscross/crocuscross/backend"
 	"github.com/crocuscross/crocuscross/balance"
 	"github.com/crocuscross/crocuscross/gate"
@@ -27,9 +28,10 @@
 	attempts := once.DefaultAttemptsOptions(d.boot)
 	attempts.Bounds.MaxRecords, attempts.Bounds.MaxBytes = keptRecords, keptBytes
 	p.attempts = once.NewAttempts(attempts)
+	runs := admission.NewRuns(time.Now())
 	p.inbound = inbound.NewHandler(inbound.Options{
-		LinkMbps: d.settings.LinkMbps,
-		Local:    &d.board.Local, NewGate: d.newGate,
+		LinkMbps: d.settings.LinkMbps, Runs: runs, HostShare: d.hostShare,
+		Local: &d.board.Local, NewGate: d.newGate,
 		Attempts: p.attempts, Dialect: d.dialect(), Misplaced: p.announce.Misplaced,
 		Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
 	})
@@ -55,8 +57,8 @@
 		Host: d.settings.Host, Boot: d.boot,
 		MaxBody: d.settings.Requests.MaxBodyBytes, MaxCalls: d.settings.Requests.MaxInFlight,
 		Dialect: d.dialect(), Anonymous: d.settings.Requests.Customers == settings.CustomersOptional,
-		CallerService: d.localService,
-		KilobyteCost:  func() time.Duration { return time.Duration(d.live().Requests.KilobyteCost) },
+		CallerService: d.localService, Runs: runs, Nested: &admission.NestedRoutes{},
+		KilobyteCost: func() time.Duration { return time.Duration(d.live().Requests.KilobyteCost) },
 	})
 	p.lifecycle = &drain.Controller{
 		Board: d.board, Logger: d.logger, Quiet: quiet,
@@ -141,6 +143,12 @@
 	return ""
 }
 
+// hostShare returns the share of known hosts that are beside a server of the service.
+func (d *Daemon) hostShare(service string) float64 {
+	set := d.board.Backends.Load()
+	return float64(len(set.Of(service))) / float64(max(set.Len(), 1))
+}
+
 // budgetShare is the part of the fleet's retries that the daemons hand out. A retry
 // that has calls of its own brings about as many again.
 const budgetShare = 0.7
--- a/internal/proxy/inbound/forward.go
+++ b/internal/proxy/inbound/forward.go
@@ -109,6 +109,7 @@
 		Fields:        body.Fields(resp.Header),
 		ContentLength: resp.ContentLength,
 		Load:          c.load(),
+		MadeBy:        makers[c.madeBy],
 	}
 }
 
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/crocuscross/crocuscross/admission"
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/gate"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
@@ -43,6 +44,10 @@
 	Dialect  dialect.Dialect
 	// LinkMbps is the bandwidth of the host's link in Mbit/s, 0 where it is not stated.
 	LinkMbps float64
+	// Runs is told what the backend server runs.
+	Runs *admission.Runs
+	// HostShare returns the share of hosts beside the servers of a service, 0 to 1.
+	HostShare func(service string) float64
 	// Misplaced is told that the server of an id is not at its address any more.
 	Misplaced func(id string)
 	Tracer    trace.Tracer
@@ -60,12 +65,16 @@
 	receiving, held atomic.Int64
 	pacer           *pacer
 	transits        *transit.Estimator
+	origins         *admission.Origins
 	lines           telemetry.LineLimit
 }
 
 // NewHandler returns a handler.
 func NewHandler(opts Options) *Handler {
-	h := &Handler{opts: opts, lines: telemetry.NewLineLimit(refusedLines), pacer: newPacer(opts.LinkMbps), transits: transit.New()}
+	h := &Handler{
+		opts: opts, lines: telemetry.NewLineLimit(refusedLines), pacer: newPacer(opts.LinkMbps), transits: transit.New(),
+		origins: admission.NewOrigins(opts.HostShare),
+	}
 	h.sites.init(opts)
 	return h
 }
@@ -137,9 +146,20 @@
 	return &call{
 		h: h, st: st, head: head, span: span,
 		ctx: ctx, cancel: cancel, start: start, deadline: deadline,
+		madeBy: h.origins.Add(head.GetRoute(), head.GetCallerService(), origins[head.GetOrigin()]),
 	}, nil
 }
 
+var origins = map[peerpb.Origin]admission.Origin{
+	peerpb.Origin_ORIGIN_CALLER:    admission.FromCaller,
+	peerpb.Origin_ORIGIN_MAYBE_RUN: admission.MaybeFromRun,
+}
+
+var makers = map[admission.MadeBy]peerpb.MadeBy{
+	admission.ByCallers:  peerpb.MadeBy_MADE_BY_CALLERS,
+	admission.ByServices: peerpb.MadeBy_MADE_BY_SERVICES,
+}
+
 // delay returns how long the head of a call was held up on the way.
 func (h *Handler) delay(head *peerpb.CallHead) time.Duration {
 	sender := transit.Sender{Host: head.GetSenderHost(), Boot: head.GetSenderBoot()}
@@ -156,6 +176,8 @@
 	cancel   context.CancelFunc
 	start    time.Time
 	deadline time.Time
+	// madeBy is who makes the calls of the route.
+	madeBy admission.MadeBy
 	// site is the backend server that the call goes to, set by place.
 	site *site
 	// arrived is set once the call may have reached the backend server.
@@ -184,14 +206,25 @@
 	return err
 }
 
+// nested reports whether a service makes the call for a request that it works on, by what
+// was seen here or, until that is enough, by what the sender has been told elsewhere.
+func (c *call) nested() bool {
+	return c.madeBy == admission.ByServices || c.madeBy == admission.Unsure && c.head.GetNested()
+}
+
 // gateCall returns what the gate looks at.
 func (c *call) gateCall() gate.Call {
 	g := gate.Call{
 		Customer:  c.head.GetCustomer(),
+		Route:     c.head.GetRoute(),
+		Nested:    c.nested(),
 		Priority:  int(c.head.GetPriority()),
 		Remaining: time.Until(c.deadline),
-		MaxWait:   time.Duration(c.head.GetMaxQueueMs()) * time.Millisecond,
 	}
+	if g.Nested {
+		return g
+	}
+	g.MaxWait = time.Duration(c.head.GetMaxQueueMs()) * time.Millisecond
 	if left := time.Duration(c.head.GetObjectiveLeftMs()) * time.Millisecond; left > 0 {
 		g.ObjectiveLeft = max(left-time.Since(c.start), time.Millisecond)
 	}
@@ -205,6 +238,8 @@
 			return gate.NotStarted, err
 		}
 	}
+	run := c.h.opts.Runs.Begin(c.deadline)
+	defer func() { run.End(time.Now()) }()
 	if !c.head.GetNonIdempotent() {
 		return c.forward(up)
 	}
@@ -251,6 +286,7 @@
 		RetryAfterMs: uint32(errkind.RetryAfterOf(err).Milliseconds()),
 		Load:         c.load(),
 		Arrived:      c.arrived,
+		MadeBy:       makers[c.madeBy],
 	}
 	_ = c.st.SetWriteDeadline(time.Now().Add(refuseTimeout))
 	if serr := c.st.Send(head); serr != nil {
--- a/internal/proxy/outbound/anonymous.go
+++ b/internal/proxy/outbound/anonymous.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/crocuscross/crocuscross/admission"
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/internal/proxy/dialect"
 	"github.com/crocuscross/crocuscross/snapshot"
@@ -15,10 +16,6 @@
 // bounds that.
 const defaultWait = 30 * time.Second
 
-// returnedShare is the inverse of the part of the objective that a call needs at least
-// to be answered within it.
-const returnedShare = 3
-
 // admitAnonymous admits a call without a customer under the terms of its route in
 // the document in force.
 func (h *Handler) admitAnonymous(r *http.Request, snap *snapshot.Snapshot, start time.Time) (*call, error) {
@@ -43,30 +40,25 @@
 		terms: snapshot.CallTerms{NonIdempotent: route.NonIdempotent(), MaxWait: allowed},
 		start: start, deadline: start.Add(wait), inherited: 1, maxBody: h.opts.MaxBody,
 		requestID: dialect.Get(r.Header, h.opts.Dialect.RequestID),
+		origin:    h.opts.Runs.Origin(start.Add(wait), start),
 	}
-	c.began = start.Add(-h.usual.elapsed(route.Name, wait))
+	c.request = h.request(c, wait)
 	if limit := doc.Limits.MaxBodyBytes; limit > 0 {
 		c.maxBody = min(c.maxBody, limit)
 	}
 	return c, nil
 }
 
-// returned reports whether the call can hardly be answered within its objective any
-// more: its caller has been refused before, and has come back.
-func (c *call) returned() bool {
-	objective := c.route.Objective
-	return objective > 0 && c.start.Sub(c.began) > objective-objective/returnedShare
-}
-
-// rank returns the call's priority at gates. Within one priority of the document, calls
-// that can be answered in time go before those that come back too late for that: they
-// would else take the slots from callers who then come back late in turn.
-func (c *call) rank() uint32 {
-	rank := 2 * uint32(c.route.Priority)
-	if c.returned() {
-		rank++
+// request returns what counts for the call's treatment under overload.
+func (h *Handler) request(c *call, wait time.Duration) admission.Request {
+	r := admission.Request{
+		Nested: h.opts.Nested.Is(c.route.Name), Priority: c.route.Priority, Objective: c.route.Objective,
+		Began: c.start, Start: c.start, Deadline: c.deadline,
+	}
+	if !r.Nested {
+		r.Began = c.start.Add(-h.usual.Elapsed(c.route.Name, wait))
 	}
-	return rank
+	return r
 }
 
 // rawPath returns the path as the caller sent it, without the query.
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/crocuscross/crocuscross/admission"
 	"github.com/crocuscross/crocuscross/backend"
 	"github.com/crocuscross/crocuscross/balance"
 	"github.com/crocuscross/crocuscross/errkind"
@@ -144,6 +145,11 @@
 	return errkind.Wrap(errkind.Unreachable, err, "reach the backend server's host")
 }
 
+var makers = map[peerpb.MadeBy]admission.MadeBy{
+	peerpb.MadeBy_MADE_BY_CALLERS:  admission.ByCallers,
+	peerpb.MadeBy_MADE_BY_SERVICES: admission.ByServices,
+}
+
 // answerHead waits for the answer to begin, sending a streamed body once the
 // gate asks for it.
 func (a *attempt) answerHead() (*peerpb.AnswerHead, error) {
@@ -152,6 +158,7 @@
 		if err := a.st.RecvMax(head, maxAnswerHead); err != nil {
 			return nil, linkLost(err)
 		}
+		a.c.h.opts.Nested.Learn(a.c.head.GetRoute(), makers[head.GetMadeBy()])
 		if head.GetErrorKind() != "" {
 			a.arrived = head.GetArrived()
 			return head, a.refusedBy(head)
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/crocuscross/crocuscross/admission"
 	"github.com/crocuscross/crocuscross/backend"
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/internal/proxy/body"
@@ -54,11 +55,12 @@
 	customer string
 	grant    *quota.Grant
 	start    time.Time
-	// began is when the caller began with the call, as far as that is known: start,
-	// or before it where the caller was refused and has come back.
-	began    time.Time
 	deadline time.Time
-	maxBody  int64
+	// request is what counts under overload, for a call under a document's terms.
+	request admission.Request
+	// origin is where the call may come from, by what the backend server here runs.
+	origin  admission.Origin
+	maxBody int64
 	// route is set for a call under a document's terms.
 	route *snapshot.DocumentRoute
 	// requestID is the caller's own name for the call.
@@ -87,6 +89,11 @@
 	control *http.ResponseController
 }
 
+var peerOrigins = map[admission.Origin]peerpb.Origin{
+	admission.FromCaller:   peerpb.Origin_ORIGIN_CALLER,
+	admission.MaybeFromRun: peerpb.Origin_ORIGIN_MAYBE_RUN,
+}
+
 // readBody prepares the head and reads a small body whole.
 func (c *call) readBody(ctx context.Context, w http.ResponseWriter, r *http.Request) error {
 	if r.ContentLength > c.maxBody {
@@ -106,7 +113,10 @@
 		RequestId:     c.requestID,
 	}
 	if c.route != nil {
-		c.head.Priority = c.rank()
+		c.head.Priority = uint32(c.request.Rank())
+		c.head.Route = c.route.Name
+		c.head.Origin = peerOrigins[c.origin]
+		c.head.Nested = c.request.Nested
 	}
 	c.control = http.NewResponseController(w)
 	limited := http.MaxBytesReader(w, r.Body, c.maxBody)
@@ -256,6 +266,9 @@
 		CallerService:  c.head.CallerService,
 		Priority:       c.head.Priority,
 		RequestId:      c.head.RequestId,
+		Route:          c.head.Route,
+		Origin:         c.head.Origin,
+		Nested:         c.head.Nested,
 		MaxQueueMs:     uint32(c.maxQueue() / time.Millisecond),
 		Attempt:        c.inherited + uint32(c.attempts) - 1,
 		Traceparent:    telemetry.Traceparent(ctx),
@@ -263,8 +276,8 @@
 		SenderBoot:     c.h.opts.Boot,
 		SentAtUs:       transit.Stamp(),
 	}
-	if c.route != nil && c.route.Objective > 0 && !c.returned() {
-		h.ObjectiveLeftMs = uint32(max(c.route.Objective-time.Since(c.began), time.Millisecond) / time.Millisecond)
+	if c.route != nil {
+		h.ObjectiveLeftMs = uint32(c.request.ObjectiveLeft(time.Now()) / time.Millisecond)
 	}
 	if left > 0 {
 		h.RemainingMs = uint32(left / time.Millisecond)
--- a/internal/proxy/outbound/choose.go
+++ b/internal/proxy/outbound/choose.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/crocuscross/crocuscross/admission"
 	"github.com/crocuscross/crocuscross/backend"
 	"github.com/crocuscross/crocuscross/balance"
 )
@@ -45,41 +46,14 @@
 	return time.Duration(kilobytes * objective.Seconds() * float64(c.h.opts.KilobyteCost()))
 }
 
-const (
-	// impatientTries is how many gates a call tries before it settles for a wait,
-	// and impatientShare the part of its latency objective that it may have to wait
-	// at each of them.
-	impatientTries = 2
-	impatientShare = 0.125
-	// patientShare is the part that it may have to wait at the last ones. With a
-	// longer wait ahead the answer would come late, and calls that come after it
-	// would wait in turn: refused at once, the caller comes back when the queue is
-	// shorter.
-	patientShare = 0.6
-	// returnedWaitShare is the inverse of the part of its time that a call waits
-	// which can only come late.
-	returnedWaitShare = 4
-)
-
-// maxQueue returns how long the next attempt may have to wait for a slot, 0 for as
-// long as its time allows. A gate that refuses at once costs a hop; a queue there,
-// while another backend server is free, costs the wait. Where bytes between zones
-// are dear, a longer wait is cheaper than the next zone.
+// maxQueue returns how long the next attempt may have to wait for a slot, 0 for as long as
+// its time allows.
 func (c *call) maxQueue() time.Duration {
-	if c.route == nil || c.route.Objective == 0 {
+	if c.route == nil {
 		return 0
 	}
-	if c.returned() {
-		return max(time.Until(c.deadline)/returnedWaitShare, time.Millisecond)
-	}
-	objective := float64(c.route.Objective)
-	least := time.Duration(impatientShare * objective)
-	// What earlier gates took is gone.
-	most := max(time.Duration(patientShare*objective)-time.Since(c.began), least)
-	if c.patient || c.refusals >= impatientTries {
-		return most
-	}
-	return min(least+c.remoteCost(), most)
+	tries := admission.Tries{Refusals: c.refusals, Patient: c.patient, RemoteCost: c.remoteCost()}
+	return c.request.MaxWait(tries, time.Now())
 }
 
 func (c *call) wasTried(id backend.ID) bool { return slices.Contains(c.tried, id) }
--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/crocuscross/crocuscross/admission"
 	"github.com/crocuscross/crocuscross/balance"
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/internal/answer"
@@ -53,6 +54,10 @@
 	Anonymous bool
 	// CallerService is told to backend servers as the service that calls begin at.
 	CallerService func() string
+	// Runs is what the backend server beside this daemon runs, Nested what gates tell of
+	// routes.
+	Runs   *admission.Runs
+	Nested *admission.NestedRoutes
 	// KilobyteCost is the time that 1,000 bytes are worth that stay in the
 	// availability zone, for a latency objective of 1 s.
 	KilobyteCost func() time.Duration
@@ -64,7 +69,7 @@
 	router   *bunrouter.Router
 	lanes    *once.Lanes
 	sizes    sizes
-	usual    usualTimes
+	usual    admission.UsualTimes
 	lines    telemetry.LineLimit
 	inFlight atomic.Int64
 	// running holds the context.CancelCauseFunc of each call in progress.
--- a/internal/proxy/outbound/log.go
+++ b/internal/proxy/outbound/log.go
@@ -45,7 +45,7 @@
 		"attempts", c.attempts, "arrivals", c.arrivals, "refusals", c.refusals, "status", c.status,
 	}
 	if c.route != nil {
-		attrs = append(attrs, "route", c.route.Name, "priority", c.route.Priority, "objective", c.route.Objective, "began_before", c.start.Sub(c.began))
+		attrs = append(attrs, "route", c.route.Name, "priority", c.route.Priority, "objective", c.route.Objective, "began_before", c.start.Sub(c.request.Began), "nested", c.request.Nested)
 	}
 	if c.last != nil {
 		attrs = append(attrs, "to", c.last.server.Host, "to_zone", c.last.server.AvailabilityZone)
