Fewer bytes, a budget for each service, shorter restarts, timely returns

Tests: a chain of services under shedding, restarts included; a ring of calls (seen failing without the slot); the order of a drain; rank, patience, returns.

--- a/balance/lease.go
+++ b/balance/lease.go
@@ -23,6 +23,10 @@
 	Load *Load
 }
 
+// roomMemory is how long a gate's word that it has a free slot counts. Queues form within
+// the time that a call takes, some 100 ms.
+const roomMemory = instant(100 * time.Millisecond)
+
 // Lease is one call's hold on the server that was picked for it.
 type Lease struct {
 	picker *Picker
@@ -35,6 +39,12 @@
 // Server returns the server picked.
 func (l *Lease) Server() *backend.Server { return l.member.server }
 
+// HasRoom reports whether the server's gate has told of late that a call has not to wait.
+func (l *Lease) HasRoom() bool {
+	e, now := l.member.evidence, l.picker.now()
+	return e.othersAt.load() != 0 && now-e.othersAt.load() < roomMemory && e.wait.load() == 0
+}
+
 // Done ends the call at the server and takes its result as evidence. Only the
 // first call has an effect.
 func (l *Lease) Done(r Result) {
--- a/gate/admit.go
+++ b/gate/admit.go
@@ -14,6 +14,9 @@
 	// forecastSlack is the inverse of the part by which a call's wait may exceed
 	// what it was ready to wait.
 	forecastSlack = 4
+	// deviations is how much longer than the mean, in mean deviations, a call may take and
+	// still be answered within its objective.
+	deviations = 2
 	// leastWaitShare is the inverse of the part of the objective that a call may wait in
 	// any case.
 	leastWaitShare = 8
@@ -37,17 +40,17 @@
 	at := s.position(t.due)
 	left := t.deadline.Sub(now)
 	if left < f.wait(at)+s.serviceTime.value {
-		return g.refusal(s, left, f)
+		return g.refusal(t, left, f)
 	}
 	if t.maxWait > 0 && f.wait(at) > t.maxWait {
-		return errOverloaded.After(retryAfter(f.wait(len(s.waiting))))
+		return errOverloaded.After(t.retryAfter(f.wait(len(s.waiting))))
 	}
 	for i, w := range s.waiting {
 		if i >= at {
 			i++
 		}
 		if w.misses(f.wait(i), now) {
-			return errOverloaded.After(retryAfter(f.wait(len(s.waiting))))
+			return errOverloaded.After(t.retryAfter(f.wait(len(s.waiting))))
 		}
 	}
 	return nil
@@ -66,14 +69,15 @@
 
 // refusal tells a call that has too little time left for the service time, or
 // for the queue.
-func (g *Gate) refusal(s *share, left time.Duration, f forecast) error {
+func (g *Gate) refusal(t *Ticket, left time.Duration, f forecast) error {
+	s := t.share
 	if f.wait(0) < s.serviceTime.value {
 		s.doubt()
 	}
 	if left < s.serviceTime.value {
 		return errTooLate
 	}
-	return errOverloaded.After(retryAfter(f.wait(len(s.waiting))))
+	return errOverloaded.After(t.retryAfter(f.wait(len(s.waiting))))
 }
 
 // forecast is the expected wait in one customer's queue by position.
@@ -146,9 +150,14 @@
 	return ahead
 }
 
-// retryAfter tells a refused caller when the present queue will have been
-// served.
-func retryAfter(wait time.Duration) time.Duration {
+// retryAfter tells a refused caller when the present queue will have been served or, if
+// that is sooner, half of the time in which the call could still begin and be answered
+// within its objective. Under a load that stays, a caller that comes back late finds the
+// same queue as one that comes back soon, but gets its answer late.
+func (t *Ticket) retryAfter(wait time.Duration) time.Duration {
+	if t.inTime > 0 {
+		wait = min(wait, t.inTime/2)
+	}
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -125,8 +125,13 @@
 	if c.MaxWait == 0 || c.ObjectiveLeft == 0 {
 		return c.MaxWait
 	}
-	inTime := c.ObjectiveLeft - serviceTime.value - serviceTime.deviation
-	return min(c.MaxWait, max(inTime, c.ObjectiveLeft/leastWaitShare))
+	return min(c.MaxWait, max(c.inTime(serviceTime), c.ObjectiveLeft/leastWaitShare))
+}
+
+// inTime returns how long the call may wait and still be answered within its objective, as
+// most calls of its kind would be.
+func (c Call) inTime(serviceTime movingMean) time.Duration {
+	return c.ObjectiveLeft - serviceTime.value - deviations*serviceTime.deviation
 }
 
 // Admit is Enter for calls with a rank.
@@ -179,6 +184,7 @@
 	}
 	t.share = g.queue.share(c.share(), now)
 	t.maxWait = c.maxWait(t.share.serviceTime)
+	t.inTime = c.inTime(t.share.serviceTime)
 	t.due = t.deadline
 	if t.maxWait > 0 {
 		t.due = now.Add(min(t.maxWait+t.maxWait/forecastSlack, t.deadline.Sub(now)-t.share.serviceTime.value))
@@ -298,7 +304,7 @@
 // have taken longer than was to be expected.
 func (g *Gate) impatience(t *Ticket) *errkind.Error {
 	if t.maxWait > 0 && t.deadline.Sub(g.opts.Now()) > t.share.serviceTime.value {
-		return errOverloaded.After(retryAfter(g.Load().Wait))
+		return errOverloaded.After(t.retryAfter(g.Load().Wait))
 	}
 	return errTooLate
 }
--- a/gate/reserve.go
+++ b/gate/reserve.go
@@ -1,9 +1,6 @@
 package gate
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// reviewInterval is how often customers are told apart by the time their
@@ -15,8 +12,6 @@
 	// minReserveWait is the expected wait for a slot below which no headroom is
 	// kept: one is free soon enough.
 	minReserveWait = 2 * time.Millisecond
-	// mostKept is the inverse of the part of the slots that may be kept for nested calls.
-	mostKept = 2
 	// minSlowRatio is how many times as long as the quickest customer's a slow
 	// one's calls take at least, however few the slots are.
 	minSlowRatio = 10
@@ -37,15 +32,23 @@
 	keep, nested int
 }
 
-// kept returns how many free slots are kept for nested calls that are yet to come. Without
-// it they wait for the end of a longer call, with their parent's slot elsewhere in use all
-// the time; where services call each other in a ring, all slots may be held by calls that
-// wait for one of those slots.
-func (g *Gate) kept() int { return max(g.queue.reserve.keep-g.queue.reserve.nested, 0) }
+// KeepForNested keeps a slot for nested calls from now on. Where services call each other in
+// a ring, all slots may else be held by calls that wait, at the end of the ring, for one of
+// those very slots: nothing moves until their time is up. One is enough, since the calls
+// that have it end by themselves, one after the other. It costs nothing that could be
+// measured where there is no ring.
+func (g *Gate) KeepForNested() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.reserve.keep = 1
+}
 
-// keepForNested sets how many slots are kept: as many as nested calls use on average.
-func (q *fairQueue) keepForNested(slots int) {
-	q.reserve.keep = min(int(math.Round(q.usage[nestedRank])), slots/mostKept)
+// kept returns how many free slots are left to nested calls.
+func (g *Gate) kept() int {
+	if g.limit.slots() == 1 {
+		return 0
+	}
+	return max(g.queue.reserve.keep-g.queue.reserve.nested, 0)
 }
 
 // review tells slow customers from quick ones. A customer is slow if waiting
@@ -58,7 +61,6 @@
 		return
 	}
 	q.measureUsage(now, elapsed)
-	q.keepForNested(slots)
 	quickest := time.Duration(-1)
 	for _, s := range q.shares {
 		if s.route == "" && now.Sub(s.seen) <= reserveFor && (quickest < 0 || s.serviceTime.value < quickest) {
--- a/gate/ticket.go
+++ b/gate/ticket.go
@@ -38,6 +38,9 @@
 	ready chan error
 	// maxWait is how long the call may be expected to wait, 0 for no bound.
 	maxWait time.Duration
+	// inTime is how long it may wait and still be answered within its objective; below 0
+	// where it has none or it is too late for that.
+	inTime time.Duration
 	// patience is how long the call may wait and still be answered in time.
 	patience time.Duration
 
--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -72,7 +72,10 @@
 const (
 	Joining Phase = iota + 1
 	Serving
+	// Draining daemons take no more callers in. Their backend server still takes calls.
 	Draining
+	// Leaving daemons have the others send nothing more to the backend server.
+	Leaving
 	Stopped
 )
 
@@ -85,6 +88,8 @@
 		return "serving"
 	case Draining:
 		return "draining"
+	case Leaving:
+		return "leaving"
 	case Stopped:
 		return "stopped"
 	}
--- a/internal/controller/drain/drain.go
+++ b/internal/controller/drain/drain.go
@@ -22,16 +22,20 @@
 type Controller struct {
 	Board  *blackboard.Board
 	Logger *slog.Logger
-	// Quiet is how long a draining daemon goes on taking calls, until all
-	// others know that it drains.
+	// Quiet is how long a draining daemon goes on taking calls, until its callers have
+	// gone elsewhere and all others know that it drains.
 	Quiet time.Duration
-	Work  []InFlight
+	// Notice is the last part of Quiet, from when on the others are told to send no more
+	// calls to the backend server. Told at the start, they would leave it idle while its
+	// callers go: of three servers one was so for 3 s of each restart.
+	Notice time.Duration
+	Work   []InFlight
 	// Refuse makes the gate turn away new calls; it comes after Quiet.
 	Refuse func()
 }
 
-// Run lets the gate refuse new calls once all others know of the drain, until
-// ctx is done. Refusing at once would fail the calls that are on their way.
+// Run tells the others of a drain and lets the gate refuse new calls once they know,
+// until ctx is done. Refusing at once would fail the calls that are on their way.
 func (c *Controller) Run(ctx context.Context) error {
 	for {
 		l, changed := c.Board.Lifecycle.Watch()
@@ -44,12 +48,11 @@
 			return nil
 		}
 	}
-	quiet := time.NewTimer(c.Quiet)
-	defer quiet.Stop()
-	select {
-	case <-quiet.C:
+	if loop.Sleep(ctx, c.Quiet-c.Notice) {
+		c.enter(blackboard.Leaving, "")
+	}
+	if loop.Sleep(ctx, c.Notice) {
 		c.Refuse()
-	case <-ctx.Done():
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/controller/drain/drain_test.go
@@ -0,0 +1,42 @@
+package drain
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/internal/blackboard"
+)
+
+// A daemon is stopped. Its callers need 2 s to go elsewhere; told of the drain at once, the
+// other daemons would leave its backend server idle all that time. They are told 0.6 s
+// before its gate closes.
+func TestBackendServerTakesCallsWhileCallersLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		board := &blackboard.Board{}
+		var refused time.Time
+		c := &Controller{
+			Board: board, Logger: slog.New(slog.DiscardHandler),
+			Quiet: 2 * time.Second, Notice: 600 * time.Millisecond,
+			Refuse: func() { refused = time.Now() },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = c.Run(ctx) }()
+		c.Serving()
+		c.Drain("signal")
+		start := time.Now()
+		phase := func() blackboard.Phase { return board.Lifecycle.Load().Phase }
+		time.Sleep(1300 * time.Millisecond)
+		must.Eq(t, blackboard.Draining, phase())
+		time.Sleep(200 * time.Millisecond)
+		must.Eq(t, blackboard.Leaving, phase())
+		must.True(t, refused.IsZero())
+		time.Sleep(time.Second)
+		must.Eq(t, 2*time.Second, refused.Sub(start))
+	})
+}
--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -88,7 +88,7 @@
 	if local != nil {
 		a.service, a.slots, a.draining, a.life = local.Service, local.Slots, local.Draining, lifeOf(local)
 	}
-	a.hostDraining = phase != nil && phase.Phase >= blackboard.Draining
+	a.hostDraining = phase != nil && phase.Phase >= blackboard.Leaving
 	return a
 }
 
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -28,9 +28,9 @@
 	attempts := once.DefaultAttemptsOptions(d.boot)
 	attempts.Bounds.MaxRecords, attempts.Bounds.MaxBytes = keptRecords, keptBytes
 	p.attempts = once.NewAttempts(attempts)
-	runs := admission.NewRuns(time.Now())
+	runs, callees := admission.NewRuns(time.Now()), &admission.Callees{}
 	p.inbound = inbound.NewHandler(inbound.Options{
-		LinkMbps: d.settings.LinkMbps, Runs: runs, HostShare: d.hostShare,
+		LinkMbps: d.settings.LinkMbps, Runs: runs, Callees: callees, HostShare: d.hostShare,
 		Local: &d.board.Local, NewGate: d.newGate,
 		Attempts: p.attempts, Dialect: d.dialect(), Misplaced: p.announce.Misplaced,
 		Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
@@ -38,6 +38,7 @@
 	balancing := balance.DefaultOptions()
 	balancing.AvailabilityZone, balancing.Region = d.settings.AvailabilityZone, d.settings.Region
 	balancing.ZoneCost = time.Duration(d.settings.Requests.ZoneCost)
+	balancing.SlowStart = time.Duration(d.settings.Requests.SlowStart)
 	balancing.KeepSlow = d.settings.Requests.SlowServers == settings.SlowKeep
 	p.picker = balance.New(balancing)
 	p.backends = &backends.Controller{Board: d.board, OnChange: func(s *backend.Set) { p.picker.Forget(s) }}
@@ -46,22 +47,23 @@
 	quotas.Peers = quotaPeers{p.control}
 	quotas.Logger = d.logger
 	p.quota = quota.New(quotas)
-	p.budget = retry.NewBudget(retry.BudgetOptions{Ratio: budgetShare * d.settings.Retries.Ratio, Burst: d.settings.Retries.Extra})
+	p.budgets = retry.NewBudgets(retry.BudgetOptions{Ratio: budgetShare * d.settings.Retries.Ratio, Burst: d.settings.Retries.Extra})
 	if err := p.buildKeys(d); err != nil {
 		return err
 	}
 	p.outbound = outbound.NewHandler(outbound.Options{
 		Board: d.board, Pool: p.calls, Picker: p.picker, Quota: p.quota,
-		Budget: p.budget,
-		Keys:   p.keys, OwnKeys: p.ownKeys, Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
+		Budgets: p.budgets,
+		Keys:    p.keys, OwnKeys: p.ownKeys, Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
 		Host: d.settings.Host, Boot: d.boot,
 		MaxBody: d.settings.Requests.MaxBodyBytes, MaxCalls: d.settings.Requests.MaxInFlight,
 		Dialect: d.dialect(), Anonymous: d.settings.Requests.Customers == settings.CustomersOptional,
 		CallerService: d.localService, Runs: runs, Nested: &admission.NestedRoutes{},
+		Callees: callees, Calls: &admission.Calls{},
 		KilobyteCost: func() time.Duration { return time.Duration(d.live().Requests.KilobyteCost) },
 	})
 	p.lifecycle = &drain.Controller{
-		Board: d.board, Logger: d.logger, Quiet: quiet,
+		Board: d.board, Logger: d.logger, Quiet: quiet, Notice: notice,
 		Work:   []drain.InFlight{p.inbound, p.outbound},
 		Refuse: p.inbound.Refuse,
 	}
@@ -164,7 +166,7 @@
 		if view != nil {
 			members = max(len(view.Members), 1)
 		}
-		d.budget.SetBurst(max(1, budgetShare*float64(d.live().Retries.Extra)/float64(members)))
+		d.budgets.SetBurst(max(1, budgetShare*float64(d.live().Retries.Extra)/float64(members)))
 		select {
 		case <-changed:
 		case <-t.C:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,10 @@
 	// quiet is how long a leaving daemon goes on taking calls, until all others
 	// know that it leaves.
 	quiet = 2 * time.Second
+	// notice is how long before the end of quiet the others learn that its backend server
+	// goes with it. Gossip takes some probe intervals of 0.5 s; whoever has not heard is
+	// refused by the gate, which costs a hop.
+	notice = 600 * time.Millisecond
 	// linger is how long callers' connections are served after the last one was
 	// let in.
 	linger = 500 * time.Millisecond
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -65,7 +65,7 @@
 	quota      *quota.Manager
 	attempts   *once.Attempts
 	picker     *balance.Picker
-	budget     *retry.Budget
+	budgets    *retry.Budgets
 	keys       *once.Keys
 	ownKeys    once.OwnKeys
 	claimLoop  loop.Func
--- a/internal/proxy/inbound/forward.go
+++ b/internal/proxy/inbound/forward.go
@@ -110,6 +110,7 @@
 		ContentLength: resp.ContentLength,
 		Load:          c.load(),
 		MadeBy:        makers[c.madeBy],
+		Callees:       c.callees(),
 	}
 }
 
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -33,6 +33,8 @@
 	headTimeout = 5 * time.Second
 	// refuseTimeout bounds the effort to tell of a refusal.
 	refuseTimeout = time.Second
+	// milli is the unit in which rates of calls travel.
+	milli = 1000
 )
 
 // Options holds what a Handler works with.
@@ -46,6 +48,8 @@
 	LinkMbps float64
 	// Runs is told what the backend server runs.
 	Runs *admission.Runs
+	// Callees learns what those runs call.
+	Callees *admission.Callees
 	// HostShare returns the share of hosts beside the servers of a service, 0 to 1.
 	HostShare func(service string) float64
 	// Misplaced is told that the server of an id is not at its address any more.
@@ -197,6 +201,9 @@
 		return c.refuse(err)
 	}
 	defer release()
+	if c.nested() && c.h.opts.Callees.Any() {
+		c.site.gate.KeepForNested()
+	}
 	ticket, err := c.site.gate.Admit(c.ctx, c.gateCall())
 	if err != nil {
 		return c.refuse(err)
@@ -238,6 +245,7 @@
 			return gate.NotStarted, err
 		}
 	}
+	c.h.opts.Callees.Run()
 	run := c.h.opts.Runs.Begin(c.deadline)
 	defer func() { run.End(time.Now()) }()
 	if !c.head.GetNonIdempotent() {
@@ -287,6 +295,7 @@
 		Load:         c.load(),
 		Arrived:      c.arrived,
 		MadeBy:       makers[c.madeBy],
+		Callees:      c.callees(),
 	}
 	_ = c.st.SetWriteDeadline(time.Now().Add(refuseTimeout))
 	if serr := c.st.Send(head); serr != nil {
@@ -295,6 +304,14 @@
 	return err
 }
 
+func (c *call) callees() []*peerpb.Callee {
+	var callees []*peerpb.Callee
+	for _, r := range c.h.opts.Callees.Rates() {
+		callees = append(callees, &peerpb.Callee{Service: r.Service, MilliCalls: uint32(r.Calls * milli)})
+	}
+	return callees
+}
+
 func (c *call) load() *peerpb.Load {
 	l := c.h.Load()
 	return &peerpb.Load{
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -39,6 +39,8 @@
 	span   trace.Span
 	st     *peer.Stream
 	unbind func() bool
+	// asksFirst is whether the body follows only once the gate asks for it.
+	asksFirst bool
 	// upload ends when a streamed body is no longer read.
 	upload chan struct{}
 	// uploaded is whether all of it was sent; it is read once upload is closed.
@@ -52,7 +54,10 @@
 }
 
 func newAttempt(c *call, lease *balance.Lease) *attempt {
-	return &attempt{c: c, lease: lease, server: lease.Server(), start: time.Now()}
+	return &attempt{
+		c: c, lease: lease, server: lease.Server(), start: time.Now(),
+		asksFirst: c.head.GetExpectContinue() || len(c.held) > maxBlindBody && !lease.HasRoom(),
+	}
 }
 
 // run makes the attempt. A failed one has released all it held.
@@ -103,7 +108,9 @@
 	_ = st.SetWriteDeadline(a.c.deadline)
 	// Until the gate says otherwise.
 	a.arrived = true
-	if err := a.send(a.c.callHead(ctx, a.id[:])); err != nil {
+	head := a.c.callHead(ctx, a.id[:])
+	head.ExpectContinue = a.asksFirst
+	if err := a.send(head); err != nil {
 		return nil, linkLost(err)
 	}
 	return a.answerHead()
@@ -145,6 +152,20 @@
 	return errkind.Wrap(errkind.Unreachable, err, "reach the backend server's host")
 }
 
+// learn takes in what a gate tells of its service and of the call's route.
+func (a *attempt) learn(head *peerpb.AnswerHead) {
+	o := a.c.h.opts
+	o.Nested.Learn(a.c.head.GetRoute(), makers[head.GetMadeBy()])
+	var rates []admission.Callee
+	for _, callee := range head.GetCallees() {
+		rates = append(rates, admission.Callee{Service: callee.GetService(), Calls: float64(callee.GetMilliCalls()) / milli})
+	}
+	o.Calls.Learn(a.c.service, rates)
+}
+
+// milli is the unit in which rates of calls travel.
+const milli = 1000
+
 var makers = map[peerpb.MadeBy]admission.MadeBy{
 	peerpb.MadeBy_MADE_BY_CALLERS:  admission.ByCallers,
 	peerpb.MadeBy_MADE_BY_SERVICES: admission.ByServices,
@@ -158,7 +179,7 @@
 		if err := a.st.RecvMax(head, maxAnswerHead); err != nil {
 			return nil, linkLost(err)
 		}
-		a.c.h.opts.Nested.Learn(a.c.head.GetRoute(), makers[head.GetMadeBy()])
+		a.learn(head)
 		if head.GetErrorKind() != "" {
 			a.arrived = head.GetArrived()
 			return head, a.refusedBy(head)
@@ -190,7 +211,7 @@
 // startUpload sends the body, or lets the sending go on by so many bytes; 0 stands for
 // all of it.
 func (a *attempt) startUpload(allowed int64) {
-	if !a.c.head.GetExpectContinue() {
+	if !a.asksFirst {
 		return
 	}
 	if a.upload != nil {
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -34,6 +34,11 @@
 // gate refuses the call.
 const maxPromptBody = 16 << 10
 
+// maxBlindBody is that bound where the gate is not known to have a free slot. Under
+// overload calls are refused by two gates of three, and a question costs a round trip of
+// some 2 ms: with bodies of 4 kB it halves what they bring to other availability zones.
+const maxBlindBody = 1 << 10
+
 // leastAttempt is the time below which another attempt cannot end well: two
 // hops and the shortest calls take that long.
 const leastAttempt = 2 * time.Millisecond
@@ -165,7 +170,7 @@
 // open makes attempts until one is answered by a backend server or no further
 // one is allowed.
 func (c *call) open(ctx context.Context) (*answered, error) {
-	c.h.opts.Budget.Deposit()
+	c.count()
 	var failed error
 	for {
 		lease, err := c.pick()
@@ -198,6 +203,33 @@
 	}
 }
 
+// count counts the call where it counts for the retries that a service may get.
+func (c *call) count() {
+	switch {
+	case c.route == nil:
+		c.h.opts.Budgets.Deposit(contractCalls)
+	case c.request.Nested:
+		c.h.opts.Callees.Call(c.service)
+	default:
+		c.h.opts.Budgets.Deposit(c.service)
+	}
+}
+
+// contractCalls stands for all services in the budget of calls under contracts.
+const contractCalls = ""
+
+// retryNeeds returns what sending the call again costs, and where.
+func (c *call) retryNeeds() []retry.Need {
+	if c.route == nil {
+		return []retry.Need{{Service: contractCalls, Calls: 1}}
+	}
+	var needs []retry.Need
+	for _, callee := range c.h.opts.Calls.Of(c.service) {
+		needs = append(needs, retry.Need(callee))
+	}
+	return needs
+}
+
 // errBackendFailure stands for a backend server's own answer that it has failed.
 var errBackendFailure = errkind.New(errkind.BackendFailed, "the backend server answered that it failed")
 
@@ -214,7 +246,7 @@
 		return false
 	}
 	d := retry.Allowed(errkind.Of(err), c.retryCall(a))
-	again := d.Retry && (d.Free || c.h.opts.Budget.Withdraw())
+	again := d.Retry && (d.Free || c.h.opts.Budgets.Withdraw(c.retryNeeds()...))
 	reason := string(d.Reason)
 	if d.Retry && !again {
 		reason = "budget"
--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -38,7 +38,7 @@
 	Pool     *peer.Pool
 	Picker   *balance.Picker
 	Quota    *quota.Manager
-	Budget   *retry.Budget
+	Budgets  *retry.Budgets
 	Keys     *once.Keys
 	OwnKeys  once.OwnKeys
 	Tracer   trace.Tracer
@@ -58,6 +58,10 @@
 	// routes.
 	Runs   *admission.Runs
 	Nested *admission.NestedRoutes
+	// Callees learns what the backend server's runs call, Calls is what gates tell of
+	// theirs.
+	Callees *admission.Callees
+	Calls   *admission.Calls
 	// KilobyteCost is the time that 1,000 bytes are worth that stay in the
 	// availability zone, for a latency objective of 1 s.
 	KilobyteCost func() time.Duration
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -85,6 +85,8 @@
 		"Time that a call loses by leaving the availability zone, there and back; a farther backend server is chosen only if it saves more."),
 	duration("requests.kilobyte_cost", 0, 0, time.Second,
 		"Time that each 1,000 bytes of a call and its answer are worth that stay in the availability zone, for a latency objective of 1 s. 0 where bytes between zones are free."),
+	duration("requests.slow_start", 10*time.Second, 0, time.Minute,
+		"How long the share of calls of a new backend server grows. 0 where few servers have a service: what a cold one cannot do in time its gate refuses, and one whose daemon has restarted is not cold."),
 	choice("requests.slow_servers", []string{"eject", "keep"},
 		"Whether a backend server that is slow beside its peers gets trial calls only, or goes on getting calls by its cost. Keep it where calls differ widely in length and servers in speed."),
 	choice("requests.customers", []string{"required", "optional"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -150,6 +150,8 @@
 	// KilobyteCost is the time that 1,000 bytes are worth that stay in the
 	// availability zone, for a latency objective of 1 s.
 	KilobyteCost Duration `json:"kilobyte_cost"`
+	// SlowStart is how long the share of calls of a new backend server grows.
+	SlowStart Duration `json:"slow_start"`
 	// SlowServers is eject or keep.
 	SlowServers string `json:"slow_servers"`
 	// Customers is required or optional.
--- a/internal/telemetry/board.go
+++ b/internal/telemetry/board.go
@@ -27,7 +27,7 @@
 )
 
 var (
-	phases     = []blackboard.Phase{blackboard.Joining, blackboard.Serving, blackboard.Draining, blackboard.Stopped}
+	phases     = []blackboard.Phase{blackboard.Joining, blackboard.Serving, blackboard.Draining, blackboard.Leaving, blackboard.Stopped}
 	livenesses = []membership.Liveness{membership.Alive, membership.Suspect, membership.Dead, membership.Left}
 )
 
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -13,9 +13,9 @@
 // milli is the unit of the balance: a thousandth of a retry.
 const milli = 1000
 
-// Budget bounds the retries of one process to a share of its first attempts.
-// One is shared by all calls of the process, since a budget for each customer
-// or service would bound nothing in sum. It is safe for concurrent use.
+// Budget bounds retries to a share of first attempts. One is shared by all calls under
+// customers' contracts, since a budget for each customer would bound nothing in sum. It is
+// safe for concurrent use.
 type Budget struct {
 	deposit int64
 	limit   atomic.Int64
@@ -58,13 +58,16 @@
 }
 
 // Withdraw takes one retry and reports whether there was one.
-func (b *Budget) Withdraw() bool {
+func (b *Budget) Withdraw() bool { return b.take(milli) }
+
+// take takes so many thousandths of a retry.
+func (b *Budget) take(amount int64) bool {
 	for {
 		old := b.balance.Load()
-		if old < milli {
+		if old < amount {
 			return false
 		}
-		if b.balance.CompareAndSwap(old, old-milli) {
+		if b.balance.CompareAndSwap(old, old-amount) {
 			return true
 		}
 	}
--- /dev/null
+++ b/retry/budgets.go
@@ -0,0 +1,71 @@
+package retry
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// Budgets holds a Budget for each service. What may be sent to a service again is a share
+// of the requests that callers send to it; calls between services earn it nothing. A
+// request that is sent again makes its calls again, at the services that it calls: they
+// are taken from the budgets of those. It is safe for concurrent use.
+//
+// Budgets start empty. A daemon that restarts would else hand out its part of the burst
+// once more: with one restart after the other through a fleet, twice the fleet's within
+// one window.
+type Budgets struct {
+	opts     BudgetOptions
+	burst    atomic.Int64
+	services sync.Map
+}
+
+// Need is what sending a request again costs at one service.
+type Need struct {
+	Service string
+	// Calls is how many calls it is expected to bring there.
+	Calls float64
+}
+
+// NewBudgets returns empty budgets.
+func NewBudgets(opts BudgetOptions) *Budgets {
+	b := &Budgets{opts: opts}
+	b.burst.Store(int64(opts.Burst) * milli)
+	return b
+}
+
+// SetBurst changes the burst of each service, in retries.
+func (b *Budgets) SetBurst(retries float64) {
+	b.burst.Store(int64(retries * milli))
+	b.services.Range(func(_, budget any) bool {
+		budget.(*Budget).SetBurst(retries)
+		return true
+	})
+}
+
+// Deposit counts one request of a caller to a service.
+func (b *Budgets) Deposit(service string) { b.of(service).Deposit() }
+
+// Withdraw takes all of the needs, or nothing, and reports which.
+func (b *Budgets) Withdraw(needs ...Need) bool {
+	for i, n := range needs {
+		if b.of(n.Service).take(int64(n.Calls * milli)) {
+			continue
+		}
+		for _, taken := range needs[:i] {
+			b.of(taken.Service).balance.Add(int64(taken.Calls * milli))
+		}
+		return false
+	}
+	return true
+}
+
+func (b *Budgets) of(service string) *Budget {
+	if v, ok := b.services.Load(service); ok {
+		return v.(*Budget)
+	}
+	n := NewBudget(b.opts)
+	n.limit.Store(b.burst.Load())
+	n.balance.Store(0)
+	v, _ := b.services.LoadOrStore(service, n)
+	return v.(*Budget)
+}
--- /dev/null
+++ b/retry/budgets_test.go
@@ -0,0 +1,80 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// fleet is daemons that share what may be sent again.
+type fleet []*Budgets
+
+func newFleet(n int, opts BudgetOptions) fleet {
+	f := make(fleet, n)
+	for i := range f {
+		f[i] = NewBudgets(opts)
+		f[i].SetBurst(float64(opts.Burst) / float64(n))
+	}
+	return f
+}
+
+// The servers of a catalogue shed half of what comes. Each lookup that is sent again makes
+// two calls of the desk again, which counts them as repeats and is given only a share of
+// its own few bookings. Taken from the catalogue's budget alone the desk would get twice
+// the catalogue's, more than its share; restarts hand nothing out twice.
+func TestBudgets_ChainOfServices(t *testing.T) {
+	const (
+		ratio, burst = 0.2, 64
+		lookups      = 20000
+		everyBooking = 4
+		callsOfDesk  = 1.4
+		daemons      = 11
+		restartEvery = 500
+	)
+	opts := BudgetOptions{Ratio: ratio, Burst: burst}
+	f := newFleet(daemons, opts)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	again := map[string]float64{}
+	bookings := 0
+	for i := range lookups {
+		n := rnd.IntN(daemons)
+		if i%restartEvery == 0 {
+			f[n] = newFleet(daemons, opts)[0]
+		}
+		d := f[n]
+		d.Deposit("catalogue")
+		if i%everyBooking == 0 {
+			bookings++
+			d.Deposit("desk")
+		}
+		if rnd.IntN(2) == 0 && d.Withdraw(Need{"catalogue", 1}, Need{"desk", callsOfDesk}) {
+			again["catalogue"]++
+			again["desk"] += callsOfDesk
+		}
+		must.LessEq(t, ratio*float64(i+1)+burst, again["catalogue"])
+		must.LessEq(t, ratio*float64(bookings)+burst, again["desk"])
+	}
+	// Most of what the desk may get again is used.
+	must.Greater(t, 0.8*ratio*float64(bookings), again["desk"])
+}
+
+// A need that cannot be met leaves the others' budgets as they were.
+func TestBudgets_AllOrNothing(t *testing.T) {
+	b := NewBudgets(BudgetOptions{Ratio: 1, Burst: 10})
+	b.Deposit("a")
+	must.False(t, b.Withdraw(Need{"a", 1}, Need{"b", 1}))
+	b.Deposit("b")
+	must.True(t, b.Withdraw(Need{"a", 1}, Need{"b", 1}))
+	must.False(t, b.Withdraw(Need{"a", 1}))
+}
+
+// A daemon that has just started has earned nothing yet.
+func TestBudgets_StartEmpty(t *testing.T) {
+	b := NewBudgets(BudgetOptions{Ratio: 0.2, Burst: 64})
+	must.False(t, b.Withdraw(Need{"a", 1}))
+	for range 6 {
+		b.Deposit("a")
+	}
+	must.True(t, b.Withdraw(Need{"a", 1}))
+}
