--- a/gate/admit.go
+++ b/gate/admit.go
@@ -155,7 +155,7 @@
 // within its objective. Under a load that stays, a caller that comes back late finds the
 // same queue as one that comes back soon, but gets its answer late.
 func (t *Ticket) retryAfter(wait time.Duration) time.Duration {
-	if t.inTime > 0 {
+	if t.inTime > 0 && !t.gate.opts.LateReturns {
 		wait = min(wait, t.inTime/2)
 	}
 	return min(max(wait, minRetryAfter), maxRetryAfter)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -21,6 +21,9 @@
 	// than its slots keeps all of them. It suits servers that shed part of their
 	// calls whatever their load: fewer slots would shed no less of them.
 	TrustSlots bool
+	// LateReturns has refused callers come back when the queue will have been served,
+	// also where they can then no longer be answered within their objective.
+	LateReturns bool
 	// MaxQueue is how many calls may wait. It bounds memory; the time that
 	// calls have left bounds the wait.
 	MaxQueue int
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -32,6 +32,7 @@
 	p.inbound = inbound.NewHandler(inbound.Options{
 		LinkMbps: d.settings.LinkMbps, Runs: runs, Callees: callees, HostShare: d.hostShare,
 		Local: &d.board.Local, NewGate: d.newGate,
+		MergeRoutes: d.without(settings.WithoutRoutes), AnyWait: d.without(settings.WithoutObjective),
 		Attempts: p.attempts, Dialect: d.dialect(), Misplaced: p.announce.Misplaced,
 		Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
 	})
@@ -58,12 +59,14 @@
 		Host: d.settings.Host, Boot: d.boot,
 		MaxBody: d.settings.Requests.MaxBodyBytes, MaxCalls: d.settings.Requests.MaxInFlight,
 		Dialect: d.dialect(), Anonymous: d.settings.Requests.Customers == settings.CustomersOptional,
+		SendBlind: d.without(settings.WithoutQuestions), ForgetReturns: d.without(settings.WithoutReturns),
+		TryBusy:       d.without(settings.WithoutBusy),
 		CallerService: d.localService, Runs: runs, Nested: &admission.NestedRoutes{},
 		Callees: callees, Calls: &admission.Calls{},
-		KilobyteCost: func() time.Duration { return time.Duration(d.live().Requests.KilobyteCost) },
+		KilobyteCost: d.kilobyteCost,
 	})
 	p.lifecycle = &drain.Controller{
-		Board: d.board, Logger: d.logger, Quiet: quiet, Notice: notice,
+		Board: d.board, Logger: d.logger, Quiet: quiet, Notice: d.notice(),
 		Work:   []drain.InFlight{p.inbound, p.outbound},
 		Refuse: p.inbound.Refuse,
 	}
@@ -131,6 +134,7 @@
 func (d *Daemon) newGate() *gate.Gate {
 	o := gate.DefaultOptions()
 	o.TrustSlots = d.onStore()
+	o.LateReturns = d.without(settings.WithoutTimelyReturns)
 	return gate.New(o)
 }
 
@@ -145,8 +149,29 @@
 	return ""
 }
 
+// without reports whether a trial leaves a mechanism out.
+func (d *Daemon) without(mechanism string) bool { return d.settings.Trial.Without == mechanism }
+
+func (d *Daemon) notice() time.Duration {
+	if d.without(settings.WithoutNotice) {
+		return quiet
+	}
+	return notice
+}
+
+func (d *Daemon) kilobyteCost() time.Duration {
+	if d.without(settings.WithoutLocality) {
+		return 0
+	}
+	return time.Duration(d.live().Requests.KilobyteCost)
+}
+
 // hostShare returns the share of known hosts that are beside a server of the service.
 func (d *Daemon) hostShare(service string) float64 {
+	if d.without(settings.WithoutNested) {
+		// Where all hosts are beside the service, nothing tells its calls from callers'.
+		return 1
+	}
 	set := d.board.Backends.Load()
 	return float64(len(set.Of(service))) / float64(max(set.Len(), 1))
 }
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -52,6 +52,9 @@
 	Callees *admission.Callees
 	// HostShare returns the share of hosts beside the servers of a service, 0 to 1.
 	HostShare func(service string) float64
+	// MergeRoutes takes the calls of all routes for alike, AnyWait bounds their waits by
+	// the sender's word alone; both are for trials.
+	MergeRoutes, AnyWait bool
 	// Misplaced is told that the server of an id is not at its address any more.
 	Misplaced func(id string)
 	Tracer    trace.Tracer
@@ -228,11 +231,14 @@
 		Priority:  int(c.head.GetPriority()),
 		Remaining: time.Until(c.deadline),
 	}
+	if c.h.opts.MergeRoutes {
+		g.Route = ""
+	}
 	if g.Nested {
 		return g
 	}
 	g.MaxWait = time.Duration(c.head.GetMaxQueueMs()) * time.Millisecond
-	if left := time.Duration(c.head.GetObjectiveLeftMs()) * time.Millisecond; left > 0 {
+	if left := time.Duration(c.head.GetObjectiveLeftMs()) * time.Millisecond; left > 0 && !c.h.opts.AnyWait {
 		g.ObjectiveLeft = max(left-time.Since(c.start), time.Millisecond)
 	}
 	return g
--- a/internal/proxy/outbound/anonymous.go
+++ b/internal/proxy/outbound/anonymous.go
@@ -55,7 +55,7 @@
 		Nested: h.opts.Nested.Is(c.route.Name), Priority: c.route.Priority, Objective: c.route.Objective,
 		Began: c.start, Start: c.start, Deadline: c.deadline,
 	}
-	if !r.Nested {
+	if !r.Nested && !h.opts.ForgetReturns {
 		r.Began = c.start.Add(-h.usual.Elapsed(c.route.Name, wait))
 	}
 	return r
--- a/internal/proxy/outbound/choose.go
+++ b/internal/proxy/outbound/choose.go
@@ -18,7 +18,9 @@
 	if c.route != nil {
 		need.Objective = c.route.Objective
 	}
-	need.MaxWait = c.maxQueue()
+	if !c.h.opts.TryBusy {
+		need.MaxWait = c.maxQueue()
+	}
 	lease, err := c.h.opts.Picker.PickFor(servers, need)
 	if err != nil && !c.patient && c.route != nil {
 		c.patient, c.tried = true, nil
--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -62,6 +62,9 @@
 	// theirs.
 	Callees *admission.Callees
 	Calls   *admission.Calls
+	// SendBlind sends small bodies without a question, ForgetReturns takes callers that
+	// come back for new ones, TryBusy tries gates known to be busy; all are for trials.
+	SendBlind, ForgetReturns, TryBusy bool
 	// KilobyteCost is the time that 1,000 bytes are worth that stay in the
 	// availability zone, for a latency objective of 1 s.
 	KilobyteCost func() time.Duration
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -113,4 +113,9 @@
 		"OTLP collector (HTTP); required by the otlp exporter."),
 	ratio("trace.ratio", 0.01,
 		"Share of calls traced where the caller did not decide."),
+
+	choice("trial.without", []string{
+		WithoutNothing, WithoutNested, WithoutRoutes, WithoutObjective, WithoutTimelyReturns, WithoutQuestions,
+		WithoutNotice, WithoutReturns, WithoutBusy, WithoutLocality,
+	}, "A mechanism that is left out, to measure what it is worth; for trials only. docs/measure/decisions.md names what each does."),
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,6 +59,7 @@
 	Drain      Drain      `json:"drain"`
 	Log        Log        `json:"log"`
 	Trace      Trace      `json:"trace"`
+	Trial      Trial      `json:"trial"`
 }
 
 // Listen holds one address for each kind of client.
@@ -203,6 +204,35 @@
 	Ratio float64 `json:"ratio"`
 }
 
+// Trial leaves out one mechanism, to measure what it is worth.
+type Trial struct {
+	Without string `json:"without"`
+}
+
+// What Trial.Without may name.
+const (
+	// WithoutNothing leaves all mechanisms in place.
+	WithoutNothing = "nothing"
+	// WithoutNested treats calls that services make like callers' requests.
+	WithoutNested = "nested"
+	// WithoutRoutes takes all calls at a gate for alike.
+	WithoutRoutes = "routes"
+	// WithoutObjective bounds waits at gates by the senders' patience alone.
+	WithoutObjective = "objective"
+	// WithoutTimelyReturns tells refused callers to come back when the queue is served.
+	WithoutTimelyReturns = "timely_returns"
+	// WithoutQuestions sends bodies of up to 16 kB along with their calls.
+	WithoutQuestions = "questions"
+	// WithoutNotice tells the other daemons of a drain at its beginning.
+	WithoutNotice = "notice"
+	// WithoutReturns takes callers that come back for new ones.
+	WithoutReturns = "returns"
+	// WithoutBusy tries gates that have just told of a long queue.
+	WithoutBusy = "busy"
+	// WithoutLocality takes bytes between availability zones for free.
+	WithoutLocality = "locality"
+)
+
 // Default returns the settings that hold where the file says nothing.
 func Default() Settings {
 	var s Settings
