--- a/admission/origins_test.go
+++ b/admission/origins_test.go
@@ -19,10 +19,12 @@
 func TestRuns_Origin(t *testing.T) {
 	r := NewRuns(at(0))
 	must.Eq(t, OriginUnknown, r.Origin(at(900), at(500)))
-	run := r.Begin(at(3000))
+	run := r.Begin("parent", at(3000))
 	must.Eq(t, MaybeFromRun, r.Origin(at(2400), at(2000)))
 	must.Eq(t, MaybeFromRun, r.Origin(at(3040), at(2600)))
 	must.Eq(t, FromCaller, r.Origin(at(3100), at(2100)))
+	must.Eq(t, []string{"parent"}, r.Requests(at(2400)))
+	must.SliceEmpty(t, r.Requests(at(3100)))
 	run.End(at(2200))
 	must.Eq(t, MaybeFromRun, r.Origin(at(2600), at(2300)))
 	must.Eq(t, FromCaller, r.Origin(at(2600), at(2500)))
--- a/admission/runs.go
+++ b/admission/runs.go
@@ -47,6 +47,8 @@
 // Run is one request that the server works on.
 type Run struct {
 	runs *Runs
+	// request is the id of the request, empty where it has none.
+	request string
 	// expiry is when the server stops to work on it.
 	expiry time.Time
 	// ended is zero while it runs.
@@ -56,9 +58,9 @@
 // NewRuns returns the runs of a daemon that starts now.
 func NewRuns(now time.Time) *Runs { return &Runs{since: now} }
 
-// Begin notes a run that the server ends at expiry at the latest.
-func (r *Runs) Begin(expiry time.Time) *Run {
-	n := &Run{runs: r, expiry: expiry}
+// Begin notes a run of a request that the server ends at expiry at the latest.
+func (r *Runs) Begin(request string, expiry time.Time) *Run {
+	n := &Run{runs: r, request: request, expiry: expiry}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs = append(r.runs, n)
@@ -80,13 +82,27 @@
 	r.runs = slices.DeleteFunc(r.runs, func(n *Run) bool {
 		return !n.ended.IsZero() && now.Sub(n.ended) > afterRun
 	})
-	for _, n := range r.runs {
-		if !expiry.After(n.expiry.Add(expirySlack)) {
-			return MaybeFromRun
-		}
+	if slices.ContainsFunc(r.runs, func(n *Run) bool { return n.mayMake(expiry) }) {
+		return MaybeFromRun
 	}
 	if now.Sub(r.since) < blindFor {
 		return OriginUnknown
 	}
 	return FromCaller
 }
+
+// mayMake reports whether the run may make a call that expires at a time.
+func (n *Run) mayMake(expiry time.Time) bool { return !expiry.After(n.expiry.Add(expirySlack)) }
+
+// Requests returns the requests whose runs may have made a call that expires at a time.
+func (r *Runs) Requests(expiry time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var requests []string
+	for _, n := range r.runs {
+		if n.mayMake(expiry) && n.request != "" {
+			requests = append(requests, n.request)
+		}
+	}
+	return requests
+}
--- a/bench/ablation.sh
+++ b/bench/ablation.sh
@@ -8,6 +8,8 @@
 # with "trial.without" set in its settings; processor time is not counted, so that a run
 # repeats.
 set -euo pipefail
+# Without it each work tree would compile everything anew.
+export GOFLAGS=-trimpath
 bench=$1 site=$2 days=$3 seeds=$4 jobs=${5:-4}
 top=$(git rev-parse --show-toplevel)
 work=$(mktemp -d)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 )
 
@@ -29,8 +30,13 @@
 	Reason  string `json:"reason"`
 	Status  int    `json:"status"`
 	// Refusals and Attempts are counted over the whole request.
-	Refusals int `json:"refusals"`
-	Attempts int `json:"attempts"`
+	Refusals int    `json:"refusals"`
+	Attempts int    `json:"attempts"`
+	Service  string `json:"service"`
+	// Nested is whether a service made the call for a request that it worked on, MadeFor the
+	// requests of which one may be that.
+	Nested  bool     `json:"nested"`
+	MadeFor []string `json:"made_for"`
 	// Raw is the line as it was written.
 	Raw string `json:"-"`
 }
@@ -42,30 +48,54 @@
 	return strings.HasPrefix(l.Message, "outbound: request ended") || strings.HasPrefix(l.Message, "outbound: request not admitted")
 }
 
-// Read returns the lines of a request in a log, in the order of the log. Text before
-// the JSON of a line, such as another program's time stamp, is passed over, and so are
-// lines that are no JSON.
+// of reports whether the line is of a request, or of a call that its run may have made.
+func (l Line) of(request string) bool {
+	return l.Request == request || slices.Contains(l.MadeFor, request)
+}
+
+// Read returns the lines of a request in a log, and of the calls that its run may have
+// made, in the order of the log. Text before the JSON of a line, such as another program's
+// time stamp, is passed over, and so are lines that are no JSON.
 func Read(r io.Reader, request string) ([]Line, error) {
 	var lines []Line
+	err := scan(r, func(text string) bool { return strings.Contains(text, request) }, func(l Line) {
+		if l.of(request) {
+			lines = append(lines, l)
+		}
+	})
+	return lines, err
+}
+
+// scan passes on the log lines whose text may be of interest.
+func scan(r io.Reader, may func(text string) bool, take func(Line)) error {
 	in := bufio.NewScanner(r)
 	in.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
 	for in.Scan() {
 		text := in.Text()
-		if !strings.Contains(text, request) {
-			continue
-		}
 		start := strings.IndexByte(text, '{')
-		if start < 0 {
+		if start < 0 || !may(text) {
 			continue
 		}
 		var l Line
-		if json.Unmarshal([]byte(text[start:]), &l) != nil || l.Request != request {
+		if json.Unmarshal([]byte(text[start:]), &l) != nil {
 			continue
 		}
 		l.Raw = text[start:]
-		lines = append(lines, l)
+		take(l)
 	}
-	return lines, in.Err()
+	return in.Err()
+}
+
+// Split parts the lines of a request from those of calls that its run may have made.
+func Split(request string, lines []Line) (own, calls []Line) {
+	for _, l := range lines {
+		if l.Request == request {
+			own = append(own, l)
+		} else {
+			calls = append(calls, l)
+		}
+	}
+	return own, calls
 }
 
 // Order puts lines of one request, of any number of logs, in the order in which things
@@ -122,6 +152,27 @@
 	"too_large":         "the caller's body is larger than allowed",
 }
 
+// LostCalls says of each call that a run may have made and that failed what became of it.
+// A run fails with a call that it needs, and its answer does not tell.
+func LostCalls(calls []Line) []string {
+	var lost []string
+	for _, l := range calls {
+		if !l.ended() || l.Kind == "" {
+			continue
+		}
+		lost = append(lost, fmt.Sprintf("A call that its run may have made, %s to %s, ended as %s at %s: %s. It may also be of %d other requests.",
+			l.Request, l.Service, l.Kind, l.Host, meaningOf(l), len(l.MadeFor)-1))
+	}
+	return lost
+}
+
+func meaningOf(l Line) string {
+	if meaning, ok := meanings[l.Kind]; ok {
+		return meaning
+	}
+	return l.Error
+}
+
 // Verdict says in a sentence what decided a request, from its ordered lines.
 func Verdict(lines []Line) string {
 	for _, l := range lines {
@@ -132,11 +183,7 @@
 			return fmt.Sprintf("Answered by the backend server on %s with status %d, after %d attempts, %d of them refused by gates.",
 				l.To, l.Status, l.Attempts, l.Refusals)
 		}
-		meaning, ok := meanings[l.Kind]
-		if !ok {
-			meaning = l.Error
-		}
-		return fmt.Sprintf("Ended as %s at %s after %d attempts, %d of them refused by gates: %s.", l.Kind, l.Host, l.Attempts, l.Refusals, meaning)
+		return fmt.Sprintf("Ended as %s at %s after %d attempts, %d of them refused by gates: %s.", l.Kind, l.Host, l.Attempts, l.Refusals, meaningOf(l))
 	}
 	if len(lines) == 0 {
 		return "No line tells of the request: it may have gone well among many, or the log of its daemon is missing."
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -252,7 +252,7 @@
 		}
 	}
 	c.h.opts.Callees.Run()
-	run := c.h.opts.Runs.Begin(c.deadline)
+	run := c.h.opts.Runs.Begin(c.head.GetRequestId(), c.deadline)
 	defer func() { run.End(time.Now()) }()
 	if !c.head.GetNonIdempotent() {
 		return c.forward(up)
--- a/internal/proxy/outbound/log.go
+++ b/internal/proxy/outbound/log.go
@@ -50,6 +50,9 @@
 	if c.last != nil {
 		attrs = append(attrs, "to", c.last.server.Host, "to_zone", c.last.server.AvailabilityZone)
 	}
+	if c.request.Nested {
+		attrs = append(attrs, "made_for", c.h.opts.Runs.Requests(c.deadline))
+	}
 	if err != nil {
 		attrs = append(attrs, "kind", string(errkind.Of(err)), "run", string(errkind.RunOf(err)), "error", err)
 	}
