--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -10,7 +10,6 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/crocuscross/crocuscross/admission"
 	"github.com/crocuscross/crocuscross/backend"
 	"github.com/crocuscross/crocuscross/balance"
 	"github.com/crocuscross/crocuscross/errkind"
@@ -152,25 +151,6 @@
 	return errkind.Wrap(errkind.Unreachable, err, "reach the backend server's host")
 }
 
-// learn takes in what a gate tells of its service and of the call's route.
-func (a *attempt) learn(head *peerpb.AnswerHead) {
-	o := a.c.h.opts
-	o.Nested.Learn(a.c.head.GetRoute(), makers[head.GetMadeBy()])
-	var rates []admission.Callee
-	for _, callee := range head.GetCallees() {
-		rates = append(rates, admission.Callee{Service: callee.GetService(), Calls: float64(callee.GetMilliCalls()) / milli})
-	}
-	o.Calls.Learn(a.c.service, rates)
-}
-
-// milli is the unit in which rates of calls travel.
-const milli = 1000
-
-var makers = map[peerpb.MadeBy]admission.MadeBy{
-	peerpb.MadeBy_MADE_BY_CALLERS:  admission.ByCallers,
-	peerpb.MadeBy_MADE_BY_SERVICES: admission.ByServices,
-}
-
 // answerHead waits for the answer to begin, sending a streamed body once the
 // gate asks for it.
 func (a *attempt) answerHead() (*peerpb.AnswerHead, error) {
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -19,7 +19,6 @@
 	"github.com/crocuscross/crocuscross/internal/telemetry"
 	"github.com/crocuscross/crocuscross/peerpb"
 	"github.com/crocuscross/crocuscross/quota"
-	"github.com/crocuscross/crocuscross/retry"
 	"github.com/crocuscross/crocuscross/snapshot"
 	"github.com/crocuscross/crocuscross/transit"
 )
@@ -203,73 +202,9 @@
 	}
 }
 
-// count counts the call where it counts for the retries that a service may get.
-func (c *call) count() {
-	switch {
-	case c.route == nil:
-		c.h.opts.Budgets.Deposit(contractCalls)
-	case c.request.Nested:
-		c.h.opts.Callees.Call(c.service)
-	default:
-		c.h.opts.Budgets.Deposit(c.service)
-	}
-}
-
-// contractCalls stands for all services in the budget of calls under contracts.
-const contractCalls = ""
-
-// retryNeeds returns what sending the call again costs, and where.
-func (c *call) retryNeeds() []retry.Need {
-	if c.route == nil {
-		return []retry.Need{{Service: contractCalls, Calls: 1}}
-	}
-	var needs []retry.Need
-	for _, callee := range c.h.opts.Calls.Of(c.service) {
-		needs = append(needs, retry.Need(callee))
-	}
-	return needs
-}
-
 // errBackendFailure stands for a backend server's own answer that it has failed.
 var errBackendFailure = errkind.New(errkind.BackendFailed, "the backend server answered that it failed")
 
-// answerIsWorse reports whether another backend server may give a better answer to
-// a call that may be repeated.
-func (c *call) answerIsWorse(a *answered) bool {
-	return c.route != nil && !c.terms.NonIdempotent && a.head.GetStatus() == http.StatusInternalServerError
-}
-
-// mayRetry decides whether another attempt may follow a failed one.
-func (c *call) mayRetry(ctx context.Context, a *attempt, err error) bool {
-	if ctx.Err() != nil || c.streamed {
-		c.logRetry(a, err, false, "ended")
-		return false
-	}
-	d := retry.Allowed(errkind.Of(err), c.retryCall(a))
-	again := d.Retry && (d.Free || c.h.opts.Budgets.Withdraw(c.retryNeeds()...))
-	reason := string(d.Reason)
-	if d.Retry && !again {
-		reason = "budget"
-	}
-	c.logRetry(a, err, again, reason)
-	return again
-}
-
-func (c *call) retryCall(a *attempt) retry.Call {
-	r := retry.Call{
-		Inherited:     int(c.inherited),
-		Attempts:      c.attempts,
-		NonIdempotent: c.terms.NonIdempotent,
-		Remaining:     time.Until(c.deadline),
-		Expected:      leastAttempt,
-	}
-	if c.route != nil {
-		r.Attempts, r.MaxAttempts = c.arrivals, c.route.MaxAttempts
-		r.Refusals, r.Unsent = c.refusals, !a.arrived
-	}
-	return r
-}
-
 // firstCertain returns the error that a call with several failed attempts ends
 // with: the latest, unless an earlier attempt may have run. "Not run" must not
 // be said of a call that did run once.
