--- a/gate/call.go
+++ b/gate/call.go
@@ -10,9 +10,9 @@
 	// another's excess and the time that its calls take is known for each.
 	Route string
 	// Nested calls are made by a service for a request that it works on. They go before
-	// all others: refused or late, they lose the work done for that request so far. Of
-	// 15,000 requests to services that call each other 2,344 ended with a run that had lost
-	// a call so, 13 with calls first (a minute of 11 hosts, a third above their capacity).
+	// all others: refused or late, they lose the work done for that request so far. In a
+	// minute of 11 hosts whose services call each other, 2,344 tries ended with a backend
+	// server's own failure, 13 with calls first.
 	Nested bool
 	// Priority ranks the other calls, 0 first. A call waits for none of a higher number.
 	Priority int
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -34,8 +34,9 @@
 const maxPromptBody = 16 << 10
 
 // maxBlindBody is that bound where the gate is not known to have a free slot. Under
-// overload calls are refused by two gates of three, and a question costs a round trip of
-// some 2 ms: with bodies of 4 kB it halves what they bring to other availability zones.
+// overload most gates refuse, and a question costs a round trip, some 2 ms. In a minute of
+// 11 hosts where one request in four has a body of 4 kB, 38 MB went between availability zones
+// with it, 63 MB without.
 const maxBlindBody = 1 << 10
 
 // leastAttempt is the time below which another attempt cannot end well: two
