--- a/examples/embed/node.go
+++ b/examples/embed/node.go
@@ -117,7 +117,7 @@
 	n.tomb.Go(func() error { return n.followLog(ctx) })
 	n.tomb.Go(func() error { return n.followMembers(ctx) })
 	n.tomb.Go(func() error {
-		_, err := n.members.Join(ctx, []netip.AddrPort{contact})
+		_, err := n.members.Join(ctx, []membership.Contact{{Addr: contact}})
 		return err
 	})
 }
--- a/internal/controller/contacts/contacts.go
+++ b/internal/controller/contacts/contacts.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -16,6 +17,7 @@
 	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
 	"github.com/crocuscross/crocuscross/internal/loop"
+	"github.com/crocuscross/crocuscross/membership"
 )
 
 const (
@@ -29,8 +31,11 @@
 	// Tail is how many of the latest records are looked at for contacts where the
 	// directory is a stream of a log.
 	Tail = 64
-	// maxFound bounds the contacts taken from the directory.
-	maxFound = 16
+	// maxNear and maxAway bound the contacts taken from the directory: of the own
+	// availability zone, and of each other one. A start asks three neighbours, some of which
+	// may have gone, and nobody elsewhere if they know the other zones.
+	maxNear = 8
+	maxAway = 2
 	// retryAfter is about the wait before the first entry is put again. Until it is
 	// there, daemons that start later cannot find this one.
 	retryAfter = 300 * time.Millisecond
@@ -112,7 +117,7 @@
 
 // Find returns the addresses in the directory, the newest of each host, without this
 // daemon's own. Unreadable values are passed over.
-func (c *Controller) Find(ctx context.Context) ([]netip.AddrPort, error) {
+func (c *Controller) Find(ctx context.Context) ([]membership.Contact, error) {
 	values, err := c.opts.Directory.List(ctx)
 	if err != nil {
 		return nil, err
@@ -125,18 +130,31 @@
 	return c.newest(values), nil
 }
 
-func (c *Controller) newest(values [][]byte) []netip.AddrPort {
-	var found []netip.AddrPort
+// newest returns the contacts among entries, the latest entry last: neighbours first, then
+// a few of each other availability zone. Of a host's entries the latest counts.
+func (c *Controller) newest(values [][]byte) []membership.Contact {
+	var near, away []membership.Contact
 	seen := map[string]bool{c.opts.Host: true}
-	for i := len(values) - 1; i >= 0 && len(found) < maxFound; i-- {
+	of := map[string]int{}
+	for _, value := range slices.Backward(values) {
 		var m configpb.Contact
-		if proto.Unmarshal(values[i], &m) != nil || seen[m.GetHost()] {
+		if proto.Unmarshal(value, &m) != nil || seen[m.GetHost()] {
 			continue
 		}
 		seen[m.GetHost()] = true
-		if addr, err := netip.ParseAddrPort(m.GetPeerAddr()); err == nil {
-			found = append(found, addr)
+		addr, err := netip.ParseAddrPort(m.GetPeerAddr())
+		if err != nil {
+			continue
+		}
+		zone := m.GetAvailabilityZone()
+		contact := membership.Contact{Addr: addr, AvailabilityZone: zone}
+		of[zone]++
+		switch {
+		case zone == c.opts.AvailabilityZone && of[zone] <= maxNear:
+			near = append(near, contact)
+		case zone != c.opts.AvailabilityZone && of[zone] <= maxAway:
+			away = append(away, contact)
 		}
 	}
-	return found
+	return append(near, away...)
 }
--- a/internal/controller/contacts/contacts_test.go
+++ b/internal/controller/contacts/contacts_test.go
@@ -11,6 +11,7 @@
 	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/eventlog/memlog"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
+	"github.com/crocuscross/crocuscross/membership"
 )
 
 // clock is a time that tests move.
@@ -46,7 +47,7 @@
 	must.NoError(t, err)
 	found, err := newController(log, "c", 4, c).Find(t.Context())
 	must.NoError(t, err)
-	must.Eq(t, []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:3"), netip.MustParseAddrPort("127.0.0.1:2")}, found)
+	must.Eq(t, []membership.Contact{{Addr: netip.MustParseAddrPort("127.0.0.1:3")}, {Addr: netip.MustParseAddrPort("127.0.0.1:2")}}, found)
 }
 
 // The platform takes a few hundred appends a second for everybody. A reader
--- a/internal/controller/contacts/fuzz_test.go
+++ b/internal/controller/contacts/fuzz_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/membership"
 )
 
 // An entry of another writer stands among those of daemons. Whatever its bytes are, the
@@ -29,6 +30,6 @@
 		if proto.Unmarshal(other, &m) == nil && m.GetHost() == "b" {
 			return // A newer entry of the same host takes the place of the older.
 		}
-		must.True(t, slices.Contains(found, netip.MustParseAddrPort("127.0.0.1:2")))
+		must.True(t, slices.Contains(found, membership.Contact{Addr: netip.MustParseAddrPort("127.0.0.1:2")}))
 	})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/crocuscross/crocuscross/internal/loop"
 	"github.com/crocuscross/crocuscross/internal/settings"
 	"github.com/crocuscross/crocuscross/internal/telemetry"
+	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/pipeline"
 )
 
@@ -238,14 +239,14 @@
 	d.logger.Info("daemon: stopped")
 }
 
-func parseContacts(list []string) ([]netip.AddrPort, error) {
-	addrs := make([]netip.AddrPort, 0, len(list))
+func parseContacts(list []string) ([]membership.Contact, error) {
+	contacts := make([]membership.Contact, 0, len(list))
 	for _, s := range list {
 		a, err := netip.ParseAddrPort(s)
 		if err != nil {
 			return nil, errors.Wrap(err, "contacts")
 		}
-		addrs = append(addrs, a)
+		contacts = append(contacts, membership.Contact{Addr: a})
 	}
-	return addrs, nil
+	return contacts, nil
 }
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -111,12 +112,14 @@
 func (p *parts) buildPeers(d *Daemon) {
 	opts := peer.DefaultPoolOptions()
 	opts.Meter = p.meter
+	opts.PlaceOf = d.placeOf
 	opts.Dial = d.dialCalls
 	p.calls = peer.NewPool(opts)
 	opts.Dial = dialFrom(addrOf(d.ln.peers).Addr())
 	p.control = peer.NewPool(opts)
 	server := peer.DefaultServerOptions()
 	server.Meter = p.meter
+	server.PlaceOf = d.placeOf
 	server.Logger = d.logger
 	p.server = peer.NewServer(server)
 	log := httplog.DefaultOptions(d.settings.Platform.URL)
@@ -128,6 +131,24 @@
 	}
 }
 
+// placeOf returns where the daemon at an IP address is.
+func (d *Daemon) placeOf(ip netip.Addr) peer.Place {
+	view := d.board.Members.Load()
+	if view == nil {
+		return peer.UnknownPlace
+	}
+	for _, m := range view.Members {
+		if m.PeerAddr.Addr() != ip {
+			continue
+		}
+		if m.AvailabilityZone == d.settings.AvailabilityZone {
+			return peer.SameZone
+		}
+		return peer.OtherZone
+	}
+	return peer.UnknownPlace
+}
+
 // onStore reports whether the platform has a metadata store, which its operator
 // writes documents to.
 func (d *Daemon) onStore() bool { return d.settings.Platform.Protocol == settings.ProtocolStore }
--- a/internal/daemon/recover.go
+++ b/internal/daemon/recover.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -74,14 +73,14 @@
 	return nil
 }
 
-func (d *Daemon) joinOnce(ctx context.Context, configured []netip.AddrPort) (int, error) {
+func (d *Daemon) joinOnce(ctx context.Context, configured []membership.Contact) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, joinRound)
 	defer cancel()
 	return d.membership.Join(ctx, d.withFound(ctx, configured))
 }
 
 // withFound adds the contacts found in the platform's log.
-func (d *Daemon) withFound(ctx context.Context, configured []netip.AddrPort) []netip.AddrPort {
+func (d *Daemon) withFound(ctx context.Context, configured []membership.Contact) []membership.Contact {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	found, err := d.contacts.Find(ctx)
--- a/internal/telemetry/control.go
+++ b/internal/telemetry/control.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/crocuscross/crocuscross/membership"
+	"github.com/crocuscross/crocuscross/peer"
 	"github.com/crocuscross/crocuscross/spread"
 )
 
@@ -60,7 +61,7 @@
 		return c
 	}
 	return &MemberMeter{
-		sent:     counterVec("member_sent_bytes_total", "Bytes of datagrams sent to other daemons.", "kind"),
+		sent:     counterVec("member_sent_bytes_total", "Bytes of datagrams sent to other daemons, by kind and place of the receiver.", "kind", "place"),
 		received: counterVec("member_received_bytes_total", "Bytes of datagrams received.", "kind"),
 		packets:  counterVec("member_packets_total", "Datagrams, by direction.", "direction"),
 		rejected: counterVec("member_rejected_total", "Datagrams and tables refused.", "reason"),
@@ -72,8 +73,12 @@
 }
 
 // Sent implements membership.Meter.
-func (m *MemberMeter) Sent(k membership.PacketKind, bytes int) {
-	m.sent.WithLabelValues(string(k)).Add(float64(bytes))
+func (m *MemberMeter) Sent(k membership.PacketKind, across bool, bytes int) {
+	place := peer.SameZone
+	if across {
+		place = peer.OtherZone
+	}
+	m.sent.WithLabelValues(string(k), place.String()).Add(float64(bytes))
 	m.packets.WithLabelValues("sent").Inc()
 }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -102,19 +102,25 @@
 
 // PeerMeter counts the bytes between daemons by kind of exchange.
 type PeerMeter struct {
-	sent, received map[peerpb.Kind]prometheus.Counter
+	sent, received map[exchange]prometheus.Counter
 	rejected       *prometheus.CounterVec
 }
 
+// exchange is a kind of exchange with a peer at a place.
+type exchange struct {
+	kind  peerpb.Kind
+	place peer.Place
+}
+
 // NewPeerMeter registers the metrics of exchanges between daemons.
 func NewPeerMeter(reg prometheus.Registerer) *PeerMeter {
 	bytes := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "peer_bytes_total",
-		Help: "Bytes of messages between daemons over TCP, by direction and kind of exchange.",
-	}, []string{"direction", "kind"})
+		Help: "Bytes of messages between daemons over TCP, by direction, kind of exchange and place of the other one.",
+	}, []string{"direction", "kind", "place"})
 	m := &PeerMeter{
-		sent:     map[peerpb.Kind]prometheus.Counter{},
-		received: map[peerpb.Kind]prometheus.Counter{},
+		sent:     map[exchange]prometheus.Counter{},
+		received: map[exchange]prometheus.Counter{},
 		rejected: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "rejected_input_total",
 			Help: "Input that was refused, by listener and reason.",
@@ -126,22 +132,25 @@
 		m.rejected.WithLabelValues(listenerPeers, string(r))
 	}
 	for number, name := range peerpb.Kind_name {
-		m.sent[peerpb.Kind(number)] = bytes.WithLabelValues("sent", name)
-		m.received[peerpb.Kind(number)] = bytes.WithLabelValues("received", name)
+		for _, place := range peer.Places() {
+			e := exchange{peerpb.Kind(number), place}
+			m.sent[e] = bytes.WithLabelValues("sent", name, place.String())
+			m.received[e] = bytes.WithLabelValues("received", name, place.String())
+		}
 	}
 	return m
 }
 
 // Sent implements peer.Meter.
-func (m *PeerMeter) Sent(k peerpb.Kind, n int) {
-	if c, ok := m.sent[k]; ok {
+func (m *PeerMeter) Sent(k peerpb.Kind, place peer.Place, n int) {
+	if c, ok := m.sent[exchange{k, place}]; ok {
 		c.Add(float64(n))
 	}
 }
 
 // Received implements peer.Meter.
-func (m *PeerMeter) Received(k peerpb.Kind, n int) {
-	if c, ok := m.received[k]; ok {
+func (m *PeerMeter) Received(k peerpb.Kind, place peer.Place, n int) {
+	if c, ok := m.received[exchange{k, place}]; ok {
 		c.Add(float64(n))
 	}
 }
--- a/membership/apply.go
+++ b/membership/apply.go
@@ -9,8 +9,11 @@
 type source uint8
 
 const (
-	// fromGossip records are passed on if they are news.
+	// fromGossip records are passed on in the own availability zone if they are news.
 	fromGossip source = iota
+	// fromProbe records are what this daemon's own probes show. Nobody else may know, so
+	// they go to the other availability zones as well.
+	fromProbe
 	// fromSync records are passed on as well.
 	fromSync
 	// fromJoin records are what a daemon learns as it starts; to pass all of
@@ -18,37 +21,42 @@
 	fromJoin
 )
 
-// apply takes a record in that another daemon sent or that this one concluded.
-func (m *Membership) apply(r *record, from source, now time.Time) {
+// apply takes a record in that another daemon sent or that this one concluded, and reports
+// whether it is news that this daemon passes on.
+func (m *Membership) apply(r *record, from source, now time.Time) bool {
 	if r.host == m.self.host {
 		m.applySelf(r, now)
-		return
+		return false
 	}
 	known := m.table.get(r.host) != nil
 	if !known && !r.usable() && r.age > m.opts.TombstoneRetention {
 		// Others may forget a tombstone a little later than this daemon did;
 		// taking it back would keep it going round for good.
-		return
+		return false
 	}
 	e, c := m.table.merge(r)
 	if e == nil {
 		m.opts.Meter.Rejected(RejectFull)
-		return
+		return false
 	}
 	if c&changedOffset != 0 {
 		m.stale.Store(true)
 	}
 	if !c.spreads() {
-		return
+		return false
 	}
 	if c&(changedState|changedInfo) != 0 {
 		m.changedEntry(e, c, r, now)
 	}
 	m.news(now)
 	if from == fromJoin || (!known && !e.usable()) {
-		return
+		return false
 	}
 	m.queue.add(e.host, c&(changedInfo|changedBoot) != 0, isUrgent(e, c))
+	if from == fromProbe {
+		m.far.add(e.host, false, true)
+	}
+	return true
 }
 
 // isUrgent reports whether callers or backend servers wait for the news.
@@ -59,6 +67,7 @@
 // changedEntry keeps what depends on an entry's state in step with it.
 func (m *Membership) changedEntry(e *entry, c change, r *record, now time.Time) {
 	e.since = now.Add(-r.age)
+	m.noteZoneNews(e.availabilityZone(), now)
 	if c&appeared != 0 {
 		m.prober.add(e.host, m.rng)
 	}
--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -187,7 +187,7 @@
 			nd.table = newTable(nd.opts.MaxMembers)
 			var answer memberpb.Table
 			must.NoError(b, proto.Unmarshal(wire, &answer))
-			nd.learn(&answer)
+			nd.learn(&answer, &exchangeTarget{})
 		}
 		b.ReportMetric(float64(len(wire))/float64(n), "bytes/member")
 	})
@@ -241,7 +241,7 @@
 			runtime.ReadMemStats(&before)
 			var answer memberpb.Table
 			must.NoError(b, proto.Unmarshal(wire, &answer))
-			nd.learn(&answer)
+			nd.learn(&answer, &exchangeTarget{})
 			must.Len(b, n, nd.View().Members)
 			answer = memberpb.Table{}
 			runtime.GC()
--- a/membership/example_test.go
+++ b/membership/example_test.go
@@ -62,7 +62,7 @@
 	second, _ := fleet.start(ctx, "host-2", 8)
 	second.SetLocal([]membership.Announcement{{Service: "sign-feed", Slots: 10}}, false)
 	_, _ = first.Join(ctx, nil)
-	if _, err := second.Join(ctx, []netip.AddrPort{contact}); err != nil {
+	if _, err := second.Join(ctx, []membership.Contact{{Addr: contact}}); err != nil {
 		panic(err)
 	}
 	for {
--- a/membership/failure_test.go
+++ b/membership/failure_test.go
@@ -42,7 +42,7 @@
 	f := newJoinedFleet(t, n)
 	f.runFor(20*time.Second, nil)
 	p := f.nodes[7]
-	p.claim(p.table.get("host-0008"), Suspect, f.now)
+	p.claim(p.table.get("host-0008"), Suspect, fromProbe, f.now)
 	p.queue = newQueue()
 	p.paused = true
 	f.runFor(30*time.Second, nil)
@@ -178,7 +178,7 @@
 		}
 	}
 	for _, g := range group {
-		nd.claim(nd.table.get(g.self.host), Suspect, f.now)
+		nd.claim(nd.table.get(g.self.host), Suspect, fromProbe, f.now)
 	}
 	wait(time.Minute)
 	must.Eq(t, len(group), nd.count(Suspect))
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -30,7 +30,12 @@
 	noSync func(a, b *node) bool
 
 	packets, bytes, syncs, syncBytes int
-	rejected                         map[RejectReason]int
+	// crossBytes is the part of bytes, and crossSyncBytes of syncBytes, that goes from
+	// one availability zone to another.
+	crossBytes, crossSyncBytes int
+	// zones is how many availability zones the daemons are spread over.
+	zones    int
+	rejected map[RejectReason]int
 }
 
 type flying struct {
@@ -47,7 +52,7 @@
 	down      bool
 	paused    bool
 	err       error
-	joinBy    []netip.AddrPort
+	joinBy    []Contact
 	joinDue   time.Time
 	joinDelay time.Duration
 	// sent is the latest datagram.
@@ -62,8 +67,11 @@
 )
 
 // newFleet returns n daemons that do not know of each other.
-func newFleet(t testing.TB, n int) *fleet {
-	f := &fleet{t: t, now: time.Unix(1000, 0), byAddr: map[netip.AddrPort]*node{}, rejected: map[RejectReason]int{}}
+func newFleet(t testing.TB, n int) *fleet { return newFleetIn(t, n, testZones) }
+
+// newFleetIn is newFleet with the daemons spread over a number of availability zones.
+func newFleetIn(t testing.TB, n, zones int) *fleet {
+	f := &fleet{t: t, now: time.Unix(1000, 0), byAddr: map[netip.AddrPort]*node{}, rejected: map[RejectReason]int{}, zones: zones}
 	for i := range n {
 		f.start(i, i, uint64(i+1))
 	}
@@ -71,8 +79,10 @@
 }
 
 // newJoinedFleet returns n daemons whose tables are complete.
-func newJoinedFleet(t testing.TB, n int) *fleet {
-	f := newFleet(t, n)
+func newJoinedFleet(t testing.TB, n int) *fleet { return newFleet(t, n).joined() }
+
+// joined completes the tables of all daemons.
+func (f *fleet) joined() *fleet {
 	for _, nd := range f.nodes {
 		nd.update(nd.announce)
 	}
@@ -81,9 +91,10 @@
 			e := other.self
 			nd.apply(&record{host: e.host, state: e.state, info: e.info}, fromJoin, f.now)
 		}
-		nd.queue = newQueue()
+		nd.queue, nd.far = newQueue(), newQueue()
 		nd.sync.settle = time.Time{}
 		nd.lastNews = f.now.Add(-time.Minute)
+		nd.announcedAt, nd.toldAgain = f.now.Add(-time.Minute), true
 		nd.changed = false
 	}
 	return f
@@ -96,7 +107,7 @@
 	opts := DefaultOptions()
 	opts.Host = fmt.Sprintf("host-%04d", i)
 	opts.Boot = boot
-	opts.AvailabilityZone = fmt.Sprintf("zone-%d", i%testZones)
+	opts.AvailabilityZone = fmt.Sprintf("zone-%d", i%f.zones)
 	opts.Region = fmt.Sprintf("region-%d", i%testRegions)
 	opts.PeerAddr, opts.CallerAddr = nd.addr, netip.AddrPortFrom(nd.addr.Addr(), 8000)
 	opts.Packets, opts.Sync, opts.Meter = nd, nd, nd
@@ -120,7 +131,8 @@
 // exchanges of the first attempt.
 func (nd *node) join(contacts ...int) int {
 	for _, c := range contacts {
-		nd.joinBy = append(nd.joinBy, nd.f.nodes[c].addr)
+		to := nd.f.nodes[c]
+		nd.joinBy = append(nd.joinBy, Contact{to.addr, to.opts.AvailabilityZone})
 	}
 	nd.joinDelay = joinBaseDelay
 	return nd.tryJoin()
@@ -151,8 +163,8 @@
 		}
 		nd.err = nd.tick()
 		select {
-		case addr := <-nd.syncWanted:
-			nd.runSync(context.Background(), addr)
+		case target := <-nd.syncWanted:
+			nd.runSync(context.Background(), target)
 		default:
 		}
 	}
@@ -223,6 +235,11 @@
 	return n
 }
 
+// crosses reports whether another daemon is in another availability zone.
+func (nd *node) crosses(to *node) bool {
+	return to != nil && nd.index%nd.f.zones != to.index%nd.f.zones
+}
+
 func (nd *node) lost(to *node) bool {
 	return to == nil || to.down || (nd.f.cut != nil && nd.f.cut(nd, to))
 }
@@ -233,7 +250,11 @@
 	nd.sent = b
 	nd.f.packets++
 	nd.f.bytes += len(b)
-	if to := nd.f.byAddr[addr]; !nd.lost(to) {
+	to := nd.f.byAddr[addr]
+	if nd.crosses(to) {
+		nd.f.crossBytes += len(b)
+	}
+	if !nd.lost(to) {
 		nd.f.flying = append(nd.f.flying, flying{nd, to, b})
 	}
 	return len(b), nil
@@ -254,7 +275,12 @@
 		return nil, errors.New("unreachable")
 	}
 	nd.f.syncs++
-	return nd.f.recode(to.HandleSync(ctx, nd.f.recode(table))), nil
+	before := nd.f.syncBytes
+	answer := nd.f.recode(to.HandleSync(ctx, nd.f.recode(table)))
+	if nd.crosses(to) {
+		nd.f.crossSyncBytes += nd.f.syncBytes - before
+	}
+	return answer, nil
 }
 
 func (f *fleet) recode(table *memberpb.Table) *memberpb.Table {
@@ -266,9 +292,9 @@
 	return decoded
 }
 
-func (nd *node) Sent(PacketKind, int)     {}
-func (nd *node) Received(PacketKind, int) {}
-func (nd *node) Rejected(r RejectReason)  { nd.f.rejected[r]++ }
-func (nd *node) Probed(bool)              {}
-func (nd *node) Paused(time.Duration)     {}
-func (nd *node) Synced(_, out int)        { nd.fullAnswers += count(out >= fullSyncMembers) }
+func (nd *node) Sent(PacketKind, bool, int) {}
+func (nd *node) Received(PacketKind, int)   {}
+func (nd *node) Rejected(r RejectReason)    { nd.f.rejected[r]++ }
+func (nd *node) Probed(bool)                {}
+func (nd *node) Paused(time.Duration)       {}
+func (nd *node) Synced(_, out int)          { nd.fullAnswers += count(out >= fullSyncMembers) }
--- a/membership/join.go
+++ b/membership/join.go
@@ -21,11 +21,18 @@
 	joinMaxDelay  = 10 * time.Second
 )
 
+// Contact is a daemon to join by.
+type Contact struct {
+	Addr netip.AddrPort
+	// AvailabilityZone is "" where it is not known.
+	AvailabilityZone string
+}
+
 // Join exchanges tables with a few of the contacts and returns how many
 // answered. It tries until one has, or ctx is done; before each attempt it
 // waits a random time (full jitter), so that a zone that restarts does not come
 // in one wave. Without contacts other than the daemon itself it returns 0.
-func (m *Membership) Join(ctx context.Context, contacts []netip.AddrPort) (int, error) {
+func (m *Membership) Join(ctx context.Context, contacts []Contact) (int, error) {
 	contacts = m.remember(contacts)
 	if len(contacts) == 0 {
 		m.update(m.announce)
@@ -55,47 +62,78 @@
 	return m.jitter(d)
 }
 
-// remember keeps the contacts for healing a cut, and returns them shuffled
-// without the daemon itself.
-func (m *Membership) remember(contacts []netip.AddrPort) []netip.AddrPort {
+// remember keeps the contacts for healing a cut, and returns them without the daemon
+// itself: those that may be in its availability zone first, each part shuffled.
+func (m *Membership) remember(contacts []Contact) []Contact {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var others []netip.AddrPort
+	var others []Contact
 	for _, c := range contacts {
-		c = netip.AddrPortFrom(c.Addr().Unmap(), c.Port())
-		if c == m.self.info.peerAddr || slices.Contains(others, c) {
+		c.Addr = netip.AddrPortFrom(c.Addr.Addr().Unmap(), c.Addr.Port())
+		if c.Addr == m.self.info.peerAddr || slices.ContainsFunc(others, c.at) {
 			continue
 		}
 		others = append(others, c)
-		if !slices.Contains(m.contacts, c) && len(m.contacts) < maxRememberedContacts {
+		if !slices.ContainsFunc(m.contacts, c.at) && len(m.contacts) < maxRememberedContacts {
 			m.contacts = append(m.contacts, c)
 		}
 	}
 	m.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	slices.SortStableFunc(others, func(a, b Contact) int { return count(m.isAway(a)) - count(m.isAway(b)) })
 	return others
 }
 
+// at reports whether o is at the same address.
+func (c Contact) at(o Contact) bool { return c.Addr == o.Addr }
+
+// isAway reports whether a contact is known to be in another availability zone.
+func (m *Membership) isAway(c Contact) bool {
+	return c.AvailabilityZone != "" && c.AvailabilityZone != m.opts.AvailabilityZone
+}
+
 // joinOnce asks the contacts in turn, and those that busy ones name instead. It
 // reports how many answered, and whether all that did were busy.
-func (m *Membership) joinOnce(ctx context.Context, contacts []netip.AddrPort) (joined int, busy bool) {
-	asked := slices.Clone(contacts)
-	for i := 0; i < min(len(asked), joinTries) && joined < joinContacts && ctx.Err() == nil; i++ {
-		instead, err := m.exchange(ctx, asked[i])
+func (m *Membership) joinOnce(ctx context.Context, contacts []Contact) (joined int, busy bool) {
+	list := slices.Clone(contacts)
+	for i, tries := 0, 0; i < len(list) && tries < joinTries && ctx.Err() == nil; i++ {
+		if !m.needs(list[i], joined) {
+			continue
+		}
+		tries++
+		instead, err := m.exchange(ctx, exchangeTarget{addr: list[i].Addr})
 		if err == nil {
 			joined++
 			continue
 		}
 		busy = busy || errors.Is(err, errBusy)
 		m.log.Debug("membership: contact did not help", "error", err)
-		for _, c := range instead {
-			if !slices.Contains(asked, c) && c != m.opts.PeerAddr {
-				asked = append(asked, c)
+		for _, addr := range instead {
+			c := Contact{Addr: addr}
+			if !slices.ContainsFunc(list, c.at) && addr != m.opts.PeerAddr {
+				list = append(list, c)
 			}
 		}
 	}
 	return joined, busy && joined == 0
 }
 
+// needs reports whether an exchange with a contact brings what those before, of which
+// some have answered, did not. Another availability zone's contact is asked only while
+// nobody of that zone is known: its table is that of any neighbour, for bytes between
+// zones. In a fleet that starts all at once the first few of a zone so meet the others
+// while the tables are still small.
+func (m *Membership) needs(c Contact, answered int) bool {
+	if !m.isAway(c) {
+		return answered < joinContacts
+	}
+	if answered == 0 {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.zones[c.AvailabilityZone].usable == 0
+}
+
 // heal looks now and then for those on the other side of a cut. A ping to a
 // Dead member tells it so, and its refutation and the differing digests bring
 // the halves together; a contact that is in neither table starts an exchange.
@@ -112,27 +150,27 @@
 		m.sendPing(e.info.peerAddr, e.host, m.prober.nextSeq())
 	}
 	if c, ok := m.lostContact(); ok && !m.sync.want.IsValid() {
-		m.wantSync(c, now)
+		m.wantSync(c.Addr, now)
 	}
 }
 
 // lostContact returns a random contact that no usable member has the address
 // of.
-func (m *Membership) lostContact() (netip.AddrPort, bool) {
+func (m *Membership) lostContact() (Contact, bool) {
 	present := make(map[netip.AddrPort]bool, m.table.usable)
 	for _, e := range m.table.order {
 		if e.usable() && e.complete() {
 			present[e.info.peerAddr] = true
 		}
 	}
-	var lost []netip.AddrPort
+	var lost []Contact
 	for _, c := range m.contacts {
-		if !present[c] {
+		if !present[c.Addr] {
 			lost = append(lost, c)
 		}
 	}
 	if len(lost) == 0 {
-		return netip.AddrPort{}, false
+		return Contact{}, false
 	}
 	return lost[m.rng.IntN(len(lost))], true
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -33,21 +33,24 @@
 	// sleep waits for a backoff; tests replace it.
 	sleep func(context.Context, time.Duration) error
 	// syncWanted wakes the loop that runs full-table exchanges.
-	syncWanted chan netip.AddrPort
+	syncWanted chan exchangeTarget
 
 	// view is the latest picture; stale is set when the table has moved on.
 	view  atomic.Pointer[View]
 	stale atomic.Bool
 
-	mu       sync.Mutex
-	rng      *mathrand.Rand
-	table    *table
-	self     *entry
+	mu    sync.Mutex
+	rng   *mathrand.Rand
+	table *table
+	self  *entry
+	// queue holds the news for the own availability zone, far those for the others.
 	queue    *queue
+	far      *queue
 	prober   prober
 	health   health
 	sync     syncer
-	contacts []netip.AddrPort
+	repairs  map[string]*repair
+	contacts []Contact
 	onHeard  HeardFunc
 
 	lastTick   time.Time
@@ -59,9 +62,11 @@
 	nextExpiry time.Time
 	// announced is set once this daemon has tried to learn of its host's
 	// earlier lives; until then it is in nobody's table.
-	announced  bool
-	left       bool
-	superseded bool
+	announced   bool
+	announcedAt time.Time
+	toldAgain   bool
+	left        bool
+	superseded  bool
 
 	changed bool
 	watch   chan struct{}
@@ -73,7 +78,9 @@
 type datagram struct {
 	to   netip.AddrPort
 	kind PacketKind
-	data []byte
+	// across is whether the receiver is in another availability zone.
+	across bool
+	data   []byte
 }
 
 type heardOffset struct {
@@ -92,10 +99,12 @@
 		opts:       opts,
 		log:        opts.Logger,
 		sleep:      sleepContext,
-		syncWanted: make(chan netip.AddrPort, 1),
+		syncWanted: make(chan exchangeTarget, 1),
 		rng:        mathrand.New(mathrand.NewPCG(seed(), seed())),
 		table:      newTable(opts.MaxMembers),
 		queue:      newQueue(),
+		far:        newQueue(),
+		repairs:    make(map[string]*repair),
 		watch:      make(chan struct{}),
 	}
 	m.prober = newProber(m.rng.Uint32())
@@ -169,7 +178,7 @@
 		// A datagram that could not be sent is one that was lost, which the
 		// protocol must bear anyway.
 		_, _ = m.opts.Packets.WriteToUDPAddrPort(d.data, d.to)
-		m.opts.Meter.Sent(d.kind, len(d.data))
+		m.opts.Meter.Sent(d.kind, d.across, len(d.data))
 	}
 	if onHeard == nil {
 		return
--- a/membership/options.go
+++ b/membership/options.go
@@ -164,7 +164,8 @@
 // Meter counts what the protocol does. Implementations are safe for concurrent
 // use.
 type Meter interface {
-	Sent(kind PacketKind, bytes int)
+	// Sent counts a datagram; across is whether it went to another availability zone.
+	Sent(kind PacketKind, across bool, bytes int)
 	Received(kind PacketKind, bytes int)
 	Rejected(reason RejectReason)
 	// Probed counts ended probes.
@@ -180,7 +181,7 @@
 type NoMeter struct{}
 
 // Sent does nothing.
-func (NoMeter) Sent(PacketKind, int) {}
+func (NoMeter) Sent(PacketKind, bool, int) {}
 
 // Received does nothing.
 func (NoMeter) Received(PacketKind, int) {}
--- a/membership/own.go
+++ b/membership/own.go
@@ -56,6 +56,7 @@
 func (m *Membership) spreadOwn(full bool) {
 	if m.announced {
 		m.queue.add(m.self.host, full, true)
+		m.far.add(m.self.host, full, true)
 	}
 }
 
@@ -64,7 +65,7 @@
 	if m.announced {
 		return
 	}
-	m.announced = true
+	m.announced, m.announcedAt = true, now
 	m.table.adopt(m.self)
 	m.sync.settle = now.Add(settleTime + m.jitter(settleTime))
 	m.news(now)
@@ -122,5 +123,6 @@
 func (m *Membership) goodbyeSent() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.queue.holds(m.self.host) || m.table.usable == 0
+	return m.table.usable == 0 ||
+		(m.neighbours() == 0 || !m.queue.holds(m.self.host)) && (!m.hasOtherZones() || !m.far.holds(m.self.host))
 }
--- a/membership/packets.go
+++ b/membership/packets.go
@@ -32,15 +32,24 @@
 	}
 	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 	m.update(func(now time.Time) {
-		for i := range pkt.updates {
-			m.apply(&pkt.updates[i], fromGossip, now)
-		}
+		m.relay(pkt, m.applyUpdates(pkt, now))
 		m.hear(pkt)
 		m.answer(pkt, from, now)
-		m.compareDigest(pkt.GetDigest(), from, now)
+		m.compare(pkt, from, now)
 	})
 }
 
+// applyUpdates takes the updates of a packet in and returns those that are news.
+func (m *Membership) applyUpdates(pkt *packet, now time.Time) []*record {
+	var news []*record
+	for i := range pkt.updates {
+		if m.apply(&pkt.updates[i], fromGossip, now) {
+			news = append(news, &pkt.updates[i])
+		}
+	}
+	return news
+}
+
 func (m *Membership) answer(pkt *packet, from netip.AddrPort, now time.Time) {
 	switch pkt.kind {
 	case PacketPing:
@@ -82,25 +91,46 @@
 	m.send(to, host, boot, PacketGossip, &memberpb.Packet{})
 }
 
-// send completes a packet to the named host with the sender's identity and the
-// updates that fit. boot is the life that the receiver showed, 0 if unknown.
+// send completes a packet to the named host with the sender's identity and, within the
+// availability zone, the updates that fit. boot is the life that the receiver showed, 0
+// if unknown.
 func (m *Membership) send(to netip.AddrPort, host string, boot uint64, kind PacketKind, pkt *memberpb.Packet) {
+	b, ok := m.head(host, boot, pkt)
+	if !ok {
+		return
+	}
+	if m.inZone(m.table.get(host)) {
+		for _, data := range m.queue.take(MaxPacketBytes-len(b), updateOverhead, m.retransmitLimit(), m.encodeUpdate) {
+			b = appendUpdate(b, data)
+		}
+	}
+	m.post(to, host, kind, b)
+}
+
+// post puts a whole packet to the named host into the outbox.
+func (m *Membership) post(to netip.AddrPort, host string, kind PacketKind, b []byte) {
+	m.outbox = append(m.outbox, datagram{to, kind, !m.inZone(m.table.get(host)), b})
+}
+
+// head encodes a packet to the named host without the updates; ok is false where it
+// cannot be.
+func (m *Membership) head(host string, boot uint64, pkt *memberpb.Packet) (b []byte, ok bool) {
 	pkt.Version = packetVersion
 	pkt.Host = m.self.host
 	pkt.Boot = m.self.boot
 	pkt.Offset = m.self.offset
-	pkt.Digest = m.table.digests.sum()
+	if e := m.table.get(host); m.inZone(e) {
+		pkt.Digest = m.table.digests.sum()
+	} else {
+		pkt.DigestZone, pkt.ZoneDigest = m.zoneToCompare(e)
+	}
 	b, err := proto.MarshalOptions{}.MarshalAppend(make([]byte, 0, MaxPacketBytes), pkt)
 	if err != nil {
 		// Only a name that is not UTF-8 can do this; it cannot have been received.
 		m.log.Error("membership: packet cannot be encoded", "error", err)
-		return
-	}
-	b = m.appendReceiver(b, host, boot)
-	for _, data := range m.queue.take(MaxPacketBytes-len(b), updateOverhead, m.retransmitLimit(), m.encodeUpdate) {
-		b = appendUpdate(b, data)
+		return nil, false
 	}
-	m.outbox = append(m.outbox, datagram{to, kind, b})
+	return m.appendReceiver(b, host, boot), true
 }
 
 // appendReceiver tells the receiver what is believed of itself if it should
@@ -145,12 +175,12 @@
 // backlogUpdates is how many updates fit into one packet, roughly.
 const backlogUpdates = 32
 
-// gossip passes news on to a few members: in each interval while there is any,
+// gossip passes news on to a few members of the own availability zone: in each interval while there is any,
 // at once for urgent news that this daemon has not passed on yet, and more often
 // the more there is, up to once a tick. After a cut of a region of 300 members
 // the refutations would else take as long as a suspicion lasts.
 func (m *Membership) gossip(now time.Time) {
-	if m.queue.len() == 0 {
+	if m.queue.len() == 0 || m.neighbours() == 0 {
 		return
 	}
 	wait := m.opts.GossipInterval / time.Duration(1+m.queue.len()/backlogUpdates)
@@ -161,7 +191,7 @@
 		return
 	}
 	m.lastGossip = now
-	for _, e := range m.table.sample(m.rng, m.opts.FanOut, m.isOther) {
+	for _, e := range m.table.sample(m.rng, m.opts.FanOut, m.isNeighbour) {
 		m.sendGossip(e.info.peerAddr, e.host, e.boot)
 	}
 }
--- a/membership/prober.go
+++ b/membership/prober.go
@@ -176,7 +176,7 @@
 	if e == nil || e.boot != p.boot || e.incarnation != p.inc || e.liveness != Alive {
 		return
 	}
-	m.claim(e, Suspect, now)
+	m.claim(e, Suspect, fromProbe, now)
 }
 
 // ackProbe ends the probe under way, or passes the answer on to the daemon that
--- a/membership/record.go
+++ b/membership/record.go
@@ -97,7 +97,19 @@
 	deadline    time.Time
 
 	digest uint64
-	member *Member
+	// zone is the availability zone under which the table has counted the entry, if it
+	// has.
+	zone    string
+	counted bool
+	member  *Member
+}
+
+// availabilityZone returns the zone that the host has told, "" while it is not known.
+func (e *entry) availabilityZone() string {
+	if e.info == nil {
+		return ""
+	}
+	return e.info.availabilityZone
 }
 
 // merge takes a record in. Each field becomes the maximum of what was heard, so
--- a/membership/run.go
+++ b/membership/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -90,14 +89,14 @@
 		select {
 		case <-t.Dying():
 			return nil
-		case addr := <-m.syncWanted:
-			m.runSync(ctx, addr)
+		case target := <-m.syncWanted:
+			m.runSync(ctx, target)
 		}
 	}
 }
 
-func (m *Membership) runSync(ctx context.Context, addr netip.AddrPort) {
-	if _, err := m.exchange(ctx, addr); err != nil {
+func (m *Membership) runSync(ctx context.Context, target exchangeTarget) {
+	if _, err := m.exchange(ctx, target); err != nil {
 		m.log.Debug("membership: exchange failed", "error", err)
 	}
 }
@@ -114,6 +113,8 @@
 		m.heal(now)
 		m.reconcileSync(now)
 		m.gossip(now)
+		m.tellAgain(now)
+		m.gossipAcross()
 		m.notify()
 		superseded = m.superseded
 	})
--- a/membership/run_test.go
+++ b/membership/run_test.go
@@ -86,7 +86,7 @@
 			})
 		}
 		running.Go(func() error { return m.Run(ctx) })
-		_, err := m.Join(ctx, []netip.AddrPort{members[0].opts.PeerAddr})
+		_, err := m.Join(ctx, []Contact{{Addr: members[0].opts.PeerAddr}})
 		must.NoError(t, err)
 	}
 	members[1].SetOffset(42)
--- a/membership/spread_test.go
+++ b/membership/spread_test.go
@@ -119,7 +119,7 @@
 	must.Nil(t, f.nodes[0].table.get(gone.self.host))
 	f.nodes[0].learn(f.nodes[1].HandleSync(context.Background(), &memberpb.Table{
 		Host: "x", Boot: 9, Digests: slices.Repeat([]uint64{1}, bucketCount),
-	}))
+	}), &exchangeTarget{})
 	must.Nil(t, f.nodes[0].table.get(gone.self.host))
 }
 
--- a/membership/suspicion.go
+++ b/membership/suspicion.go
@@ -83,16 +83,18 @@
 			continue
 		}
 		if !now.Before(e.deadline) || held {
-			m.claim(e, Dead, now)
+			// All daemons find that at about the same time: nobody has to tell the
+			// other availability zones.
+			m.claim(e, Dead, fromGossip, now)
 		}
 	}
 }
 
 // claim says of a member what its silence shows.
-func (m *Membership) claim(e *entry, l Liveness, now time.Time) {
+func (m *Membership) claim(e *entry, l Liveness, from source, now time.Time) {
 	s := e.state
 	s.liveness = l
-	m.apply(&record{host: e.host, state: s, offset: e.offset, floor: e.floor}, fromGossip, now)
+	m.apply(&record{host: e.host, state: s, offset: e.offset, floor: e.floor}, from, now)
 }
 
 // reconcileTombstones forgets members that have been gone for long.
@@ -103,6 +105,7 @@
 	m.nextExpiry = now.Add(expiryInterval)
 	for _, e := range m.table.expire(now, m.opts.TombstoneRetention) {
 		m.queue.drop(e.host)
+		m.far.drop(e.host)
 		m.news(now)
 	}
 }
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -1,9 +1,9 @@
 package membership
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,7 +24,7 @@
 	// settleTime is the least time from a start to the exchange that makes up
 	// for what went round between the first one and the time when the others
 	// had heard of the newcomer and sent it their news.
-	settleTime = 2 * time.Second
+	settleTime = time.Second
 	// syncRounds bounds the messages of one exchange: one to learn, one to
 	// teach.
 	syncRounds = 2
@@ -56,6 +56,15 @@
 	refilled time.Time
 }
 
+// exchangeTarget is whom to exchange tables with, and how much of them.
+type exchangeTarget struct {
+	addr netip.AddrPort
+	// zoneOnly limits the exchange to the members of one availability zone, and zone is its
+	// name, "" for that of the daemon asked where it is not known.
+	zoneOnly bool
+	zone     string
+}
+
 // compareDigest plans an exchange with a member whose table differs though
 // neither has news under way. In a settled fleet none takes place.
 func (m *Membership) compareDigest(digest uint64, from netip.AddrPort, now time.Time) {
@@ -82,13 +91,22 @@
 	m.sync.next = now.Add(m.sync.gap)
 }
 
-// syncWithAny plans an exchange with a random member.
+// syncWithAny plans an exchange with a random member, a neighbour if there is one.
 func (m *Membership) syncWithAny(now time.Time) {
-	for _, e := range m.table.sample(m.rng, 1, m.isOther) {
+	for _, e := range m.sampleNear(1) {
 		m.wantSync(e.info.peerAddr, now)
 	}
 }
 
+// sampleNear returns up to n random members, of the own availability zone if there are
+// any. Tables are the largest messages of all, and cost most between zones.
+func (m *Membership) sampleNear(n int) []*entry {
+	if m.neighbours() > 0 {
+		return m.table.sample(m.rng, n, m.isNeighbour)
+	}
+	return m.table.sample(m.rng, n, m.isOther)
+}
+
 // jitter returns a random part of d.
 func (m *Membership) jitter(d time.Duration) time.Duration {
 	return time.Duration(m.rng.Int64N(int64(d) + 1))
@@ -108,7 +126,7 @@
 		return
 	}
 	select {
-	case m.syncWanted <- m.sync.want:
+	case m.syncWanted <- exchangeTarget{addr: m.sync.want}:
 		m.sync.want = netip.AddrPort{}
 	default:
 	}
@@ -116,18 +134,18 @@
 
 // exchange brings both tables to the same state. contacts are whom to ask
 // instead where the error is errBusy.
-func (m *Membership) exchange(ctx context.Context, addr netip.AddrPort) (contacts []netip.AddrPort, err error) {
+func (m *Membership) exchange(ctx context.Context, target exchangeTarget) (contacts []netip.AddrPort, err error) {
 	var push [bucketCount]bool
 	for range syncRounds {
-		answer, err := m.ask(ctx, addr, push)
+		answer, err := m.ask(ctx, target, push)
 		if err != nil {
-			return nil, errors.Wrapf(err, "exchange tables with %s", addr)
+			return nil, errors.Wrapf(err, "exchange tables with %s", target.addr)
 		}
 		if answer.GetBusy() {
 			return decodeContacts(answer.GetContacts()), errBusy
 		}
 		more := false
-		push, more = m.learn(answer)
+		push, more = m.learn(answer, &target)
 		if !more {
 			break
 		}
@@ -135,20 +153,44 @@
 	return nil, nil
 }
 
-func (m *Membership) ask(ctx context.Context, addr netip.AddrPort, push [bucketCount]bool) (*memberpb.Table, error) {
+func (m *Membership) ask(ctx context.Context, target exchangeTarget, push [bucketCount]bool) (*memberpb.Table, error) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	m.mu.Lock()
-	request := m.encodeTable(push, m.opts.Now())
+	request := m.encodeTable(push, target.scope(), m.opts.Now())
+	request.OneZone, request.Zone = target.zoneOnly, target.zone
 	m.mu.Unlock()
-	return m.opts.Sync.Sync(ctx, addr, request)
+	return m.opts.Sync.Sync(ctx, target.addr, request)
+}
+
+// scope returns the members that the exchange is about.
+func (t exchangeTarget) scope() scope { return scope{zoneOnly: t.zoneOnly, zone: t.zone} }
+
+// scope is the members that a message of an exchange is about: all, or those of one
+// availability zone.
+type scope struct {
+	zoneOnly bool
+	zone     string
+}
+
+// covers reports whether a member belongs to the exchange. Those that are gone do, as long as
+// they are remembered: the other side may still take them for suspects.
+func (s scope) covers(e *entry) bool { return !s.zoneOnly || e.availabilityZone() == s.zone }
+
+// digestsOf returns the digests by bucket of the members that an exchange is about.
+func (m *Membership) digestsOf(s scope) *digests {
+	if s.zoneOnly {
+		return m.table.zoneDigests(s.zone)
+	}
+	d := m.table.digests
+	return &d
 }
 
 // learn takes an answer in and returns the buckets in which this table still
 // differs, hence holds more. A daemon that has just started becomes a member
 // here, so that the second message of its first exchange tells of it: of two
 // that start by each other alone, neither would know whom to tell otherwise.
-func (m *Membership) learn(answer *memberpb.Table) (push [bucketCount]bool, more bool) {
+func (m *Membership) learn(answer *memberpb.Table, target *exchangeTarget) (push [bucketCount]bool, more bool) {
 	records, theirs, rej := decodeTable(answer)
 	if rej != nil {
 		m.opts.Meter.Rejected(rej.reason)
@@ -163,16 +205,27 @@
 		}
 		m.takeTable(records, from, now)
 		m.announce(now)
-		if m.table.digests == before {
-			m.sync.gap = min(2*m.sync.gap, syncMaxGap)
-		} else {
-			m.sync.gap = syncGap
+		m.noteExchange(*target, m.table.digests != before)
+		if e := m.table.get(answer.GetHost()); target.zoneOnly && target.zone == "" && e != nil {
+			target.zone = e.availabilityZone()
 		}
-		push, more = m.table.digests.differing(theirs)
+		push, more = m.digestsOf(target.scope()).differing(theirs)
 	})
 	return push, more
 }
 
+// noteExchange spaces out the exchanges that change nothing.
+func (m *Membership) noteExchange(target exchangeTarget, changed bool) {
+	switch {
+	case target.zoneOnly:
+		m.repaired(target.zone, changed)
+	case changed:
+		m.sync.gap = syncGap
+	default:
+		m.sync.gap = min(2*m.sync.gap, syncMaxGap)
+	}
+}
+
 // takeTable applies the records of an exchange.
 func (m *Membership) takeTable(records []record, from source, now time.Time) {
 	for i := range records {
@@ -194,13 +247,14 @@
 	m.update(func(now time.Time) {
 		earlier := m.believed(remote)
 		m.takeTable(records, fromSync, now)
-		buckets, _ := m.table.digests.differing(theirs)
-		if !m.admitSync(buckets, now) {
+		about := scope{remote.GetOneZone(), cmp.Or(remote.GetZone(), m.opts.AvailabilityZone)}
+		buckets, _ := m.digestsOf(about).differing(theirs)
+		if !m.admitSync(buckets, about, now) {
 			m.opts.Meter.Rejected(RejectBusy)
 			answer = m.busyAnswer()
 			return
 		}
-		answer = m.encodeTable(buckets, now)
+		answer = m.encodeTable(buckets, about, now)
 		answer.Members = append(answer.Members, earlier...)
 	})
 	return answer
@@ -220,7 +274,7 @@
 // admitSync bounds the full answers per second. When a third of the fleet
 // restarts at once and asks the few contacts of its settings, these would spend
 // their time and network on tables alone; the rest are sent to others.
-func (m *Membership) admitSync(buckets [bucketCount]bool, now time.Time) bool {
+func (m *Membership) admitSync(buckets [bucketCount]bool, about scope, now time.Time) bool {
 	limit := float64(m.opts.FullSyncsPerSecond)
 	if m.sync.refilled.IsZero() {
 		m.sync.tokens = limit
@@ -228,7 +282,7 @@
 		m.sync.tokens = min(limit, m.sync.tokens+limit*now.Sub(m.sync.refilled).Seconds())
 	}
 	m.sync.refilled = now
-	if m.sizeOf(buckets) < fullSyncMembers {
+	if m.sizeOf(buckets, about) < fullSyncMembers {
 		return true
 	}
 	if m.sync.tokens < 1 {
@@ -238,10 +292,10 @@
 	return true
 }
 
-func (m *Membership) sizeOf(buckets [bucketCount]bool) int {
+func (m *Membership) sizeOf(buckets [bucketCount]bool, about scope) int {
 	n := 0
 	for _, e := range m.table.order {
-		n += count(buckets[bucketOf(e.host)])
+		n += count(about.covers(e) && buckets[bucketOf(e.host)])
 	}
 	return n
 }
@@ -250,18 +304,18 @@
 // turned away spread over the fleet.
 func (m *Membership) busyAnswer() *memberpb.Table {
 	t := &memberpb.Table{Host: m.self.host, Boot: m.self.boot, Busy: true}
-	for _, e := range m.table.sample(m.rng, maxContacts, m.isOther) {
+	for _, e := range m.sampleNear(maxContacts) {
 		t.Contacts = append(t.Contacts, encodeAddr(e.info.peerAddr))
 	}
 	return t
 }
 
-// encodeTable returns the members of the named buckets, this daemon itself in
-// any case, and the digests of all.
-func (m *Membership) encodeTable(buckets [bucketCount]bool, now time.Time) *memberpb.Table {
-	t := &memberpb.Table{Host: m.self.host, Boot: m.self.boot, Digests: slices.Clone(m.table.digests[:])}
+// encodeTable returns the members in scope of the named buckets, this daemon itself in
+// any case, and the digests of all in scope.
+func (m *Membership) encodeTable(buckets [bucketCount]bool, about scope, now time.Time) *memberpb.Table {
+	t := &memberpb.Table{Host: m.self.host, Boot: m.self.boot, Digests: m.digestsOf(about)[:]}
 	for _, e := range m.table.order {
-		if e != m.self && !buckets[bucketOf(e.host)] {
+		if e != m.self && !(about.covers(e) && buckets[bucketOf(e.host)]) {
 			continue
 		}
 		member := encodeMember(e, true)
--- a/membership/table.go
+++ b/membership/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -28,6 +29,9 @@
 	return s
 }
 
+// toggle puts an entry's digest in, or takes it out again.
+func (d *digests) toggle(e *entry) { d[bucketOf(e.host)] ^= e.digest }
+
 // differing returns the buckets in which two tables differ.
 func (d *digests) differing(o *digests) (buckets [bucketCount]bool, differ bool) {
 	for i := range d {
@@ -49,10 +53,19 @@
 	// usable and suspects count entries.
 	usable   int
 	suspects int
+	// zones tells of the members of each availability zone.
+	zones map[string]zoneMembers
+}
+
+// zoneMembers sums up the usable members of one availability zone whose info is known.
+type zoneMembers struct {
+	usable int
+	// digest is the exclusive or of the members' digests, 0 without members.
+	digest uint64
 }
 
 func newTable(limit int) *table {
-	return &table{limit: limit, byHost: make(map[string]*entry)}
+	return &table{limit: limit, byHost: make(map[string]*entry), zones: make(map[string]zoneMembers)}
 }
 
 func (t *table) get(host string) *entry { return t.byHost[host] }
@@ -114,12 +127,41 @@
 func (t *table) recount(before state, e *entry) {
 	t.usable += count(e.usable()) - count(before.usable())
 	t.suspects += count(e.liveness == Suspect) - count(before.liveness == Suspect)
-	t.digests[bucketOf(e.host)] ^= e.digest
+	t.digests.toggle(e)
+	t.countZone(e, -1)
 	e.digest = 0
 	if e.usable() {
 		e.digest = digestOf(e)
 	}
-	t.digests[bucketOf(e.host)] ^= e.digest
+	t.digests.toggle(e)
+	e.zone, e.counted = e.availabilityZone(), e.usable() && e.info != nil
+	t.countZone(e, 1)
+}
+
+// countZone adds an entry to what is summed up of its zone, or takes it out.
+func (t *table) countZone(e *entry, by int) {
+	if !e.counted {
+		return
+	}
+	z := t.zones[e.zone]
+	z.usable += by
+	z.digest ^= e.digest
+	if z.usable == 0 {
+		delete(t.zones, e.zone)
+		return
+	}
+	t.zones[e.zone] = z
+}
+
+// zoneDigests returns the digests by bucket of one availability zone's members alone.
+func (t *table) zoneDigests(zone string) *digests {
+	var d digests
+	for _, e := range t.order {
+		if e.counted && e.zone == zone {
+			d.toggle(e)
+		}
+	}
+	return &d
 }
 
 func count(b bool) int {
@@ -156,6 +198,24 @@
 	return old
 }
 
+// sampleZones returns up to n random entries that match from each availability zone.
+func (t *table) sampleZones(rng *rand.Rand, n int, match func(*entry) bool) []*entry {
+	byZone := make(map[string][]*entry, len(t.zones))
+	for _, e := range t.order {
+		if match(e) {
+			zone := e.availabilityZone()
+			byZone[zone] = append(byZone[zone], e)
+		}
+	}
+	var picked []*entry
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
+		members := byZone[zone]
+		rng.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+		picked = append(picked, members[:min(n, len(members))]...)
+	}
+	return picked
+}
+
 // sample returns up to n random entries that match.
 func (t *table) sample(rng *rand.Rand, n int, match func(*entry) bool) []*entry {
 	picked := make([]*entry, 0, n)
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -239,7 +239,7 @@
 			_, _ = b.Write(in)
 			_ = b.Close()
 		}()
-		st := newStream(a, peerpb.Kind_KIND_CALL, NoMeter{})
+		st := newStream(a, peerpb.Kind_KIND_CALL, NoMeter{}, newRemote(netip.Addr{}, nil))
 		defer st.Close()
 		var m peerpb.CallHead
 		for st.RecvMax(&m, 1<<10) == nil {
--- /dev/null
+++ b/peer/place.go
@@ -0,0 +1,63 @@
+package peer
+
+import (
+	"net"
+	"net/netip"
+	"sync/atomic"
+)
+
+// Place is where the other end of a session is, as far as bytes have a price.
+type Place uint32
+
+// The places.
+const (
+	// UnknownPlace is that of a peer which no table lists yet.
+	UnknownPlace Place = iota
+	// SameZone is the own availability zone.
+	SameZone
+	// OtherZone is any other one.
+	OtherZone
+)
+
+// String returns the name used in metrics.
+func (p Place) String() string {
+	switch p {
+	case SameZone:
+		return "same_zone"
+	case OtherZone:
+		return "other_zone"
+	}
+	return "unknown"
+}
+
+// Places returns all places.
+func Places() []Place { return []Place{UnknownPlace, SameZone, OtherZone} }
+
+// remote is the other end of a session. Its place is looked up once it is known, so that
+// a stream costs an atomic load.
+type remote struct {
+	addr   netip.Addr
+	lookup func(netip.Addr) Place
+	known  atomic.Uint32
+}
+
+func newRemote(addr netip.Addr, lookup func(netip.Addr) Place) *remote {
+	return &remote{addr: addr.Unmap(), lookup: lookup}
+}
+
+// remoteOf returns the other end of a connection.
+func remoteOf(conn net.Conn, lookup func(netip.Addr) Place) *remote {
+	if a, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
+		return newRemote(a.AddrPort().Addr(), lookup)
+	}
+	return newRemote(netip.Addr{}, lookup)
+}
+
+func (r *remote) place() Place {
+	if p := Place(r.known.Load()); p != UnknownPlace || r.lookup == nil {
+		return p
+	}
+	p := r.lookup(r.addr)
+	r.known.Store(uint32(p))
+	return p
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -28,6 +28,8 @@
 	// IdleTimeout is how long a session without streams is kept.
 	IdleTimeout time.Duration
 	Meter       Meter
+	// PlaceOf returns where a peer is, for the meter; nil where nobody asks.
+	PlaceOf func(netip.Addr) Place
 	// Dial connects; tests put relays in between.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 }
@@ -65,10 +67,11 @@
 	// dialing holds a token that a dialer takes, so that all who wait for the
 	// session dial once and each waits no longer than it may.
 	dialing chan struct{}
+	remote  *remote
 }
 
-func newSlot() *slot {
-	s := &slot{dialing: make(chan struct{}, 1)}
+func newSlot(remote *remote) *slot {
+	s := &slot{dialing: make(chan struct{}, 1), remote: remote}
 	s.dialing <- struct{}{}
 	return s
 }
@@ -87,23 +90,23 @@
 // Open starts an exchange; it begins to reach the peer with the first Send. The
 // error is ErrUnreachable where nothing can.
 func (p *Pool) Open(ctx context.Context, addr netip.AddrPort, kind peerpb.Kind) (*Stream, error) {
-	sess, err := p.session(ctx, addr)
+	sess, remote, err := p.session(ctx, addr)
 	if err != nil {
 		return nil, mark(errors.Wrapf(err, "connect to %s", addr), ErrUnreachable)
 	}
-	st, err := p.openOn(sess, addr, kind)
+	st, err := p.openOn(sess, addr, kind, remote)
 	if err != nil {
 		p.drop(addr, sess)
 	}
 	return st, err
 }
 
-func (p *Pool) openOn(sess *yamux.Session, addr netip.AddrPort, kind peerpb.Kind) (*Stream, error) {
+func (p *Pool) openOn(sess *yamux.Session, addr netip.AddrPort, kind peerpb.Kind, remote *remote) (*Stream, error) {
 	conn, err := sess.OpenStream()
 	if err != nil {
 		return nil, mark(errors.Wrapf(err, "open stream to %s", addr), ErrUnreachable)
 	}
-	st := newStream(conn, kind, p.opts.Meter)
+	st := newStream(conn, kind, p.opts.Meter, remote)
 	return st, st.Queue(&peerpb.Head{Version: protocolVersion, Kind: kind})
 }
 
@@ -125,7 +128,7 @@
 		return mark(errors.Wrapf(err, "connect to %s", addr), ErrUnreachable)
 	}
 	defer sess.Close()
-	st, err := p.openOn(sess, addr, kind)
+	st, err := p.openOn(sess, addr, kind, newRemote(addr.Addr(), p.opts.PlaceOf))
 	if err != nil {
 		return err
 	}
@@ -178,31 +181,31 @@
 }
 
 // session returns the open session to addr, dialing once for all who wait.
-func (p *Pool) session(ctx context.Context, addr netip.AddrPort) (*yamux.Session, error) {
+func (p *Pool) session(ctx context.Context, addr netip.AddrPort) (*yamux.Session, *remote, error) {
 	v, ok := p.sessions.Load(addr)
 	if !ok {
-		v, _ = p.sessions.LoadOrStore(addr, newSlot())
+		v, _ = p.sessions.LoadOrStore(addr, newSlot(newRemote(addr.Addr(), p.opts.PlaceOf)))
 	}
 	s := v.(*slot)
 	s.used.Store(time.Now().UnixNano())
 	if sess := s.open(); sess != nil {
-		return sess, nil
+		return sess, s.remote, nil
 	}
 	select {
 	case <-s.dialing:
 		defer func() { s.dialing <- struct{}{} }()
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return nil, nil, ctx.Err()
 	}
 	if sess := s.open(); sess != nil {
-		return sess, nil
+		return sess, s.remote, nil
 	}
 	sess, err := p.dial(ctx, addr)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	s.sess.Store(sess)
-	return sess, nil
+	return sess, s.remote, nil
 }
 
 func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*yamux.Session, error) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,7 +38,9 @@
 	// HeadTimeout is how long a new stream may take to say what it is.
 	HeadTimeout time.Duration
 	Meter       Meter
-	Logger      *slog.Logger
+	// PlaceOf returns where a peer is, for the meter; nil where nobody asks.
+	PlaceOf func(netip.Addr) Place
+	Logger  *slog.Logger
 }
 
 // DefaultServerOptions suit a fleet of about a thousand daemons.
@@ -153,6 +156,7 @@
 		return
 	}
 	defer s.remove(sess)
+	remote := remoteOf(conn, s.opts.PlaceOf)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wg sync.WaitGroup
@@ -175,15 +179,15 @@
 		}
 		wg.Go(func() {
 			defer s.streams.Add(-1)
-			s.serveStream(ctx, conn)
+			s.serveStream(ctx, conn, remote)
 		})
 	}
 }
 
 // serveStream reads the head and hands the stream over. A peer that sends
 // something else, or nothing, loses this stream only.
-func (s *Server) serveStream(ctx context.Context, conn net.Conn) {
-	st := newStream(conn, peerpb.Kind_KIND_UNSPECIFIED, s.opts.Meter)
+func (s *Server) serveStream(ctx context.Context, conn net.Conn, remote *remote) {
+	st := newStream(conn, peerpb.Kind_KIND_UNSPECIFIED, s.opts.Meter, remote)
 	defer st.Close()
 	_ = st.SetReadDeadline(time.Now().Add(s.opts.HeadTimeout))
 	var head peerpb.Head
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -49,12 +49,14 @@
 	r     *bufio.Reader
 	kind  peerpb.Kind
 	meter Meter
+	// remote tells where the other end is.
+	remote *remote
 	// queued messages go out with the next one sent.
 	queued []byte
 }
 
-func newStream(conn net.Conn, kind peerpb.Kind, meter Meter) *Stream {
-	return &Stream{conn: conn, r: bufio.NewReaderSize(conn, readBufferBytes), kind: kind, meter: meter}
+func newStream(conn net.Conn, kind peerpb.Kind, meter Meter, remote *remote) *Stream {
+	return &Stream{conn: conn, r: bufio.NewReaderSize(conn, readBufferBytes), kind: kind, meter: meter, remote: remote}
 }
 
 // Kind returns what the exchange is about.
@@ -76,7 +78,7 @@
 		*p = b
 	}
 	n, err := s.conn.Write(b)
-	s.meter.Sent(s.kind, n)
+	s.meter.Sent(s.kind, s.remote.place(), n)
 	return err
 }
 
@@ -104,7 +106,7 @@
 func (s *Stream) RecvMax(m proto.Message, limit int64) error {
 	err := protodelim.UnmarshalOptions{MaxSize: limit}.UnmarshalFrom(s.r, m)
 	if err == nil {
-		s.meter.Received(s.kind, proto.Size(m)+1)
+		s.meter.Received(s.kind, s.remote.place(), proto.Size(m)+1)
 		return nil
 	}
 	return classify(err)
@@ -156,8 +158,8 @@
 // Meter counts the bytes of messages by kind. Implementations are safe for
 // concurrent use.
 type Meter interface {
-	Sent(kind peerpb.Kind, bytes int)
-	Received(kind peerpb.Kind, bytes int)
+	Sent(kind peerpb.Kind, place Place, bytes int)
+	Received(kind peerpb.Kind, place Place, bytes int)
 	// Rejected counts input that was refused.
 	Rejected(reason RejectReason)
 }
@@ -182,10 +184,10 @@
 type NoMeter struct{}
 
 // Sent does nothing.
-func (NoMeter) Sent(peerpb.Kind, int) {}
+func (NoMeter) Sent(peerpb.Kind, Place, int) {}
 
 // Received does nothing.
-func (NoMeter) Received(peerpb.Kind, int) {}
+func (NoMeter) Received(peerpb.Kind, Place, int) {}
 
 // Rejected does nothing.
 func (NoMeter) Rejected(RejectReason) {}
