Views of the fleet reach the daemon's parts five times a second at most

Cause: each news of a member is followed by new backend servers, pools, plans and a fleet for quotas: 0.31 ms and 149 kB at 295 members (BenchmarkMemberNews), in every tick of 50 ms while hosts restart in turn, on hosts with 0.16 cores.

Change: a view is published at once after a pause, then at most every 200 ms.

--- a/internal/controller/members/members.go
+++ b/internal/controller/members/members.go
@@ -14,6 +14,14 @@
 	"github.com/crocuscross/crocuscross/membership"
 )
 
+// publishGap is the least time between two views on the blackboard. Each is followed by new
+// backend servers, pools, plans and a fleet for quotas: 0.3 ms of processor at 295 members,
+// 0.8 ms at 910, and 150 kB of garbage. While hosts restart in turn there is news in every
+// tick of 50 ms, which took 1% of a core from daemons that have 16%. The first news after a
+// pause is told at once; it is the rest that waits, less than a third of the time that a
+// backend server goes on taking calls after it has been taken out.
+const publishGap = 200 * time.Millisecond
+
 // Controller owns the Members cell.
 type Controller struct {
 	Board      *blackboard.Board
@@ -26,11 +34,15 @@
 	return loop.Run(ctx, c.publishView, c.publishLocal, c.publishOffset)
 }
 
-// publishView copies the table to the blackboard whenever it changes.
+// publishView copies the table to the blackboard when it changes, at most once in
+// publishGap.
 func (c *Controller) publishView(ctx context.Context) error {
 	for {
 		changed := c.Membership.Watch()
 		c.Board.Members.Store(c.Membership.View())
+		if !loop.Sleep(ctx, publishGap) {
+			return nil
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
