A start beside living neighbours asks the store once

Cause: each start listed the contacts twice, put its own entry though it was there, and read the newest document, base64 in JSON, to learn where the log ends: four calls and 300 kB with 1,200 routes.

Change: the second join goes by the contacts of the first. An entry is put where it is missing and fewer than eight neighbours are listed, where nobody is known a second later, and by readers, so that living hosts are always listed. Where enough daemons answer and one has a state at the floor or above, recovery does not ask the log; a round that this does not settle asks it (recovery.Options.TrustDaemons, set on the platform only). Half of those asked are neighbours, and a start does not wait for the silent ones.

Weighed: putting entries by readers alone (a fleet that starts anew finds nobody); by all (a call for every start). Given up for it: a state from a daemon with the narrower bound of an older program is not looked at again at the log during a rollout.

--- a/internal/controller/contacts/contacts.go
+++ b/internal/controller/contacts/contacts.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -36,6 +38,14 @@
 	// may have gone, and nobody elsewhere if they know the other zones.
 	maxNear = 8
 	maxAway = 2
+	// enoughNear is how many entries of its availability zone a start leaves alone, not
+	// adding its own: of those that start at once the first few put theirs, in place of all.
+	enoughNear = 8
+	// alonePatience is how long a start may know nobody before it adds its own all the same.
+	alonePatience = time.Second
+	// readerSettles is how long a daemon has read the log for its zone before it puts its
+	// entry: a fleet that starts has every daemon take itself for a reader for a moment.
+	readerSettles = 5 * time.Second
 	// retryAfter is about the wait before the first entry is put again. Until it is
 	// there, daemons that start later cannot find this one.
 	retryAfter = 300 * time.Millisecond
@@ -48,29 +58,34 @@
 	Host             string
 	AvailabilityZone string
 	PeerAddr         netip.AddrPort
-	// AtStart is whether each daemon puts its address as it starts, in a directory
-	// that keeps one entry for each host. Without it only readers put theirs,
-	// seldom, which suits a directory that forgets.
-	AtStart bool
-	Logger  *slog.Logger
-	Now     func() time.Time
+	// Keeps is whether the directory keeps one entry for each host for good. A daemon then
+	// puts its address as it starts, if that is not there and few others are, and when it
+	// has become a reader: some that are alive are always found. Without it only readers
+	// put theirs, again and again, which suits a directory that forgets.
+	Keeps  bool
+	Logger *slog.Logger
+	Now    func() time.Time
 }
 
 // Controller appends this daemon's address and finds those of others.
 type Controller struct {
 	opts Options
 	last time.Time
+	// listed is closed with the first answer about the directory, or the first failure.
+	listed     chan struct{}
+	listedOnce sync.Once
+	// present is whether the directory has this daemon's entry, crowded whether it has
+	// enough others of the availability zone.
+	present, crowded atomic.Bool
 }
 
 // New returns a controller that has appended nothing yet.
-func New(opts Options) *Controller { return &Controller{opts: opts} }
+func New(opts Options) *Controller { return &Controller{opts: opts, listed: make(chan struct{})} }
 
 // Run appends when it is due, until ctx is done.
 func (c *Controller) Run(ctx context.Context) error {
-	if c.opts.AtStart {
-		c.putFirst(ctx)
-		<-ctx.Done()
-		return nil
+	if c.opts.Keeps {
+		return c.keepEntry(ctx)
 	}
 	for loop.SleepAround(ctx, checkInterval) {
 		c.reconcile(ctx)
@@ -93,11 +108,93 @@
 	}
 }
 
-// putFirst puts the address until that is certain to be done.
-func (c *Controller) putFirst(ctx context.Context) {
+// keepEntry puts the entry at the start where the directory needs it, and once more
+// daemons are likely to look for it: when this one reads the log for its zone.
+func (c *Controller) keepEntry(ctx context.Context) error {
+	select {
+	case <-c.listed:
+	case <-ctx.Done():
+		return nil
+	}
+	if !c.present.Load() && (!c.crowded.Load() || c.staysAlone(ctx)) {
+		c.putUntilDone(ctx)
+	}
+	for !c.present.Load() && c.awaitReader(ctx) {
+		c.putUntilDone(ctx)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// staysAlone reports whether this daemon knows no other one after a while. The entries that
+// there are are then of hosts that are gone, as where all have moved to other addresses;
+// those that start now would never find each other if each left it at these.
+func (c *Controller) staysAlone(ctx context.Context) bool {
+	patience, cancel := context.WithTimeout(ctx, alonePatience)
+	defer cancel()
+	for {
+		view, changed := c.opts.Board.Members.Watch()
+		if view != nil && len(view.Live()) > 1 {
+			return false
+		}
+		select {
+		case <-changed:
+		case <-patience.Done():
+			return ctx.Err() == nil
+		}
+	}
+}
+
+// awaitReader returns once this daemon has been a reader for readerSettles, or false where
+// ctx is done.
+func (c *Controller) awaitReader(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		source, changed := c.opts.Board.Source.Watch()
+		if source != nil && source.Reader {
+			if !loop.Sleep(ctx, readerSettles) {
+				return false
+			}
+			if now := c.opts.Board.Source.Load(); now.Reader {
+				return true
+			}
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	return false
+}
+
+// noteEntries looks in the directory for this daemon's entry and counts the neighbours'.
+func (c *Controller) noteEntries(values [][]byte) {
+	near, own := 0, c.contact()
+	for _, value := range values {
+		var m configpb.Contact
+		switch {
+		case proto.Unmarshal(value, &m) != nil:
+		case proto.Equal(&m, own):
+			c.present.Store(true)
+		case m.GetHost() != c.opts.Host && m.GetAvailabilityZone() == c.opts.AvailabilityZone:
+			near++
+		}
+	}
+	c.crowded.Store(near >= enoughNear)
+}
+
+func (c *Controller) contact() *configpb.Contact {
+	return &configpb.Contact{
+		Host: c.opts.Host, PeerAddr: c.opts.PeerAddr.String(), AvailabilityZone: c.opts.AvailabilityZone,
+	}
+}
+
+// putUntilDone puts the address until that is certain to be done.
+func (c *Controller) putUntilDone(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := c.put(ctx)
 		if err == nil {
+			c.present.Store(true)
 			return
 		}
 		c.opts.Logger.Info("contacts: own address not appended", "error", err)
@@ -106,9 +203,7 @@
 }
 
 func (c *Controller) put(ctx context.Context) error {
-	data, err := proto.Marshal(&configpb.Contact{
-		Host: c.opts.Host, PeerAddr: c.opts.PeerAddr.String(), AvailabilityZone: c.opts.AvailabilityZone,
-	})
+	data, err := proto.Marshal(c.contact())
 	if err != nil {
 		return err
 	}
@@ -118,11 +213,13 @@
 // Find returns the addresses in the directory, the newest of each host, without this
 // daemon's own. Unreadable values are passed over.
 func (c *Controller) Find(ctx context.Context) ([]membership.Contact, error) {
+	defer c.listedOnce.Do(func() { close(c.listed) })
 	values, err := c.opts.Directory.List(ctx)
 	if err != nil {
 		return nil, err
 	}
-	if c.opts.AtStart {
+	c.noteEntries(values)
+	if c.opts.Keeps {
 		// Entries of hosts that are gone for good are among them, in the order of
 		// their names: whoever takes the first few would never reach the others.
 		rand.Shuffle(len(values), func(i, j int) { values[i], values[j] = values[j], values[i] })
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -251,7 +251,7 @@
 		p.checkpointLoop = idle
 	}
 	p.contacts = contacts.New(contacts.Options{
-		Board: d.board, Directory: directory, AtStart: p.adapter != nil, Host: d.settings.Host,
+		Board: d.board, Directory: directory, Keeps: p.adapter != nil, Host: d.settings.Host,
 		AvailabilityZone: d.settings.AvailabilityZone, PeerAddr: d.peerAddr(),
 		Logger: d.logger, Now: time.Now,
 	})
--- a/internal/daemon/recover.go
+++ b/internal/daemon/recover.go
@@ -1,9 +1,10 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
-	"sync"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,10 @@
 	storeBackoff = time.Second
 	// askFanOut is how many daemons are asked for the floor in one round.
 	askFanOut = 6
+	// enoughAnswers is how many of them a start on the platform waits for. It is more than
+	// it takes to know the floor (recovery.Options.MinAnswers), so that one that has just
+	// started as well does not send it to the store.
+	enoughAnswers = 4
 )
 
 // joinFleet finds the other daemons, by the settings' contacts and those in
@@ -53,10 +58,14 @@
 		return err
 	}
 	wait := rejoinAfter
+	var known []membership.Contact
 	for joins := 0; ctx.Err() == nil; {
-		_, err := d.joinOnce(ctx, configured)
-		if err != nil {
+		if len(known) == 0 {
+			known = d.withFound(ctx, configured)
+		}
+		if err := d.joinOnce(ctx, known); err != nil {
 			d.logger.Warn("daemon: no contact answers", "error", err)
+			known = nil
 			continue
 		}
 		joins++
@@ -65,6 +74,10 @@
 		if joins > 1 && !alone {
 			return nil
 		}
+		if alone {
+			// Others may have come into the log since.
+			known = nil
+		}
 		loop.SleepAround(ctx, wait)
 		if joins > 1 {
 			wait = min(2*wait, maxRejoinAfter)
@@ -73,10 +86,11 @@
 	return nil
 }
 
-func (d *Daemon) joinOnce(ctx context.Context, configured []membership.Contact) (int, error) {
+func (d *Daemon) joinOnce(ctx context.Context, contacts []membership.Contact) error {
 	ctx, cancel := context.WithTimeout(ctx, joinRound)
 	defer cancel()
-	return d.membership.Join(ctx, d.withFound(ctx, configured))
+	_, err := d.membership.Join(ctx, contacts)
+	return err
 }
 
 // withFound adds the contacts found in the platform's log.
@@ -125,6 +139,7 @@
 		// wait for each of them.
 		o.Stagger, o.MaxBackoff = 0, storeBackoff
 		o.LogTimeout, o.FetchTimeout = storeTimeout, storeTimeout
+		o.TrustDaemons = true
 	} else {
 		o.Checkpoints = d.log.Stream(eventlog.StreamCheckpoints)
 	}
@@ -140,29 +155,69 @@
 // recoveryPeers asks other daemons on behalf of a recovery.
 type recoveryPeers struct{ d *Daemon }
 
-// Ask implements recovery.Peers with a few daemons drawn from all availability
-// zones.
+// Ask implements recovery.Peers with a few daemons, half of them neighbours: a state that
+// both have is then fetched within the availability zone.
 func (p recoveryPeers) Ask(ctx context.Context) recovery.Hearing {
 	others := p.others()
 	h := recovery.Hearing{Known: len(others)}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	for _, m := range others[:min(askFanOut, len(others))] {
-		wg.Go(func() {
+	asked := p.toAsk(others)
+	answers := make(chan *recovery.Answer, len(asked))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for _, m := range asked {
+		go func() {
 			a, err := p.askOne(ctx, m)
 			if err != nil {
+				answers <- nil
 				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			h.Answers = append(h.Answers, a)
-		})
+			answers <- &a
+		}()
 	}
-	wg.Wait()
+	for range asked {
+		a := <-answers
+		if a == nil {
+			continue
+		}
+		h.Answers = append(h.Answers, *a)
+		if p.d.onStore() && len(h.Answers) >= enoughAnswers {
+			// One that is silent must not hold up a start for as long as a question may
+			// take.
+			break
+		}
+	}
+	p.sortNear(h.Answers)
 	return h
 }
 
+// toAsk draws the daemons to ask: half of them neighbours, those that are alive first.
+func (p recoveryPeers) toAsk(others []*membership.Member) []*membership.Member {
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	slices.SortStableFunc(others, func(a, b *membership.Member) int { return cmp.Compare(a.Liveness, b.Liveness) })
+	var near, away []*membership.Member
+	for _, m := range others {
+		if m.AvailabilityZone == p.d.settings.AvailabilityZone {
+			near = append(near, m)
+		} else {
+			away = append(away, m)
+		}
+	}
+	n := min(len(near), max(askFanOut/2, askFanOut-len(away)))
+	return slices.Concat(near[:n], away[:min(askFanOut-n, len(away))])
+}
+
+// sortNear puts the answers of neighbours first.
+func (p recoveryPeers) sortNear(answers []recovery.Answer) {
+	view := p.d.membership.View()
+	away := func(a recovery.Answer) int {
+		if m := view.Find(a.Host); m != nil && m.AvailabilityZone == p.d.settings.AvailabilityZone {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(answers, func(a, b recovery.Answer) int { return away(a) - away(b) })
+}
+
 // others are the daemons that have not left; those believed dead may be alive
 // beyond a cut.
 func (p recoveryPeers) others() []*membership.Member {
--- a/recovery/recover.go
+++ b/recovery/recover.go
@@ -31,6 +31,11 @@
 	// LoadCheckpoint returns the newest state that the platform keeps, nil if there
 	// is none. It takes the place of Checkpoints where it is set.
 	LoadCheckpoint func(ctx context.Context) (*fold.State, error)
+	// TrustDaemons is whether the log need not be asked where enough daemons have answered
+	// and one of them has a state to start from. It suits a log that pushes its records to
+	// the daemons within a bound that callers know: a start then costs no call to the
+	// platform, and none of the bytes of a whole document.
+	TrustDaemons bool
 	// Own is the state at hand, nil in a process that has just started. A
 	// running daemon that retention has passed by sets it; its state is then
 	// the least that Recover returns.
@@ -115,6 +120,8 @@
 		if err := ctx.Err(); err != nil {
 			return nil, err
 		}
+		// What the daemons had to give was not enough.
+		r.askLog = true
 		opts.Report(d)
 		if err := opts.Sleep(ctx, r.pause(d, attempt)); err != nil {
 			return nil, err
--- a/recovery/round.go
+++ b/recovery/round.go
@@ -34,6 +34,8 @@
 	scanner *checkpoint.Scanner
 	found   *checkpoint.Found
 	loaded  *fold.State
+	// askLog is set once the daemons alone have not been enough.
+	askLog bool
 	// noted is the problem logged last.
 	noted Problem
 	// logError is what kept the log from being used in this round, nil if nothing.
@@ -80,6 +82,10 @@
 	defer cancel()
 	in.Hearing = r.opts.Peers.Ask(askCtx)
 	in.Hearing.Answers = slices.Clone(in.Hearing.Answers)
+	if r.opts.TrustDaemons && !r.askLog && in.enoughAnswers() {
+		r.setOwn(&in)
+		return in
+	}
 
 	logCtx, cancelLog := context.WithTimeout(ctx, r.logTimeout(in))
 	defer cancelLog()
