--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -127,7 +127,7 @@
 	p.log = httplog.New(log)
 	p.appends = telemetry.NewAppendMeter(d.registry)
 	if d.onStore() {
-		p.adapter = platform.New(strings.TrimPrefix(d.settings.Platform.URL, "http://"), d.logger)
+		p.adapter = platform.New(strings.TrimPrefix(d.settings.Platform.URL, "http://"), d.logger, telemetry.NewStoreMeter(d.registry))
 	}
 }
 
--- a/internal/telemetry/docs_test.go
+++ b/internal/telemetry/docs_test.go
@@ -70,6 +70,7 @@
 	NewCalls(d)
 	NewPeerMeter(d)
 	NewAppendMeter(d)
+	NewStoreMeter(d)
 	d.MustRegister(NewBoardCollector(&blackboard.Board{}),
 		NewGateCollector(func() gate.Load { return gate.Load{} }),
 		NewQuotaCollector(func() quota.Stats { return quota.Stats{} }))
