A session that brings bytes is not pinged

Cause: sessions with streams were pinged every 250 ms whatever came on them; a ping wakes both ends twice.

Change: only a session that has brought nothing for 250 ms is pinged. One that goes silent is given up 1.4 s after its last byte, in place of little above a second.

--- a/peer/coalesce.go
+++ b/peer/coalesce.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"net"
+	"sync/atomic"
+	"time"
 )
 
 // A yamux frame begins with 12 bytes: version, type, flags (2), stream (4),
@@ -24,8 +26,27 @@
 	// frame holds a header back until its body comes. yamux writes from one
 	// goroutine.
 	frame []byte
+	// heard is when bytes last came, in nanoseconds since the process's clock began.
+	heard atomic.Int64
 }
 
+// Read notes that the other end is there.
+func (c *frameConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heard.Store(int64(time.Since(clockBegan)))
+	}
+	return n, err
+}
+
+// silentFor returns how long nothing has come.
+func (c *frameConn) silentFor() time.Duration {
+	return time.Since(clockBegan) - time.Duration(c.heard.Load())
+}
+
+// clockBegan is the zero of monotonic readings that are kept as numbers.
+var clockBegan = time.Now()
+
 // Write holds a data frame's header back and sends everything else.
 func (c *frameConn) Write(p []byte) (int, error) {
 	if len(c.frame) > 0 {
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -61,6 +61,8 @@
 // slot holds the session to one address.
 type slot struct {
 	sess atomic.Pointer[yamux.Session]
+	// conn is what the session runs on.
+	conn atomic.Pointer[frameConn]
 	// used is when a stream was last opened, in Unix nanoseconds.
 	used    atomic.Int64
 	pinging atomic.Bool
@@ -123,7 +125,7 @@
 // question to each of a thousand daemons would else leave a thousand sessions
 // behind, some 25 KB each.
 func (p *Pool) CallOnce(ctx context.Context, addr netip.AddrPort, kind peerpb.Kind, req, resp proto.Message) error {
-	sess, err := p.dial(ctx, addr)
+	sess, _, err := p.dial(ctx, addr)
 	if err != nil {
 		return mark(errors.Wrapf(err, "connect to %s", addr), ErrUnreachable)
 	}
@@ -200,30 +202,32 @@
 	if sess := s.open(); sess != nil {
 		return sess, s.remote, nil
 	}
-	sess, err := p.dial(ctx, addr)
+	sess, conn, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, nil, err
 	}
+	s.conn.Store(conn)
 	s.sess.Store(sess)
 	return sess, s.remote, nil
 }
 
-func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*yamux.Session, error) {
+func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*yamux.Session, *frameConn, error) {
 	if p.closed.Load() {
-		return nil, net.ErrClosed
+		return nil, nil, net.ErrClosed
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
 	defer cancel()
 	conn, err := p.opts.Dial(ctx, addr)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	sess, err := yamux.Client(&frameConn{Conn: conn}, sessionConfig())
+	framed := &frameConn{Conn: conn}
+	sess, err := yamux.Client(framed, sessionConfig())
 	if err != nil {
 		_ = conn.Close()
-		return nil, err
+		return nil, nil, err
 	}
-	return sess, nil
+	return sess, framed, nil
 }
 
 // drop closes sess and forgets it, unless another has taken its place.
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// watchInterval is how often sessions with streams are checked. With
-	// pingTimeout it bounds the time until a connection that went silent is
-	// given up: little above a second.
+	// watchInterval is how often sessions with streams are checked, and how long one must
+	// have brought nothing to be pinged. With pingTimeout it bounds the time until a
+	// connection that went silent is given up: 1.4 s after its last byte.
 	watchInterval = 250 * time.Millisecond
 	// pingTimeout is far above a round trip between regions and a scheduler's
 	// delay under load, and leaves the kernel the time to notice first that a host
@@ -77,12 +77,16 @@
 	p.drop(addr, sess)
 }
 
-// busy returns the slot's session if it carries streams and no ping is out.
+// busy returns the slot's session if it carries streams, has brought nothing of late and no
+// ping is out.
 func (s *slot) busy() *yamux.Session {
 	sess := s.sess.Load()
 	if sess == nil || sess.IsClosed() || sess.NumStreams() == 0 {
 		return nil
 	}
+	if s.conn.Load().silentFor() < watchInterval {
+		return nil
+	}
 	if !s.pinging.CompareAndSwap(false, true) {
 		return nil
 	}
