A flood of zone names fills no memory

Names of zones come with datagrams: at most 64 repairs are kept, and a name is as long as any other at most. A relay whose head cannot be encoded sends nothing.

--- a/membership/codec.go
+++ b/membership/codec.go
@@ -74,6 +74,9 @@
 	if rej := checkIdentity(p.GetHost(), p.GetBoot()); rej != nil {
 		return nil, rej
 	}
+	if len(p.GetDigestZone()) > maxNameBytes {
+		return nil, invalid("zone of a digest has %d bytes", len(p.GetDigestZone()))
+	}
 	if rej := p.decodeBody(); rej != nil {
 		return nil, rej
 	}
--- a/membership/packets.go
+++ b/membership/packets.go
@@ -175,7 +175,7 @@
 // backlogUpdates is how many updates fit into one packet, roughly.
 const backlogUpdates = 32
 
-// gossip passes news on to a few members of the own availability zone: in each interval while there is any,
+// gossip passes news on to a few neighbours: in each interval while there is any,
 // at once for urgent news that this daemon has not passed on yet, and more often
 // the more there is, up to once a tick. After a cut of a region of 300 members
 // the refutations would else take as long as a suspicion lasts.
--- a/membership/zones.go
+++ b/membership/zones.go
@@ -33,15 +33,15 @@
 	// repairQuiet is how long the table must have been still before differing digests mean
 	// that a zone has missed news. What goes round by gossip is known everywhere by then.
 	repairQuiet = 1500 * time.Millisecond
-	// zoneQuiet is the same where other zones have news, for the members of the one zone: as
-	// much longer as it is likelier to be still by chance.
-	zoneQuiet = 4 * time.Second
-	// startQuiet takes its place in the first startTime after a start. Where many start at
-	// once they know few to tell, and each learns of the others by such exchanges; with
-	// repairQuiet it took 295 of them 5.0 s to know each other, in place of 3.4 s
-	// (BenchmarkZonesAllRestart).
+	// startQuiet takes the place of repairQuiet in the first startTime after a start. Where
+	// many start at once they know few to tell, and each learns of the others by such
+	// exchanges: with repairQuiet it took 295 of them 5.0 s to know each other, with
+	// startQuiet 3.6 s (BenchmarkZonesAllRestart).
 	startQuiet = 300 * time.Millisecond
 	startTime  = 10 * time.Second
+	// zoneQuiet is how long one zone's members must have been still while others have news.
+	// It is longer, since one zone of several is likelier to be still by chance.
+	zoneQuiet = 4 * time.Second
 	// tellAgainAfter is how long after its start a daemon tells the other zones of itself
 	// for the second time: by then those that started at the same moment have joined.
 	tellAgainAfter = time.Second
@@ -52,6 +52,9 @@
 	// thirdZoneEvery is which part of the packets to another zone tells of a third one: the
 	// probes of 37 daemons then do so 20 times a second.
 	thirdZoneEvery = 4
+	// maxRepairs bounds the zones that repairs are kept of: their names come with datagrams,
+	// which anybody can send. Fleets have some ten zones.
+	maxRepairs = 64
 	// maxRepairGap bounds the time between two exchanges about a zone that change nothing.
 	maxRepairGap = time.Minute
 )
@@ -80,9 +83,7 @@
 func (m *Membership) isNeighbour(e *entry) bool { return m.isOther(e) && m.inZone(e) }
 
 // isFar reports whether e is a usable member of another availability zone.
-func (m *Membership) isFar(e *entry) bool {
-	return m.isOther(e) && !m.inZone(e)
-}
+func (m *Membership) isFar(e *entry) bool { return m.isOther(e) && !m.inZone(e) }
 
 // neighbours returns the number of other usable members of the own availability zone.
 func (m *Membership) neighbours() int {
@@ -156,8 +157,11 @@
 	}
 	for _, e := range m.table.sample(m.rng, 1, func(e *entry) bool { return m.isOther(e) && e.zone == zone }) {
 		b, ok := m.head(e.host, e.boot, &memberpb.Packet{Relayed: true})
-		for i := 0; ok && i < len(news); i++ {
-			data := m.encodeUpdate(&update{host: news[i].host, full: news[i].info != nil})
+		if !ok {
+			return
+		}
+		for _, r := range news {
+			data := m.encodeUpdate(&update{host: r.host, full: r.info != nil})
 			if len(b)+len(data)+updateOverhead <= MaxPacketBytes {
 				b = appendUpdate(b, data)
 			}
@@ -166,8 +170,8 @@
 	}
 }
 
-// compare looks at the digests in a packet: of all members where the sender is a
-// neighbour, else of those of its availability zone.
+// compare looks at the digest in a packet: of all members where the sender is a neighbour,
+// else of those of one availability zone, as a rule the sender's.
 func (m *Membership) compare(pkt *packet, from netip.AddrPort, now time.Time) {
 	e := m.table.get(pkt.GetHost())
 	switch {
@@ -216,10 +220,9 @@
 	if target.zone == m.opts.AvailabilityZone {
 		return
 	}
-	r := m.repairs[target.zone]
+	r := m.repairOf(target.zone)
 	if r == nil {
-		r = &repair{}
-		m.repairs[target.zone] = r
+		return
 	}
 	if digest == m.table.zones[target.zone].digest {
 		r.mismatches = 0
@@ -241,6 +244,16 @@
 	m.repairZone(r, target, now)
 }
 
+// repairOf returns the repair of a zone, nil where there are too many.
+func (m *Membership) repairOf(zone string) *repair {
+	r := m.repairs[zone]
+	if r == nil && len(m.repairs) < maxRepairs {
+		r = &repair{}
+		m.repairs[zone] = r
+	}
+	return r
+}
+
 // noteZoneNews notes that the members of a zone have changed here.
 func (m *Membership) noteZoneNews(zone string, now time.Time) {
 	if r := m.repairs[zone]; r != nil {
@@ -260,6 +273,7 @@
 	}
 }
 
+// repairQuiet returns how long the table must have been still for a repair.
 func (m *Membership) repairQuiet(now time.Time) time.Duration {
 	if now.Sub(m.announcedAt) < startTime {
 		return startQuiet
@@ -267,6 +281,7 @@
 	return repairQuiet
 }
 
+// repairSpread returns the time over which the daemons of this zone spread a repair.
 func (m *Membership) repairSpread() time.Duration {
 	return max(minRepairSpread, time.Duration(m.neighbours())*repairSpread)
 }
--- a/membership/zones_test.go
+++ b/membership/zones_test.go
@@ -1,10 +1,15 @@
 package membership
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/crocuscross/crocuscross/memberpb"
 )
 
 // newZonedFleet returns n daemons in a number of zones whose tables are complete and still.
@@ -142,6 +147,28 @@
 	}
 }
 
+// Somebody sends datagrams with a new zone's name in each. A daemon that kept a note of
+// every one would run out of memory; it keeps a few.
+func TestFloodOfZoneNames(t *testing.T) {
+	const n, zones = 24, 3
+	f := newZonedFleet(t, n, zones)
+	for i := range 1000 {
+		f.nodes[0].handlePacket(packetOf(t, &memberpb.Packet{
+			Version: packetVersion, Host: "stranger", Boot: 9, ZoneDigest: 1, DigestZone: fmt.Sprint("nowhere-", i),
+		}), f.nodes[1].addr)
+	}
+	must.LessEq(t, maxRepairs, len(f.nodes[0].repairs))
+	long := packetOf(t, &memberpb.Packet{Version: packetVersion, Host: "stranger", Boot: 9, ZoneDigest: 1, DigestZone: strings.Repeat("z", maxNameBytes+1)})
+	f.nodes[0].handlePacket(long, f.nodes[1].addr)
+	must.Eq(t, 1, f.rejected[RejectInvalid])
+}
+
+func packetOf(t *testing.T, p *memberpb.Packet) []byte {
+	b, err := proto.Marshal(p)
+	must.NoError(t, err)
+	return b
+}
+
 // Each host is alone in its zone. There is no neighbour to pass anything on, so the source
 // must reach all others itself, and its goodbye must not wait for gossip.
 func TestHostsAloneInTheirZones(t *testing.T) {
