--- a/membership/zones.go
+++ b/membership/zones.go
@@ -19,8 +19,7 @@
 const (
 	// farCopies is how many members of each other availability zone are told of an update
 	// by its source. One alone would leave a zone without the news when that member has
-	// just died; a second misses it as well in a few of a hundred cases at worst, which the
-	// digests make up for.
+	// just died. Both may have: relays by other zones and the digests make up for that.
 	farCopies = 2
 	// farPackets bounds the packets that each of them gets in one tick.
 	farPackets = 2
@@ -46,11 +45,11 @@
 	// for the second time: by then those that started at the same moment have joined.
 	tellAgainAfter = time.Second
 	// repairMismatches is how many packets of a zone in a row must have had another digest
-	// for an exchange about it while there is news all the time. Half of them have, where
-	// ten changes a second go round; a table that is never still must be repaired too.
+	// for an exchange about it while there is news all the time: a table that is never still
+	// must be repaired too. With 10, ten changes a second led to exchanges for nothing
+	// (TestDrainIsKnownEverywhere).
 	repairMismatches = 16
-	// thirdZoneEvery is which part of the packets to another zone tells of a third one: the
-	// probes of 37 daemons then do so 20 times a second.
+	// thirdZoneEvery is which part of the packets to another zone tells of a third one.
 	thirdZoneEvery = 4
 	// maxRepairs bounds the zones that repairs are kept of: their names come with datagrams,
 	// which anybody can send. Fleets have some ten zones.
@@ -145,7 +144,7 @@
 // relay passes the news of a packet from another zone on to one member of a third zone.
 // Of the members there that the source has told itself, both may have died; half of the
 // hosts of each zone do in a large loss of power. Two zones may be cut off from each other
-// alone. Each zone so hears from the source and on average twice by way of another zone.
+// alone.
 func (m *Membership) relay(pkt *packet, news []*record) {
 	from := m.table.get(pkt.GetHost())
 	if len(news) == 0 || pkt.GetRelayed() || from == nil || m.inZone(from) {
