A backend server that ends under its calls is told of, with what it ran

Callers see 502 while servers end in series; the lines named neither the path nor the body of what was in progress, so a request that ends its servers could not be told from servers that break under load. Requests carry an identity (a hash of customer, method, host, path, query and body), the same for each repeat whatever daemon it comes by; the daemon beside a server asks once whether it has ended when an exchange breaks off, and names all that ran. No decision is changed. A connection made to ask is kept for the next call.

--- a/internal/proxy/backendconn/client.go
+++ b/internal/proxy/backendconn/client.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -102,6 +103,28 @@
 	return newConn(c, nc), nil
 }
 
+// goneTimeout bounds the question whether a server still listens. On the same host the
+// kernel answers at once.
+const goneTimeout = 200 * time.Millisecond
+
+// Gone reports whether the server has certainly ended: it keeps no connection, and its
+// address refuses new ones. A connection made to ask is kept for the next call.
+func (c *Client) Gone() bool {
+	if cn := c.takeIdle(); cn != nil {
+		c.keep(cn)
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), goneTimeout)
+	defer cancel()
+	cn, err := c.dial(ctx)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	cn.keptUntil = time.Now().Add(unstatedIdle)
+	c.keep(cn)
+	return false
+}
+
 // takeIdle returns the connection used last that is still sound, nil without one.
 func (c *Client) takeIdle() *conn {
 	now := time.Now()
--- a/internal/proxy/inbound/forward.go
+++ b/internal/proxy/inbound/forward.go
@@ -60,7 +60,7 @@
 	}
 	resp, err := c.site.client.Do(c.ctx, r)
 	if err != nil {
-		return nil, c.backendError(err)
+		return nil, c.brokenOff(err)
 	}
 	c.arrived = true
 	if err := c.checkAnswer(resp); err != nil {
@@ -101,6 +101,14 @@
 	return nil
 }
 
+// brokenOff gives an exchange that failed its kind, and finds out whether the server has
+// ended under it.
+func (c *call) brokenOff(err error) error {
+	err = c.backendError(err)
+	c.noteEnding(err)
+	return err
+}
+
 // backendError gives a failed round trip its kind. Only a call of which nothing was
 // sent has certainly not run.
 func (c *call) backendError(err error) error {
@@ -139,7 +147,7 @@
 	defer resp.Body.Close()
 	start, err := readStart(resp, body.MaxWholeAnswer)
 	if err != nil {
-		return gate.Failed, c.refuse(c.backendError(err))
+		return gate.Failed, c.refuse(c.brokenOff(err))
 	}
 	if err := c.passOn(c.answerHead(resp), start, resp); err != nil {
 		return gate.Failed, linkBroken(err)
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -24,6 +24,7 @@
 	"github.com/crocuscross/crocuscross/once"
 	"github.com/crocuscross/crocuscross/peer"
 	"github.com/crocuscross/crocuscross/peerpb"
+	"github.com/crocuscross/crocuscross/quarantine"
 	"github.com/crocuscross/crocuscross/transit"
 )
 
@@ -149,8 +150,9 @@
 	}
 	ctx, cancel := context.WithDeadline(telemetry.WithTraceparent(ctx, head.GetTraceparent()), deadline)
 	ctx, span := h.opts.Tracer.Start(ctx, "inbound", trace.WithSpanKind(trace.SpanKindServer))
+	identity, _ := quarantine.IdentityFrom(head.GetIdentity())
 	return &call{
-		h: h, st: st, head: head, span: span,
+		h: h, st: st, head: head, span: span, identity: identity,
 		ctx: ctx, cancel: cancel, start: start, deadline: deadline,
 		madeBy: h.origins.Add(head.GetRoute(), head.GetCallerService(), origins[head.GetOrigin()]),
 	}, nil
@@ -183,6 +185,8 @@
 	site *site
 	// arrived is set once the call may have reached the backend server.
 	arrived bool
+	// identity tells the request from others, zero where an older daemon sent it.
+	identity quarantine.Identity
 }
 
 // run admits the attempt and runs it. The error is what the other daemon was
@@ -248,6 +252,8 @@
 	c.h.opts.Callees.Run()
 	run := c.h.opts.Runs.Begin(c.head.GetRequestId(), c.deadline)
 	defer func() { run.End(time.Now()) }()
+	c.site.runs.begin(c)
+	defer c.site.runs.end(c)
 	if !c.head.GetNonIdempotent() {
 		return c.forward(up)
 	}
--- a/internal/proxy/inbound/once.go
+++ b/internal/proxy/inbound/once.go
@@ -61,6 +61,7 @@
 	start, err := readStart(resp, maxKeptBody)
 	if err != nil {
 		c.h.opts.Attempts.Fail(id)
+		_ = c.brokenOff(err)
 		return gate.Failed, c.refuse(errkind.Wrap(errkind.OutcomeUnknown, err, "the backend server's answer broke off"))
 	}
 	if len(start) <= maxKeptBody {
--- a/internal/proxy/inbound/site.go
+++ b/internal/proxy/inbound/site.go
@@ -18,6 +18,7 @@
 	born   atomic.Int64
 	gate   *gate.Gate
 	client *backendconn.Client
+	runs   runs
 }
 
 // serves reports whether the site is that of an announced server.
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -18,6 +18,7 @@
 	"github.com/crocuscross/crocuscross/internal/proxy/body"
 	"github.com/crocuscross/crocuscross/internal/telemetry"
 	"github.com/crocuscross/crocuscross/peerpb"
+	"github.com/crocuscross/crocuscross/quarantine"
 	"github.com/crocuscross/crocuscross/quota"
 	"github.com/crocuscross/crocuscross/snapshot"
 	"github.com/crocuscross/crocuscross/transit"
@@ -70,6 +71,8 @@
 	route *snapshot.DocumentRoute
 	// requestID is the caller's own name for the call.
 	requestID string
+	// identity is the same for the same request of its caller, set once the body is there.
+	identity quarantine.Identity
 	// inherited is the number of the attempt that brought the call here, from 1.
 	inherited uint32
 	// attempts is how many attempts this daemon has made.
@@ -124,6 +127,15 @@
 		c.head.Nested = c.request.Nested
 	}
 	c.control = http.NewResponseController(w)
+	if err := c.takeBody(ctx, w, r); err != nil {
+		return err
+	}
+	c.identify()
+	return nil
+}
+
+// takeBody reads a body whole that may be held, and has a larger one streamed.
+func (c *call) takeBody(ctx context.Context, w http.ResponseWriter, r *http.Request) error {
 	limited := http.MaxBytesReader(w, r.Body, c.maxBody)
 	if r.ContentLength == 0 {
 		return nil
@@ -145,6 +157,15 @@
 	return nil
 }
 
+// identify tells the request from others by what its caller would send again.
+func (c *call) identify() {
+	c.identity = quarantine.IdentityOf(quarantine.Request{
+		Customer: c.customer, Method: c.head.GetMethod(), Authority: c.head.GetAuthority(), Target: c.head.GetTarget(),
+		Body: c.held, Streamed: c.stream != nil,
+	})
+	c.head.Identity = c.identity[:]
+}
+
 // rawTarget returns the path and query as the caller sent them.
 func rawTarget(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
@@ -237,6 +258,7 @@
 		Route:          c.head.Route,
 		Origin:         c.head.Origin,
 		Nested:         c.head.Nested,
+		Identity:       c.head.Identity,
 		MaxQueueMs:     uint32(c.maxQueue() / time.Millisecond),
 		Attempt:        c.inherited + uint32(c.attempts) - 1,
 		Traceparent:    telemetry.Traceparent(ctx),
--- a/internal/proxy/outbound/keyed.go
+++ b/internal/proxy/outbound/keyed.go
@@ -15,6 +15,7 @@
 	"github.com/crocuscross/crocuscross/once"
 	"github.com/crocuscross/crocuscross/peer"
 	"github.com/crocuscross/crocuscross/peerpb"
+	"github.com/crocuscross/crocuscross/quarantine"
 	"github.com/crocuscross/crocuscross/snapshot"
 )
 
@@ -74,6 +75,7 @@
 	c.held, c.stream = held, nil
 	c.head.ContentLength = int64(len(held))
 	c.head.ExpectContinue = false
+	c.identify()
 	return nil
 }
 
@@ -241,5 +243,6 @@
 		terms: snapshot.CallTerms{NonIdempotent: true}, customer: head.GetCustomer(),
 		deadline: deadline, inherited: max(1, head.GetAttempt()), head: head, held: held,
 	}
+	c.identity, _ = quarantine.IdentityFrom(head.GetIdentity())
 	return c.runKeyed(ctx, key)
 }
