--- /dev/null
+++ b/internal/daemon/crash_test.go
@@ -0,0 +1,163 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// deadlyPath is the path of requests that end the server which begins to run them.
+const deadlyPath = "/get/deadly"
+
+// allowedAfter is how many times a request may reach a server after it has ended three.
+const allowedAfter = 3
+
+// crashServer is a backend server that ends under requests of deadlyPath, and that starts
+// again at its address with another id.
+type crashServer struct {
+	f      *storeFleet
+	beside *testDaemon
+	number int
+	addr   string
+	// arrivals counts the deadly requests of all servers of a test.
+	arrivals *atomic.Int64
+
+	mu     sync.Mutex
+	starts int
+	http   *http.Server
+	ended  bool
+}
+
+// newCrashServers starts a server beside each daemon.
+func newCrashServers(f *storeFleet) ([]*crashServer, *atomic.Int64) {
+	var servers []*crashServer
+	arrivals := new(atomic.Int64)
+	for i, d := range f.daemons {
+		s := &crashServer{f: f, beside: d, number: i, addr: "127.0.0.1:0", arrivals: arrivals}
+		s.start()
+		servers = append(servers, s)
+	}
+	f.knowAll(servers)
+	return servers, arrivals
+}
+
+func (s *crashServer) id() string { return fmt.Sprintf("i-%d-%d", s.number, s.starts) }
+
+// start starts the server, for the first time or after a crash, and announces it.
+func (s *crashServer) start() {
+	s.f.t.Helper()
+	var ln net.Listener
+	s.f.eventually("the address is free", func() (ok bool) {
+		var err error
+		ln, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.addr)
+		return err == nil
+	})
+	s.mu.Lock()
+	s.addr, s.ended = ln.Addr().String(), false
+	s.starts++
+	s.http = &http.Server{Handler: http.HandlerFunc(s.serve)}
+	srv := s.http
+	s.mu.Unlock()
+	go func() { _ = srv.Serve(ln) }()
+	s.f.t.Cleanup(func() { _ = srv.Close() })
+	body := fmt.Sprintf(`{"service":"signs","address":%q,"availability_zone":"z","version":"v1","slots":4,"state":"ready","warm_up_ms":0,"sequence":1}`, s.addr)
+	must.Eq(s.f.t, http.StatusOK, s.f.backendCall(s.beside, http.MethodPut, "/v1/backend-servers/"+s.id(), body))
+}
+
+func (s *crashServer) serve(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	if r.URL.Path == deadlyPath {
+		s.arrivals.Add(1)
+		s.crash()
+		return
+	}
+	w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+	w.Header().Set(names.Signature, "signed")
+}
+
+// crash closes the listener and all connections, as the end of a process does.
+func (s *crashServer) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	_ = s.http.Close()
+}
+
+func (s *crashServer) hasEnded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
+
+// restart starts the servers that have ended, and waits until all daemons know the new
+// lives.
+func (f *storeFleet) restart(servers []*crashServer) {
+	f.t.Helper()
+	for _, s := range servers {
+		if s.hasEnded() {
+			s.start()
+		}
+	}
+	f.knowAll(servers)
+}
+
+// knowAll waits until all daemons know of the servers, in the lives in which these are.
+func (f *storeFleet) knowAll(servers []*crashServer) {
+	f.t.Helper()
+	f.eventually("all servers are known", func() bool {
+		for _, d := range f.daemons {
+			set := d.board.Backends.Load().Of("signs")
+			if len(set) != len(servers) {
+				return false
+			}
+			for _, b := range set {
+				if b.Life != f.ownLife(b.Host, servers) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// ownLife returns the life of its server that a host tells of, 0 while it does not tell of
+// the server that runs.
+func (f *storeFleet) ownLife(host string, servers []*crashServer) uint32 {
+	for _, s := range servers {
+		d := s.beside
+		if d.settings.Host != host || d.board.Local.Load().ID != s.id() {
+			continue
+		}
+		if a := d.membership.View().Self.Announcements; len(a) == 1 {
+			return a[0].Life
+		}
+	}
+	return 0
+}
+
+// A caller's lookup ends each backend server that begins to run it, and comes again after
+// each failure, at another daemon each time. Every daemon takes a repeat for a new request
+// and sends it to a server that is whole: 20 repeats end 20 servers, and other callers are refused while these are away. Nothing is remembered of what a
+// server ended under, so no bound within a call or a daemon counts what comes back.
+func TestStore_RequestThatEndsItsServersIsStopped(t *testing.T) {
+	f := newStoreFleet(t, 6)
+	f.document(3)
+	servers, arrivals := newCrashServers(f)
+	const crashesUntilKnown, repeats = 3, 20
+	for i := range repeats {
+		_, _ = f.call(f.daemons[i%len(f.daemons)], http.MethodGet, deadlyPath, "")
+		f.restart(servers)
+	}
+	must.LessEq(t, crashesUntilKnown+allowedAfter, arrivals.Load())
+	for _, d := range f.daemons {
+		resp, _ := f.call(d, http.MethodGet, "/get/other", "")
+		must.Eq(t, http.StatusOK, resp.StatusCode, must.Sprint("other requests are served"))
+	}
+}
