--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -15,6 +15,7 @@
 	"github.com/crocuscross/crocuscross/internal/cli/daemoncmd"
 	"github.com/crocuscross/crocuscross/internal/cli/draincmd"
 	"github.com/crocuscross/crocuscross/internal/cli/explaincmd"
+	"github.com/crocuscross/crocuscross/internal/cli/quarantinecmd"
 	"github.com/crocuscross/crocuscross/internal/cli/settingscmd"
 	"github.com/crocuscross/crocuscross/internal/cli/statuscmd"
 	"github.com/crocuscross/crocuscross/internal/cli/versioncmd"
@@ -60,6 +61,7 @@
 	contractcmd.Register(app, env)
 	statuscmd.Register(app, env)
 	draincmd.Register(app, env)
+	quarantinecmd.Register(app, env)
 	settingscmd.Register(app, env)
 	explaincmd.Register(app, env)
 	versioncmd.Register(app, env)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -180,7 +180,7 @@
 func TestHelpHasAnExample(t *testing.T) {
 	for _, c := range []string{
 		"daemon", "contract validate", "contract publish", "contract get", "contract list", "contract history",
-		"status", "drain host", "drain zone", "settings check", "settings defaults", "settings example", "version",
+		"status", "drain host", "drain zone", "quarantine list", "quarantine lift", "settings check", "settings defaults", "settings example", "version",
 	} {
 		out := expect(t, command.StatusOK, append(strings.Fields(c), "--help")...)
 		must.StrContains(t, out, "Example:\n  crocuscross "+c)
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -107,7 +107,8 @@
 	p.buildOperators(d)
 	p.handle()
 	d.registry.MustRegister(telemetry.NewBoardCollector(d.board),
-		telemetry.NewGateCollector(p.inbound.Load), telemetry.NewQuotaCollector(p.quota.Stats))
+		telemetry.NewGateCollector(p.inbound.Load), telemetry.NewQuotaCollector(p.quota.Stats),
+		telemetry.NewQuarantineCollector(p.quarantine.Stats))
 	return p, nil
 }
 
@@ -291,7 +292,7 @@
 	p.operatorAPI = operator.New(operator.Options{
 		Board: d.board, Fleet: f, Logger: d.logger,
 		NeedDocument: d.settings.Requests.Customers == settings.CustomersOptional,
-		Metrics:      d.exposition(),
+		Metrics:      d.exposition(), Quarantine: p.quarantine,
 	})
 }
 
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -35,6 +35,8 @@
 	// Metrics serves /metrics.
 	Metrics http.Handler
 	Logger  *slog.Logger
+	// Quarantine holds the requests that are kept from backend servers.
+	Quarantine Quarantine
 	// NeedDocument is whether a daemon is ready only with a document in force.
 	NeedDocument bool
 }
@@ -52,6 +54,8 @@
 	r.GET(pathState, h.state)
 	r.GET(pathConvergence, h.convergence)
 	r.POST(pathDrain, h.drain)
+	r.GET(pathQuarantine, h.quarantined)
+	r.DELETE(pathQuarantine+"/:"+paramIdentity, h.lift)
 	r.GET(PathMetrics, bunrouter.HTTPHandler(opts.Metrics))
 	r.GET(pathHealthz, h.healthz)
 	r.GET(pathReadyz, h.readyz)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -21,6 +21,7 @@
 	"github.com/crocuscross/crocuscross/internal/operator"
 	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/peerpb"
+	"github.com/crocuscross/crocuscross/quarantine"
 	"github.com/crocuscross/crocuscross/snapshot"
 )
 
@@ -157,3 +158,30 @@
 	expect("/readyz", 503, errkind.Draining)
 	expect("/healthz", 200, errkind.None)
 }
+
+// An operator sees which request is kept from backend servers and lets it in again.
+func TestQuarantineIsListedAndLifted(t *testing.T) {
+	ledger := quarantine.New(quarantine.DefaultOptions())
+	srv := httptest.NewServer(operator.New(operator.Options{
+		Board: &blackboard.Board{}, Fleet: &oneFleet{}, Logger: slog.New(slog.DiscardHandler),
+		Metrics: http.NotFoundHandler(), Quarantine: ledger,
+	}))
+	t.Cleanup(srv.Close)
+	c := operator.NewClient(srv.URL)
+	id := quarantine.IdentityOf(quarantine.Request{Method: http.MethodGet, Target: "/signs/deadly"})
+	for range quarantine.DefaultOptions().Crashes {
+		ledger.Ended([]quarantine.Identity{id})
+	}
+	list, err := c.Quarantine(t.Context())
+	must.NoError(t, err)
+	must.Len(t, 1, list.Requests)
+	must.Eq(t, id.String(), list.Requests[0].Identity)
+	must.NoError(t, c.LiftQuarantine(t.Context(), id.String()))
+	must.Eq(t, 0, ledger.Refuses(id))
+	list, err = c.Quarantine(t.Context())
+	must.NoError(t, err)
+	must.SliceEmpty(t, list.Requests)
+	for _, wrong := range []string{id.String(), "no-identity"} {
+		must.Eq(t, errkind.BadRequest, errkind.Of(c.LiftQuarantine(t.Context(), wrong)))
+	}
+}
--- a/internal/telemetry/docs_test.go
+++ b/internal/telemetry/docs_test.go
@@ -20,6 +20,7 @@
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/gate"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
+	"github.com/crocuscross/crocuscross/quarantine"
 	"github.com/crocuscross/crocuscross/quota"
 )
 
@@ -73,7 +74,8 @@
 	NewStoreMeter(d)
 	d.MustRegister(NewBoardCollector(&blackboard.Board{}),
 		NewGateCollector(func() gate.Load { return gate.Load{} }),
-		NewQuotaCollector(func() quota.Stats { return quota.Stats{} }))
+		NewQuotaCollector(func() quota.Stats { return quota.Stats{} }),
+		NewQuarantineCollector(func() quarantine.Stats { return quarantine.Stats{} }))
 	return d.labels
 }
 
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -144,7 +144,9 @@
 		}
 	}
 	l.suspected.Store(int64(len(l.suspects)))
-	l.publish(now)
+	if before := l.kept.Load(); l.publish(now) < size(before) {
+		l.notify()
+	}
 }
 
 func (s *suspect) inForce(now time.Time) bool { return s.verdict != nil && s.verdict.Until.After(now) }
@@ -165,16 +167,24 @@
 	return list
 }
 
-// publish has requests refused by the verdicts in force.
-func (l *Ledger) publish(now time.Time) {
+// publish has requests refused by the verdicts in force, and returns how many there are.
+func (l *Ledger) publish(now time.Time) int {
 	list := l.inForce(now)
 	if len(list) == 0 {
 		l.kept.Store(nil)
-		return
+		return 0
 	}
 	kept := make(map[Identity]time.Time, len(list))
 	for _, v := range list {
 		kept[v.Identity] = v.Until
 	}
 	l.kept.Store(&kept)
+	return len(kept)
+}
+
+func size(kept *map[Identity]time.Time) int {
+	if kept == nil {
+		return 0
+	}
+	return len(*kept)
 }
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -188,7 +188,18 @@
 	return l.inForce(l.opts.Now())
 }
 
-// Add takes in a verdict that was found in the platform's directory.
+// Stats counts what a ledger holds.
+type Stats struct {
+	// Quarantined requests are kept from backend servers, Suspected ones have ended any.
+	Quarantined, Suspected int
+}
+
+// Stats returns what the ledger holds.
+func (l *Ledger) Stats() Stats {
+	return Stats{Quarantined: len(l.Verdicts()), Suspected: int(l.suspected.Load())}
+}
+
+// Add takes in a verdict that was found in the platform's directory, or that a gate told.
 func (l *Ledger) Add(v Verdict) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
