A handler that panics ends its stream, not the daemon

Callers' handlers were guarded already (pipeline). A slot is given back on that way too. TestServer_PanicEndsItsStreamAlone ended the test process without the guard.

--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -225,13 +225,15 @@
 	if err != nil {
 		return c.refuse(err)
 	}
+	// Whatever happens, the slot is given back.
+	outcome := gate.Failed
+	defer func() { ticket.Done(outcome) }()
 	// It may have waited for its slot while others like it ended their servers.
 	if err := c.quarantined(); err != nil {
-		ticket.Done(gate.NotStarted)
+		outcome = gate.NotStarted
 		return c.refuse(err)
 	}
-	outcome, err := c.runAdmitted(up)
-	ticket.Done(outcome)
+	outcome, err = c.runAdmitted(up)
 	return err
 }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -43,6 +43,7 @@
 		<-ctx.Done()
 		return nil
 	}))
+	s.Handle(peerpb.Kind_KIND_DRAIN, HandlerFunc(func(context.Context, *Stream) error { panic("a fault of ours") }))
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(ln) }()
 	t.Cleanup(func() {
@@ -84,6 +85,20 @@
 	must.Eq(t, 1, dials)
 }
 
+// A message makes its handler panic. Its sender takes the broken stream for a daemon that is
+// gone and tries the next one: if the panic ended the process, one message would end the
+// fleet. It ends its own stream, and the others of the session go on.
+func TestServer_PanicEndsItsStreamAlone(t *testing.T) {
+	addr := startServer(t, DefaultServerOptions())
+	p := NewPool(DefaultPoolOptions())
+	defer p.Close()
+	for range 3 {
+		var ans peerpb.DrainAnswer
+		must.Error(t, p.Call(t.Context(), addr, peerpb.Kind_KIND_DRAIN, &peerpb.DrainAsk{}, &ans))
+		must.NoError(t, callStatus(t.Context(), p, addr))
+	}
+}
+
 func TestPool_CallOnceKeepsNoSession(t *testing.T) {
 	addr := startServer(t, DefaultServerOptions())
 	p := NewPool(DefaultPoolOptions())
--- a/peer/server.go
+++ b/peer/server.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -203,11 +204,23 @@
 	}
 	st.kind = head.GetKind()
 	_ = st.SetReadDeadline(time.Time{})
-	if err := h.ServeStream(ctx, st); err != nil {
+	if err := s.handle(ctx, h, st); err != nil {
 		s.opts.Logger.Debug("peer: exchange ended", "kind", st.kind, "error", err)
 	}
 }
 
+// handle calls the handler. A panic ends its stream alone: a call on which handlers panic
+// would be sent again to the next daemon, and would end one after the other.
+func (s *Server) handle(ctx context.Context, h Handler, st *Stream) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = errors.Newf("handler panicked: %v", p)
+			s.opts.Logger.Error("peer: handler panicked", "kind", st.kind, "panic", p, "stack", string(debug.Stack()))
+		}
+	}()
+	return h.ServeStream(ctx, st)
+}
+
 func (s *Server) add(sess *yamux.Session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
