--- a/internal/controller/quarantines/quarantines.go
+++ b/internal/controller/quarantines/quarantines.go
@@ -48,7 +48,7 @@
 // Controller connects the ledger with the fleet and the platform.
 type Controller struct {
 	opts Options
-	// told is each member as it was when its notes were last taken in.
+	// told is each member that has notes, as it was when they were last taken in.
 	told map[string]*membership.Member
 	// stored are the verdicts that this daemon has put into the directory.
 	stored map[quarantine.Identity]time.Time
@@ -87,14 +87,15 @@
 func (c *Controller) observe(view *membership.View) {
 	var news []quarantine.Told
 	for _, m := range view.Members {
-		before := c.told[m.Host]
-		if m.Host == c.opts.Host || before == m {
+		if len(m.Notes) == 0 || m.Host == c.opts.Host {
+			delete(c.told, m.Host)
 			continue
 		}
-		c.told[m.Host] = m
-		if len(m.Notes) > 0 {
-			news = append(news, quarantine.Told{Host: m.Host, Boot: m.Boot, Notes: m.Notes})
+		if c.told[m.Host] == m {
+			continue
 		}
+		c.told[m.Host] = m
+		news = append(news, quarantine.Told{Host: m.Host, Boot: m.Boot, Notes: m.Notes})
 	}
 	if len(news) > 0 {
 		c.opts.Ledger.Observe(news)
