A start after a loss of power everywhere asks for the log's end once

Callers of a fleet whose hosts had all lost power were refused (not_ready) for 3 to 4 s: each start read the whole newest configuration from the store twice, over its own link. Cause: with other daemons known, a round of the recovery ends for a wait before the checkpoint is read, which is nothing on a store, and the next round begins with the question for the log's end, which the store answers with its newest configuration. The wait is left out where it is nothing. TestStartOfAll_LogIsAskedOnce: 2 questions before, 1 now.

--- a/recovery/round.go
+++ b/recovery/round.go
@@ -188,9 +188,11 @@
 	}
 }
 
-// mustStagger reports whether to wait before the checkpoint is read, once.
+// mustStagger reports whether to wait before the checkpoint is read, once. A round that ends
+// for a wait of nothing would ask for the log's end again, which a store sends with its whole
+// newest configuration: callers of a narrow host were refused for as long once more.
 func (r *recoverer) mustStagger(in *Input) bool {
-	if r.staggered || in.Hearing.Known == 0 || in.Log.Bounds.End == 1 {
+	if r.staggered || r.opts.Stagger == 0 || in.Hearing.Known == 0 || in.Log.Bounds.End == 1 {
 		return false
 	}
 	r.staggered = true
--- a/recovery/trust_test.go
+++ b/recovery/trust_test.go
@@ -78,3 +78,19 @@
 	w.mustServe(t, 9, NoProblem)
 	must.Positive(t, log.bounds)
 }
+
+// All hosts lose power and start at once, so that daemons answer which have nothing. The
+// platform sends its whole newest configuration with the log's end, and a start asked for
+// that twice: a round ended for the wait before the checkpoint is read, which is nothing
+// there, and the next began with the same question.
+func TestStartOfAll_LogIsAskedOnce(t *testing.T) {
+	w, log := newTrustingWorld()
+	w.opts.Stagger = 0
+	for _, host := range []string{"a", "b", "c"} {
+		w.peer(host, 0, 0)
+	}
+	w.checkpoint(9)
+	w.mustServe(t, 9, NoProblem)
+	must.Eq(t, 1, log.bounds)
+	must.Zero(t, w.waits)
+}
