A start reads the log and asks daemons meanwhile, those with wide links first

After a loss of power everywhere each host read the whole newest configuration over its own link, 5 Mbit/s at the narrowest, while its callers were refused; the hosts with wide links had it at once. Hypothesis: a state handed on packed beats the narrow link. What the log says counts against what was heard before it was asked, as before.

Sites whose links are all alike and wide have the store's answer before the first question.

--- a/internal/daemon/recover.go
+++ b/internal/daemon/recover.go
@@ -190,10 +190,14 @@
 	return h
 }
 
-// toAsk draws the daemons to ask: half of them neighbours, those that are alive first.
+// toAsk draws the daemons to ask: half of them neighbours, those that are alive first, and
+// most of either half with the widest links: they have a configuration first after a loss of
+// power, and bear to hand it to many.
 func (p recoveryPeers) toAsk(others []*membership.Member) []*membership.Member {
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	slices.SortStableFunc(others, func(a, b *membership.Member) int { return cmp.Compare(a.Liveness, b.Liveness) })
+	slices.SortStableFunc(others, func(a, b *membership.Member) int {
+		return cmp.Or(cmp.Compare(a.Liveness, b.Liveness), cmp.Compare(b.LinkMbps, a.LinkMbps))
+	})
 	var near, away []*membership.Member
 	for _, m := range others {
 		if m.AvailabilityZone == p.d.settings.AvailabilityZone {
@@ -203,7 +207,17 @@
 		}
 	}
 	n := min(len(near), max(askFanOut/2, askFanOut-len(away)))
-	return slices.Concat(near[:n], away[:min(askFanOut-n, len(away))])
+	return slices.Concat(firstAndAny(near, n), firstAndAny(away, min(askFanOut-n, len(away))))
+}
+
+// firstAndAny returns n of a list: the first ones, and one of the rest. Those with the widest
+// links may all have just started.
+func firstAndAny(list []*membership.Member, n int) []*membership.Member {
+	if n > 0 {
+		any := n - 1 + rand.IntN(len(list)-n+1)
+		list[n-1], list[any] = list[any], list[n-1]
+	}
+	return list[:n]
 }
 
 // sortNear puts the answers of neighbours first.
--- a/recovery/recover.go
+++ b/recovery/recover.go
@@ -47,6 +47,8 @@
 	// request to the log, and FetchTimeout the transfer of a state or the
 	// search for a checkpoint.
 	AskTimeout time.Duration
+	// AskPause is about the wait between two rounds of questions while the log is read.
+	AskPause   time.Duration
 	LogTimeout time.Duration
 	// LogPatience bounds the question where the log ends, in a round in which
 	// enough daemons have answered: their state may be served without the log.
@@ -73,6 +75,7 @@
 	return Options{
 		MinAnswers:   3,
 		AskTimeout:   500 * time.Millisecond,
+		AskPause:     150 * time.Millisecond,
 		LogTimeout:   2 * time.Second,
 		LogPatience:  2 * time.Second,
 		FetchTimeout: 10 * time.Second,
--- a/recovery/round.go
+++ b/recovery/round.go
@@ -87,11 +87,11 @@
 		return in
 	}
 
-	logCtx, cancelLog := context.WithTimeout(ctx, r.logTimeout(in))
-	defer cancelLog()
-	bounds, err := r.opts.Config.Bounds(logCtx)
-	r.noteLogError(err)
-	in.Log = LogFacts{Readable: err == nil, Bounds: bounds}
+	end, peerFirst := r.readBeside(ctx, &in)
+	if !peerFirst {
+		r.noteLogError(end.err)
+		in.Log = LogFacts{Readable: end.err == nil, Bounds: end.bounds}
+	}
 	r.setOwn(&in)
 	return in
 }
