--- a/internal/daemon/recover.go
+++ b/internal/daemon/recover.go
@@ -214,8 +214,8 @@
 // links may all have just started.
 func firstAndAny(list []*membership.Member, n int) []*membership.Member {
 	if n > 0 {
-		any := n - 1 + rand.IntN(len(list)-n+1)
-		list[n-1], list[any] = list[any], list[n-1]
+		other := n - 1 + rand.IntN(len(list)-n+1)
+		list[n-1], list[other] = list[other], list[n-1]
 	}
 	return list[:n]
 }
