--- a/internal/operator/quarantine.go
+++ b/internal/operator/quarantine.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/url"
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/uptrace/bunrouter"
 
 	"github.com/crocuscross/crocuscross/errkind"
@@ -64,12 +62,8 @@
 
 // Quarantine returns the requests that the daemon keeps from backend servers.
 func (c *Client) Quarantine(ctx context.Context) (*QuarantineList, error) {
-	b, err := c.do(ctx, http.MethodGet, pathQuarantine, nil, nil, 0)
-	if err != nil {
-		return nil, err
-	}
 	list := &QuarantineList{}
-	return list, errors.Wrapf(json.Unmarshal(b, list), "answer of %s", c.base)
+	return list, c.getJSON(ctx, pathQuarantine, nil, 0, list)
 }
 
 // LiftQuarantine lets a request in again at all daemons.
