--- a/internal/proxy/inbound/call.go
+++ b/internal/proxy/inbound/call.go
@@ -19,12 +19,14 @@
 
 // call is one attempt in progress.
 type call struct {
-	h        *Handler
-	st       *peer.Stream
-	head     *peerpb.CallHead
-	span     trace.Span
-	ctx      context.Context
-	cancel   context.CancelFunc
+	h      *Handler
+	st     *peer.Stream
+	head   *peerpb.CallHead
+	span   trace.Span
+	ctx    context.Context
+	cancel context.CancelFunc
+	// heldUp is how long the call was held up on its way here, as far as can be told.
+	heldUp   time.Duration
 	start    time.Time
 	deadline time.Time
 	// madeBy is who makes the calls of the route.
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -157,7 +157,8 @@
 	}
 	// What the call lost on the way is gone from the time that it has: its caller leaves
 	// when that is up, and the word of it comes over the same link.
-	start = start.Add(-h.delay(head))
+	heldUp := h.delay(head)
+	start = start.Add(-heldUp)
 	remaining := time.Duration(head.GetRemainingMs()) * time.Millisecond
 	deadline := start.Add(remaining)
 	_ = st.SetReadDeadline(deadline)
@@ -171,7 +172,7 @@
 	identity, _ := quarantine.IdentityFrom(head.GetIdentity())
 	return &call{
 		h: h, st: st, head: head, span: span, identity: identity,
-		ctx: ctx, cancel: cancel, start: start, deadline: deadline,
+		ctx: ctx, cancel: cancel, heldUp: heldUp, start: start, deadline: deadline,
 		madeBy: h.origins.Add(head.GetRoute(), head.GetCallerService(), origins[head.GetOrigin()]),
 	}, nil
 }
--- a/internal/proxy/inbound/log.go
+++ b/internal/proxy/inbound/log.go
@@ -24,7 +24,7 @@
 	attrs := []any{
 		"request", c.head.GetRequestId(), "service", c.head.GetService(), "attempt", c.head.GetAttempt(),
 		"priority", c.head.GetPriority(), "config", c.head.GetConfigOffset(), "arrived", c.arrived,
-		"took", time.Since(c.start), "left", time.Until(c.deadline),
+		"took", time.Since(c.start), "left", time.Until(c.deadline), "held_up", c.heldUp,
 		"max_wait_ms", c.head.GetMaxQueueMs(), "in_use", l.InUse, "queued", l.Queued, "slots", l.Slots,
 		"expected_wait", l.Wait, "kind", string(kind), "error", err,
 	}
--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -133,6 +133,9 @@
 		// just being sent on it would be cut off.
 		w.Header().Set("Connection", "close")
 	}
+	if r.Context().Err() != nil {
+		h.opts.Metrics.CallerGone.Inc()
+	}
 	ctx := telemetry.WithTraceparent(liveContext(w, r.Request), r.Header.Get("Traceparent"))
 	ctx, span := h.opts.Tracer.Start(ctx, "outbound", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
--- a/internal/proxy/outbound/log.go
+++ b/internal/proxy/outbound/log.go
@@ -26,10 +26,14 @@
 			"kind", errkind.Of(err), "took", took, "error", err)
 		return
 	}
-	if c.wentWell(err, took) && !h.lines.Allow() {
+	if c.wentWell(err, took) && r.Context().Err() == nil && !h.lines.Allow() {
 		return
 	}
-	h.opts.Logger.Info("outbound: request ended", c.outcome(err, took)...)
+	attrs := c.outcome(err, took)
+	if r.Context().Err() != nil {
+		attrs = append(attrs, "caller_gone", true)
+	}
+	h.opts.Logger.Info("outbound: request ended", attrs...)
 }
 
 // wentWell reports whether nothing about the request needs an explanation.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -25,6 +25,8 @@
 	retries           prometheus.Counter
 	asks              *prometheus.CounterVec
 	InFlight          prometheus.Gauge
+	// CallerGone counts the requests whose caller had gone before they were handled.
+	CallerGone prometheus.Counter
 }
 
 // recorder is resolved once for each kind, so that a call looks no label up.
@@ -56,8 +58,11 @@
 		InFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "calls_in_flight", Help: "Callers' requests in progress.",
 		}),
+		CallerGone: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "caller_gone_total", Help: "Requests whose caller had gone before they were handled.",
+		}),
 	}
-	reg.MustRegister(count, duration, c.attempts, c.retries, c.asks, c.InFlight)
+	reg.MustRegister(count, duration, c.attempts, c.retries, c.asks, c.InFlight, c.CallerGone)
 	c.outbound = recorders("outbound", count, duration)
 	c.inbound = recorders("inbound", count, duration)
 	return c
