--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -133,7 +133,8 @@
 		// just being sent on it would be cut off.
 		w.Header().Set("Connection", "close")
 	}
-	if r.Context().Err() != nil {
+	callerGone := r.Context().Err() != nil
+	if callerGone {
 		h.opts.Metrics.CallerGone.Inc()
 	}
 	ctx := telemetry.WithTraceparent(liveContext(w, r.Request), r.Header.Get("Traceparent"))
@@ -143,7 +144,7 @@
 	kind := errkind.Of(err)
 	span.SetAttributes(attribute.String("crocuscross.kind", string(kind)))
 	h.opts.Metrics.Outbound(kind, time.Since(start))
-	h.logEnd(r.Request, c, err, start)
+	h.logEnd(r.Request, c, err, start, callerGone)
 	h.finish(w, err)
 	return nil
 }
--- a/internal/proxy/outbound/log.go
+++ b/internal/proxy/outbound/log.go
@@ -17,8 +17,9 @@
 )
 
 // logEnd tells how a request ended, and what decided it. Of those that went well
-// only some are told while there are many.
-func (h *Handler) logEnd(r *http.Request, c *call, err error, start time.Time) {
+// only some are told while there are many. callerGone is whether its caller had gone before
+// it was handled.
+func (h *Handler) logEnd(r *http.Request, c *call, err error, start time.Time, callerGone bool) {
 	took := time.Since(start)
 	if c == nil {
 		h.opts.Logger.Info("outbound: request not admitted",
@@ -26,11 +27,11 @@
 			"kind", errkind.Of(err), "took", took, "error", err)
 		return
 	}
-	if c.wentWell(err, took) && r.Context().Err() == nil && !h.lines.Allow() {
+	if c.wentWell(err, took) && !callerGone && !h.lines.Allow() {
 		return
 	}
 	attrs := c.outcome(err, took)
-	if r.Context().Err() != nil {
+	if callerGone {
 		attrs = append(attrs, "caller_gone", true)
 	}
 	h.opts.Logger.Info("outbound: request ended", attrs...)
