--- /dev/null
+++ b/pipeline/left_test.go
@@ -0,0 +1,97 @@
+package pipeline
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"golang.org/x/sys/unix"
+)
+
+// accepted hands out one connection, and then waits until it is closed.
+type accepted struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func (l *accepted) Accept() (net.Conn, error) {
+	nc, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return nc, nil
+}
+
+func (l *accepted) Close() error { return nil }
+
+// watchedConn tells when it is closed.
+type watchedConn struct {
+	*net.TCPConn
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (c *watchedConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.TCPConn.Close()
+}
+
+// awaitClose returns once the other end's close has reached the kernel.
+func awaitClose(t *testing.T, nc syscall.Conn) {
+	t.Helper()
+	raw, err := nc.SyscallConn()
+	must.NoError(t, err)
+	must.NoError(t, raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, int(waitLimit.Milliseconds()))
+		must.NoError(t, err)
+		must.Eq(t, 1, n)
+	}))
+}
+
+// Guards against starting requests that were read after their caller had left.
+func TestRequestOfACallerThatHasLeftDoesNotBegin(t *testing.T) {
+	for name, raw := range map[string]string{
+		"one":    get("/1"),
+		"two":    get("/1") + get("/2"),
+		"last":   "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+		"upload": "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc",
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			defer ln.Close()
+			caller, err := net.Dial("tcp", ln.Addr().String())
+			must.NoError(t, err)
+			send(t, caller, raw)
+			tcp, err := ln.Accept()
+			must.NoError(t, err)
+			nc := &watchedConn{TCPConn: tcp.(*net.TCPConn), closed: make(chan struct{})}
+			must.NoError(t, caller.Close())
+			awaitClose(t, nc)
+
+			var began atomic.Int64
+			opts := DefaultOptions()
+			opts.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) { began.Add(1) })
+			s := NewServer(opts)
+			l := &accepted{Listener: ln, conns: make(chan net.Conn, 1)}
+			l.conns <- nc
+			ended := make(chan error, 1)
+			go func() { ended <- s.Serve(l) }()
+			select {
+			case <-nc.closed:
+			case <-time.After(waitLimit):
+				t.Fatal("the connection has not ended")
+			}
+			must.NoError(t, s.Close())
+			close(l.conns)
+			must.ErrorIs(t, <-ended, ErrClosed)
+			must.Eq(t, 0, began.Load())
+		})
+	}
+}
