A call whose caller has left before it is handled is not sent

Cause: liveContext took a request whose context is canceled from the start for one whose caller waits, and ran it without any cancellation. It was written for net/http's server, which cancels a connection's context when a read deadline fires under its own read, and keeps the connection. Callers' connections have been served by package pipeline since, which begins no further request on a connection that it has canceled; there the context says what it says: a daemon that was busy reads a request and the end of its connection together. Why it is enough: the context is looked at behind every wait of an attempt (place, lane, retry), right before the stream is opened; after that the reader's cancellation reaches the gate as before.

--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -99,6 +99,10 @@
 	if err := a.number(ctx); err != nil {
 		return nil, a.unreachable(ctx, err)
 	}
+	// An open session takes the call whatever the context says.
+	if err := ctx.Err(); err != nil {
+		return nil, a.unreachable(ctx, err)
+	}
 	st, err := a.c.h.opts.Pool.Open(ctx, a.server.PeerAddr, peerpb.Kind_KIND_CALL)
 	if err != nil {
 		return nil, a.unreachable(ctx, err)
--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -137,7 +137,7 @@
 	if callerGone {
 		h.opts.Metrics.CallerGone.Inc()
 	}
-	ctx := telemetry.WithTraceparent(liveContext(w, r.Request), r.Header.Get("Traceparent"))
+	ctx := telemetry.WithTraceparent(r.Context(), r.Header.Get("Traceparent"))
 	ctx, span := h.opts.Tracer.Start(ctx, "outbound", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	c, err := h.serve(ctx, w, r.Request, start, int(n))
@@ -149,20 +149,6 @@
 	return nil
 }
 
-// liveContext returns the request's context, or one that is not canceled where it
-// is so from the start. A read deadline that fires under the HTTP library's own
-// read, say of an upload that was cut off, makes it cancel the context of the
-// connection for good, and yet go on with the connection: each later request on it
-// would be answered as if its caller had gone. Such a request is served and the
-// connection closed after it.
-func liveContext(w http.ResponseWriter, r *http.Request) context.Context {
-	if r.Context().Err() == nil {
-		return r.Context()
-	}
-	w.Header().Set("Connection", "close")
-	return context.WithoutCancel(r.Context())
-}
-
 // finish answers with an error, unless the answer has begun: then the
 // connection is cut, so that no caller takes a part for the whole.
 func (h *Handler) finish(w http.ResponseWriter, err error) {
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -164,6 +164,29 @@
 	}
 }
 
+// Guards against taking a caller for gone since a deadline has passed that bounded an earlier body.
+func TestReadDeadlineOfABodyDoesNotCancelLaterRequests(t *testing.T) {
+	for _, maxHeld := range []int64{2, 1 << 20} {
+		t.Run(fmt.Sprint("held up to ", maxHeld), func(t *testing.T) {
+			_, dial := start(t, func(w http.ResponseWriter, r *http.Request) {
+				_, err := io.Copy(io.Discard, r.Body)
+				must.NoError(t, err)
+				must.NoError(t, http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)))
+				fmt.Fprint(w, r.Context().Err())
+			}, func(o *Options) { o.MaxHeldBody = maxHeld })
+			nc := dial()
+			br := bufio.NewReader(nc)
+			for range 3 {
+				send(t, nc, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc")
+				resp, body := read(t, br)
+				must.Eq(t, http.StatusOK, resp.StatusCode)
+				must.False(t, resp.Close)
+				must.Eq(t, "<nil>", body)
+			}
+		})
+	}
+}
+
 // A handler answers without reading a large body. The caller gets the answer, is
 // told that the connection ends, and what is left of the body is not taken for a
 // request.
