A request that is read after its caller has left does not begin

A daemon that was busy finds request and close together; where the request's goroutine runs first, the call is on its way before the reader has seen the close, and reaches a gate that is free before the cancellation. The look for closed idle connections to backend servers is the same one now (netopt.Peek).

--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -86,3 +86,49 @@
 	}
 	return Late(conn), nil
 }
+
+// Input is what a read of a connection would find.
+type Input uint8
+
+// What a read would find.
+const (
+	// InputUnknown is that of a connection without a socket of its own.
+	InputUnknown Input = iota
+	// NoInput means that a read would wait.
+	NoInput
+	// MoreInput means that there are bytes to read.
+	MoreInput
+	// InputEnded means that the peer has closed or reset the connection.
+	InputEnded
+)
+
+// Peek tells what a read of a connection would find. It takes nothing from the connection,
+// does not wait, and may be called while another goroutine reads.
+func Peek(conn net.Conn) Input {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return InputUnknown
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return InputEnded
+	}
+	found := InputEnded
+	// Not RawConn.Read, which waits for a reader to return.
+	if err := raw.Control(func(fd uintptr) { found = peek(int(fd)) }); err != nil {
+		return InputEnded
+	}
+	return found
+}
+
+func peek(fd int) Input {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+		return NoInput
+	case err != nil, n == 0:
+		return InputEnded
+	}
+	return MoreInput
+}
--- a/internal/proxy/backendconn/conn.go
+++ b/internal/proxy/backendconn/conn.go
@@ -10,8 +10,9 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
+
+	"github.com/crocuscross/crocuscross/internal/netopt"
 )
 
 const (
@@ -49,22 +50,8 @@
 	if cn.br.Buffered() > 0 {
 		return false
 	}
-	sc, ok := cn.nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(rerr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
+	found := netopt.Peek(cn.nc)
+	return found == netopt.NoInput || found == netopt.InputUnknown
 }
 
 // do sends a call on the connection, which it closes or gives back.
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -92,6 +92,11 @@
 		case <-c.ctx.Done():
 			return c.ctx.Err()
 		}
+		if c.callerLeft() {
+			// A process that was busy reads a request together with its caller's close, and would
+			// run the call before it reads on.
+			return errGone
+		}
 		if !c.begin(x) {
 			return c.watchLast()
 		}
--- a/pipeline/read.go
+++ b/pipeline/read.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/crocuscross/crocuscross/internal/netopt"
 )
 
 // readRequest reads one request, with its body if that is held.
@@ -31,6 +33,9 @@
 	return x, nil
 }
 
+// callerLeft reports whether the connection ends behind what has been read of it.
+func (c *conn) callerLeft() bool { return netopt.Peek(c.nc) == netopt.InputEnded }
+
 var errNoHost = errors.New("request names no host")
 
 // readBody reads a small body whole; the rest of a larger one is handed over as it
