A gate sends nothing to its backend server for a call that has been canceled

A call that is given its slot at the moment of its cancellation was sent. A hundred canceled calls on one kept connection: the first was sent before (TestCallWhoseContextHasEndedIsNotSent), none now. Such a call says nothing of the server: its kind is that of a time that is up or of a caller that left, not unreachable.

--- a/internal/proxy/backendconn/client.go
+++ b/internal/proxy/backendconn/client.go
@@ -85,6 +85,10 @@
 // Do sends a call and returns the head of its answer, whose body must be closed. The
 // error is a *NotSentError where the call has certainly not run.
 func (c *Client) Do(ctx context.Context, r *Request) (*http.Response, error) {
+	// A kept connection takes the call whatever the context says.
+	if err := ctx.Err(); err != nil {
+		return nil, &NotSentError{err}
+	}
 	cn := c.takeIdle()
 	if cn == nil {
 		var err error
--- a/internal/proxy/backendconn/client_test.go
+++ b/internal/proxy/backendconn/client_test.go
@@ -106,6 +106,31 @@
 	must.Eq(t, 1, s.conns.Load())
 }
 
+// Guards against sending calls on kept connections whose callers have left.
+func TestCallWhoseContextHasEndedIsNotSent(t *testing.T) {
+	var calls atomic.Int64
+	s := serve(t, func(nc net.Conn, br *bufio.Reader) {
+		for id, ok := readRequest(br); ok; id, ok = readRequest(br) {
+			calls.Add(1)
+			fmt.Fprint(nc, reply(id, id))
+		}
+	})
+	c := s.client(t)
+	_, err := get(t, c, "1")
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 100 {
+		_, err := c.Do(ctx, call("2"))
+		var notSent *NotSentError
+		must.True(t, errors.As(err, &notSent))
+	}
+	_, err = get(t, c, "3")
+	must.NoError(t, err)
+	must.Eq(t, 2, calls.Load())
+	must.Eq(t, 1, s.conns.Load())
+}
+
 // The server sends a second answer to a call. If it comes at once, the connection is
 // not used again; if it comes when the next call has been sent, it stands before
 // that call's own answer and is passed over. No caller gets another one's answer.
--- a/internal/proxy/inbound/forward.go
+++ b/internal/proxy/inbound/forward.go
@@ -117,7 +117,7 @@
 func (c *call) backendError(err error) error {
 	var notSent *backendconn.NotSentError
 	if errors.As(err, &notSent) {
-		return errkind.Wrap(errkind.Unreachable, err, "connect to the backend server")
+		return c.unsent(err)
 	}
 	c.arrived = true
 	switch {
@@ -129,6 +129,18 @@
 	return errkind.Wrap(errkind.BackendFailed, err, "the backend server broke off")
 }
 
+// unsent gives a call of which nothing was sent its kind. Only one whose time was not up says
+// something of the backend server.
+func (c *call) unsent(err error) error {
+	switch {
+	case !time.Now().Before(c.deadline):
+		return errkind.Wrap(errkind.DeadlineNotRun, err, "its time was up before it was sent")
+	case c.ctx.Err() != nil:
+		return errkind.Wrap(errkind.Canceled, err, "canceled before it was sent")
+	}
+	return errkind.Wrap(errkind.Unreachable, err, "connect to the backend server")
+}
+
 func (c *call) answerHead(resp *http.Response) *peerpb.AnswerHead {
 	return &peerpb.AnswerHead{
 		Status:        uint32(resp.StatusCode),
