--- a/eventlog/eventlog.go
+++ b/eventlog/eventlog.go
@@ -24,7 +24,9 @@
 const MaxRecordBytes = 256 << 10
 
 // Offset numbers the records of a stream from 1 without gaps. 0 stands before
-// the first record.
+// the first record. A log that came back from an older copy gives numbers out again and
+// begins a new epoch: the high 32 bits of an offset are its epoch, so that offsets of a
+// later epoch are above all of an earlier one.
 type Offset = uint64
 
 // Record is one entry of a stream.
@@ -86,7 +88,8 @@
 	Append(ctx context.Context, data []byte) (Offset, error)
 	// Read returns at most limit records from an offset on, in order. When there is none
 	// yet it waits up to wait and returns none. The error is a *TruncatedError
-	// where from lies before the first retained record.
+	// where from lies before the first retained record, and a *RestoredError where the log
+	// is in a later epoch than from.
 	Read(ctx context.Context, from Offset, limit int, wait time.Duration) ([]Record, error)
 	// Bounds returns the current first and end offset.
 	Bounds(ctx context.Context) (Bounds, error)
--- a/fold/codec.go
+++ b/fold/codec.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 // ErrBadState means that a serialized state contradicts itself or could not
@@ -97,8 +98,9 @@
 	}
 	s.Chain, s.previous = Chain(m.GetChain()), Chain(m.GetPreviousChain())
 	// After a document or a rollout the chain begins anew, so that it may have nothing before.
-	begun := s.Offset <= 1 || (s.document != nil || len(s.rollouts) > 0) && s.previous == Chain{}
-	if (s.Offset == 0) != (s.Chain == Chain{}) || begun != (s.previous == Chain{}) {
+	index := eventlog.Index(s.Offset)
+	begun := index <= 1 || (s.document != nil || len(s.rollouts) > 0) && s.previous == Chain{}
+	if (index == 0) != (s.Chain == Chain{}) || begun != (s.previous == Chain{}) {
 		return errors.Wrap(ErrBadState, "chain digest does not suit the offset")
 	}
 	return nil
--- a/fold/document.go
+++ b/fold/document.go
@@ -150,6 +150,11 @@
 func (s *State) decideDocument(rec *configpb.Record) Verdict {
 	d := rec.GetDocument()
 	v := Verdict{Offset: s.Offset}
+	if s.document != nil && proto.Equal(d, s.document) {
+		// Written again, say after the log was restored from an older copy.
+		v.Accepted = true
+		return v
+	}
 	r := reasons(CheckDocument(d))
 	if s.document != nil && d.GetVersion() <= s.document.GetVersion() {
 		r.addf("document version %d does not follow version %d", d.GetVersion(), s.document.GetVersion())
--- /dev/null
+++ b/fold/restore_test.go
@@ -0,0 +1,117 @@
+package fold
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/eventlog"
+)
+
+// folded returns the state after records, each at the index of its place, in an epoch.
+func folded(t *testing.T, epoch uint32, records ...[]byte) *State {
+	t.Helper()
+	s := EmptyAt(eventlog.At(epoch, 0))
+	for _, data := range records {
+		next, _, err := Apply(s, s.Offset+1, data)
+		must.NoError(t, err)
+		s = next
+	}
+	return s
+}
+
+// Guards against going back to what an older copy of the log holds.
+func TestState_AfterARestoreKeepsTheNewerDocument(t *testing.T) {
+	before := folded(t, 1, plainDocument(t, 3), plainDocument(t, 7), plainDocument(t, 9))
+	for name, c := range map[string]struct {
+		log  [][]byte
+		want uint64
+	}{
+		"nothing in the copy": {nil, 9},
+		"older":               {[][]byte{plainDocument(t, 3)}, 9},
+		"written again":       {[][]byte{plainDocument(t, 3), plainDocument(t, 9)}, 9},
+		"newer":               {[][]byte{plainDocument(t, 3), plainDocument(t, 9), plainDocument(t, 12)}, 12},
+	} {
+		t.Run(name, func(t *testing.T) {
+			log := folded(t, 2, c.log...)
+			s := log.After(before)
+			must.Eq(t, c.want, s.Document().GetVersion())
+			must.Eq(t, log.Offset, s.Offset)
+			must.Eq(t, log.Chain, s.Chain)
+			decoded, err := Decode(s.Encode())
+			must.NoError(t, err)
+			must.Eq(t, c.want, decoded.Document().GetVersion())
+
+			// What follows folds alike, with and without what was carried over.
+			for _, st := range []*State{s, log} {
+				next, v, err := Apply(st, st.Offset+1, plainDocument(t, 20))
+				must.NoError(t, err)
+				must.True(t, v.Accepted)
+				must.Eq(t, 20, next.Document().GetVersion())
+				must.Eq(t, folded(t, 2, append(c.log[:len(c.log):len(c.log)], plainDocument(t, 20))...).Chain, next.Chain)
+			}
+		})
+	}
+	must.True(t, before.After(before) == before)
+	must.True(t, folded(t, 1, plainDocument(t, 3)).After(before).Document().GetVersion() == 3, must.Sprint("one epoch"))
+}
+
+// A document that is written again is no rejected record.
+func TestDocument_WrittenAgain(t *testing.T) {
+	s := folded(t, 1, plainDocument(t, 3))
+	n, v, err := Apply(s, s.Offset+1, plainDocument(t, 3))
+	must.NoError(t, err)
+	must.True(t, v.Accepted)
+	must.True(t, n.Document() == s.Document())
+}
+
+// Guards against a finished rollout that begins anew, and a newer order that is lost.
+func TestState_AfterARestoreKnowsItsRollouts(t *testing.T) {
+	signs := func(version string) []byte { return rolloutRecord(t, "signs", version) }
+	before := folded(t, 1, plainDocument(t, 3), signs("v2"), plainDocument(t, 7), signs("v3"), plainDocument(t, 9))
+	order := before.Rollout("signs")
+	for name, c := range map[string]struct {
+		log     [][]byte
+		version string
+		renamed bool
+	}{
+		"not in the copy":                  {[][]byte{plainDocument(t, 3)}, "v3", false},
+		"the one before in the copy":       {[][]byte{plainDocument(t, 3), signs("v2")}, "v3", false},
+		"in the copy":                      {[][]byte{plainDocument(t, 3), signs("v2"), plainDocument(t, 7), signs("v3")}, "v3", false},
+		"written again elsewhere":          {[][]byte{plainDocument(t, 3), signs("v3")}, "v3", false},
+		"another one behind":               {[][]byte{plainDocument(t, 3), signs("v2"), plainDocument(t, 7), plainDocument(t, 9), signs("v4")}, "v4", true},
+		"another one where there was none": {[][]byte{plainDocument(t, 3), plainDocument(t, 4), plainDocument(t, 5), plainDocument(t, 6), signs("v2")}, "v2", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := folded(t, 2, c.log...).After(before)
+			got := s.Rollout("signs")
+			must.Eq(t, c.version, got.GetRollout().GetToVersion())
+			must.Eq(t, c.renamed, got.GetOffset() != order.GetOffset())
+		})
+	}
+
+	// Behind the restore the operator writes the order again: it is the same one, once.
+	s := folded(t, 2, plainDocument(t, 3)).After(before)
+	again, _, err := Apply(s, s.Offset+1, signs("v3"))
+	must.NoError(t, err)
+	must.Eq(t, order.GetOffset(), again.Rollout("signs").GetOffset())
+	decoded, err := Decode(again.Encode())
+	must.NoError(t, err)
+	must.Eq(t, again.Offset, decoded.Rollout("signs").GetRestated())
+	anew, _, err := Apply(again, again.Offset+1, signs("v3"))
+	must.NoError(t, err)
+	must.Eq(t, anew.Offset, anew.Rollout("signs").GetOffset())
+}
+
+// Guards against a daemon that started from an older copy and never learns what others have in force.
+func TestState_WithCarried(t *testing.T) {
+	before := folded(t, 1, plainDocument(t, 3), plainDocument(t, 9))
+	log := folded(t, 2, plainDocument(t, 3))
+	for _, theirs := range []*State{before, log.After(before)} {
+		s := log.WithCarried(theirs)
+		must.Eq(t, 9, s.Document().GetVersion())
+		must.Eq(t, log.Offset, s.Offset)
+		must.True(t, s.WithCarried(theirs) == s)
+		must.True(t, s.WithCarried(log) == s)
+	}
+}
--- a/fold/rollout.go
+++ b/fold/rollout.go
@@ -48,8 +48,12 @@
 		v.Reasons = reasons.trim()
 		return v
 	}
-	s.setRollout(&configpb.RolloutOrder{Rollout: r, Offset: s.Offset})
 	v.Accepted = true
+	if o := s.rollouts[r.GetService()]; restates(o, r, s.Offset) {
+		s.setRollout(restated(o, s.Offset))
+		return v
+	}
+	s.setRollout(&configpb.RolloutOrder{Rollout: r, Offset: s.Offset})
 	return v
 }
 
--- a/fold/state.go
+++ b/fold/state.go
@@ -10,6 +10,7 @@
 	"slices"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 // RuleVersion is the latest rule that this package knows. Any change of what a
@@ -135,6 +136,9 @@
 // Empty returns the state before the first record.
 func Empty() *State { return &State{} }
 
+// EmptyAt returns the state before the first record of an epoch, whose offset has index 0.
+func EmptyAt(offset eventlog.Offset) *State { return &State{Offset: offset} }
+
 // Get returns a resource in force, nil if there is none.
 func (s *State) Get(k Key) *Entry {
 	e, _ := s.entries.get(k)
--- a/internal/controller/apply/apply.go
+++ b/internal/controller/apply/apply.go
@@ -52,7 +52,7 @@
 		return
 	}
 	c.Board.Snapshot.Store(next)
-	if prev == nil || next.Offset > prev.Offset {
+	if prev == nil || next.Offset > prev.Offset || next.Document() != prev.Document() {
 		c.Logger.Info("apply: version in force", "offset", next.Offset,
 			"document", next.Document().VersionOrZero(), "withheld_routes", len(next.Withheld))
 		c.InForce(next.Offset, time.Now())
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/internal/fleet"
 	"github.com/crocuscross/crocuscross/membership"
 )
@@ -132,7 +133,7 @@
 		s.HighestOffset = max(s.HighestOffset, d.Offset, r.Status.GetKnownOffset())
 	}
 	for i := range s.Daemons {
-		s.Daemons[i].Lag = s.HighestOffset - s.Daemons[i].Offset
+		s.Daemons[i].Lag = eventlog.Between(s.Daemons[i].Offset, s.HighestOffset)
 	}
 	return s
 }
--- a/internal/telemetry/board.go
+++ b/internal/telemetry/board.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/crocuscross/crocuscross/backend"
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
 	"github.com/crocuscross/crocuscross/membership"
@@ -111,7 +112,7 @@
 	out.gauge(c.inForce, flag(snap != nil))
 	out.gauge(c.documentVersion, float64(version))
 	out.gauge(c.known, float64(known))
-	out.gauge(c.lag, float64(known-offset))
+	out.gauge(c.lag, float64(eventlog.Between(offset, known)))
 }
 
 func (c *BoardCollector) collectSource(out emitter) {
--- a/internal/telemetry/control.go
+++ b/internal/telemetry/control.go
@@ -111,6 +111,7 @@
 	reads, pushes, pulls *prometheus.CounterVec
 	readBytes, records   prometheus.Counter
 	applied, rejected    prometheus.Counter
+	restored             prometheus.Counter
 }
 
 // NewSpreadMeter registers the metrics of spreading.
@@ -126,8 +127,9 @@
 		records:   prometheus.NewCounter(opts("log_read_records_total", "Records read from the platform's log.")),
 		applied:   prometheus.NewCounter(opts("records_applied_total", "Configuration records folded, the rejected ones too.")),
 		rejected:  prometheus.NewCounter(opts("records_rejected_total", "Configuration records folded that changed nothing.")),
+		restored:  prometheus.NewCounter(opts("log_restored_total", "Times that this daemon found the platform's log restored from an older copy.")),
 	}
-	reg.MustRegister(m.reads, m.pushes, m.pulls, m.readBytes, m.records, m.applied, m.rejected)
+	reg.MustRegister(m.reads, m.pushes, m.pulls, m.readBytes, m.records, m.applied, m.rejected, m.restored)
 	return m
 }
 
@@ -158,6 +160,9 @@
 // Rejected implements spread.Meter.
 func (m *SpreadMeter) Rejected() { m.rejected.Inc() }
 
+// Restored implements spread.Meter.
+func (m *SpreadMeter) Restored() { m.restored.Inc() }
+
 func resultLabel(ok bool) string {
 	if ok {
 		return "ok"
--- a/recovery/decide.go
+++ b/recovery/decide.go
@@ -165,7 +165,7 @@
 // daemons that have something in force tell that there is more, even if their
 // states cannot be had.
 func (d Decision) Serve() bool {
-	if d.Start.Offset == 0 && !d.CatchUp {
+	if eventlog.Index(d.Start.Offset) == 0 && !d.CatchUp {
 		return false
 	}
 	return d.FloorKnown && d.Start.Offset >= d.Floor
--- a/recovery/round.go
+++ b/recovery/round.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/crocuscross/crocuscross/checkpoint"
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
 )
 
@@ -203,7 +204,7 @@
 func (r *recoverer) fetch(ctx context.Context, in *Input, from Start) {
 	st, err := r.stateOf(ctx, from)
 	if err == nil {
-		r.state, r.from = st, from.From
+		r.state, r.from = r.carryOver(ctx, in, st), from.From
 		r.readEnd(ctx, in)
 		return
 	}
@@ -215,6 +216,27 @@
 	}
 }
 
+// carryOver returns a state with what daemons have in force that have not heard yet that the
+// log was restored from an older copy: it may lack that.
+func (r *recoverer) carryOver(ctx context.Context, in *Input, st *fold.State) *fold.State {
+	st = st.After(r.state)
+	var before Answer
+	for _, a := range in.Hearing.Answers {
+		if !a.Unusable && a.Offset > before.Offset && eventlog.Epoch(a.Offset) < eventlog.Epoch(st.Offset) {
+			before = a
+		}
+	}
+	if before.Offset == 0 {
+		return st
+	}
+	theirs, err := r.stateOf(ctx, Start{From: FromPeer, Host: before.Host, Position: before.Position})
+	if err != nil {
+		r.opts.Logger.Warn("recovery: state from before the log's restore not fetched", "host", before.Host, "error", err)
+		return st
+	}
+	return st.After(theirs)
+}
+
 // readEnd reads the log's end again where the state at hand is beyond it: the state is
 // newer than its daemon had said, and so may be the end. A log that has lost its end
 // still ends before the state then.
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -64,9 +64,11 @@
 }
 
 // follow takes over all that new backend servers do not change. They come and
-// go far more often than versions do.
+// go far more often than versions do. The document may be newer at the same offset where
+// the log, restored from an older copy, lacks it.
 func (s *Snapshot) follow(prev *Snapshot) {
-	s.contracts, s.document = prev.contracts, prev.document
+	s.contracts = prev.contracts
+	s.buildDocument(prev)
 	if len(prev.Withheld) > 0 {
 		s.buildRoutes(prev)
 		return
--- a/spread/history.go
+++ b/spread/history.go
@@ -98,13 +98,15 @@
 	return h.unknownRule != 0 && h.unknownRule == offset+1
 }
 
-// adopt puts a whole state in force if it is newer, and reports whether it was.
+// adopt puts a whole state in force if it is newer, and reports whether it was. What a log
+// that was restored from an older copy lacks stays in force.
 func (h *history) adopt(st *fold.State) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.state != nil && st.Offset <= h.state.Offset {
 		return false
 	}
+	st = st.After(h.state)
 	h.state = st
 	h.ring.reset(st.Offset, st.Chain, lastRecord(st))
 	h.onState(st)
@@ -112,6 +114,20 @@
 	return true
 }
 
+// carry puts in force what another daemon has in force beyond the state here, and reports
+// whether there was something.
+func (h *history) carry(theirs *fold.State) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	st := h.state.WithCarried(theirs)
+	if st == h.state {
+		return false
+	}
+	h.state = st
+	h.onState(st)
+	return true
+}
+
 // lastRecord returns the record that a state folded last where the state tells it: that
 // of the document in force, if no record came after it. Else it is nil.
 //
--- a/spread/options.go
+++ b/spread/options.go
@@ -87,8 +87,9 @@
 	AvailabilityZone string
 	Log              eventlog.Log
 	Peers            Peers
-	// LogKeepsEnd is whether the log never loses what it has acknowledged, so that
-	// it need not be asked whether it still holds the version in force.
+	// LogKeepsEnd is whether the log loses what it has acknowledged only by a restore from an
+	// older copy, which it tells (eventlog.RestoredError), so that it need not be asked whether
+	// it still holds the version in force.
 	LogKeepsEnd bool
 
 	Mode       Mode
@@ -124,7 +125,8 @@
 	// it is told to daemons that pull.
 	Floor func(host string) uint64
 	// LoadCheckpoint returns the newest state kept in the platform's
-	// checkpoints. It is asked when the log no longer retains the next record.
+	// checkpoints. It is asked when the log no longer retains the next record, or was
+	// restored from an older copy.
 	LoadCheckpoint func(ctx context.Context) (*fold.State, error)
 	// OnState is called with each new state, in order of offset. It must
 	// return quickly and must not call the Spreader.
@@ -174,6 +176,8 @@
 	Applied(records int)
 	// Rejected counts one record that was folded and changed nothing.
 	Rejected()
+	// Restored counts the times that this daemon found the log restored from an older copy.
+	Restored()
 }
 
 // NoMeter counts nothing.
@@ -193,3 +197,6 @@
 
 // Rejected does nothing.
 func (NoMeter) Rejected() {}
+
+// Restored does nothing.
+func (NoMeter) Restored() {}
--- a/spread/pull.go
+++ b/spread/pull.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/peerpb"
 )
@@ -243,7 +244,7 @@
 	if s.history.offset() == st.Offset {
 		return 0, errNoProgress
 	}
-	return int(s.history.offset() - st.Offset), nil
+	return int(eventlog.Between(st.Offset, s.history.offset())), nil
 }
 
 // takeAnswer puts in force what a pull brought.
@@ -303,14 +304,14 @@
 		return answer
 	}
 	answer.Offset, answer.Chain = st.Offset, st.Chain[:]
-	if m.GetFloorOnly() {
+	if m.GetFloorOnly() || m.GetNewerDocument() && st.Document().GetVersion() <= m.GetDocumentVersion() {
 		return answer
 	}
 	if chain, ok := s.history.chainAt(m.GetOffset()); ok && len(m.GetChain()) > 0 && !bytes.Equal(chain[:], m.GetChain()) {
 		answer.Diverged = true
 		return answer
 	}
-	if m.GetOffset() >= st.Offset && !m.GetWholeState() {
+	if m.GetOffset() >= st.Offset && !m.GetWholeState() && !m.GetNewerDocument() {
 		return answer
 	}
 	select {
@@ -322,7 +323,7 @@
 	}
 	b, ok := s.history.after(m.GetOffset(), maxBatchBytes)
 	switch {
-	case !ok || m.GetWholeState():
+	case !ok || m.GetWholeState() || m.GetNewerDocument():
 		s.answerState(m, st, answer)
 	case m.GetTakesPacked():
 		answer.Base = b.base
--- a/spread/read.go
+++ b/spread/read.go
@@ -97,8 +97,12 @@
 	records, err := s.opts.Log.Read(ctx, st.Offset+1, readLimit, wait)
 	s.opts.Meter.LogRead(len(records), sizeOf(records), err)
 	var truncated *eventlog.TruncatedError
-	if errors.As(err, &truncated) {
+	var restored *eventlog.RestoredError
+	switch {
+	case errors.As(err, &truncated):
 		return 0, s.skipTruncated(ctx, truncated)
+	case errors.As(err, &restored):
+		return 0, s.followRestored(ctx, restored)
 	}
 	s.noteLogError(err)
 	if err != nil || len(records) == 0 {
@@ -113,6 +117,12 @@
 // skipTruncated finds a state beyond the records that the log has dropped: from
 // a peer, or else from the platform's checkpoints.
 func (s *Spreader) skipTruncated(ctx context.Context, cause *eventlog.TruncatedError) error {
+	if cause.First <= cause.Asked {
+		// Nothing later is kept. What neighbours have is no further either, and taken for
+		// enough, the log would be asked again at once.
+		s.noteLogError(cause)
+		return cause
+	}
 	s.opts.Logger.Warn("spread: log has dropped the next record", "asked", cause.Asked, "first", cause.First)
 	if s.pullAnywhere(cause.First - 1) {
 		return nil
@@ -139,6 +149,44 @@
 	return nil
 }
 
+// followRestored goes on from the newest state of a log that came back from an older copy.
+// It is read even where a neighbour has gone on already: what the operator has written since
+// then may be newer. The others are told, as the state may hold a version that they lack.
+func (s *Spreader) followRestored(ctx context.Context, cause *eventlog.RestoredError) error {
+	if s.opts.LoadCheckpoint == nil {
+		s.noteLogError(cause)
+		return cause
+	}
+	st, err := s.opts.LoadCheckpoint(ctx)
+	if err == nil && st == nil {
+		err = cause
+	}
+	s.noteLogError(err)
+	if err != nil {
+		return err
+	}
+	before := s.State()
+	if s.history.adopt(st) {
+		s.noteRestored(before, st)
+	}
+	return nil
+}
+
+// noteRestored tells of the epoch that this daemon went on in.
+func (s *Spreader) noteRestored(before, told *fold.State) {
+	now := s.State()
+	s.opts.Meter.Restored()
+	s.opts.Logger.Warn("spread: log was restored from an older copy",
+		"epoch_before", eventlog.Epoch(before.Offset), "epoch", eventlog.Epoch(told.Offset),
+		"index_before", eventlog.Index(before.Offset), "index", eventlog.Index(told.Offset),
+		"document_in_force", now.Document().GetVersion(), "document_in_log", told.Document().GetVersion())
+	s.noteKnown(now.Offset)
+	s.noteFromLog(now.Offset)
+	s.rootWake.Set()
+	s.pullWake.Set()
+	s.carryWake.Set()
+}
+
 // verifyLog checks after an interruption that the log still holds the record
 // in force. A log that lost its end and was written anew gives other records
 // under the same offsets; a reader that went on would fold a mix of the two.
--- a/spread/restore_test.go
+++ b/spread/restore_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,3 +47,287 @@
 		must.Less(t, 100, log.reads)
 	})
 }
+
+// restoredLog is a log of documents that goes back to older copies of itself.
+type restoredLog struct {
+	eventlog.Log
+	t *testing.T
+
+	mu      sync.Mutex
+	epoch   uint32
+	records [][]byte
+	changed chan struct{}
+	away    bool
+	// reads counts reads and loads of the newest state.
+	reads int
+}
+
+func newRestoredLog(t *testing.T) *restoredLog {
+	return &restoredLog{t: t, epoch: 1, changed: make(chan struct{})}
+}
+
+func (l *restoredLog) wake() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// write appends a document and returns its offset.
+func (l *restoredLog) write(version uint64) eventlog.Offset {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = append(l.records, document(l.t, version, 10))
+	l.wake()
+	return eventlog.At(l.epoch, uint64(len(l.records)))
+}
+
+// restore goes back to the first n records.
+func (l *restoredLog) restore(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.epoch++
+	l.records = slices.Clone(l.records[:n])
+	l.wake()
+}
+
+func (l *restoredLog) setAway(away bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.away = away
+	l.wake()
+}
+
+func (l *restoredLog) len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.records)
+}
+
+func (l *restoredLog) calls() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reads
+}
+
+// Read implements eventlog.Log.
+func (l *restoredLog) Read(ctx context.Context, from eventlog.Offset, limit int, wait time.Duration) ([]eventlog.Record, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	time.Sleep(4 * time.Millisecond)
+	for first := true; ; first = false {
+		l.mu.Lock()
+		if first {
+			l.reads++
+		}
+		away, epoch, changed := l.away, l.epoch, l.changed
+		records := l.records[min(len(l.records), int(eventlog.Index(from))-1):]
+		l.mu.Unlock()
+		switch {
+		case away:
+			return nil, eventlog.ErrUnavailable
+		case eventlog.Epoch(from) != epoch:
+			return nil, &eventlog.RestoredError{Asked: from, Epoch: epoch}
+		case len(records) > 0:
+			list := make([]eventlog.Record, min(limit, len(records)))
+			for i := range list {
+				list[i] = eventlog.Record{Offset: from + uint64(i), Data: records[i]}
+			}
+			return list, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, eventlog.Unavailable(ctx.Err())
+		}
+	}
+}
+
+// latest is what Options.LoadCheckpoint returns.
+func (l *restoredLog) latest(context.Context) (*fold.State, error) {
+	time.Sleep(4 * time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads++
+	switch n := len(l.records); {
+	case l.away:
+		return nil, eventlog.ErrUnavailable
+	case n == 0:
+		return fold.EmptyAt(eventlog.At(l.epoch, 0)), nil
+	default:
+		return fold.FromDocument(eventlog.At(l.epoch, uint64(n)), l.records[n-1])
+	}
+}
+
+// newRestoredFleet is a fleet over a log that is restored now and then. No node may go back
+// to an older document.
+func newRestoredFleet(t *testing.T, log *restoredLog, size, zones int) *fleet {
+	f := newFleet(t, size, zones, func(o *Options) {
+		o.LogKeepsEnd, o.LoadCheckpoint = true, log.latest
+		check := o.OnState
+		highest := uint64(0)
+		o.OnState = func(st *fold.State) {
+			check(st)
+			if v := st.Document().GetVersion(); v < highest {
+				t.Errorf("%s: document fell from version %d to %d", o.Host, highest, v)
+			} else {
+				highest = v
+			}
+		}
+	})
+	for _, n := range f.nodes {
+		n.Log = log
+	}
+	return f
+}
+
+// awaitVersion lets time pass until all live nodes have a document in force.
+func (f *fleet) awaitVersion(version uint64, limit time.Duration) time.Duration {
+	f.t.Helper()
+	began := time.Now()
+	for tick := 1; ; tick++ {
+		lacking := 0
+		for _, n := range f.nodes {
+			if !n.dead.Load() && n.State().Document().GetVersion() < version {
+				lacking++
+			}
+		}
+		if lacking == 0 {
+			return time.Since(began)
+		}
+		if time.Since(began) > limit {
+			f.t.Fatalf("%d nodes lack version %d after %v", lacking, version, limit)
+		}
+		time.Sleep(time.Millisecond)
+		if tick%1000 == 0 {
+			f.probe()
+		}
+	}
+}
+
+// Guards against versions that are lost, or fall back, over any series of writes, restores, outages and cuts.
+func TestRestores_RandomSeries(t *testing.T) {
+	for seed := range uint64(60) {
+		synctest.Test(t, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 7))
+			log := newRestoredLog(t)
+			f := newRestoredFleet(t, log, 14, 4)
+			f.run()
+			version := uint64(1)
+			log.write(version)
+			for range 12 {
+				switch rnd.IntN(5) {
+				case 0, 1:
+					version += 1 + rnd.Uint64N(4)
+					log.write(version)
+				case 2:
+					log.setAway(true)
+					time.Sleep(time.Duration(rnd.IntN(3000)) * time.Millisecond)
+					log.restore(rnd.IntN(log.len() + 1))
+					log.setAway(false)
+					time.Sleep(time.Duration(rnd.IntN(2000)) * time.Millisecond)
+					// The operator writes again what was lost.
+					log.write(version)
+				case 3:
+					log.restore(rnd.IntN(log.len() + 1))
+					if rnd.IntN(2) == 0 {
+						version++
+					}
+					log.write(version)
+				case 4:
+					n := f.nodes[rnd.IntN(len(f.nodes))]
+					n.cutLog()
+				}
+				time.Sleep(time.Duration(rnd.IntN(4000)) * time.Millisecond)
+				f.probe()
+			}
+			version++
+			log.write(version)
+			f.awaitVersion(version, 20*time.Second)
+		})
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
+// Guards against a version that is written right behind a restore and comes late: 2 s are the bound.
+func TestRestore_NextVersionComesInTime(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 11))
+			log := newRestoredLog(t)
+			f := newRestoredFleet(t, log, 14, 4)
+			f.run()
+			for version := range uint64(8) {
+				log.write(version + 1)
+			}
+			f.awaitVersion(8, 10*time.Second)
+			log.setAway(true)
+			time.Sleep(3 * time.Second)
+			log.restore(3 + rnd.IntN(4))
+			log.setAway(false)
+			// Calm hosts are in touch with the store three seconds after its return.
+			time.Sleep(3 * time.Second)
+			log.write(9)
+			took := f.awaitVersion(9, 10*time.Second)
+			must.LessEq(t, 2*time.Second, took)
+		})
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
+// What a restore costs grows with the fleet at most: reads with the zones, bytes with the nodes.
+func TestRestore_Cost(t *testing.T) {
+	for _, c := range []struct{ size, zones int }{{14, 4}, {90, 4}, {910, 8}} {
+		synctest.Test(t, func(t *testing.T) {
+			log := newRestoredLog(t)
+			f := newRestoredFleet(t, log, c.size, c.zones)
+			f.run()
+			for version := range uint64(8) {
+				log.write(version + 1)
+			}
+			f.awaitVersion(8, 10*time.Second)
+			reads, pulls, bytes := log.calls(), f.traffic.pulls.Load(), f.traffic.bytes.Load()
+			log.restore(4)
+			f.await(eventlog.At(2, 4), 20*time.Second)
+			for range 5 {
+				time.Sleep(time.Second)
+				f.probe()
+			}
+			perNode := (f.traffic.bytes.Load() - bytes) / int64(c.size)
+			t.Logf("%d nodes: %d reads, %.1f pulls a node, %d bytes a node", c.size, log.calls()-reads,
+				float64(f.traffic.pulls.Load()-pulls)/float64(c.size), perNode)
+			// Readers poll each 2 s, and make two calls at the restore.
+			must.LessEq(t, c.zones*2*6, log.calls()-reads)
+			must.LessEq(t, 10<<10, perNode)
+		})
+	}
+}
+
+// Guards against a daemon that started from an older copy, at the offset of those that know better.
+func TestRestore_DaemonThatStartsFromTheCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newRestoredLog(t)
+		f := newRestoredFleet(t, log, 5, 2)
+		late := f.nodes[4]
+		late.dead.Store(true)
+		f.run()
+		for version := range uint64(4) {
+			log.write(version + 1)
+		}
+		f.awaitVersion(4, 10*time.Second)
+		log.restore(2)
+		f.await(eventlog.At(2, 2), 10*time.Second)
+		st, err := log.latest(t.Context())
+		must.NoError(t, err)
+		late.dead.Store(false)
+		late.run()
+		late.StartFromLog(st)
+		f.setViews()
+		f.awaitVersion(4, 10*time.Second)
+		must.Eq(t, eventlog.At(2, 2), late.State().Offset)
+	})
+}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -33,6 +33,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/loop"
 	"github.com/crocuscross/crocuscross/membership"
@@ -88,7 +89,7 @@
 	lastHeard  time.Time
 	relayed    recentPushes
 
-	readWake, rootWake, handoffWake, pullWake loop.Wake
+	readWake, rootWake, handoffWake, pullWake, carryWake loop.Wake
 
 	// fetching has room for one pull: one at a time is enough, and keeps a
 	// daemon that many digests reach from pulling the same records from all.
@@ -109,6 +110,7 @@
 		rootWake:    loop.NewWake(),
 		handoffWake: loop.NewWake(),
 		pullWake:    loop.NewWake(),
+		carryWake:   loop.NewWake(),
 		fetching:    make(chan struct{}, 1),
 		serving:     make(chan struct{}, maxServedPulls),
 		pushing:     make(chan struct{}, maxRootPushes),
@@ -126,6 +128,7 @@
 	s.t.Go(s.rootLoop)
 	s.t.Go(s.handoffLoop)
 	s.t.Go(s.pullLoop)
+	s.t.Go(s.carryLoop)
 	return s.t.Wait()
 }
 
@@ -146,6 +149,15 @@
 	s.pullWake.Set()
 }
 
+// StartFromLog is Start with a state that the log alone vouches for. If the log was ever
+// restored from an older copy, others may have something newer in force.
+func (s *Spreader) StartFromLog(st *fold.State) {
+	s.Start(st)
+	if eventlog.Epoch(st.Offset) > 0 {
+		s.carryWake.Set()
+	}
+}
+
 // State returns what is in force, nil before Start.
 func (s *Spreader) State() *fold.State { return s.history.current() }
 
