--- a/internal/controller/contacts/contacts.go
+++ b/internal/controller/contacts/contacts.go
@@ -49,6 +49,9 @@
 	// retryAfter is about the wait before the first entry is put again. Until it is
 	// there, daemons that start later cannot find this one.
 	retryAfter = 300 * time.Millisecond
+	// restoreSpread is about the wait before an entry is put again that the directory may have
+	// lost: all that have one put it.
+	restoreSpread = time.Second
 )
 
 // Options holds what a Controller works with.
@@ -80,10 +83,13 @@
 	// present is whether the directory has this daemon's entry, crowded whether it has
 	// enough others of the availability zone.
 	present, crowded atomic.Bool
+	restores         *blackboard.Restores
 }
 
 // New returns a controller that has appended nothing yet.
-func New(opts Options) *Controller { return &Controller{opts: opts, listed: make(chan struct{})} }
+func New(opts Options) *Controller {
+	return &Controller{opts: opts, listed: make(chan struct{}), restores: blackboard.NewRestores(opts.Board)}
+}
 
 // Run appends when it is due, until ctx is done.
 func (c *Controller) Run(ctx context.Context) error {
@@ -125,7 +131,10 @@
 	for !c.present.Load() && c.awaitReader(ctx) {
 		c.putUntilDone(ctx)
 	}
-	<-ctx.Done()
+	for c.restores.Wait(ctx) {
+		loop.SleepAround(ctx, restoreSpread)
+		c.putUntilDone(ctx)
+	}
 	return nil
 }
 
--- a/internal/controller/contacts/keep_test.go
+++ b/internal/controller/contacts/keep_test.go
@@ -15,6 +15,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/crocuscross/crocuscross/configpb"
+	"github.com/crocuscross/crocuscross/eventlog"
+	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
 	"github.com/crocuscross/crocuscross/membership"
 )
@@ -150,3 +152,24 @@
 		must.MapContainsKey(t, d.entries, "new")
 	})
 }
+
+// Guards against a daemon that nobody finds any more since the directory went back to a copy without it.
+func TestKeeper_PutsAgainAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectory(t, 0)
+		_, board := keeper(t, d, 3)
+		board.State.Store(fold.EmptyAt(eventlog.At(4, 0)))
+		time.Sleep(time.Minute)
+		must.Eq(t, 1, d.puts)
+		for epoch := range uint32(3) {
+			d.mu.Lock()
+			clear(d.entries)
+			d.mu.Unlock()
+			board.State.Store(fold.EmptyAt(eventlog.At(6+epoch, 3)))
+			board.State.Store(fold.EmptyAt(eventlog.At(6+epoch, 4)))
+			time.Sleep(2 * restoreSpread)
+			must.MapContainsKey(t, d.entries, "new")
+			must.Eq(t, 2+int(epoch), d.puts)
+		}
+	})
+}
--- a/internal/controller/quarantines/quarantines.go
+++ b/internal/controller/quarantines/quarantines.go
@@ -50,20 +50,24 @@
 	opts Options
 	// told is each member that has notes, as it was when they were last taken in.
 	told map[string]*membership.Member
-	// stored are the verdicts that this daemon has put into the directory.
+	// stored are the verdicts that this daemon has put into the directory. One goroutine uses
+	// them.
 	stored map[quarantine.Identity]time.Time
+	// restored wakes it where the directory may have lost some.
+	restored loop.Wake
 }
 
 // New returns a controller.
 func New(opts Options) *Controller {
 	return &Controller{
 		opts: opts, told: make(map[string]*membership.Member), stored: make(map[quarantine.Identity]time.Time),
+		restored: loop.NewWake(),
 	}
 }
 
 // Run reconciles until ctx is done.
 func (c *Controller) Run(ctx context.Context) error {
-	return loop.Run(ctx, c.exchange, c.store, c.expire)
+	return loop.Run(ctx, c.exchange, c.store, c.expire, c.watchRestores)
 }
 
 // exchange takes in what the members tell, and tells them what this daemon knows.
@@ -146,12 +150,22 @@
 		select {
 		case <-viewChanged:
 		case <-ledgerChanged:
+		case <-c.restored:
+			clear(c.stored)
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+// watchRestores has the verdicts stored again that the directory may have lost.
+func (c *Controller) watchRestores(ctx context.Context) error {
+	for restores := blackboard.NewRestores(c.opts.Board); restores.Wait(ctx); {
+		c.restored.Set()
+	}
+	return nil
+}
+
 // storeChanges reports whether the directory has been brought to the carried verdicts.
 func (c *Controller) storeChanges(ctx context.Context, carried []quarantine.Verdict) bool {
 	done := true
--- a/internal/controller/rollouts/decide.go
+++ b/internal/controller/rollouts/decide.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/crocuscross/crocuscross/internal/blackboard"
 	"github.com/crocuscross/crocuscross/internal/loop"
 	"github.com/crocuscross/crocuscross/rollout"
 	"github.com/crocuscross/crocuscross/rollout/rolloutpb"
@@ -46,12 +50,14 @@
 // work does what the decider asks for, until ctx is done.
 func (c *Controller) work(ctx context.Context) error {
 	for {
-		if c.opts.Decider.Idle() && !c.asked.Wait(ctx) {
+		if c.opts.Decider.Idle() && !c.restored.Load() && !c.asked.Wait(ctx) {
 			return nil
 		}
 		pause := taskInterval
-		for _, t := range c.opts.Decider.Tasks(c.opts.Now()) {
+		again := c.restored.Swap(false)
+		for _, t := range c.tasks(again) {
 			if err := c.do(ctx, t); err != nil {
+				c.restored.CompareAndSwap(false, again)
 				c.opts.Logger.Info("rollout: not recorded yet", "service", t.Order.Service, "order", t.Order.Offset, "load", t.Load, "error", err)
 				pause = taskPause
 			}
@@ -69,7 +75,7 @@
 		return c.load(ctx, t.Order)
 	}
 	if t.Outcome != rollout.Undecided {
-		value, err := rollout.EncodeEntry(rollout.Ended{Service: t.Order.Service, Offset: t.Order.Offset, Outcome: t.Outcome})
+		value, err := rollout.EncodeEntry(rollout.Ended{Order: t.Order, Outcome: t.Outcome})
 		if err != nil {
 			return err
 		}
@@ -84,9 +90,45 @@
 	}
 	c.opts.Logger.Info("rollout: told", "service", t.Order.Service, "order", t.Order.Offset, "outcome", t.Outcome.String())
 	c.opts.Decider.Recorded(t.Order, t.Outcome)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recorded[t.Order.Service] = t
 	return nil
 }
 
+// watchRestores has everything recorded again that the platform's directory may have lost,
+// as it has come back from an older copy: the operator would see an older outcome, and a
+// fleet that lost power would begin the rollout anew.
+func (c *Controller) watchRestores(ctx context.Context) error {
+	for restores := blackboard.NewRestores(c.opts.Board); restores.Wait(ctx); {
+		c.restored.Store(true)
+		c.asked.Set()
+	}
+	return nil
+}
+
+// tasks returns what is to be done now, what has been done before a restore first.
+func (c *Controller) tasks(again bool) []rollout.Task {
+	tasks := c.opts.Decider.Tasks(c.opts.Now())
+	if !again {
+		return tasks
+	}
+	recorded := slices.DeleteFunc(c.lastRecorded(), func(t rollout.Task) bool { return !c.isLatest(t.Order) })
+	return append(recorded, tasks...)
+}
+
+func (c *Controller) lastRecorded() []rollout.Task {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Values(c.recorded))
+}
+
+// isLatest reports whether no other order has taken the place of one.
+func (c *Controller) isLatest(o rollout.Order) bool {
+	latest := c.order(o.Service)
+	return latest != nil && latest.Offset == o.Offset
+}
+
 // load looks in the directory for the outcome of an order.
 func (c *Controller) load(ctx context.Context, o rollout.Order) error {
 	values, err := c.opts.Directory.List(ctx)
@@ -95,6 +137,7 @@
 	}
 	c.TakeEntries(values)
 	c.mu.Lock()
+	c.recall(o, c.opts.Now())
 	outcome := c.ended[o.Offset].outcome
 	c.mu.Unlock()
 	c.opts.Decider.Loaded(o, outcome)
@@ -106,8 +149,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, value := range values {
-		if e, ok := rollout.DecodeEntry(value); ok && c.ended[e.Offset].outcome == rollout.Undecided {
-			c.ended[e.Offset] = endedAt{e.Outcome, c.opts.Now()}
+		if e, ok := rollout.DecodeEntry(value); ok {
+			c.entries[e.Order.Service] = e
 		}
 	}
 }
+
+// recall takes over the outcome of an order from the directory's entries. The caller holds mu.
+func (c *Controller) recall(o rollout.Order, now time.Time) {
+	e, ok := c.entries[o.Service]
+	if ok && e.Of(o) && c.ended[o.Offset].outcome == rollout.Undecided {
+		c.ended[o.Offset] = endedAt{e.Outcome, now}
+	}
+}
--- a/internal/controller/rollouts/rollouts.go
+++ b/internal/controller/rollouts/rollouts.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/crocuscross/crocuscross/eventlog"
@@ -84,6 +85,12 @@
 	known orderSeen
 	// ended holds outcomes by the offset of their order.
 	ended map[uint64]endedAt
+	// entries are the latest outcomes found in the directory, by service.
+	entries map[string]rollout.Ended
+	// recorded is what this daemon has recorded and told last, by service.
+	recorded map[string]rollout.Task
+	// restored is set while that has to be done again.
+	restored atomic.Bool
 	// tracked and asked wake what has nothing to do without a tracker, or without reports of
 	// others.
 	tracked, asked loop.Wake
@@ -105,13 +112,14 @@
 // New returns a controller.
 func New(opts Options) *Controller {
 	return &Controller{
-		opts: opts, ended: make(map[uint64]endedAt), tracked: loop.NewWake(), asked: loop.NewWake(),
+		opts: opts, ended: make(map[uint64]endedAt), entries: make(map[string]rollout.Ended),
+		recorded: make(map[string]rollout.Task), tracked: loop.NewWake(), asked: loop.NewWake(),
 	}
 }
 
 // Run reconciles until ctx is done.
 func (c *Controller) Run(ctx context.Context) error {
-	return loop.Run(ctx, c.follow, c.report, c.work)
+	return loop.Run(ctx, c.follow, c.report, c.work, c.watchRestores)
 }
 
 // order returns the latest order for a service, nil if there is none.
@@ -177,8 +185,9 @@
 	return role != rollout.Unaffected
 }
 
-// learnOutcome takes over what the decider has told the gate.
+// learnOutcome takes over what the directory holds and what the decider has told the gate.
 func (c *Controller) learnOutcome(o *rollout.Order, now time.Time) {
+	c.recall(*o, now)
 	if c.tracker == nil || c.tracker.Order.Offset != o.Offset || c.tracker.Outcome() == rollout.Undecided {
 		return
 	}
--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -182,13 +182,7 @@
 		return !slices.ContainsFunc(f.daemons, func(d *testDaemon) bool { return len(d.quarantine.Verdicts()) == 0 })
 	})
 	verdict := f.daemons[0].quarantine.Verdicts()[0]
-	f.eventually("the verdict is in the store", func() bool {
-		values, err := f.daemons[0].adapter.Contacts.List(t.Context())
-		return err == nil && slices.ContainsFunc(values, func(b []byte) bool {
-			v, ok := quarantine.DecodeEntry(b)
-			return ok && v.Identity == verdict.Identity
-		})
-	})
+	f.stored(verdict)
 	f.stopAll()
 	for range 3 {
 		f.start()
@@ -207,3 +201,40 @@
 	}
 	must.Eq(t, 0, after.Load())
 }
+
+// stored returns once a verdict is in the store.
+func (f *storeFleet) stored(verdict quarantine.Verdict) {
+	f.t.Helper()
+	f.eventually("the verdict is in the store", func() bool {
+		values, err := f.daemons[0].adapter.Contacts.List(f.t.Context())
+		return err == nil && slices.ContainsFunc(values, func(b []byte) bool {
+			v, ok := quarantine.DecodeEntry(b)
+			return ok && v.Identity == verdict.Identity
+		})
+	})
+}
+
+// Guards against verdicts and addresses that are missing from the store after it lost its end.
+func TestStore_EntriesOutliveARestore(t *testing.T) {
+	f := newStoreFleet(t, 4)
+	older := f.store.Copy()
+	f.document(3)
+	servers, arrivals := newCrashServers(f)
+	f.eventually("the request is kept away by all", func() bool {
+		if arrivals.Load() < 3 {
+			_, _ = f.call(f.daemons[0], http.MethodGet, deadlyPath, "")
+			f.restart(servers)
+		}
+		return !slices.ContainsFunc(f.daemons, func(d *testDaemon) bool { return len(d.quarantine.Verdicts()) == 0 })
+	})
+	verdict := f.daemons[0].quarantine.Verdicts()[0]
+	f.stored(verdict)
+	f.store.Restore(older)
+	f.document(5)
+	f.stored(verdict)
+	d := f.start()
+	f.eventually("a new daemon finds the others", func() bool {
+		view := d.board.Members.Load()
+		return view != nil && len(view.Live()) == 5
+	})
+}
--- a/internal/daemon/rollout_test.go
+++ b/internal/daemon/rollout_test.go
@@ -136,3 +136,31 @@
 	}
 	must.Eq(t, 0, fresh.ran.Load())
 }
+
+// Guards against a rollout that was taken back and begins anew, or is told as in progress, after the store lost its end.
+func TestStore_RollbackOutlivesARestore(t *testing.T) {
+	f, _, _ := rolloutFleet(t, http.StatusInternalServerError)
+	f.eventually("the rollout is in progress", func() bool { return strings.Contains(f.store.RolloutStatus("signs"), "running") })
+	older := f.store.Copy()
+	f.callUntil("rolled_back")
+	f.store.Restore(older)
+	f.store.PutRollout("signs", "v2", 8)
+	f.eventually("the operator is told again", func() bool { return strings.Contains(f.store.RolloutStatus("signs"), "rolled_back") })
+	for _, d := range f.daemons[3:] {
+		must.Error(t, d.rolloutGate.Check())
+	}
+	f.stopAll()
+	d := f.start()
+	fresh := newVersionServer(t, "new", "v2", http.StatusOK)
+	f.announceVersion(d, fresh)
+	f.eventually("the rollout's end is known", func() bool {
+		withheld := d.board.Withheld.Load()
+		return withheld != nil && *withheld
+	})
+	for range 10 {
+		resp, _ := f.call(d, http.MethodGet, "/get/x", "")
+		must.Eq(t, http.StatusServiceUnavailable, resp.StatusCode)
+	}
+	must.Eq(t, 0, fresh.ran.Load())
+	must.StrContains(t, f.store.RolloutStatus("signs"), "rolled_back")
+}
--- a/rollout/codec.go
+++ b/rollout/codec.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/rollout/rolloutpb"
 )
 
@@ -103,15 +104,26 @@
 
 // Ended is the outcome of the rollout of an order.
 type Ended struct {
-	Service string
-	Offset  uint64
+	Order   Order
 	Outcome Outcome
 }
 
+// Of reports whether it is the outcome of an order: of that very one, or of one that a
+// restore of the log from an older copy has given another offset since.
+func (e Ended) Of(o Order) bool {
+	if e.Order.Offset == o.Offset {
+		return e.Order.Service == o.Service
+	}
+	renamed := e.Order
+	renamed.Offset = o.Offset
+	return renamed == o && eventlog.Epoch(e.Order.Offset) < eventlog.Epoch(o.Offset)
+}
+
 // EncodeEntry returns the directory's entry of an outcome.
 func EncodeEntry(e Ended) ([]byte, error) {
 	return proto.Marshal(&rolloutpb.Entry{Ended: &rolloutpb.Ended{
-		Service: e.Service, Order: e.Offset, Outcome: outcomes[e.Outcome],
+		Service: e.Order.Service, Order: e.Order.Offset, Outcome: outcomes[e.Outcome],
+		ToVersion: e.Order.ToVersion, DurationMs: e.Order.Duration.Milliseconds(),
 	}})
 }
 
@@ -121,6 +133,10 @@
 	if proto.Unmarshal(value, &m) != nil || m.GetEnded() == nil {
 		return Ended{}, false
 	}
-	e := Ended{m.GetEnded().GetService(), m.GetEnded().GetOrder(), keyOf(outcomes, m.GetEnded().GetOutcome())}
+	ended := m.GetEnded()
+	e := Ended{Outcome: keyOf(outcomes, ended.GetOutcome()), Order: Order{
+		Service: ended.GetService(), ToVersion: ended.GetToVersion(), Offset: ended.GetOrder(),
+		Duration: time.Duration(ended.GetDurationMs()) * time.Millisecond,
+	}}
 	return e, e.Outcome != Undecided
 }
--- a/rollout/role_test.go
+++ b/rollout/role_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/eventlog"
 )
 
 func counted(p Peers) func() Peers { return func() Peers { return p } }
@@ -87,11 +89,22 @@
 	must.Eq(t, r, got)
 	p := Permit{Mode: Limited, AdmitUpTo: 5, Lease: time.Second, Outcome: RolledBack, Recorded: true}
 	must.Eq(t, p, DecodePermit(EncodePermit(p)))
-	value, err := EncodeEntry(Ended{"signs", 7, RolledBack})
+	ended := Ended{Order{Service: "signs", ToVersion: "v2", Offset: 7, Duration: 12 * time.Second}, RolledBack}
+	value, err := EncodeEntry(ended)
 	must.NoError(t, err)
 	e, ok := DecodeEntry(value)
 	must.True(t, ok)
-	must.Eq(t, Ended{"signs", 7, RolledBack}, e)
+	must.Eq(t, ended, e)
+	renamed := ended.Order
+	renamed.Offset = eventlog.At(1, 3)
+	must.True(t, e.Of(ended.Order))
+	must.True(t, e.Of(renamed), must.Sprint("the same order, written again after a restore"))
+	must.False(t, Ended{renamed, RolledBack}.Of(ended.Order))
+	renamed.ToVersion = "v3"
+	must.False(t, e.Of(renamed))
+	renamed = ended.Order
+	renamed.Offset++
+	must.False(t, e.Of(renamed), must.Sprint("ordered again"))
 	_, ok = DecodeEntry([]byte("\x0a\x04host"))
 	must.False(t, ok)
 }
