Requests that do not begin are told and counted; names and a stand-in simplified

A request whose caller has left is told of by its id when the connection's reader drops it: the counter saw those alone that got as far as the handler.

--- a/eventlog/epoch.go
+++ b/eventlog/epoch.go
@@ -42,5 +42,5 @@
 
 // Error gives both epochs.
 func (e *RestoredError) Error() string {
-	return fmt.Sprintf("the log is in epoch %d, offset %d of epoch %d is not told any more", e.Epoch, Index(e.Asked), Epoch(e.Asked))
+	return fmt.Sprintf("record %d of epoch %d was asked for, the log was restored and is in epoch %d", Index(e.Asked), Epoch(e.Asked), e.Epoch)
 }
--- a/fold/restore.go
+++ b/fold/restore.go
@@ -45,22 +45,22 @@
 	return n
 }
 
-// orderAfter returns which order for a service stands after a restore: the one that the log
-// tells, nil if it has none, or the one known before.
+// orderAfter returns which order for a service stands after a restore: the one in the log,
+// nil if there is none, or the one known before.
 //
-// The same order keeps its old name, or what has been finished would begin anew. Another one
-// is newer if it stands where no order for the service was before: behind the known one, up to
-// where the daemon had read, or beyond that. Elsewhere the copy may hold it since it lacks the
-// known one, which the operator writes again.
-func orderAfter(told, known *configpb.RolloutOrder, read eventlog.Offset) *configpb.RolloutOrder {
+// The same order keeps its offset, or a finished rollout would begin anew. Another one is
+// newer if it stands behind the known one, where the daemon has read that there was none.
+// Elsewhere it may be an earlier one that the copy still holds, while it lacks the known one,
+// which the operator writes again.
+func orderAfter(inLog, known *configpb.RolloutOrder, read eventlog.Offset) *configpb.RolloutOrder {
 	stated := statedAt(known)
 	switch {
-	case told == nil:
+	case inLog == nil:
 		return known
-	case proto.Equal(told.GetRollout(), known.GetRollout()):
-		return restated(known, told.GetOffset())
-	case eventlog.Epoch(stated) == eventlog.Epoch(read) && eventlog.Index(told.GetOffset()) > eventlog.Index(stated):
-		return told
+	case proto.Equal(inLog.GetRollout(), known.GetRollout()):
+		return restated(known, inLog.GetOffset())
+	case eventlog.Epoch(stated) == eventlog.Epoch(read) && eventlog.Index(inLog.GetOffset()) > eventlog.Index(stated):
+		return inLog
 	}
 	return known
 }
--- a/internal/daemon/rollout_test.go
+++ b/internal/daemon/rollout_test.go
@@ -79,18 +79,21 @@
 	return n
 }
 
+// newGatesClosed reports whether no call reaches the new servers.
+func (f *storeFleet) newGatesClosed() bool {
+	for _, d := range f.daemons[3:] {
+		if withheld := d.board.Withheld.Load(); withheld == nil || !*withheld || d.rolloutGate.Check() == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // Guards against a version that fails its calls and goes on getting them.
 func TestStore_BadVersionIsTakenBack(t *testing.T) {
 	f, old, fresh := rolloutFleet(t, http.StatusInternalServerError)
 	calls := f.callUntil("rolled_back")
-	f.eventually("the new servers' gates are closed", func() bool {
-		for _, d := range f.daemons[3:] {
-			if withheld := d.board.Withheld.Load(); withheld == nil || !*withheld || d.rolloutGate.Check() == nil {
-				return false
-			}
-		}
-		return true
-	})
+	f.eventually("the new servers' gates are closed", f.newGatesClosed)
 	exposed := ran(fresh)
 	must.LessEq(t, float64(calls)/10+50, float64(exposed))
 	must.Greater(t, 0, ran(old))
@@ -143,12 +146,14 @@
 	f.eventually("the rollout is in progress", func() bool { return strings.Contains(f.store.RolloutStatus("signs"), "running") })
 	older := f.store.Copy()
 	f.callUntil("rolled_back")
+	f.eventually("the new servers' gates are closed", f.newGatesClosed)
 	f.store.Restore(older)
 	f.store.PutRollout("signs", "v2", 8)
-	f.eventually("the operator is told again", func() bool { return strings.Contains(f.store.RolloutStatus("signs"), "rolled_back") })
-	for _, d := range f.daemons[3:] {
-		must.Error(t, d.rolloutGate.Check())
-	}
+	f.eventually("the operator is told again", func() bool {
+		must.True(t, f.newGatesClosed())
+		return strings.Contains(f.store.RolloutStatus("signs"), "rolled_back")
+	})
+	must.True(t, f.newGatesClosed())
 	f.stopAll()
 	d := f.start()
 	fresh := newVersionServer(t, "new", "v2", http.StatusOK)
--- a/internal/proxy/outbound/log.go
+++ b/internal/proxy/outbound/log.go
@@ -37,6 +37,16 @@
 	h.opts.Logger.Info("outbound: request ended", attrs...)
 }
 
+// CallerLeft counts and tells of a request that does not begin, as its caller had left
+// before.
+func (h *Handler) CallerLeft(r *http.Request) {
+	h.opts.Metrics.CallerGone.Inc()
+	if h.lines.Allow() {
+		h.opts.Logger.Info("outbound: request not begun, its caller has left",
+			"request", dialect.Get(r.Header, h.opts.Dialect.RequestID), "virtual_host", r.Host, "path", rawPath(r))
+	}
+}
+
 // wentWell reports whether nothing about the request needs an explanation.
 func (c *call) wentWell(err error, took time.Duration) bool {
 	onTime := c.route == nil || c.route.Objective == 0 || took <= c.route.Objective
--- a/pipeline/left_test.go
+++ b/pipeline/left_test.go
@@ -75,9 +75,10 @@
 			must.NoError(t, caller.Close())
 			awaitClose(t, nc)
 
-			var began atomic.Int64
+			var began, left atomic.Int64
 			opts := DefaultOptions()
 			opts.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) { began.Add(1) })
+			opts.OnCallerLeft = func(*http.Request) { left.Add(1) }
 			s := NewServer(opts)
 			l := &accepted{Listener: ln, conns: make(chan net.Conn, 1)}
 			l.conns <- nc
@@ -92,6 +93,7 @@
 			close(l.conns)
 			must.ErrorIs(t, <-ended, ErrClosed)
 			must.Eq(t, 0, began.Load())
+			must.Eq(t, 1, left.Load())
 		})
 	}
 }
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -47,7 +47,10 @@
 	MaxKept int
 	// OnMalformed is told of input that never became a request.
 	OnMalformed func(remote net.Addr, err error)
-	Logger      *slog.Logger
+	// OnCallerLeft is told of each request that was read and does not begin, as its caller
+	// had left by then.
+	OnCallerLeft func(r *http.Request)
+	Logger       *slog.Logger
 }
 
 // DefaultOptions suit callers on the same host.
@@ -56,11 +59,12 @@
 		Limits: func() Limits {
 			return Limits{MaxHeaderBytes: 64 << 10, HeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute}
 		},
-		MaxHeldBody: 1 << 20,
-		MaxInFlight: 64,
-		MaxKept:     2048,
-		OnMalformed: func(net.Addr, error) {},
-		Logger:      slog.New(slog.DiscardHandler),
+		MaxHeldBody:  1 << 20,
+		MaxInFlight:  64,
+		MaxKept:      2048,
+		OnMalformed:  func(net.Addr, error) {},
+		OnCallerLeft: func(*http.Request) {},
+		Logger:       slog.New(slog.DiscardHandler),
 	}
 }
 
