--- a/rollout/active.go
+++ b/rollout/active.go
@@ -161,7 +161,11 @@
 		}
 	}
 	for i, s := range fresh {
-		f, bad := c.opts.Judge.FindsWorse(old, all[i:i+1])
+		judge := c.opts.Judge
+		if suspected {
+			judge = judge.again()
+		}
+		f, bad := judge.FindsWorse(old, all[i:i+1])
 		if !bad {
 			continue
 		}
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -18,6 +18,9 @@
 	// MaxChance is the greatest probability, of a version that is no worse than the other, to
 	// look as bad as this one does on some route.
 	MaxChance float64
+	// MaxChanceAgain is MaxChance for a second server once another one looks bad: that the
+	// version is bad is then far more likely than before.
+	MaxChanceAgain float64
 	// MinAgreement is the least probability, were all servers half as bad as the worst, of the
 	// others to look as good as they do: one slow or failing host must not have a version taken back.
 	MinAgreement float64
@@ -35,7 +38,7 @@
 
 // DefaultJudge finds a version that fails one call in five after some twenty calls.
 func DefaultJudge() Judge {
-	return Judge{MaxChance: 2e-4, MinAgreement: 0.1, SlowRatio: 2.5, Baseline: 0.015, MinTimed: 40, MaxBad: 25}
+	return Judge{MaxChance: 2e-4, MaxChanceAgain: 5e-3, MinAgreement: 0.1, SlowRatio: 2.5, Baseline: 0.015, MinTimed: 40, MaxBad: 25}
 }
 
 // unlikeness is by what part two servers of one version may differ in their share of bad
@@ -67,6 +70,12 @@
 	return fmt.Sprintf("%s: %d of %d %s, %.1f expected", f.Route, f.Bad, f.Of, what, f.Expected)
 }
 
+// again returns the judge of a further server once one looks bad.
+func (j Judge) again() Judge {
+	j.MaxChance = j.MaxChanceAgain
+	return j
+}
+
 // FindsWorse reports whether the servers of the new version are bad beside the old one's
 // tally, and why.
 func (j Judge) FindsWorse(old Tally, servers []Tally) (Finding, bool) {
