--- a/rollout/active.go
+++ b/rollout/active.go
@@ -187,8 +187,8 @@
 		c.end(RolledBack, "the time was up before the traffic had moved")
 	case left > c.lead() || len(fresh) == 0:
 		// Still on trial, or no server of the new version is there to move traffic to.
-	case c.openedAt.IsZero() && !c.seenEnough():
-		// Deciders or the store were away for most of the time.
+	case c.openedAt.IsZero() && (!c.seenEnough() || c.doubtful()):
+		// Deciders or the store were away for most of the time, or more has to be seen.
 	case c.openedAt.IsZero():
 		c.openedAt = now
 		c.opts.Logger.Info("rollout: gates of the new version open", "service", c.order.Service, "order", c.order.Offset,
@@ -217,6 +217,23 @@
 	return float64(calls) >= min(enoughCalls, enoughShare*c.trialBound())
 }
 
+// doubtful reports whether the new version, servers that look bad alone aside, looks worse
+// than the traffic may move to.
+func (c *active) doubtful() bool {
+	old := Tally{}
+	var fresh []Tally
+	for _, s := range c.servers {
+		switch {
+		case !s.NewVersion:
+			old.add(s.Tally)
+		case !s.suspect && s.Admitted > 0:
+			fresh = append(fresh, s.Tally)
+		}
+	}
+	_, bad := c.opts.Judge.toMove().FindsWorse(old, fresh)
+	return bad
+}
+
 // trialBound returns how many calls the servers on trial may have had by now.
 func (c *active) trialBound() float64 {
 	calls := c.admitted(false) + c.admitted(true)
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -21,6 +21,9 @@
 	// MaxChanceAgain is MaxChance for a second server once another one looks bad: that the
 	// version is bad is then far more likely than before.
 	MaxChanceAgain float64
+	// MaxChanceToMove is MaxChance for the traffic to move to the version: too little may have
+	// been seen of it to take it back, and too much to send all calls there.
+	MaxChanceToMove float64
 	// MinAgreement is the least probability, were all servers half as bad as the worst, of the
 	// others to look as good as they do: one slow or failing host must not have a version taken back.
 	MinAgreement float64
@@ -38,7 +41,7 @@
 
 // DefaultJudge finds a version that fails one call in five after some twenty calls.
 func DefaultJudge() Judge {
-	return Judge{MaxChance: 2e-4, MaxChanceAgain: 5e-3, MinAgreement: 0.1, SlowRatio: 2.5, Baseline: 0.015, MinTimed: 40, MaxBad: 25}
+	return Judge{MaxChance: 2e-4, MaxChanceAgain: 5e-3, MaxChanceToMove: 5e-2, MinAgreement: 0.1, SlowRatio: 2.5, Baseline: 0.015, MinTimed: 40, MaxBad: 25}
 }
 
 // unlikeness is by what part two servers of one version may differ in their share of bad
@@ -76,6 +79,12 @@
 	return j
 }
 
+// toMove returns the judge of a version before the traffic moves to it.
+func (j Judge) toMove() Judge {
+	j.MaxChance = j.MaxChanceToMove
+	return j
+}
+
 // FindsWorse reports whether the servers of the new version are bad beside the old one's
 // tally, and why.
 func (j Judge) FindsWorse(old Tally, servers []Tally) (Finding, bool) {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -184,3 +185,23 @@
 		}
 	})
 }
+
+// Guards against a version that fails only near the load of later, and shows that on trial too late.
+func TestDecider_FailsNearTheLoadOfLater(t *testing.T) {
+	for fresh, seeds := range map[int][]uint64{
+		9:  {41, 161, 268, 353},
+		28: {41, 138, 161, 172, 268, 345, 353, 386, 389},
+	} {
+		for _, seed := range seeds {
+			t.Run(fmt.Sprintf("%d new servers, seed %d", fresh, seed), func(t *testing.T) {
+				rnd := rand.New(rand.NewPCG(seed, 3))
+				s := newSim(t, seed, 9, fresh, 22*9)
+				s.version = badVersions["fails under load"]
+				away := rnd.IntN(5000)
+				s.store = func(age time.Duration) bool { return int(age.Milliseconds()) > away }
+				s.run()
+				s.keepsBound(t, t.Name())
+			})
+		}
+	}
+}
