--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -174,14 +174,7 @@
 	f := newStoreFleet(t, 4)
 	f.document(3)
 	servers, arrivals := newCrashServers(f)
-	f.eventually("the request is kept away by all", func() bool {
-		if arrivals.Load() < 3 {
-			_, _ = f.call(f.daemons[0], http.MethodGet, deadlyPath, "")
-			f.restart(servers)
-		}
-		return !slices.ContainsFunc(f.daemons, func(d *testDaemon) bool { return len(d.quarantine.Verdicts()) == 0 })
-	})
-	verdict := f.daemons[0].quarantine.Verdicts()[0]
+	verdict := f.quarantineAtAll(servers, arrivals)
 	f.stored(verdict)
 	f.stopAll()
 	for range 3 {
@@ -202,6 +195,20 @@
 	must.Eq(t, 0, after.Load())
 }
 
+// quarantineAtAll calls until the request that ends its servers is kept away by all daemons,
+// and returns the verdict on it.
+func (f *storeFleet) quarantineAtAll(servers []*crashServer, arrivals *atomic.Int64) quarantine.Verdict {
+	f.t.Helper()
+	f.eventually("the request is kept away by all", func() bool {
+		if arrivals.Load() < 3 {
+			_, _ = f.call(f.daemons[0], http.MethodGet, deadlyPath, "")
+			f.restart(servers)
+		}
+		return !slices.ContainsFunc(f.daemons, func(d *testDaemon) bool { return len(d.quarantine.Verdicts()) == 0 })
+	})
+	return f.daemons[0].quarantine.Verdicts()[0]
+}
+
 // stored returns once a verdict is in the store.
 func (f *storeFleet) stored(verdict quarantine.Verdict) {
 	f.t.Helper()
@@ -220,14 +227,7 @@
 	older := f.store.Copy()
 	f.document(3)
 	servers, arrivals := newCrashServers(f)
-	f.eventually("the request is kept away by all", func() bool {
-		if arrivals.Load() < 3 {
-			_, _ = f.call(f.daemons[0], http.MethodGet, deadlyPath, "")
-			f.restart(servers)
-		}
-		return !slices.ContainsFunc(f.daemons, func(d *testDaemon) bool { return len(d.quarantine.Verdicts()) == 0 })
-	})
-	verdict := f.daemons[0].quarantine.Verdicts()[0]
+	verdict := f.quarantineAtAll(servers, arrivals)
 	f.stored(verdict)
 	f.store.Restore(older)
 	f.document(5)
--- a/internal/daemon/rollout_test.go
+++ b/internal/daemon/rollout_test.go
@@ -121,13 +121,13 @@
 	must.Eq(t, `{"state":"succeeded","to_version":"v2"}`, f.store.RolloutStatus("signs"))
 }
 
-// Guards against a rollout that was taken back and begins anew after all daemons were lost.
-func TestStore_RollbackOutlivesAllDaemons(t *testing.T) {
-	f, _, _ := rolloutFleet(t, http.StatusInternalServerError)
-	f.callUntil("rolled_back")
+// staysTakenBack checks that a daemon which starts after all others were lost sends nothing to
+// a server of the version.
+func (f *storeFleet) staysTakenBack() {
+	f.t.Helper()
 	f.stopAll()
 	d := f.start()
-	fresh := newVersionServer(t, "new", "v2", http.StatusOK)
+	fresh := newVersionServer(f.t, "new", "v2", http.StatusOK)
 	f.announceVersion(d, fresh)
 	f.eventually("the rollout's end is known", func() bool {
 		withheld := d.board.Withheld.Load()
@@ -135,9 +135,16 @@
 	})
 	for range 10 {
 		resp, _ := f.call(d, http.MethodGet, "/get/x", "")
-		must.Eq(t, http.StatusServiceUnavailable, resp.StatusCode)
+		must.Eq(f.t, http.StatusServiceUnavailable, resp.StatusCode)
 	}
-	must.Eq(t, 0, fresh.ran.Load())
+	must.Eq(f.t, 0, fresh.ran.Load())
+}
+
+// Guards against a rollout that was taken back and begins anew after all daemons were lost.
+func TestStore_RollbackOutlivesAllDaemons(t *testing.T) {
+	f, _, _ := rolloutFleet(t, http.StatusInternalServerError)
+	f.callUntil("rolled_back")
+	f.staysTakenBack()
 }
 
 // Guards against a rollout that was taken back and begins anew, or is told as in progress, after the store lost its end.
@@ -154,18 +161,6 @@
 		return strings.Contains(f.store.RolloutStatus("signs"), "rolled_back")
 	})
 	must.True(t, f.newGatesClosed())
-	f.stopAll()
-	d := f.start()
-	fresh := newVersionServer(t, "new", "v2", http.StatusOK)
-	f.announceVersion(d, fresh)
-	f.eventually("the rollout's end is known", func() bool {
-		withheld := d.board.Withheld.Load()
-		return withheld != nil && *withheld
-	})
-	for range 10 {
-		resp, _ := f.call(d, http.MethodGet, "/get/x", "")
-		must.Eq(t, http.StatusServiceUnavailable, resp.StatusCode)
-	}
-	must.Eq(t, 0, fresh.ran.Load())
+	f.staysTakenBack()
 	must.StrContains(t, f.store.RolloutStatus("signs"), "rolled_back")
 }
