--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -43,9 +43,12 @@
 
 func (l Line) inbound() bool { return strings.HasPrefix(l.Message, "inbound:") }
 
+// ends are the messages of the last line of a request.
+var ends = []string{"outbound: request ended", "outbound: request not admitted", "outbound: request not begun"}
+
 // ended reports whether the line is the last of its request.
 func (l Line) ended() bool {
-	return strings.HasPrefix(l.Message, "outbound: request ended") || strings.HasPrefix(l.Message, "outbound: request not admitted")
+	return slices.Contains(ends, l.Message)
 }
 
 // of reports whether the line is of a request, or of a call that its run may have made.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -44,4 +44,7 @@
 	must.StrContains(t, Verdict(Order(lines)), "not told")
 	ok := []Line{{Message: "outbound: request ended", To: "b", Status: 200, Attempts: 1}}
 	must.StrContains(t, Verdict(ok), "status 200")
+	left, err := Read(strings.NewReader(`{"msg":"outbound: request not begun","host":"a","request":"r2","kind":"canceled","run":"no","error":"its caller has left"}`), "r2")
+	must.NoError(t, err)
+	must.StrContains(t, Verdict(left), "Ended as canceled at a")
 }
--- a/internal/proxy/outbound/log.go
+++ b/internal/proxy/outbound/log.go
@@ -42,8 +42,9 @@
 func (h *Handler) CallerLeft(r *http.Request) {
 	h.opts.Metrics.CallerGone.Inc()
 	if h.lines.Allow() {
-		h.opts.Logger.Info("outbound: request not begun, its caller has left",
-			"request", dialect.Get(r.Header, h.opts.Dialect.RequestID), "virtual_host", r.Host, "path", rawPath(r))
+		h.opts.Logger.Info("outbound: request not begun",
+			"request", dialect.Get(r.Header, h.opts.Dialect.RequestID), "virtual_host", r.Host, "path", rawPath(r),
+			"kind", errkind.Canceled, "run", errkind.NotRun, "error", "its caller has left")
 	}
 }
 
