--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -16,8 +16,8 @@
 // answers nothing, and the kernel would go on sending for a quarter of an hour.
 //
 // Waiting for the program to give such a connection up is no substitute: on the users'
-// platform closing one with unacknowledged bytes keeps a process from running, on many hosts
-// at once after a few have lost power, but not where the kernel has given it up first.
+// platform closing one with unacknowledged bytes keeps a process from running, but not where
+// the kernel has given it up first.
 func UserTimeout(d time.Duration) func(network, address string, conn syscall.RawConn) error {
 	return func(_, _ string, conn syscall.RawConn) error {
 		var serr error
@@ -36,11 +36,10 @@
 const lateClose = 2 * time.Second
 
 // Late returns conn with a Close that does not wait for the peer: the connection fails at
-// once for the program and is closed a little later. On the users' platform closing the
-// sessions to two frozen hosts kept four other processes from running for up to 0.9 s;
-// the calls of callers that had left meanwhile were run (three of five runs of one day;
-// none of four with late closes). The peer learns of it later, which suits sessions on
-// which only this end begins exchanges.
+// once for the program and is closed a little later. On the users' platform closing a
+// session to a frozen host keeps the process from running, and the calls of callers that
+// leave meanwhile are run. The peer learns of it later, which suits sessions on which only
+// this end begins exchanges.
 func Late(conn net.Conn) net.Conn {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
--- a/spread/history.go
+++ b/spread/history.go
@@ -132,12 +132,9 @@
 // of the document in force, if no record came after it. Else it is nil.
 //
 // Without it, the first version after a start of all daemons has nothing to be packed
-// with and travels whole: a change of one of 4,000 routes takes a push of 55,335 bytes,
-// pushes run into their timeouts, and 21 daemons on links of 5 Mbit/s have it after 4.1
-// to 5.1 s; with it 223 bytes and 5 ms (TestFirstChangeAfterStartTravelsAsChange,
-// TestFirstChangeAfterStartOnSlowLinks, virtual time). That is enough, since a state
-// whose chain ends with these bytes has them for its last record, whoever encoded it;
-// another one is packed alone. It costs 1.2 ms and the record's bytes a start.
+// with and travels whole, and pushes of large documents run into their timeouts on narrow
+// links. That is enough, since a state whose chain ends with these bytes has them for its
+// last record, whoever encoded it; another one is packed alone.
 func lastRecord(st *fold.State) []byte {
 	d := st.Document()
 	if d == nil {
--- a/spread/read.go
+++ b/spread/read.go
@@ -17,9 +17,9 @@
 	// readLimit is the most records of one read.
 	readLimit = 64
 	// readSlack is how much longer than its wait a read may take. The log's client ends
-	// a read on which nothing comes; this bounds one that comes in for good. A document
-	// of 10,000 routes (2.0 MB as the operator's JSON) takes 6.4 s of a link of 5 Mbit/s
-	// that calls have half of; a read that is ended sooner begins anew and never has it.
+	// a read on which nothing comes; this bounds one that comes in for good. A large
+	// document takes a narrow link for seconds, and a read that is ended sooner begins anew
+	// and never has it.
 	readSlack = 2 * time.Minute
 	// ownReadSlack is the same for a read out of turn, during which nothing is pulled:
 	// a daemon that may be heard again by then must not wait for minutes.
@@ -28,8 +28,8 @@
 	// has no check of the end behind it and may be made more often. A log that goes
 	// silent answers none of the reads that reach it meanwhile, and a reader ends its
 	// own only after the wait and its client's slack (2 s). After a record all readers
-	// ask at the same moment: with waits of 10 s, and an outage of 3.3 s that began
-	// then, no daemon had a new version for 8.7 s after the log was back (one play).
+	// ask at the same moment, so that with long waits no daemon would have a new version
+	// for as long after an outage that began then.
 	pollWait = 2 * time.Second
 	// blockedPause is about the wait between reads of a record that this
 	// program cannot fold. Only a newer program ends that.
@@ -149,44 +149,6 @@
 	return nil
 }
 
-// followRestored goes on from the newest state of a log that came back from an older copy.
-// It is read even where a neighbour has gone on already: what the operator has written since
-// then may be newer. The others are told, as the state may hold a version that they lack.
-func (s *Spreader) followRestored(ctx context.Context, cause *eventlog.RestoredError) error {
-	if s.opts.LoadCheckpoint == nil {
-		s.noteLogError(cause)
-		return cause
-	}
-	st, err := s.opts.LoadCheckpoint(ctx)
-	if err == nil && st == nil {
-		err = cause
-	}
-	s.noteLogError(err)
-	if err != nil {
-		return err
-	}
-	before := s.State()
-	if s.history.adopt(st) {
-		s.noteRestored(before, st)
-	}
-	return nil
-}
-
-// noteRestored tells of the epoch that this daemon went on in.
-func (s *Spreader) noteRestored(before, told *fold.State) {
-	now := s.State()
-	s.opts.Meter.Restored()
-	s.opts.Logger.Warn("spread: log was restored from an older copy",
-		"epoch_before", eventlog.Epoch(before.Offset), "epoch", eventlog.Epoch(told.Offset),
-		"index_before", eventlog.Index(before.Offset), "index", eventlog.Index(told.Offset),
-		"document_in_force", now.Document().GetVersion(), "document_in_log", told.Document().GetVersion())
-	s.noteKnown(now.Offset)
-	s.noteFromLog(now.Offset)
-	s.rootWake.Set()
-	s.pullWake.Set()
-	s.carryWake.Set()
-}
-
 // verifyLog checks after an interruption that the log still holds the record
 // in force. A log that lost its end and was written anew gives other records
 // under the same offsets; a reader that went on would fold a mix of the two.
--- a/spread/carry.go
+++ b/spread/restore.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/peerpb"
 )
@@ -18,6 +19,44 @@
 	carryPatience = 15 * time.Second
 )
 
+// followRestored goes on from the newest state of a log that came back from an older copy.
+// It is read even where a neighbour has gone on already: what the operator has written since
+// then may be newer. The others are told, as the state may hold a version that they lack.
+func (s *Spreader) followRestored(ctx context.Context, cause *eventlog.RestoredError) error {
+	if s.opts.LoadCheckpoint == nil {
+		s.noteLogError(cause)
+		return cause
+	}
+	st, err := s.opts.LoadCheckpoint(ctx)
+	if err == nil && st == nil {
+		err = cause
+	}
+	s.noteLogError(err)
+	if err != nil {
+		return err
+	}
+	before := s.State()
+	if s.history.adopt(st) {
+		s.noteRestored(before, st)
+	}
+	return nil
+}
+
+// noteRestored tells of the epoch that this daemon went on in.
+func (s *Spreader) noteRestored(before, told *fold.State) {
+	now := s.State()
+	s.opts.Meter.Restored()
+	s.opts.Logger.Warn("spread: log was restored from an older copy",
+		"epoch_before", eventlog.Epoch(before.Offset), "epoch", eventlog.Epoch(told.Offset),
+		"index_before", eventlog.Index(before.Offset), "index", eventlog.Index(told.Offset),
+		"document_in_force", now.Document().GetVersion(), "document_in_log", told.Document().GetVersion())
+	s.noteKnown(now.Offset)
+	s.noteFromLog(now.Offset)
+	s.rootWake.Set()
+	s.pullWake.Set()
+	s.carryWake.Set()
+}
+
 // carryLoop asks others for what the log may lack whenever the state in force comes from the
 // log alone. Offsets do not tell: the state of a daemon that started from an older copy stands
 // at the same offset as that of one which had something newer in force before.
