Store API keys as digests: accounts of documents, keys of contracts

Documents get accounts (digests, priority, rate) and public routes, bundles get the resource API key, so that a revised contract keeps its keys. Both need fold rule 4: a program that does not know them would serve calls without a key and must stop before the record. A document in which two accounts share a key is rejected, as is a bundle with two API keys of one digest, because such calls could not be attributed.

--- a/fold/check.go
+++ b/fold/check.go
@@ -41,6 +41,8 @@
 		return Key{KindRoute, r.GetRoute().GetName()}, true
 	case *configpb.Resource_Contract:
 		return Key{KindContract, r.GetContract().GetCustomer()}, true
+	case *configpb.Resource_ApiKey:
+		return Key{KindAPIKey, r.GetApiKey().GetId()}, true
 	}
 	return Key{}, false
 }
@@ -136,6 +138,8 @@
 		r.checkPrefix(k, res.GetRoute().GetPathPrefix())
 	case KindContract:
 		r.checkContract(k, res.GetContract())
+	case KindAPIKey:
+		r.checkAPIKey(k, res.GetApiKey())
 	}
 }
 
--- a/fold/checkstate.go
+++ b/fold/checkstate.go
@@ -19,6 +19,9 @@
 		r.addf("a document needs rule %d or later", DocumentRule)
 	}
 	b := rec.GetBundle()
+	if changesAPIKeys(b) && rec.GetRuleVersion() < APIKeyRule {
+		r.addf("a change of API keys needs rule %d or later", APIKeyRule)
+	}
 	r = append(r, checkBundle(b)...)
 	if len(r) > 0 {
 		return r
@@ -65,13 +68,15 @@
 	return author
 }
 
-// checkReferences rejects a bundle after which a route would refer to a missing service or two
-// routes would have the same prefix. The state has neither, so only the resources that the bundle
+// checkReferences rejects a bundle after which a resource would refer to a missing one or two
+// routes would have the same prefix or two API keys the same digest. The state has neither, so only the resources that the bundle
 // changes are checked.
 func (r *reasons) checkReferences(s *State, b *configpb.Bundle) {
 	after := resourcesAfter(b)
+	sorted := slices.SortedFunc(maps.Keys(after), compareKeys)
+	r.checkAPIKeys(s, after, sorted)
 	byPrefix := make(map[string]string)
-	for _, k := range slices.SortedFunc(maps.Keys(after), compareKeys) {
+	for _, k := range sorted {
 		switch {
 		case k.Kind == KindService && after[k] == nil:
 			r.checkServiceUnused(s, after, k)
--- a/fold/codec.go
+++ b/fold/codec.go
@@ -15,7 +15,21 @@
 
 // EncodeRecord returns the serialized record of a bundle.
 func EncodeRecord(b *configpb.Bundle) ([]byte, error) {
-	return proto.MarshalOptions{Deterministic: true}.Marshal(&configpb.Record{RuleVersion: BundleRule, Bundle: b})
+	return proto.MarshalOptions{Deterministic: true}.Marshal(&configpb.Record{RuleVersion: bundleRule(b), Bundle: b})
+}
+
+// bundleRule returns the lowest rule that is sufficient for a bundle.
+func bundleRule(b *configpb.Bundle) uint32 {
+	if changesAPIKeys(b) {
+		return APIKeyRule
+	}
+	return BundleRule
+}
+
+func changesAPIKeys(b *configpb.Bundle) bool {
+	return slices.ContainsFunc(b.GetChanges(), func(c *configpb.Change) bool {
+		return c.GetResource().GetApiKey() != nil
+	})
 }
 
 // Encode returns the state as a message in canonical order: equal states give equal messages. The
@@ -114,6 +128,9 @@
 	if r := CheckDocument(d); len(r) > 0 {
 		return errors.Wrapf(ErrBadState, "%s", r[0])
 	}
+	if need := documentRule(d); s.rule < need {
+		return errors.Wrapf(ErrBadState, "the document needs rule %d, the state has rule %d", need, s.rule)
+	}
 	s.document = d
 	return nil
 }
@@ -137,6 +154,14 @@
 			return errors.Wrapf(ErrBadState, "%s refers to a service that does not exist", e.Key)
 		}
 	}
+	for _, e := range s.Entries(KindAPIKey) {
+		if s.Get(Key{KindContract, e.Resource.GetApiKey().GetCustomer()}) == nil {
+			return errors.Wrapf(ErrBadState, "%s refers to a contract that does not exist", e.Key)
+		}
+		if customer := e.Resource.GetApiKey().GetCustomer(); s.keys.count(customer) > MaxContractKeys {
+			return errors.Wrapf(ErrBadState, "customer %s has too many API keys", customer)
+		}
+	}
 	return nil
 }
 
@@ -160,6 +185,11 @@
 			return nil, errors.Wrapf(ErrBadState, "%s has the path_prefix of route %s", k, other)
 		}
 	}
+	if key := m.GetResource().GetApiKey(); key != nil {
+		if other, taken := s.keys.keyWith(string(key.GetDigest())); taken {
+			return nil, errors.Wrapf(ErrBadState, "%s has the digest of API key %s", k, other)
+		}
+	}
 	return &Entry{
 		Key:             k,
 		Revision:        m.GetRevision(),
--- a/fold/document.go
+++ b/fold/document.go
@@ -1,6 +1,7 @@
 package fold
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -14,8 +15,10 @@
 const (
 	MaxDocumentRoutes   = MaxResources
 	MaxDocumentServices = 1024
+	MaxDocumentAccounts = MaxResources
 	MaxSplitParts       = 64
 	MaxPriority         = 1 << 16
+	MaxBurst            = 1e9
 	// MaxDocumentBytes limits the size of a document's record: MaxDocumentRoutes routes of 256
 	// bytes each. A state has to fit one message between daemons (16 MB) together with
 	// MaxResourceBytes.
@@ -31,7 +34,16 @@
 
 // EncodeDocument returns the serialized record of a document.
 func EncodeDocument(d *configpb.Document) ([]byte, error) {
-	return proto.MarshalOptions{Deterministic: true}.Marshal(&configpb.Record{RuleVersion: DocumentRule, Document: d})
+	return proto.MarshalOptions{Deterministic: true}.Marshal(&configpb.Record{RuleVersion: documentRule(d), Document: d})
+}
+
+// documentRule returns the lowest rule that is sufficient for a document.
+func documentRule(d *configpb.Document) uint32 {
+	public := slices.ContainsFunc(d.GetRoutes(), (*configpb.DocumentRoute).GetPublic)
+	if public || len(d.GetAccounts()) > 0 {
+		return APIKeyRule
+	}
+	return DocumentRule
 }
 
 // WithLastDocument returns the state with the document in data if data is the record that s
@@ -89,6 +101,7 @@
 func CheckDocument(d *configpb.Document) []string {
 	var r reasons
 	services := r.checkDocumentServices(d.GetServices())
+	r.checkAccounts(d.GetAccounts())
 	if n := len(d.GetRoutes()); n > MaxDocumentRoutes {
 		r.addf("at most %d routes, this document has %d", MaxDocumentRoutes, n)
 		return r
@@ -160,6 +173,9 @@
 		return v
 	}
 	r := reasons(CheckDocument(d))
+	if need := documentRule(d); rec.GetRuleVersion() < need {
+		r.addf("a document with accounts or public routes needs rule %d or later", need)
+	}
 	if s.document != nil && d.GetVersion() <= s.document.GetVersion() {
 		r.addf("document version %d does not follow version %d", d.GetVersion(), s.document.GetVersion())
 	}
--- a/fold/document_test.go
+++ b/fold/document_test.go
@@ -1,7 +1,9 @@
 package fold
 
 import (
+	"bytes"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 
@@ -24,6 +26,8 @@
 	}
 }
 
+func digest(b byte) []byte { return bytes.Repeat([]byte{b}, 32) }
+
 func documentRecord(t *testing.T, d *configpb.Document) []byte {
 	t.Helper()
 	data, err := EncodeDocument(d)
@@ -67,6 +71,19 @@
 		"split has no weight":      func(d *configpb.Document) { d.Routes[0].Split = []*configpb.Split{{Service: "ops"}} },
 		"split to unknown service": func(d *configpb.Document) { d.Routes[0].Split = []*configpb.Split{{Service: "x", Weight: 1}} },
 		"repeated route":           func(d *configpb.Document) { d.Routes = append(d.Routes, d.Routes[0]) },
+		"account without a name":   func(d *configpb.Document) { d.Accounts = []*configpb.DocumentAccount{{}} },
+		"repeated account":         func(d *configpb.Document) { d.Accounts = []*configpb.DocumentAccount{{Name: "a"}, {Name: "a"}} },
+		"short key digest": func(d *configpb.Document) {
+			d.Accounts = []*configpb.DocumentAccount{{Name: "a", KeyDigests: [][]byte{{1}}}}
+		},
+		"key of two accounts": func(d *configpb.Document) {
+			d.Accounts = []*configpb.DocumentAccount{{Name: "a", KeyDigests: [][]byte{digest(1)}}, {Name: "b", KeyDigests: [][]byte{digest(1)}}}
+		},
+		"negative rate": func(d *configpb.Document) { d.Accounts = []*configpb.DocumentAccount{{Name: "a", RatePerSecond: -1}} },
+		"rate not a number": func(d *configpb.Document) {
+			d.Accounts = []*configpb.DocumentAccount{{Name: "a", RatePerSecond: math.NaN()}}
+		},
+		"infinite burst": func(d *configpb.Document) { d.Accounts = []*configpb.DocumentAccount{{Name: "a", Burst: math.Inf(1)}} },
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := document(6, "/b/")
@@ -170,3 +187,31 @@
 	_, err = Decode(m)
 	must.ErrorIs(t, err, ErrBadState)
 }
+
+// A program that does not know accounts would serve calls without a key, so it must stop before a
+// document that has some. Documents without accounts must stay readable for it.
+func TestDocumentRuleIsTheLowestSufficient(t *testing.T) {
+	d := document(6, "/b/")
+	must.Eq(t, uint32(DocumentRule), ruleOf(t, documentRecord(t, d)))
+	d.Routes[0].Public = true
+	must.Eq(t, uint32(APIKeyRule), ruleOf(t, documentRecord(t, d)))
+	d.Routes[0].Public = false
+	d.Accounts = []*configpb.DocumentAccount{{Name: "a", KeyDigests: [][]byte{digest(1), digest(1), digest(2)}}}
+	must.Eq(t, uint32(APIKeyRule), ruleOf(t, documentRecord(t, d)))
+	low := mustMarshal(&configpb.Record{RuleVersion: DocumentRule, Document: d})
+	_, v, err := Apply(Empty(), 1, low)
+	must.NoError(t, err)
+	must.False(t, v.Accepted)
+	_, v, err = Apply(Empty(), 1, documentRecord(t, d))
+	must.NoError(t, err)
+	must.True(t, v.Accepted)
+	must.Eq(t, uint32(BundleRule), ruleOf(t, bundle("1", "ann", set(contract("c", 1), 0))))
+	must.Eq(t, uint32(APIKeyRule), ruleOf(t, bundle("1", "ann", set(apiKey("k", "c", 1), 0))))
+}
+
+func ruleOf(t *testing.T, data []byte) uint32 {
+	t.Helper()
+	rule, ok := parseRuleVersion(data)
+	must.True(t, ok)
+	return rule
+}
--- a/fold/fuzz_test.go
+++ b/fold/fuzz_test.go
@@ -1,6 +1,7 @@
 package fold
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -22,6 +23,23 @@
 	"route without service":    func(m *configpb.State) { m.Entries = m.Entries[1:] },
 	"repeated prefix":          func(m *configpb.State) { m.Entries = append(m.Entries, entry(route("q", "/", "s"))) },
 	"resource out of bounds":   func(m *configpb.State) { m.Entries = append(m.Entries, entry(contract("d", -1))) },
+	"API key without contract": func(m *configpb.State) { m.Entries = append(m.Entries, entry(apiKey("k", "nobody", 1))) },
+	"API key without digest": func(m *configpb.State) {
+		m.Entries = append(m.Entries, entry(apiKey("k", "c", 1)))
+		m.Entries[len(m.Entries)-1].Resource.GetApiKey().Digest = nil
+	},
+	"too many API keys": func(m *configpb.State) {
+		m.Entries = append(m.Entries, entry(contract("d", 1)))
+		for i := range MaxContractKeys + 1 {
+			r := apiKey(fmt.Sprint("k", i), "d", 1)
+			r.GetApiKey().Digest[0], r.GetApiKey().Digest[1] = byte(i), byte(i>>8)
+			m.Entries = append(m.Entries, entry(r))
+		}
+	},
+	"accounts without their rule": func(m *configpb.State) {
+		m.Document = document(3, "/a/")
+		m.Document.Accounts = []*configpb.DocumentAccount{{Name: "a"}}
+	},
 	"revision after offset":    func(m *configpb.State) { m.Entries[0].Revision = m.Offset + 1 },
 	"repeated verdict":         func(m *configpb.State) { m.Verdicts = append(m.Verdicts, m.Verdicts[0]) },
 	"repeated publish id":      func(m *configpb.State) { m.Verdicts[1].PublishId = m.Verdicts[0].PublishId },
--- a/fold/helper_test.go
+++ b/fold/helper_test.go
@@ -1,6 +1,7 @@
 package fold
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 
@@ -26,6 +27,12 @@
 	return &configpb.Resource{Kind: &configpb.Resource_Contract{Contract: c}}
 }
 
+// apiKey returns an API key whose digest consists of one repeated byte.
+func apiKey(id, customer string, digest byte) *configpb.Resource {
+	k := &configpb.ApiKey{Id: id, Customer: customer, Digest: bytes.Repeat([]byte{digest}, 32)}
+	return &configpb.Resource{Kind: &configpb.Resource_ApiKey{ApiKey: k}}
+}
+
 func set(r *configpb.Resource, replaces uint64) *configpb.Change {
 	return &configpb.Change{Resource: r, Replaces: replaces}
 }
@@ -106,6 +113,8 @@
 		r = route(name, prefix, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "service"))
 	case KindContract:
 		r = contract(name, rapid.SampledFrom([]float64{0, 1, 2}).Draw(t, "rate"))
+	case KindAPIKey:
+		r = apiKey(name, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer"), rapid.ByteRange(1, 3).Draw(t, "digest"))
 	}
 	c := set(r, 0)
 	c.Delete = rapid.IntRange(0, 4).Draw(t, "delete") == 0
--- a/fold/property_test.go
+++ b/fold/property_test.go
@@ -99,7 +99,8 @@
 }
 
 // A record is accepted as a whole or changes no resource; revisions in force never decrease; no
-// accepted bundle leaves a route without its service or two routes with one prefix; and a publish
+// accepted bundle leaves a route without its service, an API key without its contract, two routes with
+// one prefix or two API keys with one digest; and a publish
 // id keeps its first verdict whatever is published under it later.
 func TestRecordIsAtomic(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -162,6 +163,16 @@
 		}
 		prefixes[r.GetRoute().GetPathPrefix()] = true
 	}
+	digests := map[string]bool{}
+	for _, r := range after {
+		if r.GetApiKey() == nil {
+			continue
+		}
+		if digests[string(r.GetApiKey().GetDigest())] || after[Key{KindContract, r.GetApiKey().GetCustomer()}] == nil {
+			return false
+		}
+		digests[string(r.GetApiKey().GetDigest())] = true
+	}
 	return true
 }
 
--- a/fold/state.go
+++ b/fold/state.go
@@ -22,7 +22,7 @@
 // sets the rule of a document's record, so readers of the two programs would pass on different
 // records, with different chains, for one document. With one rule the chains agree, and a daemon
 // that starts from the state of such a program checks the last record again (WithLastDocument).
-const RuleVersion = RolloutRule
+const RuleVersion = APIKeyRule
 
 // Rule versions. A record has the lowest one that is sufficient for it, so that older programs can
 // fold as many records as possible.
@@ -30,6 +30,9 @@
 	BundleRule   = 1
 	DocumentRule = 2
 	RolloutRule  = 3
+	// APIKeyRule is the rule of documents with accounts or public routes, and of API keys. A program
+	// that does not implement it would serve calls without a key, and must stop before the record.
+	APIKeyRule = 4
 )
 
 // ResourceKind is the kind of a resource.
@@ -40,10 +43,11 @@
 	KindService ResourceKind = iota + 1
 	KindRoute
 	KindContract
+	KindAPIKey
 )
 
 // kinds lists all resource kinds in serialization order.
-var kinds = [...]ResourceKind{KindService, KindRoute, KindContract}
+var kinds = [...]ResourceKind{KindService, KindRoute, KindContract, KindAPIKey}
 
 // String returns the name used in error texts and rejection reasons.
 func (k ResourceKind) String() string {
@@ -54,6 +58,8 @@
 		return "route"
 	case KindContract:
 		return "contract"
+	case KindAPIKey:
+		return "API key"
 	}
 	return "unknown"
 }
@@ -127,6 +133,7 @@
 	// bytes is the sum of entryBytes over all entries.
 	bytes  int
 	routes routeIndex
+	keys   keyIndex
 	recent recentHistory
 	// document is the latest accepted document, nil if there is none.
 	document *configpb.Document
@@ -178,6 +185,8 @@
 	n.entries = s.entries.fork()
 	n.routes.byPrefix = s.routes.byPrefix.fork()
 	n.routes.byService = s.routes.byService.fork()
+	n.keys.byDigest = s.keys.byDigest.fork()
+	n.keys.byCustomer = s.keys.byCustomer.fork()
 	return &n
 }
 
@@ -189,6 +198,9 @@
 	if r := e.Resource.GetRoute(); r != nil {
 		s.routes.add(r)
 	}
+	if k := e.Resource.GetApiKey(); k != nil {
+		s.keys.add(k)
+	}
 }
 
 // remove removes a resource if it exists. s must not be shared yet.
@@ -202,4 +214,7 @@
 	if r := e.Resource.GetRoute(); r != nil {
 		s.routes.remove(r)
 	}
+	if k := e.Resource.GetApiKey(); k != nil {
+		s.keys.remove(k)
+	}
 }
--- a/snapshot/contract.go
+++ b/snapshot/contract.go
@@ -8,17 +8,24 @@
 	"github.com/crocuscross/crocuscross/configpb"
 )
 
-// Contract is the compiled contract of a customer, as requests use it.
+// Contract is the compiled contract of a customer or account of a document, as requests use it.
 type Contract struct {
-	Customer      string
-	Revision      uint64
+	Customer string
+	Revision uint64
+	// Rate is in calls per second, 0 if the rate is not limited.
 	Rate          float64
 	Burst         float64
 	MaxConcurrent int
 	MaxWait       time.Duration
-	rules         []rule
+	// Priority replaces the priority of the route if HasPriority is set.
+	Priority    int
+	HasPriority bool
+	rules       []rule
 }
 
+// Limited reports whether the calls of the customer are limited.
+func (c *Contract) Limited() bool { return c.Rate > 0 }
+
 type rule struct {
 	method, prefix string
 	nonIdempotent  bool
--- a/snapshot/document.go
+++ b/snapshot/document.go
@@ -15,6 +15,7 @@
 	Version      uint64
 	Limits       ListenerLimits
 	virtualHosts map[string]table[*DocumentRoute]
+	accounts     accounts
 	source       *configpb.Document
 }
 
@@ -48,6 +49,8 @@
 	// MaxAttempts is the maximum number of backend servers that one call is sent to, 0 if not
 	// set.
 	MaxAttempts int
+	// Public is whether calls need no API key.
+	Public bool
 
 	split       []splitTarget
 	totalWeight uint32
@@ -131,11 +134,17 @@
 		s.document = prev.document
 		return
 	}
-	s.document = newDocument(d)
+	var accounts accounts
+	if prev != nil && prev.document != nil {
+		accounts = prev.document.accounts
+	}
+	s.document = newDocument(d, accounts)
 }
 
-func newDocument(d *configpb.Document) *Document {
+// newDocument compiles a document. prev holds the accounts of the previous one.
+func newDocument(d *configpb.Document, prev accounts) *Document {
 	n := &Document{Version: d.GetVersion(), virtualHosts: make(map[string]table[*DocumentRoute]), source: d}
+	n.accounts = newAccounts(d.GetAccounts(), prev)
 	for _, r := range d.GetRoutes() {
 		host := virtualHost(r.GetVirtualHost())
 		n.virtualHosts[host] = append(n.virtualHosts[host], node[*DocumentRoute]{prefix: r.GetPathPrefix(), value: newDocumentRoute(r)})
@@ -161,6 +170,7 @@
 		Objective:   milliseconds(r.GetLatencyObjectiveMs()),
 		Priority:    int(r.GetPriority()),
 		MaxAttempts: int(r.GetMaxAttempts()),
+		Public:      r.GetPublic(),
 	}
 	split := r.GetSplit()
 	if len(split) == 0 {
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -4,6 +4,7 @@
 package snapshot
 
 import (
+	"github.com/crocuscross/crocuscross/apikey"
 	"github.com/crocuscross/crocuscross/backend"
 	"github.com/crocuscross/crocuscross/fold"
 )
@@ -21,7 +22,13 @@
 	table     table[tableEntry]
 	document  *Document
 	contracts map[string]*Contract
-	backends  *backend.Set
+	// keys maps the API keys of customers to their contracts. keyHolders contains the customers that
+	// have API keys.
+	keys       map[apikey.Digest]*Contract
+	keyHolders map[string]bool
+	// limits contains the contracts and accounts whose calls are limited.
+	limits   map[string]*Contract
+	backends *backend.Set
 }
 
 // Build derives the snapshot that follows prev; prev is nil when the daemon starts. A route is
@@ -56,7 +63,9 @@
 	}
 	s.buildRoutes(prev)
 	s.buildContracts(prev)
+	s.buildKeys()
 	s.buildDocument(prev)
+	s.buildLimits(prev)
 	return s
 }
 
@@ -65,8 +74,9 @@
 // newer at the same offset: a log that was restored from an older copy may lack the newer
 // document.
 func (s *Snapshot) updateBackends(prev *Snapshot) {
-	s.contracts = prev.contracts
+	s.contracts, s.keys, s.keyHolders = prev.contracts, prev.keys, prev.keyHolders
 	s.buildDocument(prev)
+	s.buildLimits(prev)
 	if len(prev.Withheld) > 0 {
 		s.buildRoutes(prev)
 		return
