--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -181,6 +181,7 @@
 func TestHelpHasAnExample(t *testing.T) {
 	for _, c := range []string{
 		"daemon", "contract validate", "contract publish", "contract get", "contract list", "contract history",
+		"contract key add", "contract key list", "contract key revoke",
 		"status", "drain host", "drain zone", "quarantine list", "quarantine lift", "settings check", "settings defaults", "settings example", "version",
 	} {
 		out := expect(t, command.StatusOK, append(strings.Fields(c), "--help")...)
@@ -217,3 +218,46 @@
 	out = expect(t, command.StatusOK, "contract", "history", "--platform", url)
 	must.StrContains(t, out, "3 to 4")
 }
+
+// A key is generated, listed by its ID, rotated and revoked. Only the output of the command that adds
+// it contains the key.
+func TestAPIKeys(t *testing.T) {
+	_, url := startPlatform(t)
+	publish := func(file string) {
+		expect(t, command.StatusOK, "contract", "publish", examples+"association/"+file+".jsonc", "--platform", url)
+	}
+	publish("services")
+	publish("contracts")
+	type keyOutput struct{ ID, Customer, Key, Label string }
+	add := func() (k keyOutput) {
+		out := expect(t, command.StatusOK, "contract", "key", "add", "harbor-garage", "--label", "billing", "--author", "jane", "--platform", url, "-o", "json")
+		must.NoError(t, json.Unmarshal([]byte(out), &k))
+		return k
+	}
+	list := func() (keys []keyOutput) {
+		out := expect(t, command.StatusOK, "contract", "key", "list", "harbor-garage", "--platform", url, "-o", "json")
+		must.NoError(t, json.Unmarshal([]byte(out), &keys))
+		return keys
+	}
+	first, second := add(), add()
+	must.NotEq(t, first.Key, second.Key)
+	must.Len(t, 2, list())
+	publish("revision")
+	must.Len(t, 2, list(), must.Sprint("a revised contract keeps its keys"))
+
+	expect(t, command.StatusOK, "contract", "key", "revoke", first.ID, "--author", "jane", "--platform", url)
+	must.Eq(t, []keyOutput{{ID: second.ID, Customer: "harbor-garage", Label: "billing"}}, list())
+	out := expect(t, command.StatusRejected, "contract", "key", "revoke", first.ID, "--author", "jane", "--platform", url)
+	must.StrContains(t, out, "does not exist")
+	out = expect(t, command.StatusRejected, "contract", "key", "add", "nobody", "--author", "jane", "--platform", url)
+	must.StrContains(t, out, "needs contract nobody")
+	must.StrNotContains(t, out, "ccx_")
+	expect(t, command.StatusBadInput, "contract", "key", "add", "harbor-garage", "--platform", url)
+	expect(t, command.StatusBadInput, "contract", "key", "add", "harbor-garage", "--author", "jane", "--platform", url, "--wait")
+
+	for _, args := range [][]string{{"contract", "history"}, {"contract", "key", "list"}, {"contract", "list", "-o", "json"}} {
+		out := expect(t, command.StatusOK, append(args, "--platform", url)...)
+		must.StrNotContains(t, out, first.Key)
+		must.StrNotContains(t, out, second.Key)
+	}
+}
--- a/internal/cli/contractcmd/contract.go
+++ b/internal/cli/contractcmd/contract.go
@@ -16,4 +16,5 @@
 	registerGet(cmd, env)
 	registerList(cmd, env)
 	registerHistory(cmd, env)
+	registerKey(cmd, env)
 }
--- a/internal/cli/contractcmd/publish.go
+++ b/internal/cli/contractcmd/publish.go
@@ -51,12 +51,17 @@
 		Default(replacesAuto).PlaceHolder("auto|N").StringVar(&f.replaces)
 	cmd.Flag("publish-id", "Repeat the publish with this ID, whose outcome was unknown.").PlaceHolder("ID").StringVar(&f.publishID)
 	cmd.Flag("author", "Author, if the file states none.").StringVar(&f.author)
+	f.addCommonFlags(cmd)
+	cmd.Action(command.Action(func() error { return f.run(env) }))
+}
+
+// addCommonFlags adds the flags of all commands that publish.
+func (f *publishFlags) addCommonFlags(cmd *kingpin.CmdClause) {
 	cmd.Flag("wait", "Wait until the publish is in force on every live daemon and print the convergence time; needs --daemon. Without a value: 4s.").
 		PlaceHolder("4s").DurationVar(&f.wait)
 	f.connect.PlatformFlag(cmd)
 	f.connect.DaemonFlag(cmd)
 	f.connect.TimeoutFlag(cmd, "30s")
-	cmd.Action(command.Action(func() error { return f.run(env) }))
 }
 
 func (f *publishFlags) run(env *command.Env) error {
@@ -64,26 +69,39 @@
 	if err != nil {
 		return command.Exit(command.StatusBadInput, err)
 	}
-	p, err := f.publisher()
+	result, waitErr, err := f.publish(env.Context, req)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := f.connect.WithTimeout(env.Context)
+	if err := env.Print(result, result.write); err != nil {
+		return err
+	}
+	return result.exit(waitErr)
+}
+
+// publish publishes the changes of req and waits for convergence if --wait is set. waitErr is the
+// error of that wait. err means that nothing was published.
+func (f *publishFlags) publish(ctx context.Context, req publish.Request) (result publishResult, waitErr, err error) {
+	p, err := f.publisher()
+	if err != nil {
+		return publishResult{}, nil, err
+	}
+	publishCtx, cancel := f.connect.WithTimeout(ctx)
 	defer cancel()
 	began := time.Now()
-	r, err := p.Publish(ctx, req)
+	r, err := p.Publish(publishCtx, req)
 	if err != nil {
-		return err
+		return publishResult{}, nil, err
 	}
-	result := publishResult{Outcome: r.Outcome, PublishID: r.PublishID, Revision: r.Revision, Reasons: r.Reasons}
+	result = publishResult{Outcome: r.Outcome, PublishID: r.PublishID, Revision: r.Revision, Reasons: r.Reasons}
 	if r.Outcome != publish.Accepted {
-		return f.finish(env, result, nil)
+		return result, nil, nil
 	}
 	if !r.Began.IsZero() {
 		began = r.Began
 	}
-	waitErr := f.converge(env.Context, &result, began)
-	return f.finish(env, result, waitErr)
+	waitErr = f.converge(ctx, &result, began)
+	return result, waitErr, nil
 }
 
 // request reads the publish file and builds the request from it and the flags. An error means
@@ -107,13 +125,20 @@
 	if req.PublishID == "" {
 		req.PublishID = publish.NewPublishID()
 	}
-	if f.wait > 0 && !f.connect.HasDaemon() {
-		return req, command.Exitf(command.StatusBadInput, "--wait needs --daemon")
+	if err := f.checkWait(); err != nil {
+		return req, err
 	}
 	req.Revisions, err = parseReplaces(f.replaces)
 	return req, err
 }
 
+func (f *publishFlags) checkWait() error {
+	if f.wait > 0 && !f.connect.HasDaemon() {
+		return command.Exitf(command.StatusBadInput, "--wait needs --daemon")
+	}
+	return nil
+}
+
 func parseReplaces(s string) (publish.Revisions, error) {
 	if s == replacesAuto {
 		return publish.Revisions{Auto: true}, nil
@@ -155,12 +180,9 @@
 	return err
 }
 
-// finish prints the result and returns the error with the matching exit status, or nil on success.
-// waitErr is the error of the wait for convergence.
-func (f *publishFlags) finish(env *command.Env, r publishResult, waitErr error) error {
-	if err := env.Print(r, r.write); err != nil {
-		return err
-	}
+// exit returns the error with the exit status that matches the result, nil on success. waitErr is
+// the error of the wait for convergence.
+func (r publishResult) exit(waitErr error) error {
 	switch {
 	case r.Outcome == publish.Rejected:
 		return command.Exit(command.StatusRejected, nil)
