--- a/admission/access.go
+++ b/admission/access.go
@@ -35,6 +35,8 @@
 	// Origin is whether the local backend server may have made the call. Such calls have no key;
 	// the request that caused them has been authenticated.
 	Origin Origin
+	// Nested is whether the calls of the route are known to be made by services.
+	Nested bool
 	// Stale is whether a newer configuration than the one in force may exist.
 	Stale bool
 }
@@ -48,7 +50,7 @@
 		return AccessGranted
 	case r.Key == KeyMalformed:
 		return AccessDenied
-	case r.Key == KeyAbsent && r.Origin == OriginMaybeRun:
+	case r.Key == KeyAbsent && (r.Origin == OriginMaybeRun || r.Nested):
 		return AccessGranted
 	case r.Key == KeyAbsent && r.Origin == OriginUnknown, r.Stale:
 		return AccessUndecided
--- a/admission/access_test.go
+++ b/admission/access_test.go
@@ -22,6 +22,8 @@
 		"no key":                                 {AccessRequest{Origin: OriginCaller}, AccessDenied},
 		"no key, stale":                          {AccessRequest{Origin: OriginCaller, Stale: true}, AccessUndecided},
 		"no key, from a run":                     {AccessRequest{Origin: OriginMaybeRun}, AccessGranted},
+		"no key, route of services":              {AccessRequest{Origin: OriginCaller, Nested: true}, AccessGranted},
+		"unknown key, route of services":         {AccessRequest{Key: KeyUnknown, Origin: OriginCaller, Nested: true}, AccessDenied},
 		"no key, runs not known yet":             {AccessRequest{Origin: OriginUnknown}, AccessUndecided},
 		"public route without a key":             {AccessRequest{Public: true, Origin: OriginCaller}, AccessGranted},
 		"public route with an unknown key":       {AccessRequest{Key: KeyUnknown, Public: true, Origin: OriginCaller}, AccessGranted},
--- a/internal/proxy/outbound/authenticate.go
+++ b/internal/proxy/outbound/authenticate.go
@@ -25,7 +25,9 @@
 		return nil, nil
 	}
 	account, state := findAccount(r.Header, doc)
-	access := admission.AccessRequest{Key: state, Public: route.Public, Origin: origin}
+	access := admission.AccessRequest{
+		Key: state, Public: route.Public, Origin: origin, Nested: h.opts.NestedRoutes.Contains(route.Name),
+	}
 	decision := access.Decide()
 	if decision == admission.AccessDenied {
 		access.Stale = h.opts.ConfigMayBeStale()
