quota: requests name the host of the holder

The daemon passed an empty host to Manager.Serve, so that an owner knew holders by their boot ID alone: no holder counted as ended, and the lease of a daemon that was killed or replaced stayed charged for 15 s. The simulation passed the host, which hid it. The host is now a field of the request, and Serve takes nothing else.

--- a/examples/embed/node.go
+++ b/examples/embed/node.go
@@ -194,7 +194,7 @@
 	if err := st.Recv(&req); err != nil {
 		return err
 	}
-	return st.Send(n.quota.Serve(ctx, "", &req))
+	return st.Send(n.quota.Serve(&req))
 }
 
 // awaitMembers returns when as many nodes are seen alive.
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -27,8 +27,8 @@
 	p.peerServer.Handle(peerpb.Kind_KIND_KEYED_CALL, peer.HandlerFunc(p.outbound.ServeKeyedCall))
 	p.peerServer.Handle(peerpb.Kind_KIND_PUSH, peer.HandlerFunc(p.spreader.HandlePush))
 	p.peerServer.Handle(peerpb.Kind_KIND_PULL, peer.HandlerFunc(p.spreader.HandlePull))
-	p.peerServer.Handle(peerpb.Kind_KIND_QUOTA, unaryHandler(func(ctx context.Context, r *quotapb.Request) (proto.Message, error) {
-		return p.quota.Serve(ctx, "", r), nil
+	p.peerServer.Handle(peerpb.Kind_KIND_QUOTA, unaryHandler(func(_ context.Context, r *quotapb.Request) (proto.Message, error) {
+		return p.quota.Serve(r), nil
 	}))
 	p.peerServer.Handle(peerpb.Kind_KIND_ROLLOUT, unaryHandler(func(_ context.Context, r *rolloutpb.Report) (proto.Message, error) {
 		return p.rollouts.Serve(r)
--- a/quota/bench_test.go
+++ b/quota/bench_test.go
@@ -71,7 +71,7 @@
 			m, _ := managerWithLease(b)
 			reqs := make([]*quotapb.Request, holders)
 			for i := range reqs {
-				reqs[i] = &quotapb.Request{Boot: uint64(i), Claims: []*quotapb.Claim{{Customer: "acme", GrantedBy: 1, Demand: 5, Need: 1}}}
+				reqs[i] = &quotapb.Request{Host: "h", Boot: uint64(i), Claims: []*quotapb.Claim{{Customer: "acme", GrantedBy: 1, Demand: 5, Need: 1}}}
 			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
@@ -80,7 +80,7 @@
 				}
 				req := reqs[i%holders]
 				req.Sequence++
-				m.Serve(b.Context(), "h", req)
+				m.Serve(req)
 			}
 		})
 	}
@@ -99,7 +99,7 @@
 		for _, q := range m.holder.step(now) {
 			req, answer := new(quotapb.Request), new(quotapb.Answer)
 			copyProto(b, q.request, req)
-			copyProto(b, m.Serve(b.Context(), "a", req), answer)
+			copyProto(b, m.Serve(req), answer)
 			m.holder.finish(q, answer, nil, now)
 		}
 	}
--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -157,7 +157,7 @@
 func (h *holder) buildRequest(q *exchange, now time.Duration) {
 	h.awaiting[q.owner.Host] = true
 	h.sequence++
-	q.request = &quotapb.Request{Boot: h.fleet.boot(), Sequence: h.sequence}
+	q.request = &quotapb.Request{Host: h.opts.Host, Boot: h.fleet.boot(), Sequence: h.sequence}
 	for _, a := range q.accounts {
 		r := a.pending.Swap(newPendingClaim())
 		q.pendingClaims = append(q.pendingClaims, r)
--- a/quota/manager.go
+++ b/quota/manager.go
@@ -82,9 +82,9 @@
 }
 
 // Serve answers a request from the daemon on another host.
-func (m *Manager) Serve(_ context.Context, from string, req *quotapb.Request) *quotapb.Answer {
+func (m *Manager) Serve(req *quotapb.Request) *quotapb.Answer {
 	m.stats.served.Add(1)
-	return m.owner.serve(from, req, m.now())
+	return m.owner.serve(req, m.now())
 }
 
 // Stats returns the current statistics.
@@ -153,7 +153,7 @@
 			remote = append(remote, q)
 			continue
 		}
-		m.holder.finish(q, m.owner.serve(m.opts.Host, q.request, now), nil, now)
+		m.holder.finish(q, m.owner.serve(q.request, now), nil, now)
 	}
 	return remote
 }
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -98,7 +98,7 @@
 }
 
 // serve answers a request.
-func (o *owner) serve(from string, req *quotapb.Request, now time.Duration) *quotapb.Answer {
+func (o *owner) serve(req *quotapb.Request, now time.Duration) *quotapb.Answer {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	answer := &quotapb.Answer{Leases: make([]*quotapb.Lease, 0, len(req.GetClaims()))}
@@ -106,7 +106,7 @@
 	if o.fleet != nil {
 		answer.Boot = o.fleet.boot()
 	}
-	id := holderID{from, req.GetBoot()}
+	id := holderID{req.GetHost(), req.GetBoot()}
 	for _, c := range req.GetClaims() {
 		answer.Leases = append(answer.Leases, o.claim(id, req.GetSequence(), c, now))
 	}
--- a/quota/run_test.go
+++ b/quota/run_test.go
@@ -20,7 +20,6 @@
 
 // localPeers delivers requests to Managers of this process, with a delay of 1 ms.
 type localPeers struct {
-	from         string
 	managers     map[string]*Manager
 	unresponsive bool
 }
@@ -35,7 +34,7 @@
 		return nil, ctx.Err()
 	case <-time.After(time.Millisecond):
 	}
-	return p.managers[owner.Host].Serve(ctx, p.from, req), nil
+	return p.managers[owner.Host].Serve(req), nil
 }
 
 // fleetOf runs Managers in a synctest bubble until the test ends. It returns one that does not
@@ -48,7 +47,7 @@
 		view.Members = append(view.Members, &membership.Member{
 			Host: host, Boot: uint64(i + 1), Liveness: membership.Alive, Since: time.Now(),
 		})
-		peers[host] = &localPeers{from: host, managers: managers}
+		peers[host] = &localPeers{managers: managers}
 		managers[host] = New(Options{Host: host, Peers: peers[host]})
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -120,3 +119,23 @@
 		must.Zero(t, time.Since(start))
 	})
 }
+
+// Requests name the host of the holder. Without it, the lease of a daemon that has ended stayed
+// charged until it expired, and the calls of the other holders were refused in the meantime.
+func TestOwner_KnowsTheHostsOfHolders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &snapshot.Contract{Customer: "acme", Rate: 100, Burst: 100}
+		m, network := fleetOf(t, c, "a", "b")
+		grant, err := m.AdmitWait(t.Context(), c)
+		must.NoError(t, err)
+		grant.Done()
+		time.Sleep(time.Second)
+		for host, owner := range network.managers {
+			if host == m.opts.Host {
+				continue
+			}
+			must.Len(t, 1, owner.owner.ledgers["acme"].entries)
+			must.Eq(t, m.opts.Host, owner.owner.ledgers["acme"].entries[0].holder.host)
+		}
+	})
+}
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -253,7 +253,7 @@
 			return
 		}
 		o.execute(func() {
-			answer := o.m.Serve(context.Background(), d.host, q.request)
+			answer := o.m.Serve(q.request)
 			w.bytes += proto.Size(answer)
 			w.after(hop, func() {
 				if !w.cut(o, d) {
