quota: a tolerance that the platform states is used while owners settle

And what no holder has reported stays charged only while a process may hold it: one that is unreachable, or has been reachable again for less than the settling time.

--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -46,6 +46,9 @@
 	quotaOptions := quota.DefaultOptions()
 	quotaOptions.Host = d.settings.Host
 	quotaOptions.Peers = quotaPeers{p.controlPool}
+	quotaOptions.Tolerance = quota.Tolerance{
+		Window: time.Duration(d.settings.Quota.Window), Share: d.settings.Quota.Share, Calls: float64(d.settings.Quota.Calls),
+	}
 	quotaOptions.Logger = d.logger
 	p.quota = quota.New(quotaOptions)
 	p.budgets = retry.NewBudgets(retry.BudgetOptions{Ratio: retryBudgetShare * d.settings.Retries.Ratio, Burst: d.settings.Retries.Burst})
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -29,6 +29,8 @@
 
 	addresses("contacts", []string{"10.1.2.4:7400", "10.1.3.4:7400"},
 		"Peer addresses of a few daemons through which this daemon joins the fleet, preferably in several availability zones."),
+	addresses("seeds", []string{"10.1.2.4:7402"},
+		"Addresses on a few hosts through which this daemon joins the fleet. Their ports are ignored; the daemons there are expected to listen for other daemons at the port of listen.peers."),
 
 	name("backend.service", "sign-feed",
 		"Service of the backend server on this host, sent along with its calls. If it is not set, the service that the server announces.").optional(),
@@ -99,6 +101,13 @@
 	integer("retries.extra", 280, 0, 1<<20, "calls",
 		"Number of calls of the whole fleet that may be retried beyond that share after a time without retries."),
 
+	duration("quota.window", 0, 0, time.Hour,
+		"Length of the windows in which a customer's limits may be exceeded by quota.share and quota.calls. If it is 0, the limits are kept as closely as possible, and more calls below them are refused after daemons have failed."),
+	ratio("quota.share", 0,
+		"Share by which the calls admitted in a window may exceed the rate times the window plus the burst."),
+	integer("quota.calls", 0, 0, 1<<20, "calls",
+		"Number of calls by which they may exceed that in addition."),
+
 	ratio("rollouts.max_share", 0.1,
 		"Maximum share of a service's calls that reach a version that is not yet known to be good."),
 	integer("rollouts.slack", 50, 0, 1<<20, "calls",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,13 +47,17 @@
 	// AdvertisePeers is set, Peers is also sent to the other daemons and must be reachable for them.
 	Listen Listen `json:"listen"`
 	// Contacts are the peer addresses of a few daemons through which this daemon joins the fleet.
-	Contacts   []string   `json:"contacts"`
+	Contacts []string `json:"contacts"`
+	// Seeds are addresses on a few hosts with a daemon, whose listener for other daemons has the
+	// port of Listen.Peers. The ports in the addresses are ignored.
+	Seeds      []string   `json:"seeds"`
 	Backend    Backend    `json:"backend"`
 	Platform   Platform   `json:"platform"`
 	Membership Membership `json:"membership"`
 	Spread     Spread     `json:"spread"`
 	Requests   Requests   `json:"requests"`
 	Retries    Retries    `json:"retries"`
+	Quota      Quota      `json:"quota"`
 	Rollouts   Rollouts   `json:"rollouts"`
 	Drain      Drain      `json:"drain"`
 	Log        Log        `json:"log"`
@@ -183,6 +187,15 @@
 	Burst int `json:"extra"`
 }
 
+// Quota is by how much the calls that are admitted in a window may exceed a customer's limits:
+// (rate x Window + burst) x (1 + Share) + Calls.
+type Quota struct {
+	// Window is 0 if the limits are to be kept as closely as possible.
+	Window Duration `json:"window"`
+	Share  float64  `json:"share"`
+	Calls  int      `json:"calls"`
+}
+
 // Rollouts limits the calls that reach a new version of a service during its rollout.
 type Rollouts struct {
 	// MaxShare and Slack limit the calls that may reach the new version before it is known to be
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -165,6 +165,9 @@
 		if s.Contacts == nil {
 			again = bytes.Replace(again, []byte(`"contacts":null`), []byte(`"contacts":[]`), 1)
 		}
+		if s.Seeds == nil {
+			again = bytes.Replace(again, []byte(`"seeds":null`), []byte(`"seeds":[]`), 1)
+		}
 		back, err := Parse("again", again)
 		must.NoError(t, err)
 		must.Eq(t, s.Membership, back.Membership)
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -21,17 +21,18 @@
 //     elsewhere until that pool has certainly stopped using it.
 //   - A new owner, and an owner that detects that its process was paused, first settles: until
 //     every holder has had time to report, it renews what holders report and grants no more
-//     than that and settlingShare of the contract. Leases of the previous owner that no holder
-//     reports stay charged until they have ended. Their sum follows from the totals that the
-//     other holders saw when they received their leases.
+//     than that and settlingShare of the contract, or a part of Options.Tolerance. Leases of the
+//     previous owner that no holder reports stay charged until they have ended, as far as
+//     unreachable members may hold them. Their sum follows from the totals that the other holders
+//     saw when they received their leases.
 //   - A region of which almost no member is reachable is treated as partitioned, not as dead:
 //     its leases stay charged, and new owners keep settling. Each side continues with the
 //     leases that it had.
 //   - A daemon that can reach at most half of its own region treats itself as partitioned, and
 //     scales the contracts that it owns by the reachable share of the fleet.
 //
-// The sum stays within the contract plus settlingShare and unleasedShare of it, with three
-// exceptions: while a zone is partitioned but still receives calls, it may exceed that by the
+// The sum stays within the contract plus settlingShare and unleasedShare of it, or within
+// Options.Tolerance if that is set, with three exceptions: while a zone is partitioned but still receives calls, it may exceed that by the
 // zone's share of the fleet; while a region is partitioned for longer than
 // unreachableRetention; and while daemons that can reach one another disagree on the owner for
 // longer than the settling time.
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -26,6 +26,8 @@
 	// rejoining maps each region that was partitioned to the time by which all of its
 	// holders have reported.
 	rejoining map[string]time.Duration
+	// silent contains the members that may hold leases without having reported them, by host.
+	silent map[string]silence
 	// isolated is set if at most half of the daemon's own region is reachable.
 	isolated bool
 	// changesAt is the time at which the fleet changes without a new view.
@@ -40,10 +42,9 @@
 // regionCount counts the members of one region.
 type regionCount struct{ known, reachable int }
 
-// newFleet derives a fleet from a view. prev is the previous fleet, or nil. rejoinTime is how
-// long a region that was partitioned is rejoining.
-func newFleet(view *membership.View, start time.Time, now time.Duration, prev *fleet, rejoinTime time.Duration) *fleet {
-	f := &fleet{view: view, start: start, at: now, partitionedRegions: map[string]bool{}, changesAt: forever}
+// newFleet derives a fleet from a view. prev is the previous fleet, or nil.
+func newFleet(view *membership.View, start time.Time, now time.Duration, prev *fleet, opts Options) *fleet {
+	f := &fleet{view: view, start: start, at: now, partitionedRegions: map[string]bool{}, silent: map[string]silence{}, changesAt: forever}
 	regions := map[string]regionCount{}
 	reachable := 0
 	for _, m := range view.Members {
@@ -70,7 +71,8 @@
 	f.reachableShare = float64(reachable) / float64(max(1, f.known))
 	own := regions[view.Self.Region]
 	f.isolated = own.known > 1 && own.reachable*2 <= own.known
-	f.trackRejoining(prev, rejoinTime)
+	f.trackRejoining(prev, opts.rejoinTime())
+	f.trackUnreachable(prev, opts.settleTime())
 	return f
 }
 
@@ -92,6 +94,42 @@
 	}
 }
 
+// trackUnreachable records the members that may hold leases without having reported them: those
+// that are unreachable, and for settleTime those that were and are the same process as before. A
+// process that has started in the meantime holds nothing.
+func (f *fleet) trackUnreachable(prev *fleet, settleTime time.Duration) {
+	for _, m := range f.view.Members {
+		if m.Liveness == membership.Left || f.expired(m) {
+			continue
+		}
+		if !f.isReachable(m) {
+			f.silent[m.Host] = silence{m.Boot, forever}
+			continue
+		}
+		if prev == nil {
+			continue
+		}
+		s, ok := prev.silent[m.Host]
+		if !ok || s.boot != m.Boot {
+			continue
+		}
+		until := min(s.until, f.at+settleTime)
+		if f.at < until {
+			f.silent[m.Host] = silence{m.Boot, until}
+			f.changesAt = min(f.changesAt, until)
+		}
+	}
+}
+
+// silence is a process that may not have reported its leases, and until when.
+type silence struct {
+	boot  uint64
+	until time.Duration
+}
+
+// allReported reports whether every process that may hold a lease has had time to report it.
+func (f *fleet) allReported() bool { return len(f.silent) == 0 }
+
 // since returns the time of the member's last state change.
 func (f *fleet) since(m *membership.Member) time.Duration { return m.Since.Sub(f.start) }
 
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -187,9 +187,26 @@
 		full = full.scale(f.reachableShare)
 	}
 	if !l.open {
-		return l.reported.plus(l.contract.scale(settlingShare * f.reachableShare)).min(full)
+		return l.reported.plus(l.settlingAllowance().scale(f.reachableShare)).min(full)
 	}
-	return full.minus(l.earlier.unreported(now)).minus(l.rejoining.unreported(now)).atLeastZero()
+	if !f.allReported() {
+		full = full.minus(l.earlier.unreported(now))
+	}
+	return full.minus(l.rejoining.unreported(now)).atLeastZero()
+}
+
+// settlingAllowance returns the amount that may be granted beyond the reported one while the ledger
+// settles: what the tolerance allows over the settling time, in which the burst is not granted
+// again, and at least settlingShare.
+func (l *ledger) settlingAllowance() amount {
+	a := l.contract.scale(settlingShare)
+	t := l.opts.Tolerance
+	if t.Window <= 0 {
+		return a
+	}
+	spare := t.Share*(l.contract.rate*t.Window.Seconds()+l.contract.burst) + t.Calls + settlingBurstShare*l.contract.burst
+	a.rate = min(max(a.rate, toleranceShare*spare/max(t.Window, l.opts.settleTime()).Seconds()), l.contract.rate)
+	return a
 }
 
 // poolRate returns the rate that fills the pool: what is neither leased nor possibly in use by
--- a/quota/manager.go
+++ b/quota/manager.go
@@ -67,7 +67,7 @@
 }
 
 func (m *Manager) setView(view *membership.View, now time.Duration) {
-	f := newFleet(view, m.start, now, m.fleet.Load(), m.opts.rejoinTime())
+	f := newFleet(view, m.start, now, m.fleet.Load(), m.opts)
 	m.fleet.Store(f)
 	m.owner.setFleet(f, now)
 	m.holder.setFleet(f, now)
