Start through seeds, and leave the platform's store to a few daemons of a zone

Now a start joins through the seeds that the platform names (setting seeds), and gets the directory's other entries (verdicts, outcomes) from a daemon that knows them (KIND_DIRECTORY). Only where no seed answers is the directory read. In a recovery the log is asked after a delay by rank among the readers of the zone (recovery.Options.LogDelay): the first two at once, the others 0.35 s later for each doubling of the rank; meanwhile they query daemons before them in that order, so that the state comes down a tree and none is asked by many.

Not measured on a deployment yet.

--- a/internal/controller/contacts/contacts.go
+++ b/internal/controller/contacts/contacts.go
@@ -87,7 +87,9 @@
 	// hasOwnEntry is whether the directory has this daemon's entry, hasEnoughOthers whether it
 	// has enough others from the availability zone.
 	hasOwnEntry, hasEnoughOthers atomic.Bool
-	restoreWatcher               *blackboard.RestoreWatcher
+	// read is whether the entries of the directory are known.
+	read           atomic.Bool
+	restoreWatcher *blackboard.RestoreWatcher
 }
 
 // New returns a controller that has stored nothing yet.
@@ -201,6 +203,18 @@
 	c.hasEnoughOthers.Store(sameZone >= enoughSameZone)
 }
 
+// SkipRead makes the controller proceed without a read of the directory, because this daemon has
+// joined by other means. It puts its entry only when it becomes a reader: daemons that start later
+// find those of the readers.
+func (c *Controller) SkipRead() {
+	c.hasEnoughOthers.Store(true)
+	c.read.Store(true)
+	c.listedOnce.Do(func() { close(c.listed) })
+}
+
+// Read reports whether the entries of the directory are known to this daemon.
+func (c *Controller) Read() bool { return c.read.Load() }
+
 // contact returns this daemon's entry.
 func (c *Controller) contact() *configpb.Contact {
 	return &configpb.Contact{
@@ -241,6 +255,7 @@
 	if c.opts.OnEntries != nil {
 		c.opts.OnEntries(values)
 	}
+	c.read.Store(true)
 	if c.opts.DirectoryPersists {
 		// The entries are sorted by name and include hosts that are gone for good: a daemon that
 		// tries only the first few would never reach the others.
--- a/internal/controller/quarantines/quarantines.go
+++ b/internal/controller/quarantines/quarantines.go
@@ -222,6 +222,17 @@
 	return nil
 }
 
+// Entries returns the verdicts in force as entries of the directory.
+func (c *Controller) Entries() [][]byte {
+	var values [][]byte
+	for _, v := range c.opts.Tracker.Verdicts() {
+		if value, err := quarantine.EncodeEntry(v); err == nil {
+			values = append(values, value)
+		}
+	}
+	return values
+}
+
 // AddEntries adds the verdicts among the directory's entries to the tracker.
 func (c *Controller) AddEntries(values [][]byte) {
 	for _, value := range values {
--- a/internal/controller/rollouts/decide.go
+++ b/internal/controller/rollouts/decide.go
@@ -148,6 +148,26 @@
 	return nil
 }
 
+// Entries returns the known outcomes as entries of the directory, the latest of each service.
+func (c *Controller) Entries() [][]byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	latest := maps.Clone(c.directoryOutcomes)
+	for service, t := range c.recorded {
+		if t.Outcome == rollout.Undecided {
+			continue
+		}
+		latest[service] = rollout.RecordedOutcome{Order: t.Order, Outcome: t.Outcome}
+	}
+	var values [][]byte
+	for _, e := range latest {
+		if value, err := rollout.EncodeEntry(e); err == nil {
+			values = append(values, value)
+		}
+	}
+	return values
+}
+
 // AddEntries adds the outcomes among the directory's entries.
 func (c *Controller) AddEntries(values [][]byte) {
 	c.mu.Lock()
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -33,6 +33,7 @@
 	p.peerServer.Handle(peerpb.Kind_KIND_ROLLOUT, unaryHandler(func(_ context.Context, r *rolloutpb.Report) (proto.Message, error) {
 		return p.rollouts.Serve(r)
 	}))
+	p.peerServer.Handle(peerpb.Kind_KIND_DIRECTORY, unaryHandler(p.serveDirectory))
 	p.peerServer.Handle(peerpb.Kind_KIND_MEMBER_SYNC, unaryHandler(func(ctx context.Context, t *memberpb.Table) (proto.Message, error) {
 		return p.membership.HandleSync(ctx, t), nil
 	}))
--- /dev/null
+++ b/internal/daemon/join.go
@@ -0,0 +1,185 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/crocuscross/crocuscross/internal/loop"
+	"github.com/crocuscross/crocuscross/membership"
+	"github.com/crocuscross/crocuscross/peerpb"
+)
+
+const (
+	// joinTimeout bounds a join through one set of contacts. Afterwards the contacts stream is read
+	// again.
+	joinTimeout = 15 * time.Second
+	// rejoinDelay is the initial mean wait between two joins.
+	rejoinDelay = 500 * time.Millisecond
+	// maxRejoinDelay bounds the mean wait between two joins. A daemon that found no contacts is not
+	// necessarily the only one: the platform may have been unavailable when the contacts were read.
+	maxRejoinDelay = 3 * time.Second
+	// findContactsTimeout bounds a read of the contacts stream.
+	findContactsTimeout = 2 * time.Second
+	// seedJoinTimeout bounds the join through the seeds, before the contacts stream is read.
+	seedJoinTimeout = time.Second
+	// directoryQueries is the number of daemons that are queried for the directory's entries in one
+	// round, directoryQueryTimeout bounds one query, and directoryQueryInterval is the mean wait
+	// between two rounds.
+	directoryQueries       = 2
+	directoryQueryTimeout  = 500 * time.Millisecond
+	directoryQueryInterval = 300 * time.Millisecond
+)
+
+// joinFleet joins the other daemons through the contacts in the settings and those in the
+// platform's log. If all daemons of a fleet start at once, their contacts know no other daemon yet.
+// A daemon that took the empty tables of its contacts for the complete fleet would be alone until
+// the next heal interval. Each daemon therefore joins a second time shortly after the first, when
+// the contacts are members, and keeps joining as long as it knows no other member.
+func (d *Daemon) joinFleet(ctx context.Context) error {
+	configured, err := parseContacts(d.settings.Contacts)
+	if err != nil {
+		return err
+	}
+	seeds, err := d.seedContacts()
+	if err != nil {
+		return err
+	}
+	wait := rejoinDelay
+	var known []membership.Contact
+	if d.joinThroughSeeds(ctx, seeds) {
+		// The seeds are the same on all hosts. A second join of the whole fleet through them
+		// would keep their links busy.
+		known = d.memberContacts()
+	}
+	for joins := 0; ctx.Err() == nil; {
+		if len(known) == 0 {
+			known = d.withLogContacts(ctx, configured)
+		}
+		if err := d.joinOnce(ctx, known); err != nil {
+			d.logger.Warn("daemon: no contact answers", "error", err)
+			known = nil
+			continue
+		}
+		joins++
+		d.joinedOnce.Do(func() { close(d.joined) })
+		alone := len(d.membership.View().Live()) <= 1
+		if joins > 1 && !alone {
+			return nil
+		}
+		if alone {
+			// Other daemons may have put their addresses into the log in the meantime.
+			known = nil
+		}
+		loop.SleepJittered(ctx, wait)
+		if joins > 1 {
+			wait = min(2*wait, maxRejoinDelay)
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) joinOnce(ctx context.Context, contacts []membership.Contact) error {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	_, err := d.membership.Join(ctx, contacts)
+	return err
+}
+
+// withLogContacts returns the contacts found in the platform's log, followed by the configured
+// ones.
+func (d *Daemon) withLogContacts(ctx context.Context, configured []membership.Contact) []membership.Contact {
+	ctx, cancel := context.WithTimeout(ctx, findContactsTimeout)
+	defer cancel()
+	found, err := d.contacts.Find(ctx)
+	if err != nil {
+		d.logger.Info("daemon: contacts stream not read", "error", err)
+	}
+	return append(found, configured...)
+}
+
+// seedContacts returns the addresses at which the daemons on the seeds' hosts listen for others.
+func (d *Daemon) seedContacts() ([]membership.Contact, error) {
+	seeds, err := parseContacts(d.settings.Seeds)
+	for i, s := range seeds {
+		seeds[i].Addr = netip.AddrPortFrom(s.Addr.Addr(), d.peerAddr().Port())
+	}
+	return seeds, err
+}
+
+// joinThroughSeeds joins through the seeds and gets the entries of the directory from another
+// daemon, so that a start makes no call to the platform. It reports whether it succeeded. If it did
+// not, for example because all seeds are down, the directory must be read.
+func (d *Daemon) joinThroughSeeds(ctx context.Context, seeds []membership.Contact) bool {
+	if len(seeds) == 0 {
+		return false
+	}
+	joinCtx, cancel := context.WithTimeout(ctx, seedJoinTimeout)
+	defer cancel()
+	if n, err := d.membership.Join(joinCtx, seeds); err != nil || n == 0 {
+		d.logger.Info("daemon: no seed answers", "seeds", len(seeds), "error", err)
+		return false
+	}
+	d.joinedOnce.Do(func() { close(d.joined) })
+	return d.inheritDirectory(ctx)
+}
+
+// memberContacts returns a few members as contacts.
+func (d *Daemon) memberContacts() []membership.Contact {
+	self := d.membership.View().Self
+	var contacts []membership.Contact
+	for _, m := range selectRecoveryPeers(self, recoveryPeers{d}.otherMembers()) {
+		contacts = append(contacts, membership.Contact{Addr: m.PeerAddr, AvailabilityZone: m.AvailabilityZone})
+	}
+	return contacts
+}
+
+// inheritDirectory gets the entries of the directory from another daemon and reports whether it
+// succeeded. It gives up when this daemon's turn to read the directory has come: when all daemons
+// start at once, a few read it and the others get its entries from them.
+func (d *Daemon) inheritDirectory(ctx context.Context) bool {
+	for start := time.Now(); ; {
+		if entries, ok := d.queryDirectory(ctx); ok {
+			d.addEntries(entries)
+			d.contacts.SkipRead()
+			return true
+		}
+		if time.Since(start) >= d.logDelay() || !loop.SleepJittered(ctx, directoryQueryInterval) {
+			return false
+		}
+	}
+}
+
+// queryDirectory queries a few daemons for the entries of the directory.
+func (d *Daemon) queryDirectory(ctx context.Context) (entries [][]byte, ok bool) {
+	peers := selectRecoveryPeers(d.membership.View().Self, recoveryPeers{d}.otherMembers())
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, m := range peers[:min(directoryQueries, len(peers))] {
+		if entries, ok := d.queryDirectoryOf(ctx, m); ok {
+			return entries, true
+		}
+	}
+	return nil, false
+}
+
+func (d *Daemon) queryDirectoryOf(ctx context.Context, m *membership.Member) (entries [][]byte, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, directoryQueryTimeout)
+	defer cancel()
+	ans := new(peerpb.DirectoryAnswer)
+	if err := d.controlPool.Call(ctx, m.PeerAddr, peerpb.Kind_KIND_DIRECTORY, &peerpb.DirectoryAsk{}, ans); err != nil {
+		return nil, false
+	}
+	return ans.GetEntries(), ans.GetKnown()
+}
+
+// serveDirectory answers the query of a starting daemon.
+func (p *components) serveDirectory(context.Context, *peerpb.DirectoryAsk) (proto.Message, error) {
+	ans := &peerpb.DirectoryAnswer{Known: p.contacts.Read()}
+	if ans.Known {
+		ans.Entries = append(p.quarantines.Entries(), p.rollouts.Entries()...)
+	}
+	return ans, nil
+}
--- a/internal/daemon/recover.go
+++ b/internal/daemon/recover.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -12,7 +13,6 @@
 	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
-	"github.com/crocuscross/crocuscross/internal/loop"
 	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/peerpb"
 	"github.com/crocuscross/crocuscross/recovery"
@@ -20,16 +20,6 @@
 )
 
 const (
-	// joinTimeout bounds a join through one set of contacts. Afterwards the contacts stream is read
-	// again.
-	joinTimeout = 15 * time.Second
-	// rejoinDelay is the initial mean wait between two joins.
-	rejoinDelay = 500 * time.Millisecond
-	// maxRejoinDelay bounds the mean wait between two joins. A daemon that found no contacts is not
-	// necessarily the only one: the platform may have been unavailable when the contacts were read.
-	maxRejoinDelay = 3 * time.Second
-	// findContactsTimeout bounds a read of the contacts stream.
-	findContactsTimeout = 2 * time.Second
 	// storeReadTimeout bounds one read from the platform's store during a recovery. The client of
 	// the store aborts a read that receives nothing for 2 s; this timeout bounds a read that keeps
 	// receiving data. A document of 5,800 routes (1.6 MB as the store sends it) takes 2.8 s on an
@@ -48,64 +38,6 @@
 	sufficientAnswers = 4
 )
 
-// joinFleet joins the other daemons through the contacts in the settings and those in the
-// platform's log. If all daemons of a fleet start at once, their contacts know no other daemon yet.
-// A daemon that took the empty tables of its contacts for the complete fleet would be alone until
-// the next heal interval. Each daemon therefore joins a second time shortly after the first, when
-// the contacts are members, and keeps joining as long as it knows no other member.
-func (d *Daemon) joinFleet(ctx context.Context) error {
-	configured, err := parseContacts(d.settings.Contacts)
-	if err != nil {
-		return err
-	}
-	wait := rejoinDelay
-	var known []membership.Contact
-	for joins := 0; ctx.Err() == nil; {
-		if len(known) == 0 {
-			known = d.withLogContacts(ctx, configured)
-		}
-		if err := d.joinOnce(ctx, known); err != nil {
-			d.logger.Warn("daemon: no contact answers", "error", err)
-			known = nil
-			continue
-		}
-		joins++
-		d.joinedOnce.Do(func() { close(d.joined) })
-		alone := len(d.membership.View().Live()) <= 1
-		if joins > 1 && !alone {
-			return nil
-		}
-		if alone {
-			// Other daemons may have put their addresses into the log in the meantime.
-			known = nil
-		}
-		loop.SleepJittered(ctx, wait)
-		if joins > 1 {
-			wait = min(2*wait, maxRejoinDelay)
-		}
-	}
-	return nil
-}
-
-func (d *Daemon) joinOnce(ctx context.Context, contacts []membership.Contact) error {
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-	defer cancel()
-	_, err := d.membership.Join(ctx, contacts)
-	return err
-}
-
-// withLogContacts returns the contacts found in the platform's log, followed by the configured
-// ones.
-func (d *Daemon) withLogContacts(ctx context.Context, configured []membership.Contact) []membership.Contact {
-	ctx, cancel := context.WithTimeout(ctx, findContactsTimeout)
-	defer cancel()
-	found, err := d.contacts.Find(ctx)
-	if err != nil {
-		d.logger.Info("daemon: contacts stream not read", "error", err)
-	}
-	return append(found, configured...)
-}
-
 // recoverConfiguration determines the floor, which is the newest version that this host is known to
 // have had in force, obtains a state that is not older, and starts serving.
 func (d *Daemon) recoverConfiguration(ctx context.Context) error {
@@ -145,7 +77,7 @@
 		// each daemon.
 		o.Stagger, o.MaxBackoff = 0, maxStoreBackoff
 		o.LogTimeout, o.FetchTimeout = storeReadTimeout, storeReadTimeout
-		o.PreferPeers = true
+		o.PreferPeers, o.LogDelay = true, d.logDelay
 	} else {
 		o.Checkpoints = d.log.Stream(eventlog.StreamCheckpoints)
 	}
@@ -197,34 +129,79 @@
 }
 
 // selectPeers selects the daemons to query: half of them in the availability zone of this daemon,
-// and in each half live members before others and fast links before slow ones, except for one
-// member drawn at random. Hosts with fast links are the first to have a configuration after a power
-// loss, and can send it to many others. It reorders others.
+// and in each half live members before others.
 func (p recoveryPeers) selectPeers(others []*membership.Member) []*membership.Member {
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	slices.SortStableFunc(others, func(a, b *membership.Member) int {
-		return cmp.Or(cmp.Compare(a.Liveness, b.Liveness), cmp.Compare(b.LinkMbps, a.LinkMbps))
+	return selectRecoveryPeers(p.d.membership.View().Self, others)
+}
+
+// selectRecoveryPeers draws the daemons to query from the half of the members that precede this
+// daemon in the order of readers. When a whole fleet starts, the first of that order have the
+// configuration first, and it reaches all others along a tree in which no daemon is asked by many.
+// Hosts with fast links precede others. It reorders others.
+func selectRecoveryPeers(self *membership.Member, others []*membership.Member) []*membership.Member {
+	slices.SortFunc(others, func(a, b *membership.Member) int {
+		return cmp.Or(cmp.Compare(a.Liveness, b.Liveness), spread.CompareReaders(a, b))
 	})
 	var sameZone, otherZones []*membership.Member
+	precedeSame, precedeOther := 0, 0
 	for _, m := range others {
-		if m.AvailabilityZone == p.d.settings.AvailabilityZone {
-			sameZone = append(sameZone, m)
+		precedes := count(m.Liveness == membership.Alive && spread.CompareReaders(m, self) < 0)
+		if m.AvailabilityZone == self.AvailabilityZone {
+			sameZone, precedeSame = append(sameZone, m), precedeSame+precedes
 		} else {
-			otherZones = append(otherZones, m)
+			otherZones, precedeOther = append(otherZones, m), precedeOther+precedes
 		}
 	}
 	n := min(len(sameZone), max(queryFanOut/2, queryFanOut-len(otherZones)))
-	return slices.Concat(firstAndRandom(sameZone, n), firstAndRandom(otherZones, min(queryFanOut-n, len(otherZones))))
+	return slices.Concat(drawFirst(sameZone, n, precedeSame/2), drawFirst(otherZones, min(queryFanOut-n, len(otherZones)), precedeOther/2))
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// drawFirst draws n of the first members of list, of the first n if first is less. It reorders
+// list.
+func drawFirst(list []*membership.Member, n, first int) []*membership.Member {
+	pool := list[:min(max(n, first), len(list))]
+	rand.Shuffle(len(pool), func(i, j int) { pool[i], pool[j] = pool[j], pool[i] })
+	return pool[:n]
+}
+
+// Delays after the start of a recovery until the log is asked.
+const (
+	// logDelayPerLevel is the time in which a configuration passes from a daemon to those that query
+	// it: one query interval, and the transfer over a slow link.
+	logDelayPerLevel = 350 * time.Millisecond
+	// aloneLogDelay is the delay while no other member is known and the join goes on.
+	aloneLogDelay = time.Second
+)
+
+// logDelay returns how long after the start of a recovery this daemon waits for the configuration
+// of others before it asks the log.
+func (d *Daemon) logDelay() time.Duration {
+	view := d.membership.View()
+	if len(view.Live()) > 1 {
+		return logDelayOfRank(spread.ReaderRank(view), d.settings.Spread.ReadersPerZone)
+	}
+	select {
+	case <-d.joined:
+		return 0
+	default:
+		return aloneLogDelay
+	}
 }
 
-// firstAndRandom returns n members of list: the first n-1 and a random one of the rest. The members
-// with the fastest links may all have just started. It reorders list.
-func firstAndRandom(list []*membership.Member, n int) []*membership.Member {
-	if n > 0 {
-		other := n - 1 + rand.IntN(len(list)-n+1)
-		list[n-1], list[other] = list[other], list[n-1]
+// logDelayOfRank returns the delay of the daemon with a rank among the readers of its availability
+// zone. The configuration reaches it along a tree whose depth is the logarithm of the rank.
+func logDelayOfRank(rank, readers int) time.Duration {
+	if rank < readers {
+		return 0
 	}
-	return list[:n]
+	return time.Duration(bits.Len(uint(rank/max(readers, 1)))) * logDelayPerLevel
 }
 
 // sortByZone moves the answers of daemons in the availability zone of this daemon to the front.
--- a/recovery/bounds.go
+++ b/recovery/bounds.go
@@ -15,33 +15,43 @@
 	err    error
 }
 
-// readBoundsOrPeer requests the bounds of the log. With PreferPeers it queries the daemons
-// periodically in the meantime, until a state of theirs may be served. In that case peerFirst is
-// true, the state is in r.state, the answers are in the input, and the request to the log is
-// canceled.
+// readBoundsOrPeer requests the bounds of the log, after LogDelay. With PreferPeers it queries the
+// daemons periodically in the meantime, until a state of theirs may be served. In that case
+// peerFirst is true, the state is in r.state, the answers are in the input, and the request to the
+// log is canceled.
 //
-// After a simultaneous power loss of all hosts no daemon has a state, and each host reads the
-// complete newest configuration over its own link. That takes 3 s on 5 Mbit/s, during which callers
-// are refused. Hosts with fast links have the configuration almost immediately and send it to
-// other daemons in compressed form.
+// After a simultaneous power loss of all hosts no daemon has a state. A few hosts read the complete
+// newest configuration over their own links and send it to the others in compressed form. If all of
+// them read it, that would take 3 s on 5 Mbit/s, during which callers are refused, and the calls to
+// the platform would grow with the fleet.
 func (r *recoverer) readBoundsOrPeer(ctx context.Context, in *Input) (end boundsResult, peerFirst bool) {
-	ctx, cancel := context.WithTimeout(ctx, r.logTimeout(*in))
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	read := make(chan boundsResult, 1)
-	go func() {
-		bounds, err := r.opts.Config.Bounds(ctx)
-		read <- boundsResult{bounds, err}
-	}()
 	if !r.opts.PreferPeers || r.needLog {
-		return <-read, false
+		return r.readBounds(ctx, *in), false
 	}
-	for {
-		pause := time.NewTimer(r.opts.AskInterval/2 + rand.N(r.opts.AskInterval/2+1))
+	read := make(chan boundsResult, 1)
+	reading := false
+	for start := time.Now(); ; {
+		delay := r.opts.LogDelay() - time.Since(start)
+		if !reading && delay <= 0 {
+			reading = true
+			input := *in
+			go func() { read <- r.readBounds(ctx, input) }()
+		}
+		pause := r.opts.AskInterval/2 + rand.N(r.opts.AskInterval/2+1)
+		if !reading {
+			pause = min(pause, delay)
+		}
+		timer := time.NewTimer(pause)
 		select {
 		case end := <-read:
-			pause.Stop()
+			timer.Stop()
 			return end, false
-		case <-pause.C:
+		case <-timer.C:
+		}
+		if !reading && r.opts.LogDelay() <= time.Since(start) {
+			continue
 		}
 		// Answers without a state to serve are discarded: the bounds of the log must be compared
 		// with answers that were received before the request for the bounds.
@@ -53,6 +63,14 @@
 	}
 }
 
+// readBounds requests the bounds of the log once.
+func (r *recoverer) readBounds(ctx context.Context, in Input) boundsResult {
+	ctx, cancel := context.WithTimeout(ctx, r.logTimeout(in))
+	defer cancel()
+	bounds, err := r.opts.Config.Bounds(ctx)
+	return boundsResult{bounds, err}
+}
+
 // queryPeers queries the daemons once. It returns their answers and a state that may be served
 // without the log, nil if there is none.
 func (r *recoverer) queryPeers(ctx context.Context) (PeerAnswers, *fold.State) {
--- a/recovery/bounds_test.go
+++ b/recovery/bounds_test.go
@@ -110,3 +110,42 @@
 		})
 	}
 }
+
+// All daemons of a large fleet start at once, and this one is not among the few that ask the log
+// first. Guards against calls to the platform that grow with the fleet: the state of the others is
+// used, and the log is not asked.
+func TestFleetStart_LogDelayLeavesTheLogToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, log := newPreferPeersFleet()
+		for _, host := range []string{"a", "b", "c"} {
+			f.peer(host, 9, 0)
+		}
+		f.opts.Peers = &startingPeers{answersFrom: time.Now().Add(time.Second), with: &f.peers, known: 20}
+		f.opts.LogDelay = func() time.Duration { return 2 * time.Second }
+		began := time.Now()
+		res := f.mustServe(t, 9, NoProblem)
+		must.Eq(t, FromPeer, res.From)
+		must.LessEq(t, 1200*time.Millisecond, time.Since(began))
+		must.Zero(t, log.bounds)
+	})
+}
+
+// The daemons that should have asked the log are gone. The log is asked after the delay, and earlier
+// once the daemons that are known to be gone no longer count.
+func TestFleetStart_LogDelayIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, log := newPreferPeersFleet()
+		f.opts.Peers = &startingPeers{answersFrom: time.Now().Add(time.Hour), with: &f.peers, known: 20}
+		began := time.Now()
+		f.opts.LogDelay = func() time.Duration {
+			if time.Since(began) > time.Second {
+				return time.Second
+			}
+			return 3 * time.Second
+		}
+		f.opts.Stagger = 0
+		f.mustServe(t, 9, NoProblem)
+		must.Between(t, time.Second, time.Since(began), 1300*time.Millisecond)
+		must.Eq(t, 1, log.bounds)
+	})
+}
--- a/recovery/recover.go
+++ b/recovery/recover.go
@@ -36,6 +36,12 @@
 	// delay that callers can rely on: a start then needs no request to the platform and
 	// transfers no complete document from it.
 	PreferPeers bool
+	// LogDelay returns how long after the start of a round the log is asked, while the daemons are
+	// queried. It is called repeatedly, since the answer depends on the daemons known. It has an
+	// effect only with PreferPeers, in the rounds before one has shown that the log is needed. If all
+	// daemons of a fleet start at once, the few with the shortest delays ask the log and the others
+	// get the state from them.
+	LogDelay func() time.Duration
 	// Own is the state that the daemon holds, nil in a process that has just started. A running
 	// daemon sets it if the log has dropped the record after its state. Recover then returns no
 	// older state.
@@ -86,6 +92,7 @@
 		Stagger:             3 * time.Second,
 		Sleep:               sleep,
 		Report:              func(Decision) {},
+		LogDelay:            func() time.Duration { return 0 },
 		Logger:              slog.New(slog.DiscardHandler),
 	}
 }
--- a/spread/topology.go
+++ b/spread/topology.go
@@ -86,6 +86,23 @@
 	return topo
 }
 
+// CompareReaders orders members of one availability zone by their rank as readers of the log.
+func CompareReaders(a, b *membership.Member) int {
+	return compareRanked(rankAsReader(a), rankAsReader(b))
+}
+
+// ReaderRank returns the position of this daemon among the usable members of its availability zone
+// in the order in which they become readers, from 0.
+func ReaderRank(v *membership.View) int {
+	rank := 0
+	for _, m := range v.Members {
+		if m.AvailabilityZone == v.Self.AvailabilityZone && m.Host != v.Self.Host && m.Usable() && CompareReaders(m, v.Self) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
 // topMembers lists the highest-ranked members, in order of rank.
 type topMembers []rankedMember
 
