--- a/internal/daemon/join_test.go
+++ b/internal/daemon/join_test.go
@@ -28,9 +28,7 @@
 		s.Listen.Peers = fmt.Sprintf("127.77.0.%d:%d", next, port)
 		s.AvailabilityZone = "zone"
 		s.Membership.JoinTimeout = settings.Duration(waitLimit)
-		for _, seed := range seeds {
-			s.Seeds = append(s.Seeds, seed)
-		}
+		s.Seeds = append(s.Seeds, seeds...)
 	}
 }
 
