--- a/internal/proxy/outbound/anonymous.go
+++ b/internal/proxy/outbound/anonymous.go
@@ -102,6 +102,9 @@
 	}
 	var err error
 	c.grant, err = c.h.opts.Quota.AdmitWait(ctx, account)
+	if err != nil {
+		c.logOverLimit(account)
+	}
 	return err
 }
 
--- a/internal/proxy/outbound/log.go
+++ b/internal/proxy/outbound/log.go
@@ -7,6 +7,7 @@
 
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/internal/proxy/dialect"
+	"github.com/crocuscross/crocuscross/snapshot"
 )
 
 const (
@@ -48,6 +49,15 @@
 	}
 }
 
+// logOverLimit logs a call that is refused because of its account's limits, up to
+// maxRoutineLogRate.
+func (c *call) logOverLimit(account *snapshot.Contract) {
+	if c.h.logLimit.Allow() {
+		c.h.opts.Logger.Info("outbound: call over the limit of its account", "request", c.requestID,
+			"account", account.Customer, "quota", c.h.opts.Quota.Situation(account))
+	}
+}
+
 // isRoutine reports whether the request was answered at the first attempt, without a server
 // error and within its objective.
 func (c *call) isRoutine(err error, took time.Duration) bool {
