quota: a limit per window, where the platform states one

Of 1,830 refusals in 12 s, 1,496 were of one account with a limit of 84 a second that asked for more than 84 but fewer than the (rate x 5 s + burst) of each window; the others of accounts of 5 to 44 a second, whose burst gave no holder a bucket, so that each call asked the pool of the owner and found it empty.

With quota.window the token bucket is now derived from the calls that a window allows: rate + burst / window, a burst of at least half of the contract's and 0.6 of what lies beyond, 0.93 of the window in all.

--- a/quota/amount.go
+++ b/quota/amount.go
@@ -4,7 +4,6 @@
 	"math"
 
 	"github.com/crocuscross/crocuscross/quota/quotapb"
-	"github.com/crocuscross/crocuscross/snapshot"
 )
 
 // amount is a part of a contract.
@@ -17,10 +16,6 @@
 	slots float64
 }
 
-func contractAmount(c *snapshot.Contract) amount {
-	return amount{rate: c.Rate, burst: c.Burst, slots: float64(c.MaxConcurrent)}
-}
-
 func amountFromProto(p *quotapb.Amount) amount {
 	return amount{rate: validOrZero(p.GetRate()), burst: validOrZero(p.GetBurst()), slots: float64(p.GetSlots())}
 }
--- a/quota/bench_test.go
+++ b/quota/bench_test.go
@@ -162,7 +162,7 @@
 			a.lease.Store(newLease(amount{rate: 1, burst: 1}, true, 0, forever))
 		}
 		held := heapBytes()
-		l := newLedger(DefaultOptions(), amount{rate: 1000, burst: 1000}, 0, 0)
+		l := newLedger(DefaultOptions(), &snapshot.Contract{Rate: 1000, Burst: 1000}, 0, 0)
 		for i := range 910 {
 			l.claim(0, m.fleet.Load(), holderID{"h", uint64(i)}, 1, &quotapb.Claim{Demand: 1})
 		}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -84,10 +84,11 @@
 	if h.fleet != nil {
 		known = float64(max(1, h.fleet.known))
 	}
+	whole := h.opts.Tolerance.amount(a.contract)
 	part := amount{
-		rate:  unleasedShare * a.contract.Rate / known,
-		burst: min(a.contract.Burst, unleasedBurst*a.contract.Rate) / known,
-		slots: float64(a.contract.MaxConcurrent) / known,
+		rate:  unleasedShare * whole.rate / known,
+		burst: min(whole.burst, unleasedBurst*whole.rate) / known,
+		slots: whole.slots / known,
 	}
 	fallback := newLease(part.wholeSlots(), true, now, forever)
 	fallback.fill(now, part.burst)
@@ -120,8 +121,8 @@
 // revise applies a revised contract to an account. The lease shrinks with the contract at once.
 // All holders claim again soon, spread out to avoid a simultaneous burst of claims.
 func (h *holder) revise(a *account, c *snapshot.Contract, now time.Duration) {
-	previous := contractAmount(a.contract)
-	revised := contractAmount(c)
+	previous := h.opts.Tolerance.amount(a.contract)
+	revised := h.opts.Tolerance.amount(c)
 	a.contract = c
 	h.setFallback(a, now)
 	a.nextClaim = min(a.nextClaim, now+h.jitter(h.opts.reportSpread()))
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -6,17 +6,20 @@
 	"time"
 
 	"github.com/crocuscross/crocuscross/quota/quotapb"
+	"github.com/crocuscross/crocuscross/snapshot"
 )
 
 // ledger is the owner's record of one customer's contract. It is not safe for concurrent use.
 type ledger struct {
 	opts     Options
 	contract amount
-	entries  []*entry
-	byHolder map[holderID]*entry
-	sum      totals
-	pool     pool
-	earlier  earlierOwners
+	// settlingRate is the rate that may be granted beyond the reported one while the ledger settles.
+	settlingRate float64
+	entries      []*entry
+	byHolder     map[holderID]*entry
+	sum          totals
+	pool         pool
+	earlier      earlierOwners
 	// rejoining is the amount that was leased in regions that have become reachable again.
 	rejoining rejoining
 	// sweptFleet is the fleet for which the entries were last updated.
@@ -32,8 +35,9 @@
 
 // newLedger returns a ledger without entries. Its pool starts with the tokens that have
 // accumulated since opensAt.
-func newLedger(opts Options, contract amount, opensAt, now time.Duration) *ledger {
-	l := &ledger{opts: opts, contract: contract, byHolder: map[holderID]*entry{}, opensAt: opensAt}
+func newLedger(opts Options, contract *snapshot.Contract, opensAt, now time.Duration) *ledger {
+	l := &ledger{opts: opts, byHolder: map[holderID]*entry{}, opensAt: opensAt}
+	l.setContract(contract)
 	// Set open before the pool is first refilled: while a ledger settles, only
 	// settlingShare of the rate is available, and the pool would get a fiftieth of the
 	// burst.
@@ -42,6 +46,11 @@
 	return l
 }
 
+func (l *ledger) setContract(c *snapshot.Contract) {
+	l.contract = l.opts.Tolerance.amount(c)
+	l.settlingRate = l.opts.Tolerance.settlingRate(c)
+}
+
 // settle restarts settling: the ledger continues with what its holders have, since another
 // owner may have granted all the rest.
 func (l *ledger) settle(opensAt, now time.Duration) {
@@ -196,16 +205,10 @@
 }
 
 // settlingAllowance returns the amount that may be granted beyond the reported one while the ledger
-// settles: what the tolerance allows over the settling time, in which the burst is not granted
-// again, and at least settlingShare.
+// settles.
 func (l *ledger) settlingAllowance() amount {
 	a := l.contract.scale(settlingShare)
-	t := l.opts.Tolerance
-	if t.Window <= 0 {
-		return a
-	}
-	spare := t.Share*(l.contract.rate*t.Window.Seconds()+l.contract.burst) + t.Calls + settlingBurstShare*l.contract.burst
-	a.rate = min(max(a.rate, toleranceShare*spare/max(t.Window, l.opts.settleTime()).Seconds()), l.contract.rate)
+	a.rate = l.settlingRate
 	return a
 }
 
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/quota/quotapb"
+	"github.com/crocuscross/crocuscross/snapshot"
 )
 
 // ledgerModel is one ledger with holders behind a network that delays, duplicates, reorders and
@@ -59,7 +60,7 @@
 	}
 	view.Self = &membership.Member{Host: "owner", Boot: 99}
 	m.fleet = newFleet(view, time.Time{}, 0, nil, DefaultOptions())
-	m.ledger = newLedger(DefaultOptions(), m.contract, 0, 0)
+	m.ledger = newLedger(DefaultOptions(), &snapshot.Contract{Rate: m.contract.rate, Burst: m.contract.burst, MaxConcurrent: int(m.contract.slots)}, 0, 0)
 	return m
 }
 
--- a/quota/options.go
+++ b/quota/options.go
@@ -77,8 +77,8 @@
 	LeaseTime time.Duration
 	// RenewInterval is the longest time between two claims for an active customer.
 	RenewInterval time.Duration
-	// Tolerance is by how much the calls admitted in a window may exceed the contract. The larger
-	// it is, the fewer calls are refused below the contract while an owner settles.
+	// Tolerance is the number of calls that a contract allows in a window. It must be the same on all
+	// daemons.
 	Tolerance Tolerance
 	// Now returns the current time with a monotonic clock reading.
 	Now    func() time.Time
@@ -86,14 +86,6 @@
 	Logger *slog.Logger
 }
 
-// Tolerance allows (rate x Window + burst) x (1 + Share) + Calls calls in each window. Its zero value
-// allows no excess beyond what package quota documents.
-type Tolerance struct {
-	Window time.Duration
-	Share  float64
-	Calls  float64
-}
-
 // DefaultOptions returns the default options. Host and Peers are left to the caller.
 func DefaultOptions() Options {
 	return Options{
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -59,7 +59,7 @@
 	}
 	for customer, c := range contracts {
 		if l := o.ledgers[customer]; l != nil {
-			l.contract = contractAmount(c)
+			l.setContract(c)
 		}
 		if o.contracts[customer] != nil || o.fleet == nil {
 			continue
@@ -67,7 +67,7 @@
 		// The pool of a customer that is new to the fleet starts full, because its
 		// first calls follow a quiet period. If the pool filled only from now on, those
 		// calls would be refused.
-		opensAt := now - fillTime(contractAmount(c))
+		opensAt := now - fillTime(o.opts.Tolerance.amount(c))
 		if first {
 			opensAt = now + o.opts.settleTime()
 		}
@@ -125,7 +125,7 @@
 	}
 	l := o.ledgers[customer]
 	if l == nil {
-		l = newLedger(o.opts, contractAmount(contract), opensAt, now)
+		l = newLedger(o.opts, contract, opensAt, now)
 		o.ledgers[customer] = l
 	}
 	return l.claim(now, o.fleet, id, sequence, c)
--- a/quota/share.go
+++ b/quota/share.go
@@ -29,12 +29,6 @@
 	// settlingShare is the share of the contract that a settling owner may grant beyond the
 	// amounts that were reported to it.
 	settlingShare = 0.02
-	// settlingBurstShare is the share of the contract's burst that a settling owner spreads over the
-	// settling time. The holders' buckets have the rest.
-	settlingBurstShare = 0.5
-	// toleranceShare is the share of the tolerance that settling owners use. The rest is a reserve
-	// for calls without a lease and for leases under way.
-	toleranceShare = 0.7
 )
 
 // wantedRate returns the rate that serves a demand.
