quota: the previous owner confirms a planned move of ownership

On the users' platform accounts' calls are spread over all hosts, so that small accounts live on the owner's pool. A holder whose previous owner lives now asks that once more. As soon as it answers that it is not the owner, its pool uses the rate no more, and the rate feeds the new pool: 0.85 or more (TestFault_plannedMoveOfOwnership).

--- a/quota/account.go
+++ b/quota/account.go
@@ -44,6 +44,11 @@
 	// missed is set if a call found no token or slot since the latest claim.
 	missed bool
 	owner  *membership.Member
+	// previous is the owner before, to which the rate is delegated, until it has confirmed that it
+	// no longer owns the customer. nil if there is none.
+	previous *membership.Member
+	// previousUntil is the time until which previous is asked.
+	previousUntil time.Duration
 	// awaiting is set while the answer to a claim is outstanding.
 	awaiting bool
 	// nextClaim is the time at which the next claim is due.
--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -128,11 +128,15 @@
 	var exchanges []*exchange
 	byOwner := map[string]*exchange{}
 	for _, a := range h.active {
-		if !a.due(now) || h.awaiting[a.owner.Host] || byOwner[a.owner.Host] != nil {
+		if !a.due(now) {
 			continue
 		}
-		q := &exchange{owner: a.owner, sentAt: now}
-		byOwner[a.owner.Host] = q
+		target := a.claimTarget(now)
+		if h.awaiting[target.Host] || byOwner[target.Host] != nil {
+			continue
+		}
+		q := &exchange{owner: target, sentAt: now}
+		byOwner[target.Host] = q
 		exchanges = append(exchanges, q)
 	}
 	if len(exchanges) == 0 {
@@ -143,7 +147,7 @@
 		if a.owner == nil || a.awaiting {
 			continue
 		}
-		if q := byOwner[a.owner.Host]; q != nil && (a.due(now) || a.nextClaim <= soon) {
+		if q := byOwner[a.claimTarget(now).Host]; q != nil && (a.due(now) || a.nextClaim <= soon) {
 			q.accounts = append(q.accounts, a)
 		}
 	}
@@ -179,18 +183,32 @@
 			if c.GetPooled() {
 				a.lease.Load().endDelegation(q.owner.Boot, now+delegationTime+delegationMargin)
 			}
-			h.backOff(a, now)
+			h.retryClaim(a, q.owner, now)
 		case leases[i].GetVerdict() != quotapb.Verdict_VERDICT_GRANTED:
 			// An owner that refuses the claim does not use a delegated rate either.
 			a.lease.Load().endDelegation(answer.GetBoot(), now)
-			h.backOff(a, now)
+			h.retryClaim(a, q.owner, now)
 		default:
 			h.applyLease(a, q.sentAt, c, leases[i], answer.GetBoot(), now)
+			if a.previous != nil {
+				a.nextClaim = now + previousOwnerInterval
+			}
 		}
 		close(q.pendingClaims[i].done)
 	}
 }
 
+// retryClaim schedules the next claim after one that was not granted: at once to the owner if it was
+// the previous one that did not grant it.
+func (h *holder) retryClaim(a *account, asked *membership.Member, now time.Duration) {
+	if a.previous == nil || a.previous != asked {
+		h.backOff(a, now)
+		return
+	}
+	a.previous = nil
+	a.nextClaim = now
+}
+
 // backOff keeps the current lease until it expires and schedules a retry of the claim.
 func (h *holder) backOff(a *account, now time.Duration) {
 	backoff := min(firstBackoff<<min(a.failures, 8), maxBackoff)
--- a/quota/fault_test.go
+++ b/quota/fault_test.go
@@ -318,3 +318,23 @@
 	must.True(t, f.partitioned("b"))
 	must.False(t, f.isolated)
 }
+
+// A host drains and leaves while its daemon owns a customer whose calls are spread over all daemons, so
+// that each call asks the owner's pool. Guards against calls refused until the rates that were
+// delegated to the old owner's pool may be used again: it lives and confirms that it owns the
+// customer no more.
+func TestFault_plannedMoveOfOwnership(t *testing.T) {
+	c := &snapshot.Contract{Customer: "acme", Rate: 84, Burst: 84}
+	tolerance := Tolerance{Window: promiseWindow, Share: promiseOverage - 1, Calls: promiseSlack}
+	w := newTolerantWorld(tolerance, 3, 21, c)
+	w.runUntil(simWarmup)
+	var k counter
+	for _, d := range w.daemons {
+		w.load(d, c, 0.7*c.Rate/63, 2*simWarmup, &k)
+	}
+	w.runUntil(simWarmup + 10*time.Second)
+	moved := w.now
+	w.drain(w.owner(c))
+	w.runUntil(moved + 5*time.Second)
+	must.GreaterEq(t, 0.85, k.share(moved+time.Second, moved+5*time.Second))
+}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/snapshot"
 )
 
@@ -167,9 +168,34 @@
 		a.nextClaim = now + h.jitter(h.opts.reportSpread())
 		a.notBefore.Store(0)
 		a.failures = 0
+		a.askPrevious(previous, h.fleet, now)
 	}
 }
 
+// askPrevious makes the account ask its previous owner once more, if that lives and the rate is
+// delegated to it. As soon as it confirms that it no longer owns the customer, the rate can feed the
+// pool of the next owner. Otherwise the rate would be unused until the delegation ends.
+func (a *account) askPrevious(previous *membership.Member, f *fleet, now time.Duration) {
+	a.previous = nil
+	l := a.lease.Load()
+	if !l.valid(now) || !l.pooled || l.local || l.delegation.to != previous.Boot || !f.runs(holderID{previous.Host, previous.Boot}) {
+		return
+	}
+	a.previous, a.previousUntil = previous, now+previousOwnerTime
+	a.nextClaim = now
+}
+
+// claimTarget returns the owner to which the next claim goes.
+func (a *account) claimTarget(now time.Duration) *membership.Member {
+	if a.previous != nil && now >= a.previousUntil {
+		a.previous = nil
+	}
+	if a.previous != nil {
+		return a.previous
+	}
+	return a.owner
+}
+
 // jitter returns a random duration from 0 to d.
 func (h *holder) jitter(d time.Duration) time.Duration {
 	return time.Duration(h.rng.Int64N(int64(d) + 1))
--- a/quota/options.go
+++ b/quota/options.go
@@ -32,6 +32,11 @@
 	// delegated to it. Until then the holder neither uses the rate itself nor delegates it
 	// to another owner.
 	delegationTime = 3 * time.Second
+	// previousOwnerTime is how long a holder waits for its previous owner to notice that it is no
+	// longer the owner.
+	previousOwnerTime = 2 * time.Second
+	// previousOwnerInterval is the time between two claims to an owner that has not noticed yet.
+	previousOwnerInterval = 200 * time.Millisecond
 	// delegationMargin is the additional time that the holder waits, because the owner
 	// checks its ledgers only once per tick.
 	delegationMargin = 3 * tickInterval
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -494,3 +494,17 @@
 	}
 	return n
 }
+
+// drain lets all daemons know within 600 ms that one drains, so that it owns no customer any more.
+func (w *world) drain(d *daemon) {
+	for _, o := range w.daemons {
+		w.after(w.within(50*time.Millisecond, 600*time.Millisecond), func() {
+			o.execute(func() {
+				m := *o.view[d.index]
+				m.Draining = true
+				o.view[d.index] = &m
+				o.publish()
+			})
+		})
+	}
+}
