--- a/internal/daemon/join.go
+++ b/internal/daemon/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -9,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/crocuscross/crocuscross/internal/loop"
+	"github.com/crocuscross/crocuscross/internal/settings"
 	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/peerpb"
 )
@@ -55,6 +57,9 @@
 		// would keep their links busy.
 		known = d.memberContacts()
 	}
+	if len(known) == 0 && len(seeds) == 0 && d.settings.FirstStart == settings.On {
+		loop.Sleep(ctx, firstStartDelay(rand.Float64()))
+	}
 	for joins := 0; ctx.Err() == nil; {
 		if len(known) == 0 {
 			known = d.withLogContacts(ctx, configured)
@@ -101,6 +106,26 @@
 	return append(found, configured...)
 }
 
+const (
+	// firstStartWindow is the time over which the hosts of a fleet that starts for the first time
+	// spread their first reads of the directory.
+	firstStartWindow = 1500 * time.Millisecond
+	// firstStartGrowth is the logarithm of the number of hosts of a zone up to which only a few read
+	// the directory before it has entries, with a reserve.
+	firstStartGrowth = 8.0
+)
+
+// firstStartDelay returns the time until the directory is read for the first time, for a number u
+// drawn from 0 to 1. In the first start of a fleet there are no seeds, and every daemon would find
+// the directory empty and add its own entry. The delays are distributed exponentially towards the
+// end of the window: the same few daemons come early whether a zone has ten hosts or a thousand,
+// and the others find their entries.
+func firstStartDelay(u float64) time.Duration {
+	least := math.Exp(-firstStartGrowth)
+	share := 1 + math.Log(least+u*(1-least))/firstStartGrowth
+	return time.Duration(share * float64(firstStartWindow))
+}
+
 // seedContacts returns the addresses at which the daemons on the seeds' hosts listen for others.
 func (d *Daemon) seedContacts() ([]membership.Contact, error) {
 	seeds, err := parseContacts(d.settings.Seeds)
--- a/internal/daemon/join_test.go
+++ b/internal/daemon/join_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http/httptest"
 	"net/http/httputil"
 	"net/url"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -142,3 +145,29 @@
 		must.LessEq(t, hosts/3, n, must.Sprint(host))
 	}
 }
+
+// In the first start of a fleet there are no seeds. Guards against puts that grow with the fleet: of
+// 10 to 1,000 hosts of a zone about as many find fewer than eight entries in the directory, if an
+// entry is there 20 ms after its host has read the directory.
+func TestFirstStartDelay_LeavesThePutsToAFew(t *testing.T) {
+	const visible = 20 * time.Millisecond
+	for _, hosts := range []int{10, 100, 1000} {
+		rng := rand.New(rand.NewPCG(uint64(hosts), 1))
+		var at []time.Duration
+		for range hosts {
+			at = append(at, firstStartDelay(rng.Float64()))
+		}
+		slices.Sort(at)
+		must.Between(t, 0, at[0], firstStartWindow)
+		must.LessEq(t, firstStartWindow, at[hosts-1])
+		puts := 0
+		for i, own := range at {
+			seen, _ := slices.BinarySearch(at[:i], own-visible)
+			if min(seen, puts) < 8 {
+				puts++
+			}
+		}
+		t.Logf("%d hosts: %d puts", hosts, puts)
+		must.LessEq(t, 20, puts)
+	}
+}
--- a/internal/daemon/recover.go
+++ b/internal/daemon/recover.go
@@ -13,6 +13,7 @@
 	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
+	"github.com/crocuscross/crocuscross/internal/settings"
 	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/peerpb"
 	"github.com/crocuscross/crocuscross/recovery"
@@ -178,6 +179,8 @@
 	logDelayPerLevel = 350 * time.Millisecond
 	// aloneLogDelay is the delay while no other member is known and the join goes on.
 	aloneLogDelay = time.Second
+	// firstStartLogDelay is that delay in the first start of the fleet.
+	firstStartLogDelay = 2500 * time.Millisecond
 )
 
 // logDelay returns how long after the start of a recovery this daemon waits for the configuration
@@ -191,8 +194,11 @@
 	case <-d.joined:
 		return 0
 	default:
-		return aloneLogDelay
 	}
+	if d.settings.FirstStart == settings.On {
+		return firstStartLogDelay
+	}
+	return aloneLogDelay
 }
 
 // logDelayOfRank returns the delay of the daemon with a rank among the readers of its availability
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -32,6 +32,8 @@
 	addresses("seeds", []string{"10.1.2.4:7402"},
 		"Addresses on a few hosts through which this daemon joins the fleet. Their ports are ignored; the daemons there are expected to listen for other daemons at the port of listen.peers."),
 
+	choice("first_start", []string{"off", "on"},
+		"Whether all hosts of the fleet start now for the first time. If it is on and there are no seeds, a daemon waits up to 1.5 s before it looks for others, so that not all of them add their addresses to the platform's directory."),
 	name("backend.service", "sign-feed",
 		"Service of the backend server on this host, sent along with its calls. If it is not set, the service that the server announces.").optional(),
 	address("backend.address", "10.1.2.3:9000",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,7 +50,9 @@
 	Contacts []string `json:"contacts"`
 	// Seeds are addresses on a few hosts with a daemon, whose listener for other daemons has the
 	// port of Listen.Peers. The ports in the addresses are ignored.
-	Seeds      []string   `json:"seeds"`
+	Seeds []string `json:"seeds"`
+	// FirstStart is whether all hosts of the fleet start now for the first time, on or off.
+	FirstStart string     `json:"first_start"`
 	Backend    Backend    `json:"backend"`
 	Platform   Platform   `json:"platform"`
 	Membership Membership `json:"membership"`
