--- a/internal/controller/contacts/contacts.go
+++ b/internal/controller/contacts/contacts.go
@@ -87,8 +87,8 @@
 	// hasOwnEntry is whether the directory has this daemon's entry, hasEnoughOthers whether it
 	// has enough others from the availability zone.
 	hasOwnEntry, hasEnoughOthers atomic.Bool
-	// read is whether the entries of the directory are known.
-	read           atomic.Bool
+	// entriesKnown is whether the entries of the directory are known.
+	entriesKnown   atomic.Bool
 	restoreWatcher *blackboard.RestoreWatcher
 }
 
@@ -208,12 +208,12 @@
 // find those of the readers.
 func (c *Controller) SkipRead() {
 	c.hasEnoughOthers.Store(true)
-	c.read.Store(true)
+	c.entriesKnown.Store(true)
 	c.listedOnce.Do(func() { close(c.listed) })
 }
 
-// Read reports whether the entries of the directory are known to this daemon.
-func (c *Controller) Read() bool { return c.read.Load() }
+// EntriesKnown reports whether the entries of the directory are known to this daemon.
+func (c *Controller) EntriesKnown() bool { return c.entriesKnown.Load() }
 
 // contact returns this daemon's entry.
 func (c *Controller) contact() *configpb.Contact {
@@ -255,7 +255,7 @@
 	if c.opts.OnEntries != nil {
 		c.opts.OnEntries(values)
 	}
-	c.read.Store(true)
+	c.entriesKnown.Store(true)
 	if c.opts.DirectoryPersists {
 		// The entries are sorted by name and include hosts that are gone for good: a daemon that
 		// tries only the first few would never reach the others.
--- a/internal/daemon/apikey_test.go
+++ b/internal/daemon/apikey_test.go
@@ -18,7 +18,7 @@
 )
 
 // headerTenant is the platform's name of the header that carries the account.
-const headerTenant = "X-Crocuscross-Tenant"
+var headerTenant = names.CustomerName
 
 // putAccounts writes a document with a route of each kind, a public route and the given accounts, and
 // waits until it is in force.
--- a/internal/daemon/join.go
+++ b/internal/daemon/join.go
@@ -207,7 +207,7 @@
 
 // serveDirectory answers the query of a starting daemon.
 func (p *components) serveDirectory(context.Context, *peerpb.DirectoryAsk) (proto.Message, error) {
-	ans := &peerpb.DirectoryAnswer{Known: p.contacts.Read()}
+	ans := &peerpb.DirectoryAnswer{Known: p.contacts.EntriesKnown()}
 	if ans.Known {
 		ans.Entries = append(p.quarantines.Entries(), p.rollouts.Entries()...)
 	}
--- a/internal/daemon/join_test.go
+++ b/internal/daemon/join_test.go
@@ -4,9 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http/httptest"
-	"net/http/httputil"
-	"net/url"
 	"slices"
 	"testing"
 	"time"
@@ -46,24 +43,15 @@
 	}
 	f.putDocument(3)
 	f.waitJoined()
-	f.eventually("the directory is known", func() bool { return f.daemons[0].contacts.Read() })
+	f.eventually("the directory is known", func() bool { return f.daemons[0].contacts.EntriesKnown() })
 
-	store, err := url.Parse(f.store.URL())
-	must.NoError(t, err)
-	calls := &storeCalls{proxy: httputil.NewSingleHostReverseProxy(store), newest: map[string]int{}}
-	srv := httptest.NewServer(calls)
-	t.Cleanup(srv.Close)
-	change := f.adjustSettings
-	f.adjustSettings = func(s *settings.Settings) {
-		change(s)
-		s.Platform.URL = srv.URL
-	}
+	calls := f.countStoreCalls()
 	d := f.start()
 	f.eventually("the document came from a daemon", func() bool {
 		snap := d.board.Snapshot.Load()
 		return snap != nil && snap.Document() != nil
 	})
-	must.True(t, d.contacts.Read())
+	must.True(t, d.contacts.EntriesKnown())
 	contacts, others := calls.newestCalls("contacts")
 	must.Zero(t, contacts+others)
 }
@@ -86,16 +74,7 @@
 	f := newStoreFleet(t, 0)
 	seedNetwork(t, f, "127.77.0.1:1", "127.77.0.2:1", "127.77.0.3:1")
 	f.store.PutConfig(documentWith(3, "", ""))
-	store, err := url.Parse(f.store.URL())
-	must.NoError(t, err)
-	calls := &storeCalls{proxy: httputil.NewSingleHostReverseProxy(store), newest: map[string]int{}}
-	srv := httptest.NewServer(calls)
-	t.Cleanup(srv.Close)
-	change := f.adjustSettings
-	f.adjustSettings = func(s *settings.Settings) {
-		change(s)
-		s.Platform.URL = srv.URL
-	}
+	calls := f.countStoreCalls()
 	for range daemons {
 		f.run(f.build())
 	}
--- a/internal/daemon/start_test.go
+++ b/internal/daemon/start_test.go
@@ -49,6 +49,22 @@
 	return matching, others
 }
 
+// countStoreCalls counts the calls to the store of the daemons that are started from now on.
+func (f *storeFleet) countStoreCalls() *storeCalls {
+	f.t.Helper()
+	store, err := url.Parse(f.store.URL())
+	must.NoError(f.t, err)
+	calls := &storeCalls{proxy: httputil.NewSingleHostReverseProxy(store), newest: map[string]int{}}
+	srv := httptest.NewServer(calls)
+	f.t.Cleanup(srv.Close)
+	change := f.adjustSettings
+	f.adjustSettings = func(s *settings.Settings) {
+		change(s)
+		s.Platform.URL = srv.URL
+	}
+	return calls
+}
+
 // A host starts while others are running, as hundreds do during maintenance of the fleet. Each call
 // to the store has a cost, and the document would arrive over a slow link, although other daemons
 // have it. Guards against a start that reads the contacts twice and the newest document: each round
@@ -57,15 +73,10 @@
 	f := newStoreFleet(t, 5)
 	f.putDocument(3)
 	f.waitJoined()
-	store, err := url.Parse(f.store.URL())
-	must.NoError(t, err)
-	calls := &storeCalls{proxy: httputil.NewSingleHostReverseProxy(store), newest: map[string]int{}}
-	srv := httptest.NewServer(calls)
-	t.Cleanup(srv.Close)
+	calls := f.countStoreCalls()
 	change := f.adjustSettings
 	f.adjustSettings = func(s *settings.Settings) {
 		change(s)
-		s.Platform.URL = srv.URL
 		s.Membership.JoinTimeout = settings.Duration(waitLimit)
 	}
 	d := f.start()
