The wait by rank before a start asks the store begins when others are known

The wait by rank was counted from the start of the recovery. It is counted from the first member known on.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,6 +73,10 @@
 	// joined is closed once a join has reached another daemon.
 	joined     chan struct{}
 	joinedOnce sync.Once
+	// created is when the daemon was created, and othersKnown how much later it first knew another
+	// member, in nanoseconds, 0 before that.
+	created     time.Time
+	othersKnown atomic.Int64
 	*components
 
 	callers            *pipeline.Server
@@ -136,6 +140,7 @@
 		board:       &blackboard.Board{},
 		ln:          ln,
 		joined:      make(chan struct{}),
+		created:     time.Now(),
 		linger:      linger,
 	}
 	d.current.Store(s)
--- a/internal/daemon/join.go
+++ b/internal/daemon/join.go
@@ -171,13 +171,13 @@
 // succeeded. It gives up when this daemon's turn to read the directory has come: when all daemons
 // start at once, a few read it and the others get its entries from them.
 func (d *Daemon) inheritDirectory(ctx context.Context) bool {
-	for start := time.Now(); ; {
+	for {
 		if entries, ok := d.queryDirectory(ctx); ok {
 			d.addEntries(entries)
 			d.contacts.SkipRead()
 			return true
 		}
-		if time.Since(start) >= d.logDelay() || !loop.SleepJittered(ctx, directoryQueryInterval) {
+		if d.logDelay() <= 0 || !loop.SleepJittered(ctx, directoryQueryInterval) {
 			return false
 		}
 	}
--- a/internal/daemon/recover.go
+++ b/internal/daemon/recover.go
@@ -183,12 +183,14 @@
 	firstStartLogDelay = 2500 * time.Millisecond
 )
 
-// logDelay returns how long after the start of a recovery this daemon waits for the configuration
-// of others before it asks the log.
+// logDelay returns how much longer this daemon waits for the configuration of others before it asks
+// the log. The wait by rank begins when it knows another member: until then nobody could be queried.
 func (d *Daemon) logDelay() time.Duration {
 	view := d.membership.View()
 	if len(view.Live()) > 1 {
-		return logDelayOfRank(spread.ReaderRank(view), d.settings.Spread.ReadersPerZone)
+		d.othersKnown.CompareAndSwap(0, int64(time.Since(d.created)))
+		known := time.Duration(d.othersKnown.Load())
+		return known + logDelayOfRank(spread.ReaderRank(view), d.settings.Spread.ReadersPerZone) - time.Since(d.created)
 	}
 	select {
 	case <-d.joined:
@@ -196,9 +198,9 @@
 	default:
 	}
 	if d.settings.FirstStart == settings.On {
-		return firstStartLogDelay
+		return firstStartLogDelay - time.Since(d.created)
 	}
-	return aloneLogDelay
+	return aloneLogDelay - time.Since(d.created)
 }
 
 // logDelayOfRank returns the delay of the daemon with a rank among the readers of its availability
--- a/recovery/bounds.go
+++ b/recovery/bounds.go
@@ -32,8 +32,8 @@
 	}
 	read := make(chan boundsResult, 1)
 	reading := false
-	for start := time.Now(); ; {
-		delay := r.opts.LogDelay() - time.Since(start)
+	for {
+		delay := r.opts.LogDelay()
 		if !reading && delay <= 0 {
 			reading = true
 			input := *in
@@ -50,7 +50,7 @@
 			return end, false
 		case <-timer.C:
 		}
-		if !reading && r.opts.LogDelay() <= time.Since(start) {
+		if !reading && r.opts.LogDelay() <= 0 {
 			continue
 		}
 		// Answers without a state to serve are discarded: the bounds of the log must be compared
--- a/recovery/bounds_test.go
+++ b/recovery/bounds_test.go
@@ -121,8 +121,8 @@
 			f.peer(host, 9, 0)
 		}
 		f.opts.Peers = &startingPeers{answersFrom: time.Now().Add(time.Second), with: &f.peers, known: 20}
-		f.opts.LogDelay = func() time.Duration { return 2 * time.Second }
 		began := time.Now()
+		f.opts.LogDelay = func() time.Duration { return 2*time.Second - time.Since(began) }
 		res := f.mustServe(t, 9, NoProblem)
 		must.Eq(t, FromPeer, res.From)
 		must.LessEq(t, 1200*time.Millisecond, time.Since(began))
@@ -139,9 +139,9 @@
 		began := time.Now()
 		f.opts.LogDelay = func() time.Duration {
 			if time.Since(began) > time.Second {
-				return time.Second
+				return 0
 			}
-			return 3 * time.Second
+			return 3*time.Second - time.Since(began)
 		}
 		f.opts.Stagger = 0
 		f.mustServe(t, 9, NoProblem)
--- a/recovery/recover.go
+++ b/recovery/recover.go
@@ -36,8 +36,8 @@
 	// delay that callers can rely on: a start then needs no request to the platform and
 	// transfers no complete document from it.
 	PreferPeers bool
-	// LogDelay returns how long after the start of a round the log is asked, while the daemons are
-	// queried. It is called repeatedly, since the answer depends on the daemons known. It has an
+	// LogDelay returns how much longer the daemons are queried before the log is asked, 0 or less if
+	// it is to be asked now. It is called repeatedly, since the answer depends on the daemons known. It has an
 	// effect only with PreferPeers, in the rounds before one has shown that the log is needed. If all
 	// daemons of a fleet start at once, the few with the shortest delays ask the log and the others
 	// get the state from them.
