--- a/fold/apikey.go
+++ b/fold/apikey.go
@@ -83,7 +83,7 @@
 	digest := string(key.GetDigest())
 	other, taken := byDigest[digest]
 	if !taken {
-		other, taken = s.keys.keyWith(digest)
+		other, taken = s.keys.holderOf(digest)
 		_, changed = after[Key{KindAPIKey, other}]
 		taken = taken && !changed
 	}
@@ -93,38 +93,6 @@
 	byDigest[digest] = k.Name
 }
 
-// keyIndex maps digests to the names of API keys and counts the API keys of each customer.
-type keyIndex struct {
-	byDigest   cowMap[string, string]
-	byCustomer cowMap[string, int]
-}
-
-func (x *keyIndex) add(k *configpb.ApiKey) {
-	x.byDigest.set(string(k.GetDigest()), k.GetId())
-	x.byCustomer.set(k.GetCustomer(), x.count(k.GetCustomer())+1)
-}
-
-// remove removes an API key. A change earlier in the same bundle may have given its digest to
-// another API key; that key keeps the digest.
-func (x *keyIndex) remove(k *configpb.ApiKey) {
-	if name, _ := x.keyWith(string(k.GetDigest())); name == k.GetId() {
-		x.byDigest.delete(string(k.GetDigest()))
-	}
-	n := x.count(k.GetCustomer()) - 1
-	if n > 0 {
-		x.byCustomer.set(k.GetCustomer(), n)
-		return
-	}
-	x.byCustomer.delete(k.GetCustomer())
-}
-
-func (x *keyIndex) keyWith(digest string) (name string, ok bool) { return x.byDigest.get(digest) }
-
-func (x *keyIndex) count(customer string) int {
-	n, _ := x.byCustomer.get(customer)
-	return n
-}
-
 // checkAccounts runs the checks of the accounts of a document. Two accounts must not share an API
 // key, because a call with that key could not be attributed to one of them.
 func (r *reasons) checkAccounts(accounts []*configpb.DocumentAccount) {
--- a/fold/checkstate.go
+++ b/fold/checkstate.go
@@ -68,9 +68,9 @@
 	return author
 }
 
-// checkReferences rejects a bundle after which a resource would refer to a missing one or two
-// routes would have the same prefix or two API keys the same digest. The state has neither, so only the resources that the bundle
-// changes are checked.
+// checkReferences rejects a bundle after which a resource would refer to a missing one, two routes
+// would have the same prefix, or two API keys the same digest. The state has none of these, so only
+// the resources that the bundle changes are checked.
 func (r *reasons) checkReferences(s *State, b *configpb.Bundle) {
 	after := resourcesAfter(b)
 	sorted := slices.SortedFunc(maps.Keys(after), compareKeys)
@@ -103,7 +103,7 @@
 // checkServiceUnused rejects the deletion of a service that is still used by routes which the
 // bundle does not change.
 func (r *reasons) checkServiceUnused(s *State, after map[Key]*configpb.Resource, service Key) {
-	if s.routes.routeCount(service.Name) == 0 {
+	if s.routes.count(service.Name) == 0 {
 		return
 	}
 	for _, e := range s.Entries(KindRoute) {
@@ -125,7 +125,7 @@
 	prefix := route.GetPathPrefix()
 	other, taken := byPrefix[prefix]
 	if !taken {
-		other, taken = s.routes.routeAt(prefix)
+		other, taken = s.routes.holderOf(prefix)
 		_, changed = after[Key{KindRoute, other}]
 		taken = taken && !changed
 	}
@@ -166,35 +166,3 @@
 func entryBytes(e *Entry) int {
 	return proto.Size(e.Resource) + len(e.Author) + entryOverheadBytes
 }
-
-// routeIndex maps prefixes to route names and counts the routes of each service.
-type routeIndex struct {
-	byPrefix  cowMap[string, string]
-	byService cowMap[string, int]
-}
-
-func (x *routeIndex) add(r *configpb.Route) {
-	x.byPrefix.set(r.GetPathPrefix(), r.GetName())
-	x.byService.set(r.GetService(), x.routeCount(r.GetService())+1)
-}
-
-// remove removes a route. A change earlier in the same bundle may have given its prefix to
-// another route; that route keeps the prefix.
-func (x *routeIndex) remove(r *configpb.Route) {
-	if name, _ := x.routeAt(r.GetPathPrefix()); name == r.GetName() {
-		x.byPrefix.delete(r.GetPathPrefix())
-	}
-	n := x.routeCount(r.GetService()) - 1
-	if n > 0 {
-		x.byService.set(r.GetService(), n)
-		return
-	}
-	x.byService.delete(r.GetService())
-}
-
-func (x *routeIndex) routeAt(prefix string) (name string, ok bool) { return x.byPrefix.get(prefix) }
-
-func (x *routeIndex) routeCount(service string) int {
-	n, _ := x.byService.get(service)
-	return n
-}
--- a/fold/codec.go
+++ b/fold/codec.go
@@ -181,12 +181,12 @@
 		return nil, errors.Wrapf(ErrBadState, "entry %s is repeated or invalid", k)
 	}
 	if route := m.GetResource().GetRoute(); route != nil {
-		if other, taken := s.routes.routeAt(route.GetPathPrefix()); taken {
+		if other, taken := s.routes.holderOf(route.GetPathPrefix()); taken {
 			return nil, errors.Wrapf(ErrBadState, "%s has the path_prefix of route %s", k, other)
 		}
 	}
 	if key := m.GetResource().GetApiKey(); key != nil {
-		if other, taken := s.keys.keyWith(string(key.GetDigest())); taken {
+		if other, taken := s.keys.holderOf(string(key.GetDigest())); taken {
 			return nil, errors.Wrapf(ErrBadState, "%s has the digest of API key %s", k, other)
 		}
 	}
--- a/fold/state.go
+++ b/fold/state.go
@@ -132,8 +132,8 @@
 	entries cowMap[Key, *Entry]
 	// bytes is the sum of entryBytes over all entries.
 	bytes  int
-	routes routeIndex
-	keys   keyIndex
+	routes uniqueIndex
+	keys   uniqueIndex
 	recent recentHistory
 	// document is the latest accepted document, nil if there is none.
 	document *configpb.Document
@@ -183,10 +183,8 @@
 func (s *State) mutableCopy() *State {
 	n := *s
 	n.entries = s.entries.fork()
-	n.routes.byPrefix = s.routes.byPrefix.fork()
-	n.routes.byService = s.routes.byService.fork()
-	n.keys.byDigest = s.keys.byDigest.fork()
-	n.keys.byCustomer = s.keys.byCustomer.fork()
+	n.routes = s.routes.fork()
+	n.keys = s.keys.fork()
 	return &n
 }
 
@@ -196,10 +194,10 @@
 	s.entries.set(e.Key, e)
 	s.bytes += entryBytes(e)
 	if r := e.Resource.GetRoute(); r != nil {
-		s.routes.add(r)
+		s.routes.add(r.GetName(), r.GetPathPrefix(), r.GetService())
 	}
 	if k := e.Resource.GetApiKey(); k != nil {
-		s.keys.add(k)
+		s.keys.add(k.GetId(), string(k.GetDigest()), k.GetCustomer())
 	}
 }
 
@@ -212,9 +210,9 @@
 	s.entries.delete(k)
 	s.bytes -= entryBytes(e)
 	if r := e.Resource.GetRoute(); r != nil {
-		s.routes.remove(r)
+		s.routes.remove(r.GetName(), r.GetPathPrefix(), r.GetService())
 	}
 	if k := e.Resource.GetApiKey(); k != nil {
-		s.keys.remove(k)
+		s.keys.remove(k.GetId(), string(k.GetDigest()), k.GetCustomer())
 	}
 }
--- a/internal/daemon/apikey_test.go
+++ b/internal/daemon/apikey_test.go
@@ -47,21 +47,10 @@
 	return f, s
 }
 
+// callWith sends a GET request with additional header fields.
 func (f *storeFleet) callWith(d *testDaemon, path string, header http.Header) (*http.Response, string) {
 	f.t.Helper()
-	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodGet, "http://"+d.ln.callers.Addr().String()+path, nil)
-	must.NoError(f.t, err)
-	req.Host = "h.example"
-	for name, values := range header {
-		req.Header[name] = values
-	}
-	req.Header.Set(names.RequestID, "id-1")
-	resp, err := http.DefaultClient.Do(req)
-	must.NoError(f.t, err)
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
-	must.NoError(f.t, err)
-	return resp, string(b)
+	return f.send(d, http.MethodGet, path, "", header)
 }
 
 // The first daemon serves only requests with one known key. The server gets the account's name, never
--- a/internal/daemon/drainable_listener_test.go
+++ b/internal/daemon/drainable_listener_test.go
@@ -22,20 +22,10 @@
 	must.NoError(t, err)
 	defer conn.Close()
 	d.stop()
-	f.eventually("connections are no longer accepted", func() bool {
-		c, err := net.Dial("tcp", addr)
-		if err == nil {
-			_ = c.Close()
-		}
-		return err != nil
-	})
+	f.waitRefusesConnections(addr)
 	_, err = fmt.Fprintf(conn, "GET /signs/1 HTTP/1.1\r\nHost: x\r\nX-Customer: garage\r\n\r\n")
 	must.NoError(t, err)
-	must.NoError(t, conn.SetReadDeadline(time.Now().Add(waitLimit)))
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	must.NoError(t, err)
-	must.Eq(t, http.StatusOK, resp.StatusCode)
-	must.True(t, resp.Close)
+	mustServeLast(t, conn)
 }
 
 // A caller is still sending the header of its request when everything else has ended in a drain.
@@ -52,6 +42,15 @@
 	_, err = fmt.Fprintf(conn, "GET /signs/1 HTTP/1.1\r\nHost: x\r\n")
 	must.NoError(t, err)
 	d.stop()
+	f.waitRefusesConnections(addr)
+	_, err = fmt.Fprintf(conn, "X-Customer: garage\r\n\r\n")
+	must.NoError(t, err)
+	mustServeLast(t, conn)
+}
+
+// waitRefusesConnections waits until no listener accepts connections at an address.
+func (f *testFleet) waitRefusesConnections(addr string) {
+	f.t.Helper()
 	f.eventually("connections are no longer accepted", func() bool {
 		c, err := net.Dial("tcp", addr)
 		if err == nil {
@@ -59,8 +58,11 @@
 		}
 		return err != nil
 	})
-	_, err = fmt.Fprintf(conn, "X-Customer: garage\r\n\r\n")
-	must.NoError(t, err)
+}
+
+// mustServeLast asserts that the next response on a connection is a success and closes it.
+func mustServeLast(t *testing.T, conn net.Conn) {
+	t.Helper()
 	must.NoError(t, conn.SetReadDeadline(time.Now().Add(waitLimit)))
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	must.NoError(t, err)
--- a/internal/daemon/recover.go
+++ b/internal/daemon/recover.go
@@ -172,7 +172,8 @@
 	return pool[:n]
 }
 
-// Delays after the start of a recovery until the log is asked.
+// Delays until a daemon without a configuration asks the log, counted from the creation of the daemon
+// or, for the delay by rank, from when it knows another member.
 const (
 	// logDelayPerLevel is the time in which a configuration passes from a daemon to those that query
 	// it: one query interval, and the transfer over a slow link.
--- a/internal/daemon/store_test.go
+++ b/internal/daemon/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -136,13 +137,22 @@
 
 // call sends a request to a daemon and returns the response and its body.
 func (f *storeFleet) call(d *testDaemon, method, path, payload string) (*http.Response, string) {
+	f.t.Helper()
+	header := make(http.Header)
+	header.Set(names.Remaining, "3000")
+	header.Set(names.CallerService, "a lie")
+	return f.send(d, method, path, payload, header)
+}
+
+// send sends a request with additional header fields to a daemon and returns the response and its
+// body.
+func (f *storeFleet) send(d *testDaemon, method, path, payload string, header http.Header) (*http.Response, string) {
 	f.t.Helper()
 	req, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+d.ln.callers.Addr().String()+path, strings.NewReader(payload))
 	must.NoError(f.t, err)
 	req.Host = "h.example"
+	maps.Copy(req.Header, header)
 	req.Header.Set(names.RequestID, "id-1")
-	req.Header.Set(names.Remaining, "3000")
-	req.Header.Set(names.CallerService, "a lie")
 	resp, err := http.DefaultClient.Do(req)
 	must.NoError(f.t, err)
 	defer resp.Body.Close()
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -32,10 +32,10 @@
 //     scales the contracts that it owns by the reachable share of the fleet.
 //
 // The sum stays within the contract plus settlingShare and unleasedShare of it, or within
-// Options.Tolerance if that is set, with three exceptions: while a zone is partitioned but still receives calls, it may exceed that by the
-// zone's share of the fleet; while a region is partitioned for longer than
-// unreachableRetention; and while daemons that can reach one another disagree on the owner for
-// longer than the settling time.
+// Options.Tolerance if that is set, with three exceptions: while a zone is partitioned but still
+// receives calls, it may exceed that by the zone's share of the fleet; while a region is partitioned
+// for longer than unreachableRetention; and while daemons that can reach one another disagree on the
+// owner for longer than the settling time.
 //
 // All decisions use durations from the monotonic clock.
 package quota
