A refused request's log line says which configuration refused it, and how recent it is

The line of a request that is not admitted now has the offset and the document's version in force, the highest offset known, and the time since the last successful read of the log and since the last offset from another daemon; the line of a request's end has the document's version beside the offset.

--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -8,6 +8,7 @@
 	"github.com/crocuscross/crocuscross/backend"
 	"github.com/crocuscross/crocuscross/balance"
 	"github.com/crocuscross/crocuscross/gate"
+	"github.com/crocuscross/crocuscross/internal/blackboard"
 	"github.com/crocuscross/crocuscross/internal/controller/announce"
 	"github.com/crocuscross/crocuscross/internal/controller/backends"
 	"github.com/crocuscross/crocuscross/internal/controller/drain"
@@ -67,6 +68,7 @@
 		CallerService: d.localService, Runs: runs, NestedRoutes: &admission.NestedRoutes{},
 		CalleeStats: callees, CallGraph: &admission.CallGraph{},
 		KilobyteCost: d.kilobyteCost, Quarantine: p.quarantine, ConfigMayBeStale: d.configMayBeStale,
+		ConfigFreshness: p.configFreshness(d.board),
 	})
 	p.lifecycle = &drain.Controller{
 		Board: d.board, Logger: d.logger, GracePeriod: gracePeriod, PeerNotice: d.peerNotice(),
@@ -152,6 +154,19 @@
 	return snap.Offset < source.KnownOffset || !view.ReachesHalf()
 }
 
+// configFreshness returns the function that reports how recently this daemon could have learned of a
+// newer configuration than the one in force.
+func (p *components) configFreshness(board *blackboard.Board) func() outbound.ConfigFreshness {
+	return func() outbound.ConfigFreshness {
+		f := p.spreader.Freshness()
+		fresh := outbound.ConfigFreshness{LogRead: f.LogRead, PeerContact: f.PeerContact}
+		if source := board.Source.Load(); source != nil {
+			fresh.KnownOffset = source.KnownOffset
+		}
+		return fresh
+	}
+}
+
 // localService returns the service of the backend server on this host, empty if it is not known.
 func (d *Daemon) localService() string {
 	if d.settings.Backend.Service != "" {
--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -86,6 +86,16 @@
 	Quarantine Quarantine
 	// ConfigMayBeStale reports whether a newer configuration than the one in force may exist.
 	ConfigMayBeStale func() bool
+	// ConfigFreshness returns the highest configuration offset known to exist, and when this daemon
+	// last read the log and last had contact to another daemon.
+	ConfigFreshness func() ConfigFreshness
+}
+
+// ConfigFreshness says what this daemon knows about configurations newer than the one in force. The
+// times are zero if there was none.
+type ConfigFreshness struct {
+	KnownOffset          uint64
+	LogRead, PeerContact time.Time
 }
 
 // Quarantine is the part of quarantine.Tracker that a call uses.
--- a/internal/proxy/outbound/log.go
+++ b/internal/proxy/outbound/log.go
@@ -23,9 +23,7 @@
 func (h *Handler) logRequestEnd(r *http.Request, c *call, err error, start time.Time, callerGone bool) {
 	took := time.Since(start)
 	if c == nil {
-		h.opts.Logger.Info("outbound: request not admitted",
-			"request", dialect.Get(r.Header, h.opts.Dialect.RequestID), "virtual_host", r.Host, "path", rawPath(r),
-			"kind", errkind.Of(err), "took", took, "error", err)
+		h.logNotAdmitted(r, err, took)
 		return
 	}
 	if c.isRoutine(err, took) && !callerGone && !h.logLimit.Allow() {
@@ -38,6 +36,27 @@
 	h.opts.Logger.Info("outbound: request ended", attrs...)
 }
 
+// logNotAdmitted logs a request that was rejected without being routed, with the configuration in
+// force and how recently a newer one could have become known.
+func (h *Handler) logNotAdmitted(r *http.Request, err error, took time.Duration) {
+	attrs := []any{
+		"request", dialect.Get(r.Header, h.opts.Dialect.RequestID), "virtual_host", r.Host, "path", rawPath(r),
+		"kind", errkind.Of(err), "took", took, "error", err,
+	}
+	if snap := h.opts.Board.Snapshot.Load(); snap != nil {
+		attrs = append(attrs, "config", snap.Offset, "document", snap.Document().VersionOrZero())
+	}
+	f := h.opts.ConfigFreshness()
+	attrs = append(attrs, "known", f.KnownOffset)
+	if !f.LogRead.IsZero() {
+		attrs = append(attrs, "log_read", time.Since(f.LogRead))
+	}
+	if !f.PeerContact.IsZero() {
+		attrs = append(attrs, "peer_contact", time.Since(f.PeerContact))
+	}
+	h.opts.Logger.Info("outbound: request not admitted", attrs...)
+}
+
 // RecordDisconnect counts a request that is not handled because its caller has disconnected,
 // and logs it up to maxRoutineLogRate.
 func (h *Handler) RecordDisconnect(r *http.Request) {
@@ -68,7 +87,7 @@
 // endLogAttrs returns the attributes of the log line for a request that has ended.
 func (c *call) endLogAttrs(err error, took time.Duration) []any {
 	attrs := []any{
-		"request", c.requestID, "service", c.service, "config", c.snap.Offset,
+		"request", c.requestID, "service", c.service, "config", c.snap.Offset, "document", c.snap.Document().VersionOrZero(),
 		"non_idempotent", c.terms.NonIdempotent, "allowed", c.terms.MaxWait, "took", took,
 		"attempts", c.attempts, "arrivals", c.arrivals, "refusals", c.refusals, "status", c.status,
 	}
--- a/spread/read.go
+++ b/spread/read.go
@@ -106,9 +106,13 @@
 		return 0, s.continueFromRestored(ctx, restored)
 	}
 	s.updateLogError(err)
-	if err != nil || len(records) == 0 {
+	if err != nil {
 		return 0, err
 	}
+	s.recordLogRead()
+	if len(records) == 0 {
+		return 0, nil
+	}
 	b := batch{base: st.Offset, chain: st.Chain, records: toSequenced(records)}
 	s.raiseLogOffset(b.end())
 	_, err = s.applyBatch(b, "log")
@@ -296,6 +300,12 @@
 	})
 }
 
+func (s *Spreader) recordLogRead() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastLogRead = time.Now()
+}
+
 // raiseLogOffset triggers a handoff of records that other availability zones may lack.
 func (s *Spreader) raiseLogOffset(offset uint64) {
 	s.mu.Lock()
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -84,7 +84,9 @@
 	// pullCandidates are daemons reported to be ahead, the most recent report last.
 	pullCandidates []pullCandidate
 	lastContact    time.Time
-	relayed        recentPushes
+	// lastLogRead is when a read of the log last succeeded.
+	lastLogRead time.Time
+	relayed     recentPushes
 
 	readWake, pushWake, handoffWake, pullWake, reconcileWake loop.Trigger
 
@@ -184,6 +186,22 @@
 	s.addPullCandidate(addr, offset)
 }
 
+// Freshness says how recently a daemon could have learned of a new version. The times are zero if
+// there was none.
+type Freshness struct {
+	// LogRead is when this daemon last read the log, with or without new records.
+	LogRead time.Time
+	// PeerContact is when another daemon last reported its offset.
+	PeerContact time.Time
+}
+
+// Freshness returns when this daemon last read the log and last had contact to another daemon.
+func (s *Spreader) Freshness() Freshness {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Freshness{LogRead: s.lastLogRead, PeerContact: s.lastContact}
+}
+
 // recordContact resets the time without contact to other daemons, after which the log is read as a
 // fallback.
 func (s *Spreader) recordContact() {
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -473,3 +473,22 @@
 	}
 	return nil, nil
 }
+
+// A read of the log counts as recent only if it succeeded: a daemon whose reads fail must not
+// report that it is up to date.
+func TestFreshnessCountsSuccessfulReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4, 1, nil)
+		f.run()
+		reader := f.readers("zone-0")[0]
+		f.await(f.append(contractChange("a", 0)), time.Second)
+		before := reader.Spreader.Freshness().LogRead
+		must.False(t, before.IsZero())
+		f.svc.SetOutage(true)
+		time.Sleep(time.Minute)
+		must.Less(t, 30*time.Second, reader.Spreader.Freshness().LogRead.Sub(before))
+		f.svc.SetOutage(false)
+		time.Sleep(time.Minute)
+		must.Greater(t, 30*time.Second, reader.Spreader.Freshness().LogRead.Sub(before))
+	})
+}
