--- /dev/null
+++ b/bench/soak/soak_test.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/internal/settings"
+)
+
+var begin = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+// at returns a time in seconds after begin.
+func at(seconds float64) time.Time { return begin.Add(time.Duration(seconds * float64(time.Second))) }
+
+// threeVersions returns versions acknowledged at 0, 10 and 20 s: route a is added by the second and
+// moved by the third, which drops route b.
+func threeVersions() []version {
+	return []version{
+		{Number: 1, Sent: at(0), Acked: at(0), Routes: map[string][]string{"b": {"s"}}},
+		{Number: 4, Sent: at(10), Acked: at(10), Routes: map[string][]string{"b": {"s"}, "a": {"s"}}},
+		{Number: 5, Sent: at(20), Acked: at(20), Routes: map[string][]string{"a": {"t"}}},
+	}
+}
+
+func probeAt(seconds float64, route string, how outcome, service string) probe {
+	return probe{Host: "h", Route: route, Sent: at(seconds), Ended: at(seconds + 0.01), Outcome: how, Service: service}
+}
+
+func TestCheck(t *testing.T) {
+	for name, tc := range map[string]struct {
+		probes      []probe
+		disruptions []disruption
+		violations  int
+	}{
+		"an added route is refused in time":           {probes: []probe{probeAt(11.9, "a", refusedNoRoute, "")}},
+		"an added route is refused too late":          {probes: []probe{probeAt(12.1, "a", refusedNoRoute, "")}, violations: 1},
+		"a dropped route is served too late":          {probes: []probe{probeAt(22.1, "b", servedBy, "s")}, violations: 1},
+		"a moved route is served by the old service":  {probes: []probe{probeAt(22.1, "a", servedBy, "s")}, violations: 1},
+		"a moved route is served by the new service":  {probes: []probe{probeAt(22.1, "a", servedBy, "t")}},
+		"a failure shows nothing":                     {probes: []probe{probeAt(22.1, "a", inconclusive, "")}},
+		"the store was disrupted":                     {probes: []probe{probeAt(12.1, "a", refusedNoRoute, "")}, disruptions: []disruption{{From: at(8), To: at(9.2)}}},
+		"the store was disrupted earlier":             {probes: []probe{probeAt(12.3, "a", refusedNoRoute, "")}, disruptions: []disruption{{From: at(8), To: at(9.2)}}, violations: 1},
+		"another host was disrupted":                  {probes: []probe{probeAt(12.1, "a", refusedNoRoute, "")}, disruptions: []disruption{{Host: "i", From: at(8), To: at(13)}}, violations: 1},
+		"the host is disrupted and has not recovered": {probes: []probe{probeAt(12.1, "a", refusedNoRoute, "")}, disruptions: []disruption{{Host: "h", From: at(8)}}},
+		"a daemon goes back": {
+			probes: []probe{probeAt(10.1, "a", servedBy, "s"), probeAt(10.5, "a", refusedNoRoute, "")}, violations: 1,
+		},
+		"a daemon goes back while the store is disrupted": {
+			probes:      []probe{probeAt(10.1, "a", servedBy, "s"), probeAt(10.5, "a", refusedNoRoute, "")},
+			disruptions: []disruption{{From: at(9), To: at(11)}}, violations: 1,
+		},
+		"two requests at once":       {probes: []probe{probeAt(10.1, "a", servedBy, "s"), probeAt(10.2, "a", refusedNoRoute, "")}},
+		"a route that never existed": {probes: []probe{probeAt(5, "c", refusedNoRoute, "")}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := records{Start: begin, Versions: threeVersions(), Probes: tc.probes, Disruptions: tc.disruptions}
+			must.Len(t, tc.violations, check(r, promises))
+		})
+	}
+}
+
+// The settings that the soak renders from the deployed template must be accepted by the daemon.
+func TestRenderedSettingsAreValid(t *testing.T) {
+	template, err := os.ReadFile("../../deploy/daemon.jsonc")
+	must.NoError(t, err)
+	f := &fleet{template: string(template)}
+	h := &host{name: "host-1", zone: "zone-0", ip: "127.160.1.1", storeIP: "127.160.200.1", service: "sign-feed"}
+	for _, first := range []bool{true, false} {
+		text, err := f.settings(h, first)
+		must.NoError(t, err)
+		s, err := settings.Parse("node.json", []byte(text))
+		must.NoError(t, err)
+		must.Eq(t, "host-1", s.Host)
+		must.Eq(t, "http://127.160.200.1:8142", s.Platform.URL)
+		must.Eq(t, first, s.FirstStart == settings.On)
+	}
+	_, err = render("{{unknown|other}}", nil)
+	must.Error(t, err)
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -62,13 +62,15 @@
 			status = statusOK
 		}
 	}()
-	app := kingpin.New("standin", "Stand-ins for the platform's log, backend servers and callers. They misbehave on command.")
+	app := kingpin.New("standin", "Stand-ins for the platform's log and store, backend servers and callers. They misbehave on command.")
 	app.UsageWriter(env.stdout).ErrorWriter(env.stderr).UsageTemplate(usageTemplate)
 	app.HelpFlag.Short('h')
 	app.Terminate(func(int) { panic(terminated{}) })
 	registerLog(app, env)
 	registerBackend(app, env)
 	registerCaller(app, env)
+	registerStore(app, env)
+	registerTarget(app, env)
 	_, err := app.Parse(args)
 	return exitStatus(err, env.stderr)
 }
