Readers notice within 2.25 s that a read of the store will not be answered

Cause: while the store is silent (it accepts calls and never responds), reads are swallowed. A reader gave up a read 4 s after its beginning (2 s wait, 2 s to the first byte), then waited up to 2 s more, while versions must be in force in time from 3 s after the store's return on. All readers of all zones begin their next read just after the same record, so all of them were stuck at the same moment, and neither a second reader nor the other zones replaced them.

A read now takes at most 2.25 s without a byte (1.5 s wait, 0.75 s beyond it). After a failed read the next one does not wait for records and has 2 s to its first byte, so that a host whose link delays responses by more than 0.75 s still makes progress. The time that a failed read took counts as a part of the pause before the next one.

Why it works: the bound holds for each reader by itself, whatever the phase of the outage, and leaves 0.5 s for the way to the other daemons. Cost: a third more polls of an idle log, 0.67 in place of 0.5 calls a second a reader.

--- a/spread/read.go
+++ b/spread/read.go
@@ -27,10 +27,10 @@
 	// maxPollWait is the longest wait of a read from a log that reports restores; such reads are
 	// not followed by a check of the log's end and can be more frequent. A log that stops
 	// responding never answers the reads that are pending, and a reader aborts its own only after
-	// the wait plus the slack of its client (2 s). All readers issue their next read just after the
-	// same record, so long waits would keep a new version from every daemon for that long after an
-	// outage that begins then.
-	maxPollWait = 2 * time.Second
+	// the wait plus the slack of its client (750 ms). All readers issue their next read just after
+	// the same record, so no other reader replaces them: the sum of both has to be below the 3 s
+	// after an outage within which new versions must be in force in time again.
+	maxPollWait = 1500 * time.Millisecond
 	// blockedPause is the average wait between reads of a record that this program cannot apply.
 	// Only a newer program can apply it.
 	blockedPause = 30 * time.Second
@@ -49,31 +49,38 @@
 			s.readWake.Wait(s.ctx)
 			continue
 		}
-		err := s.readStep(&verified)
+		begun := time.Now()
+		err := s.readStep(&verified, failures)
 		if err == nil {
 			failures = 0
 			continue
 		}
 		verified = false
 		failures++
-		s.sleep(s.retryDelay(failures))
+		s.sleep(s.retryDelay(failures, time.Since(begun)))
 	}
 	return nil
 }
 
-// retryDelay returns the wait after a number of consecutive failed reads.
-func (s *Spreader) retryDelay(failures int) time.Duration {
+// retryDelay returns the wait after a number of consecutive failed reads, the last of which took a
+// time. That time counts as a part of the wait: a read that timed out puts no load on the log.
+func (s *Spreader) retryDelay(failures int, took time.Duration) time.Duration {
 	if s.history.blockedAt(s.history.offset()) {
 		return s.jitterAround(blockedPause)
 	}
-	return s.backoff(failures)
+	return max(0, s.backoff(failures)-took)
 }
 
 // readStep verifies the log if necessary and waits for new records once. verified states whether
-// the log was verified since the last failure.
-func (s *Spreader) readStep(verified *bool) error {
+// the log was verified since the last failure. After a failure the read does not wait: it shows
+// whether the log responds, and its client allows more time for the response.
+func (s *Spreader) readStep(verified *bool, failures int) error {
 	if s.opts.LogReportsRestores {
-		_, err := s.readOnce(min(s.opts.ReadWait, maxPollWait), readSlack)
+		wait := min(s.opts.ReadWait, maxPollWait)
+		if failures > 0 {
+			wait = 0
+		}
+		_, err := s.readOnce(wait, readSlack)
 		return err
 	}
 	if !*verified {
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -402,7 +402,7 @@
 		s := New(o)
 		s.InstallState(fold.Empty())
 		verified := false
-		must.NoError(t, s.readStep(&verified))
+		must.NoError(t, s.readStep(&verified, 0))
 		must.Eq(t, 1, s.State().Offset)
 	})
 }
