A host that reaches the store and no other host has a version in force within 2 s

Callers of a host that was cut off from the other hosts got answers by the old version for up to 7.5 s: a daemon that is not a reader waited 2.5 to 7.5 s without contact before it read the log itself. The bound of 2 s holds for such a host, since it reaches the platform.

Each probe of membership, every 500 ms, is a contact, so daemons that are not cut off do not read. The soak has a network between the daemons, which cuts hosts off, resets and silences connections.

--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -46,6 +46,9 @@
 	{"store-restored", true, storeRestored},
 	{"store-compacted", false, storeCompacted},
 	{"store-refuses-some", false, storeRefusesSome},
+	{"cut", false, cutSome},
+	{"connections-reset", false, connectionsReset},
+	{"connections-silent", false, connectionsSilent},
 	{"pause", false, pauseSome},
 	{"kill", false, killSome},
 	{"terminate", false, terminateSome},
@@ -297,3 +300,37 @@
 	}
 	return nil
 }
+
+// cutSome cuts hosts off from all others, both ways or one way. They reach the store all the while,
+// so this excuses nothing there.
+func cutSome(ctx context.Context, f *fleet, rng *rand.Rand) error {
+	chosen := f.drawHosts(rng)
+	way := rng.IntN(3)
+	for _, h := range chosen {
+		for _, other := range f.hosts {
+			if way != 1 {
+				f.network.CutWay(h.name, other.name)
+			}
+			if way != 2 {
+				f.network.CutWay(other.name, h.name)
+			}
+		}
+	}
+	err := sleep(ctx, faultTime(rng))
+	f.network.Heal()
+	return err
+}
+
+// connectionsReset breaks all connections between daemons.
+func connectionsReset(_ context.Context, f *fleet, _ *rand.Rand) error {
+	defer f.disrupt("connections-reset", nil)()
+	f.network.Reset()
+	return nil
+}
+
+// connectionsSilent makes all open connections between daemons lose what is sent on them.
+func connectionsSilent(_ context.Context, f *fleet, _ *rand.Rand) error {
+	defer f.disrupt("connections-silent", nil)()
+	f.network.Forget()
+	return nil
+}
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -15,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 	"gopkg.in/tomb.v2"
 
+	"github.com/crocuscross/crocuscross/bench/network"
 	"github.com/crocuscross/crocuscross/bench/procs"
 )
 
@@ -42,9 +45,12 @@
 
 // host is one host of the fleet. Its fields are guarded by fleet.mu after the start.
 type host struct {
-	name, zone, ip, storeIP, service string
-	daemon                           *procs.Process
-	incarnation                      int
+	name, zone, ip, service string
+	// advertisedIP is where the other daemons reach the host through the network, storeIP where its
+	// daemon reaches the store.
+	advertisedIP, storeIP string
+	daemon                *procs.Process
+	incarnation           int
 	// taken is set while a fault has reserved the daemon's process.
 	taken bool
 }
@@ -55,7 +61,9 @@
 	dir   string
 	group *procs.Group
 	hosts []*host
-	store *procs.Process
+	// network passes on what the daemons send each other.
+	network *network.Network
+	store   *procs.Process
 	// admin is the URL of the store's admin API.
 	admin    string
 	template string
@@ -82,22 +90,30 @@
 	f := &fleet{o: o, dir: dir, group: procs.NewGroup(dir), template: string(template), client: &http.Client{Timeout: 10 * time.Second}}
 	f.operator = newOperator(f, rand.New(rand.NewPCG(o.seed, 1)))
 	if err := f.start(ctx); err != nil {
-		f.group.KillAll()
+		f.close()
 		return nil, errors.Wrapf(err, "start fleet, logs in %s", dir)
 	}
 	return f, nil
 }
 
+// close ends all processes and the network between them.
+func (f *fleet) close() {
+	f.group.KillAll()
+	if f.network != nil {
+		_ = f.network.Close()
+	}
+}
+
 func (f *fleet) start(ctx context.Context) error {
 	args := []string{"store"}
 	for i := range f.o.hosts {
-		h := &host{
-			name: fmt.Sprintf("host-%d", i+1), zone: fmt.Sprintf("zone-%d", i%f.o.zones), service: services[i%len(services)],
-			ip: fmt.Sprintf("%s.%d.%d", f.o.subnet(), i%f.o.zones+1, i+1), storeIP: fmt.Sprintf("%s.200.%d", f.o.subnet(), i+1),
-		}
+		h := f.o.newHost(i)
 		f.hosts = append(f.hosts, h)
 		args = append(args, "--store", fmt.Sprintf("%s:%d", h.storeIP, portStore))
 	}
+	if err := f.connect(); err != nil {
+		return err
+	}
 	store, addr, err := f.group.StartListening(ctx, "store", f.o.standin, args...)
 	if err != nil {
 		return err
@@ -127,6 +143,37 @@
 	return nil
 }
 
+func (o options) newHost(i int) *host {
+	zone := i % o.zones
+	return &host{
+		name: fmt.Sprintf("host-%d", i+1), zone: fmt.Sprintf("zone-%d", zone), service: services[i%len(services)],
+		ip:           fmt.Sprintf("%s.%d.%d", o.subnet(), zone+1, i+1),
+		advertisedIP: fmt.Sprintf("%s.%d.%d", o.subnet(), zone+101, i+1),
+		storeIP:      fmt.Sprintf("%s.200.%d", o.subnet(), i+1),
+	}
+}
+
+// connect puts the network between the hosts.
+func (f *fleet) connect() error {
+	var hosts []network.Host
+	for _, h := range f.hosts {
+		listen, err := netip.ParseAddrPort(h.addr(portPeers))
+		if err != nil {
+			return err
+		}
+		advertise, err := netip.ParseAddrPort(h.advertised())
+		if err != nil {
+			return err
+		}
+		hosts = append(hosts, network.Host{Name: h.name, Listen: listen, Advertise: advertise})
+	}
+	var err error
+	f.network, err = network.New(hosts)
+	return err
+}
+
+func (h *host) advertised() string { return fmt.Sprintf("%s:%d", h.advertisedIP, portPeers) }
+
 func (h *host) addr(port int) string { return fmt.Sprintf("%s:%d", h.ip, port) }
 
 // settings returns the settings file of a host as the platform writes it.
@@ -134,10 +181,10 @@
 	seeds := []string{}
 	for _, other := range f.hosts {
 		if !first && other != h && len(seeds) < maxSeeds {
-			seeds = append(seeds, other.addr(portControl))
+			seeds = append(seeds, fmt.Sprintf("%s:%d", other.advertisedIP, portControl))
 		}
 	}
-	return render(f.template, map[string]any{
+	text, err := render(f.template, map[string]any{
 		"node_name": h.name, "availability_zone": h.zone, "region": "region", "ip": h.ip, "bootstrap": first,
 		"service": h.service, "app_address": h.addr(portTarget), "seed_nodes": seeds,
 		"limits":              map[string]any{"link_mbps": 1000.0},
@@ -148,6 +195,9 @@
 		"platform": map[string]any{"address": fmt.Sprintf("%s:%d", h.storeIP, portStore)},
 		"bounds":   map[string]any{"retry_budget_ratio": 0.2, "budget_extra_tries": 64, "grace": 6},
 	})
+	// The platform has nothing between its hosts, so its template does not state this address.
+	peers := fmt.Sprintf(`"peers": %q,`, h.addr(portPeers))
+	return strings.Replace(text, peers, peers+fmt.Sprintf(` "advertise_peers": %q,`, h.advertised()), 1), err
 }
 
 // startDaemon starts the daemon of a host.
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return err
 	}
-	defer d.group.KillAll()
+	defer d.close()
 	rec, err := d.soak(ctx)
 	violations := check(rec, promises)
 	report(os.Stdout, o, rec, violations)
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -67,7 +67,7 @@
 	template, err := os.ReadFile("../../deploy/daemon.jsonc")
 	must.NoError(t, err)
 	f := &fleet{template: string(template)}
-	h := &host{name: "host-1", zone: "zone-0", ip: "127.160.1.1", storeIP: "127.160.200.1", service: "sign-feed"}
+	h := options{zones: 4}.newHost(0)
 	for _, first := range []bool{true, false} {
 		text, err := f.settings(h, first)
 		must.NoError(t, err)
@@ -75,6 +75,8 @@
 		must.NoError(t, err)
 		must.Eq(t, "host-1", s.Host)
 		must.Eq(t, "http://127.160.200.1:8142", s.Platform.URL)
+		must.Eq(t, "127.160.101.1:7380", s.Listen.AdvertisePeers)
+		must.Less(t, promises.Apply, time.Duration(s.Spread.OwnReadAfter)*5/4)
 		must.Eq(t, first, s.FirstStart == settings.On)
 	}
 	_, err = render("{{unknown|other}}", nil)
--- a/spread/options.go
+++ b/spread/options.go
@@ -100,8 +100,8 @@
 	// ReadWait is how long a read from the log waits for new records.
 	ReadWait time.Duration
 	// OwnReadAfter is how long a daemon that is not a reader receives no offset from other daemons
-	// before it reads the log itself. The time is jittered by up to half either way and is also the
-	// minimum between two such reads. Membership delivers an offset about twice per probe interval,
+	// before it reads the log itself. The time is jittered by up to a quarter either way and is also
+	// the minimum between two such reads. Membership delivers an offset about twice per probe interval,
 	// so a few probe intervals are enough to keep all daemons but an isolated one from reading the
 	// log.
 	OwnReadAfter time.Duration
--- a/spread/pull.go
+++ b/spread/pull.go
@@ -106,7 +106,7 @@
 }
 
 func (s *Spreader) newPullScheduler() *pullScheduler {
-	return &pullScheduler{s: s, maxSilence: s.jitterAround(s.opts.OwnReadAfter)}
+	return &pullScheduler{s: s, maxSilence: s.ownReadAfter()}
 }
 
 // schedulePull sets the time of the next pull, or clears it if the daemon is not behind.
@@ -174,7 +174,7 @@
 // log continuously.
 func (p *pullScheduler) fallbackRead() {
 	s := p.s
-	p.maxSilence = s.jitterAround(s.opts.OwnReadAfter)
+	p.maxSilence = s.ownReadAfter()
 	p.nextFallbackRead = time.Now().Add(p.maxSilence)
 	if s.readsLog() || s.State() == nil {
 		return
@@ -190,6 +190,12 @@
 	}
 }
 
+// ownReadAfter draws how long this daemon receives no offset from others before it reads the log. It
+// varies little around the setting, which is chosen for how soon a version must be in force.
+func (s *Spreader) ownReadAfter() time.Duration {
+	return s.opts.OwnReadAfter*3/4 + s.jitter(s.opts.OwnReadAfter/2)
+}
+
 // pullUntil pulls from a daemon until this daemon has reached an offset or a pull fails.
 func (s *Spreader) pullUntil(addr netip.AddrPort, offset uint64) {
 	select {
