A reader whose next record was dropped asks other daemons for 500 ms at most

Callers in a zone whose daemons were paused could get answers by an old version for 6 s: where the store has dropped the next record, a reader asked up to three daemons of its zone, 2 s each, before it loaded the newest state, which is one call to the store.

Evidence: TestReaderOfTruncatedLogDoesNotWaitForSilentDaemons, where no daemon answers, failed before (version not in force after 2 s) and passes.

--- a/spread/isolated_test.go
+++ b/spread/isolated_test.go
@@ -1,11 +1,16 @@
 package spread
 
 import (
+	"context"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/fold"
+	"github.com/crocuscross/crocuscross/peerpb"
 )
 
 const (
@@ -39,3 +44,38 @@
 		})
 	}
 }
+
+// silentPeers are other daemons that do not answer.
+type silentPeers struct{}
+
+func (silentPeers) Push(ctx context.Context, _ netip.AddrPort, _ *peerpb.Push) (*peerpb.PushAck, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (silentPeers) Pull(ctx context.Context, _ netip.AddrPort, _ *peerpb.Pull) (*peerpb.PullAnswer, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// The log had dropped the next record, and the reader asked paused daemons of its zone for 6 s
+// before it loaded the newest state.
+func TestReaderOfTruncatedLogDoesNotWaitForSilentDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8, 1, func(o *Options) { o.Peers = silentPeers{} })
+		st := fold.Empty()
+		for i := range uint64(5) {
+			f.append(contractChange(string('a'+rune(i)), i))
+			st = f.applyLogged(st, i+1)
+		}
+		f.log.TruncateBefore(4)
+		for _, n := range f.nodes {
+			n.opts.LoadCheckpoint = func(context.Context) (*fold.State, error) { return st, nil }
+		}
+		f.run()
+		time.Sleep(configApply)
+		for _, n := range f.readers("zone-0") {
+			must.Eq(t, 5, n.inForce.Load(), must.Sprint(n.member.Host))
+		}
+	})
+}
--- a/spread/pull.go
+++ b/spread/pull.go
@@ -25,8 +25,11 @@
 	// pullsBeforeRead is the number of consecutive pulls without progress after which a daemon that
 	// is behind reads the log itself.
 	pullsBeforeRead = 3
-	// maxZonePulls is the number of daemons asked for records that the log no longer retains.
-	maxZonePulls = 3
+	// maxZonePulls is the number of daemons asked for records that the log no longer retains, and
+	// zonePullTimeout the time for all of them. They may all be paused, while the log's newest state
+	// is one call away.
+	maxZonePulls    = 3
+	zonePullTimeout = 500 * time.Millisecond
 )
 
 // errNoProgress means that a pull did not advance the state.
@@ -156,7 +159,7 @@
 	before := s.history.offset()
 	c, ok := s.takePullCandidate()
 	if ok {
-		s.pullUntil(c.addr, c.offset)
+		_ = s.pullUntil(s.ctx, c.addr, c.offset)
 	}
 	if s.history.offset() == before && p.failures >= pullsBeforeRead && !time.Now().Before(p.nextFallbackRead) {
 		p.fallbackRead()
@@ -196,42 +199,46 @@
 	return s.opts.OwnReadAfter*3/4 + s.jitter(s.opts.OwnReadAfter/2)
 }
 
-// pullUntil pulls from a daemon until this daemon has reached an offset or a pull fails.
-func (s *Spreader) pullUntil(addr netip.AddrPort, offset uint64) {
+// pullUntil pulls from a daemon until this daemon has reached an offset or a pull fails, and returns
+// the error of that pull.
+func (s *Spreader) pullUntil(ctx context.Context, addr netip.AddrPort, offset uint64) error {
 	select {
 	case s.pullSem <- struct{}{}:
 		defer func() { <-s.pullSem }()
-	case <-s.ctx.Done():
-		return
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	for s.history.offset() < offset && s.ctx.Err() == nil {
-		n, err := s.pullOnce(addr)
+	for s.history.offset() < offset && ctx.Err() == nil {
+		n, err := s.pullOnce(ctx, addr)
 		s.opts.Meter.Pulled(n, err)
 		if err != nil {
 			s.opts.Logger.Debug("spread: pull failed", "peer", addr, "error", err)
-			return
+			return err
 		}
 	}
+	return ctx.Err()
 }
 
 // pullFromZone pulls from random daemons of this daemon's availability zone and reports whether it
 // has reached an offset.
 func (s *Spreader) pullFromZone(offset uint64) bool {
+	ctx, cancel := context.WithTimeout(s.ctx, zonePullTimeout)
+	defer cancel()
 	topo := s.topology.Load()
-	for i := 0; topo != nil && i < min(maxZonePulls, len(topo.tree)); i++ {
-		s.pullUntil(topo.tree[int(s.opts.Rand()*float64(len(topo.tree)))], offset)
+	for i := 0; topo != nil && i < min(maxZonePulls, len(topo.tree)) && ctx.Err() == nil; i++ {
+		_ = s.pullUntil(ctx, topo.tree[int(s.opts.Rand()*float64(len(topo.tree)))], offset)
 	}
 	return s.history.offset() >= offset
 }
 
 // pullOnce pulls the records that follow the current state from a daemon and returns the number of
 // records by which the state advanced.
-func (s *Spreader) pullOnce(addr netip.AddrPort) (int, error) {
+func (s *Spreader) pullOnce(ctx context.Context, addr netip.AddrPort) (int, error) {
 	st := s.State()
 	if st == nil {
 		return 0, errNoProgress
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, s.opts.PullTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.opts.PullTimeout)
 	defer cancel()
 	_, holdsRecord := s.history.recordAt(st.Offset)
 	answer, err := s.opts.Peers.Pull(ctx, addr, &peerpb.Pull{
--- a/spread/receive.go
+++ b/spread/receive.go
@@ -68,7 +68,7 @@
 			s.raiseAssignedOffset(end)
 		}
 		if source, ok := decodeAddr(m.GetSource()); ok {
-			s.pullUntil(source, end)
+			_ = s.pullUntil(s.ctx, source, end)
 			s.addPullCandidate(source, end)
 		}
 	}
--- a/spread/sessions_test.go
+++ b/spread/sessions_test.go
@@ -75,7 +75,7 @@
 		}
 		peers, addr, _ := connect(t, ahead.HandlePush, ahead.HandlePull)
 		late.opts.Peers = peers
-		late.pullUntil(addr, 3)
+		_ = late.pullUntil(late.ctx, addr, 3)
 		must.Eq(t, states[3].Chain, late.State().Chain)
 	}
 }
