A daemon whose pull is not answered reads the log next

Callers of a host that learned of a version and could reach no daemon that has it, such as one whose packets to the others are lost, got answers by the old version for 6 s and more: three pulls, 2 s each, before the daemon read the log. A pull that is not answered now leads to a read of the log at once, or as soon as the daemon may read again (1.75 s after the last time at the latest), and a pull of a small record takes 1 s at most. Records of a megabyte still have 2 s, and busy answers count as before, so that daemons which receive a large version over slow links do not read it from the store as well.

Evidence: TestDaemonReadsLogAfterFailedPull failed before (not in force after 2 s; some after 10.5 s) and passes, 40 of 40 runs.

--- a/spread/isolated_test.go
+++ b/spread/isolated_test.go
@@ -79,3 +79,26 @@
 		}
 	})
 }
+
+// A daemon that knew of a newer version and could not pull it tried three daemons, 2 s each, before
+// it read the log.
+func TestDaemonReadsLogAfterFailedPull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8, 1, func(o *Options) { o.Peers, o.OwnReadAfter = silentPeers{}, deployedOwnReadAfter })
+		f.run()
+		f.append(contractChange("a", 0))
+		time.Sleep(2 * deployedOwnReadAfter)
+		must.Zero(t, f.countBehind(1))
+		offset := f.append(contractChange("b", 1))
+		reader := f.readers("zone-0")[0].member
+		for _, n := range f.nodes {
+			n.ObserveOffset(reader.Host, reader.PeerAddr, offset)
+		}
+		for begin := time.Now(); time.Since(begin) < configApply; time.Sleep(100 * time.Millisecond) {
+			for _, n := range f.nodes {
+				n.ObserveOffset(reader.Host, reader.PeerAddr, offset)
+			}
+		}
+		must.Zero(t, f.countBehind(offset))
+	})
+}
--- a/spread/pull.go
+++ b/spread/pull.go
@@ -30,6 +30,9 @@
 	// is one call away.
 	maxZonePulls    = 3
 	zonePullTimeout = 500 * time.Millisecond
+	// minPullTimeout is how long a pull of a small record may take. A daemon that cannot reach the
+	// others has to read the log itself in time.
+	minPullTimeout = time.Second
 )
 
 // errNoProgress means that a pull did not advance the state.
@@ -153,16 +156,18 @@
 	}
 }
 
-// pull pulls from a daemon that is ahead. After pullsBeforeRead failures it also reads the log.
+// pull pulls from a daemon that is ahead. After pullsBeforeRead failures, or one that was not
+// answered, it also reads the log.
 func (p *pullScheduler) pull() {
 	s := p.s
 	before := s.history.offset()
-	c, ok := s.takePullCandidate()
-	if ok {
-		_ = s.pullUntil(s.ctx, c.addr, c.offset)
+	p.readIfPullsFail()
+	if c, ok := s.takePullCandidate(); ok && !pullAnswered(s.pullUntil(s.ctx, c.addr, c.offset)) {
+		// Other daemons may not be reachable either.
+		p.failures = max(p.failures, pullsBeforeRead)
 	}
-	if s.history.offset() == before && p.failures >= pullsBeforeRead && !time.Now().Before(p.nextFallbackRead) {
-		p.fallbackRead()
+	if s.history.offset() == before {
+		p.readIfPullsFail()
 	}
 	if s.history.offset() > before {
 		p.failures = 0
@@ -171,6 +176,17 @@
 	}
 	p.failures++
 	p.pullAt = time.Now().Add(s.backoff(p.failures))
+	if p.failures >= pullsBeforeRead && time.Now().Before(p.nextFallbackRead) {
+		// Another pull could take longer than the time until the log may be read.
+		p.pullAt = p.nextFallbackRead
+	}
+}
+
+// readIfPullsFail reads the log if pulls fail and the last fallback read is long enough ago.
+func (p *pullScheduler) readIfPullsFail() {
+	if p.failures >= pullsBeforeRead && !time.Now().Before(p.nextFallbackRead) {
+		p.fallbackRead()
+	}
 }
 
 // fallbackRead reads the log until it has no more records. Readers skip this because they read the
@@ -219,6 +235,11 @@
 	return ctx.Err()
 }
 
+// pullAnswered reports whether a daemon answered a pull that ended with err.
+func pullAnswered(err error) bool {
+	return err == nil || errors.Is(err, errNoProgress) || errors.Is(err, errDiverged) || errors.Is(err, errMalformed)
+}
+
 // pullFromZone pulls from random daemons of this daemon's availability zone and reports whether it
 // has reached an offset.
 func (s *Spreader) pullFromZone(offset uint64) bool {
@@ -238,9 +259,9 @@
 	if st == nil {
 		return 0, errNoProgress
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.opts.PullTimeout)
+	record, holdsRecord := s.history.recordAt(st.Offset)
+	ctx, cancel := context.WithTimeout(ctx, s.pullTimeout(len(record), holdsRecord))
 	defer cancel()
-	_, holdsRecord := s.history.recordAt(st.Offset)
 	answer, err := s.opts.Peers.Pull(ctx, addr, &peerpb.Pull{
 		Offset: st.Offset, Chain: st.Chain[:], Host: s.opts.Host, TakesPacked: true, HoldsRecord: holdsRecord,
 	})
@@ -260,6 +281,16 @@
 	return int(eventlog.RecordsBetween(st.Offset, s.history.offset())), nil
 }
 
+// pullTimeout returns how long to wait for the answer to a pull. The size of the current record, if it
+// is known, is the estimate for that of the next.
+func (s *Spreader) pullTimeout(recordBytes int, known bool) time.Duration {
+	if !known {
+		return s.opts.PullTimeout
+	}
+	transfer := time.Duration(recordBytes) * time.Second / pushBytesPerSecond
+	return min(s.opts.PullTimeout, minPullTimeout+transfer)
+}
+
 // applyAnswer applies the state or records of an answer to a pull.
 func (s *Spreader) applyAnswer(requested *fold.State, addr netip.AddrPort, answer *peerpb.PullAnswer) error {
 	m, err := StateOf(answer)
