--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 BUILDINFO := github.com/crocuscross/crocuscross/internal/buildinfo
 LDFLAGS := -X $(BUILDINFO).version=$(VERSION) -X $(BUILDINFO).commit=$(COMMIT)
 
-.PHONY: build generate test lint bench fmt demo latency fleet faults
+.PHONY: build generate test lint bench fmt demo latency fleet faults soak
 
 build:
 	$(GO) build -trimpath -ldflags '$(LDFLAGS)' -o $(BIN)/crocuscross ./cmd/crocuscross
@@ -56,3 +56,9 @@
 # that non-idempotent calls run at most once.
 faults: build
 	$(GO) run ./bench/faults $(ARGS)
+
+# Real daemons and a stand-in of the platform's store, broken at random while the
+# configuration changes; checks that each version is in force in time on every host.
+# ARGS="--seed N" repeats a run, ARGS="--help" lists the options.
+soak: build
+	$(GO) run ./bench/soak $(ARGS)
--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -63,6 +63,8 @@
 type disruption struct {
 	Kind, Host string
 	From, To   time.Time
+	// Binding is set if the bounds hold on the host all the same.
+	Binding bool
 }
 
 // records is what a run recorded.
@@ -133,7 +135,7 @@
 func (r *records) inTouch(p *probe, b bounds) bool {
 	from := p.Sent.Add(-b.Contact)
 	return !slices.ContainsFunc(r.Disruptions, func(d disruption) bool {
-		return (d.Host == "" || d.Host == p.Host) && d.From.Before(p.Ended) && (d.To.IsZero() || d.To.After(from))
+		return !d.Binding && (d.Host == "" || d.Host == p.Host) && d.From.Before(p.Ended) && (d.To.IsZero() || d.To.After(from))
 	})
 }
 
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -159,6 +159,7 @@
 
 // storeCompacted drops the history of the operator's records, again and again.
 func storeCompacted(ctx context.Context, f *fleet, rng *rand.Rand) error {
+	defer f.disturb("store-compacted", nil)()
 	for end := time.Now().Add(faultTime(rng)); time.Now().Before(end); {
 		if err := f.command(ctx, "compact"); err != nil {
 			return err
@@ -296,22 +297,31 @@
 // hangupSome makes daemons read their settings again, which excuses nothing.
 func hangupSome(_ context.Context, f *fleet, rng *rand.Rand) error {
 	for _, h := range f.drawHosts(rng) {
+		defer f.disturb("hangup", h)()
 		f.signal(h, syscall.SIGHUP)
 	}
 	return nil
 }
 
+// The ways in which a host can be cut off from others.
+const (
+	cutBoth = iota
+	cutIn
+	cutOut
+)
+
 // cutSome cuts hosts off from all others, both ways or one way. They reach the store all the while,
 // so this excuses nothing there.
 func cutSome(ctx context.Context, f *fleet, rng *rand.Rand) error {
 	chosen := f.drawHosts(rng)
 	way := rng.IntN(3)
 	for _, h := range chosen {
+		defer f.disturb([]string{cutBoth: "cut", cutIn: "cut-in", cutOut: "cut-out"}[way], h)()
 		for _, other := range f.hosts {
-			if way != 1 {
+			if way != cutIn {
 				f.network.CutWay(h.name, other.name)
 			}
-			if way != 2 {
+			if way != cutOut {
 				f.network.CutWay(other.name, h.name)
 			}
 		}
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -257,11 +257,20 @@
 }
 
 // disrupt records that a host, or every host if h is nil, is disturbed until the returned function
-// is called.
+// is called, and that the bounds do not hold there meanwhile.
 func (f *fleet) disrupt(kind string, h *host) (over func()) {
+	return f.recordDisruption(disruption{Kind: kind}, h)
+}
+
+// disturb is like disrupt, for a disruption that excuses nothing.
+func (f *fleet) disturb(kind string, h *host) (over func()) {
+	return f.recordDisruption(disruption{Kind: kind, Binding: true}, h)
+}
+
+func (f *fleet) recordDisruption(d disruption, h *host) (over func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	d := disruption{Kind: kind, From: time.Now()}
+	d.From = time.Now()
 	if h != nil {
 		d.Host = h.name
 	}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"os/exec"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -43,6 +45,7 @@
 		"a failure shows nothing":                     {probes: []probe{probeAt(22.1, "a", inconclusive, "")}},
 		"the store was disrupted":                     {probes: []probe{probeAt(12.1, "a", refusedNoRoute, "")}, disruptions: []disruption{{From: at(8), To: at(9.2)}}},
 		"the store was disrupted earlier":             {probes: []probe{probeAt(12.3, "a", refusedNoRoute, "")}, disruptions: []disruption{{From: at(8), To: at(9.2)}}, violations: 1},
+		"the store was compacted":                     {probes: []probe{probeAt(12.1, "a", refusedNoRoute, "")}, disruptions: []disruption{{From: at(8), To: at(13), Binding: true}}, violations: 1},
 		"another host was disrupted":                  {probes: []probe{probeAt(12.1, "a", refusedNoRoute, "")}, disruptions: []disruption{{Host: "i", From: at(8), To: at(13)}}, violations: 1},
 		"the host is disrupted and has not recovered": {probes: []probe{probeAt(12.1, "a", refusedNoRoute, "")}, disruptions: []disruption{{Host: "h", From: at(8)}}},
 		"a daemon goes back": {
@@ -82,3 +85,17 @@
 	_, err = render("{{unknown|other}}", nil)
 	must.Error(t, err)
 }
+
+// A short run of the real programs, in which the store goes silent and hosts are cut off, paused,
+// killed and restarted while the configuration changes.
+func TestShortSoak(t *testing.T) {
+	dir := t.TempDir()
+	for _, program := range []string{"crocuscross", "standin"} {
+		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, program), "../../cmd/"+program).CombinedOutput()
+		must.NoError(t, err, must.Sprint(string(out)))
+	}
+	must.NoError(t, run(t.Context(), []string{
+		"--seed", "12", "--hosts", "8", "--duration", "25s", "--slot", "60", "--template", "../../deploy/daemon.jsonc",
+		"--daemon", filepath.Join(dir, "crocuscross"), "--standin", filepath.Join(dir, "standin"),
+	}))
+}
