--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -96,6 +96,7 @@
 	}
 	must.NoError(t, run(t.Context(), []string{
 		"--seed", "12", "--hosts", "8", "--duration", "25s", "--slot", "60", "--template", "../../deploy/daemon.jsonc",
+		"--kind", "store-silent", "--kind", "store-paused", "--kind", "cut", "--kind", "kill", "--kind", "pause",
 		"--daemon", filepath.Join(dir, "crocuscross"), "--standin", filepath.Join(dir, "standin"),
 	}))
 }
