--- a/internal/standin/storeserver/storeserver.go
+++ b/internal/standin/storeserver/storeserver.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,6 +47,8 @@
 type Server struct {
 	store  *storetest.Server
 	router *bunrouter.Router
+
+	mu     sync.Mutex
 	backup storetest.Backup
 }
 
@@ -85,6 +88,7 @@
 	return serve.WriteJSON(w, http.StatusOK, Published{Offset: s.store.PutConfig(string(document))})
 }
 
+// command returns the handler of a command, which responds with status 400 if f fails.
 func (s *Server) command(f func(bunrouter.Request) error) bunrouter.HandlerFunc {
 	return func(w http.ResponseWriter, r bunrouter.Request) error {
 		if err := f(r); err != nil {
@@ -124,11 +128,15 @@
 }
 
 func (s *Server) takeBackup(bunrouter.Request) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.backup = s.store.Backup()
 	return nil
 }
 
 func (s *Server) restore(bunrouter.Request) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.store.Restore(s.backup)
 	return nil
 }
