--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -23,7 +23,7 @@
 
 // Ports of every host.
 const (
-	portTarget  = 8145
+	portBackend = 8145
 	portCallers = 8147
 	portReady   = 8141
 	portControl = 8144
@@ -123,8 +123,8 @@
 		if err := f.startDaemon(h, true); err != nil {
 			return err
 		}
-		_, _, err := f.group.StartListening(ctx, h.name+"-target", f.o.standin, "target", "--id", "i-"+h.name, "--service", h.service,
-			"--zone", h.zone, "--listen", h.addr(portTarget), "--daemon", "http://"+h.addr(portControl))
+		_, _, err := f.group.StartListening(ctx, h.name+"-backend", f.o.standin, "platform-backend", "--id", "i-"+h.name, "--service", h.service,
+			"--zone", h.zone, "--listen", h.addr(portBackend), "--daemon", "http://"+h.addr(portControl))
 		if err != nil {
 			return err
 		}
@@ -186,7 +186,7 @@
 	}
 	text, err := render(f.template, map[string]any{
 		"node_name": h.name, "availability_zone": h.zone, "region": "region", "ip": h.ip, "bootstrap": first,
-		"service": h.service, "app_address": h.addr(portTarget), "seed_nodes": seeds,
+		"service": h.service, "app_address": h.addr(portBackend), "seed_nodes": seeds,
 		"limits":              map[string]any{"link_mbps": 1000.0},
 		"internal_port_range": map[string]any{"0": portPeers},
 		"listen": map[string]any{
--- a/bench/soak/probe.go
+++ b/bench/soak/probe.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"github.com/crocuscross/crocuscross/internal/standin/target"
+	"github.com/crocuscross/crocuscross/internal/standin/platformbackend"
 	"github.com/crocuscross/crocuscross/platform"
 )
 
@@ -62,6 +62,6 @@
 	case http.StatusNotFound:
 		p.Outcome = refusedNoRoute
 	case http.StatusOK:
-		p.Outcome, p.Service = servedBy, resp.Header.Get(target.HeaderService)
+		p.Outcome, p.Service = servedBy, resp.Header.Get(platformbackend.HeaderService)
 	}
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -70,7 +70,7 @@
 	registerBackend(app, env)
 	registerCaller(app, env)
 	registerStore(app, env)
-	registerTarget(app, env)
+	registerPlatformBackend(app, env)
 	_, err := app.Parse(args)
 	return exitStatus(err, env.stderr)
 }
--- a/cmd/standin/target.go
+++ b/cmd/standin/platformbackend.go
@@ -5,18 +5,18 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/crocuscross/crocuscross/internal/standin/target"
+	"github.com/crocuscross/crocuscross/internal/standin/platformbackend"
 	"github.com/crocuscross/crocuscross/platform"
 )
 
-const targetExamples = `Examples:
-  standin target --listen 127.1.0.1:8145 --id i-1 --service sign-feed --daemon http://127.1.0.1:8144
+const platformBackendExamples = `Examples:
+  standin platform-backend --listen 127.1.0.1:8145 --id i-1 --service sign-feed --daemon http://127.1.0.1:8144
 `
 
-func registerTarget(app *kingpin.Application, env *environment) {
-	cmd := app.Command("target", "Play a backend server that speaks the platform's protocol.").HelpLong(targetExamples)
+func registerPlatformBackend(app *kingpin.Application, env *environment) {
+	cmd := app.Command("platform-backend", "Play a backend server that speaks the platform's protocol.").HelpLong(platformBackendExamples)
 	address := listenFlag(cmd)
-	opts := target.Options{Dialect: platform.Dialect()}
+	opts := platformbackend.Options{Dialect: platform.Dialect()}
 	cmd.Flag("id", "ID of this run of the server.").Required().StringVar(&opts.ID)
 	cmd.Flag("service", "Service that it offers.").Required().StringVar(&opts.Service)
 	cmd.Flag("zone", "Availability zone of its host.").StringVar(&opts.AvailabilityZone)
@@ -28,6 +28,6 @@
 		if err != nil {
 			return err
 		}
-		return target.Run(env.ctx, ln, opts)
+		return platformbackend.Run(env.ctx, ln, opts)
 	}))
 }
