--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -241,6 +241,7 @@
 	var t tomb.Tomb
 	t.Go(func() error {
 		t.Go(func() error { return f.operator.run(ctx) })
+		t.Go(func() error { return f.watchHalts(ctx) })
 		for i, h := range f.hosts {
 			t.Go(func() error { return f.probeHost(ctx, h, rand.New(rand.NewPCG(f.o.seed, uint64(1000+i)))) })
 		}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -65,6 +65,19 @@
 	}
 }
 
+// A machine that halted for 10 s was taken for daemons that served an old version.
+func TestHaltOfTheMachineIsADisruption(t *testing.T) {
+	f := &fleet{}
+	f.recordHalt(at(0), at(0.4))
+	must.Len(t, 0, f.rec.Disruptions)
+	f.recordHalt(at(8), at(18))
+	r := records{Start: begin, Versions: threeVersions(), Disruptions: f.rec.Disruptions}
+	r.Probes = []probe{probeAt(18.1, "a", refusedNoRoute, "")}
+	must.Len(t, 0, check(r, promises))
+	r.Probes = []probe{probeAt(21.1, "a", refusedNoRoute, "")}
+	must.Len(t, 1, check(r, promises))
+}
+
 // The settings that the soak renders from the deployed template must be accepted by the daemon.
 func TestRenderedSettingsAreValid(t *testing.T) {
 	template, err := os.ReadFile("../../deploy/daemon.jsonc")
