--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -41,7 +41,7 @@
 	{"store-truncated", true, storeFault("truncated")},
 	{"store-stalled", true, storeFault("stalled")},
 	{"store-withheld", true, storeFault("withheld")},
-	{"store-slow", true, storeSlow},
+	{"store-slow", true, betweenCommands("store-slow", "delay?delay="+slowStore.String(), "delay?delay=0s")},
 	{"store-paused", true, storePaused},
 	{"store-restored", true, storeRestored},
 	{"store-compacted", false, storeCompacted},
@@ -101,28 +101,23 @@
 	return minFaultTime + time.Duration(rng.Int64N(int64(maxFaultTime-minFaultTime)))
 }
 
+// storeFault returns a fault that the admin API of the store injects.
 func storeFault(kind string) func(context.Context, *fleet, *rand.Rand) error {
+	return betweenCommands("store-"+kind, "fault?kind="+kind, "fault?kind=none")
+}
+
+// betweenCommands returns a fault of the whole store that one command begins and another ends.
+func betweenCommands(name, begin, end string) func(context.Context, *fleet, *rand.Rand) error {
 	return func(ctx context.Context, f *fleet, rng *rand.Rand) error {
-		defer f.disrupt("store-"+kind, nil)()
-		if err := f.command(ctx, "fault?kind="+kind); err != nil {
+		defer f.disrupt(name, nil)()
+		if err := f.command(ctx, begin); err != nil {
 			return err
 		}
 		if err := sleep(ctx, faultTime(rng)); err != nil {
 			return err
 		}
-		return f.command(ctx, "fault?kind=none")
-	}
-}
-
-func storeSlow(ctx context.Context, f *fleet, rng *rand.Rand) error {
-	defer f.disrupt("store-slow", nil)()
-	if err := f.command(ctx, "delay?delay="+slowStore.String()); err != nil {
-		return err
-	}
-	if err := sleep(ctx, faultTime(rng)); err != nil {
-		return err
+		return f.command(ctx, end)
 	}
-	return f.command(ctx, "delay?delay=0s")
 }
 
 // storePaused stops the process of the store: its connections stay open and nothing responds.
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -19,6 +19,7 @@
 
 	"github.com/crocuscross/crocuscross/bench/network"
 	"github.com/crocuscross/crocuscross/bench/procs"
+	"github.com/crocuscross/crocuscross/internal/loop"
 )
 
 // Ports of every host.
@@ -292,14 +293,17 @@
 }
 
 // command sends a command to the admin API of the store.
-func (f *fleet) command(ctx context.Context, command string) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.admin+"/admin/"+command, nil)
+func (f *fleet) command(ctx context.Context, command string) error { return f.post(ctx, command, "") }
+
+// post sends a command with a body to the admin API of the store.
+func (f *fleet) post(ctx context.Context, command, body string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.admin+"/admin/"+command, strings.NewReader(body))
 	if err != nil {
 		return err
 	}
 	resp, err := f.client.Do(req)
 	if err != nil {
-		return errors.Wrap(err, "command to the store")
+		return errors.Wrapf(err, "command %s", command)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -310,12 +314,8 @@
 
 // sleep waits for d, or returns the error of ctx once that is done.
 func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !loop.Sleep(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/bench/soak/operator.go
+++ b/bench/soak/operator.go
@@ -6,13 +6,10 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -191,19 +188,7 @@
 }
 
 func (o *operator) write(ctx context.Context, document string) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, o.f.admin+"/admin/config", strings.NewReader(document))
-	if err != nil {
-		return err
-	}
-	resp, err := o.f.client.Do(req)
-	if err != nil {
-		return errors.Wrap(err, "publish")
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Newf("publish: the store responded with %s", resp.Status)
-	}
-	return nil
+	return o.f.post(ctx, "config", document)
 }
 
 // split is a part of a route's traffic.
