Log and count what a backend server states about itself in its responses

inbound logs each change of the notice (limit, leaving) with the request and the host that it came from; crocuscross_server_rate_limit, _leaving and _server_requests_total say the same at scrape time. serverNotices decides which response counts when responses are read out of order. Nothing acts on it yet.

--- a/internal/proxy/dialect/dialect.go
+++ b/internal/proxy/dialect/dialect.go
@@ -39,6 +39,11 @@
 	// CustomerName carries the customer or account of the call to the backend server. The daemon that
 	// identified the caller sets it; a value that the caller sends is removed.
 	CustomerName string
+	// RateLimit carries the requests per second that the backend server accepts from all hosts
+	// together. It is on each of the server's responses while the limit applies.
+	RateLimit string
+	// Leaving is "1" on each response of a backend server that is about to exit.
+	Leaving string
 	// FractionalRetryAfter is whether callers accept fractions of a second in Retry-After. HTTP
 	// itself allows whole seconds only.
 	FractionalRetryAfter bool
--- /dev/null
+++ b/internal/proxy/dialect/notice_test.go
@@ -0,0 +1,45 @@
+package dialect
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+var noticeDialect = Dialect{RateLimit: "Rate-Limit", Leaving: "Leaving"}
+
+func TestNotice(t *testing.T) {
+	for name, test := range map[string]struct {
+		header http.Header
+		want   ServerNotice
+	}{
+		"nothing":       {http.Header{}, ServerNotice{}},
+		"rate limit":    {http.Header{"Rate-Limit": {"2.5"}}, ServerNotice{Limited: true, RateLimit: 2.5}},
+		"limit of zero": {http.Header{"Rate-Limit": {"0"}}, ServerNotice{Limited: true}},
+		"leaving":       {http.Header{"Leaving": {"1"}}, ServerNotice{Leaving: true}},
+		"not leaving":   {http.Header{"Leaving": {"0"}}, ServerNotice{}},
+		"both":          {http.Header{"Rate-Limit": {"7"}, "Leaving": {"1"}}, ServerNotice{Limited: true, RateLimit: 7, Leaving: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, err := noticeDialect.Notice(test.header.Get)
+			must.NoError(t, err)
+			must.Eq(t, test.want, got)
+		})
+	}
+}
+
+// Guards against a malformed header that sets or lifts a limit.
+func TestNotice_RejectsInvalidRateLimit(t *testing.T) {
+	for _, value := range []string{"x", "-1", "NaN", "Inf", "1e999", "2 per second"} {
+		got, err := noticeDialect.Notice(http.Header{"Rate-Limit": {value}, "Leaving": {"1"}}.Get)
+		must.ErrorContains(t, err, value)
+		must.Eq(t, ServerNotice{Leaving: true}, got)
+	}
+}
+
+func TestNotice_IgnoresHeadersWithoutName(t *testing.T) {
+	got, err := Default().Notice(http.Header{"": {"1"}, "Rate-Limit": {"1"}}.Get)
+	must.NoError(t, err)
+	must.Eq(t, ServerNotice{}, got)
+}
--- a/internal/proxy/inbound/forward.go
+++ b/internal/proxy/inbound/forward.go
@@ -58,12 +58,16 @@
 	if err != nil {
 		return nil, err
 	}
+	c.h.opts.Metrics.ServerRequests.Inc()
 	sent := time.Now()
 	resp, err := c.instance.client.Do(c.ctx, r)
 	if err != nil {
 		return nil, c.exchangeError(err)
 	}
 	c.arrived = true
+	if !c.isMisdirected(resp) {
+		c.observeNotice(resp, sent)
+	}
 	if err := c.checkResponse(resp); err != nil {
 		discardResponse(resp)
 		return nil, err
@@ -90,7 +94,7 @@
 func (c *call) checkResponse(resp *http.Response) error {
 	d := c.h.opts.Dialect
 	switch {
-	case d.IsRejection(resp.StatusCode, resp.Header) && resp.StatusCode == http.StatusMisdirectedRequest:
+	case c.isMisdirected(resp):
 		c.h.opts.OnServerMismatch(c.instance.id)
 		return errkind.Newf(errkind.Unreachable, "backend server %s responds at the address of %s", resp.Header.Get(d.ServerID), c.instance.id)
 	case d.IsRejection(resp.StatusCode, resp.Header):
@@ -101,6 +105,12 @@
 	return nil
 }
 
+// isMisdirected reports whether a response comes from another server than the one that the call was
+// meant for.
+func (c *call) isMisdirected(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusMisdirectedRequest && c.h.opts.Dialect.IsRejection(resp.StatusCode, resp.Header)
+}
+
 // exchangeError assigns an error kind to a failed exchange and detects whether the server
 // crashed during it.
 func (c *call) exchangeError(err error) error {
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -96,7 +96,7 @@
 	pacer                    *pacer
 	transits                 *transit.Estimator
 	classifier               *admission.RouteClassifier
-	rejectionLog             telemetry.LogLimiter
+	rejectionLog, noticeLog  telemetry.LogLimiter
 }
 
 // NewHandler returns a handler. Without a rollout gate in opts it admits calls to all versions.
@@ -106,7 +106,7 @@
 	}
 	h := &Handler{
 		opts: opts, rejectionLog: telemetry.NewLogLimiter(rejectionLogLimit), pacer: newPacer(opts.LinkMbps), transits: transit.New(),
-		classifier: admission.NewRouteClassifier(opts.HostShare),
+		classifier: admission.NewRouteClassifier(opts.HostShare), noticeLog: telemetry.NewLogLimiter(noticeLogLimit),
 	}
 	h.instances.init(opts)
 	return h
--- a/internal/proxy/inbound/instance.go
+++ b/internal/proxy/inbound/instance.go
@@ -22,6 +22,8 @@
 	client      *backendconn.Client
 	// running holds the calls that the instance is running.
 	running runningCalls
+	// notices is what the instance states about itself in its responses.
+	notices serverNotices
 }
 
 // matches reports whether the instance is the announced server. An instance whose start is not
@@ -79,6 +81,7 @@
 		next.gate = s.newGate(local.Slots)
 	}
 	s.current.Store(next)
+	s.opts.Metrics.SetServerNotice(0, false)
 	return next, nil
 }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -29,6 +29,10 @@
 	InFlight prometheus.Gauge
 	// CallerDisconnects counts the requests whose caller disconnected before they were handled.
 	CallerDisconnects prometheus.Counter
+	// ServerRequests counts the requests sent to the backend server beside this daemon.
+	ServerRequests prometheus.Counter
+	// rateLimit and leaving are what that server states about itself in its responses.
+	rateLimit, leaving prometheus.Gauge
 }
 
 // callSeries holds the series of one direction and kind. They are looked up by label once at the
@@ -64,8 +68,18 @@
 		CallerDisconnects: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "caller_gone_total", Help: "Requests whose caller disconnected before they were handled.",
 		}),
+		ServerRequests: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "server_requests_total", Help: "Requests sent to the backend server beside this daemon.",
+		}),
+		rateLimit: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "server_rate_limit", Help: "Requests per second that the backend server states as its limit; 0 if it states none.",
+		}),
+		leaving: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "server_leaving", Help: "Whether the backend server states that it is about to exit.",
+		}),
 	}
-	reg.MustRegister(count, duration, c.attempts, c.retries, c.outcomeQueries, c.InFlight, c.CallerDisconnects)
+	reg.MustRegister(count, duration, c.attempts, c.retries, c.outcomeQueries, c.InFlight, c.CallerDisconnects,
+		c.ServerRequests, c.rateLimit, c.leaving)
 	c.outbound = newCallSeries("outbound", count, duration)
 	c.inbound = newCallSeries("inbound", count, duration)
 	return c
@@ -96,6 +110,13 @@
 // Inbound counts one completed attempt at this daemon's gate.
 func (c *CallMeter) Inbound(k errkind.Kind, d time.Duration) { c.inbound[k].observe(d) }
 
+// SetServerNotice records the rate limit in requests per second that the backend server states, 0
+// if it states none, and whether it states that it is about to exit.
+func (c *CallMeter) SetServerNotice(rateLimit float64, leaving bool) {
+	c.rateLimit.Set(rateLimit)
+	c.leaving.Set(boolValue(leaving))
+}
+
 // Attempt counts one attempt sent to another daemon. isFirst is false for a retry.
 func (c *CallMeter) Attempt(isFirst bool) {
 	c.attempts.Inc()
