Keep the rate limit that a backend server states (LIMIT)

Seen: a server that named a limit of 3.7 requests a second got 47 in 4 s, 27 allowed; callers noticed nothing.

Cause: nobody read the limit. The header passed through the daemons like any other. It is the server's statement about the whole fleet, so that a daemon that applied it by itself would not keep it either.

Change: the daemon beside the server counts. Each call of each host passes its gate, and nobody else reaches the server, so the count is that of the fleet and adds no round trip. The gate starts calls by a token bucket (golang.org/x/time/rate, half a second's worth of burst, empty at first); what cannot start in time is rejected at once with the time at which it can, what can waits in the queue's order of ranks. The rule counts for the host where a request began, so a daemon that restarts beside the server may not begin without the limit: gates report the notice with their responses, and senders send it along with their calls (ServerNotice); a gate adopts it until the server itself has answered. Responses that overtake each other, rejections, unsigned and malformed ones do not lift a limit. A limit of 0 still gets one request in five seconds, as only responses show its end.

Ruled out: shares handed to the senders. They need a protocol and a wait before the first call, 13 shares of 2 a second are too small to use, and a sender that restarts or is cut keeps a share that nobody else can use.

--- a/gate/admit.go
+++ b/gate/admit.go
@@ -1,6 +1,10 @@
 package gate
 
-import "time"
+import (
+	"time"
+
+	"github.com/crocuscross/crocuscross/errkind"
+)
 
 const (
 	// queuedMargin is the minimum time, as a multiple of the service time, that a waiting call
@@ -37,21 +41,21 @@
 // delays the rejections.
 func (g *Gate) checkWait(t *Ticket, now time.Time) error {
 	s := t.share
-	f := g.forecast(s)
+	f := g.forecast(s, now)
 	position := s.position(t.due)
 	left := t.deadline.Sub(now)
 	if left < f.wait(position)+s.serviceTime.value {
 		return g.noTimeError(t, left, f)
 	}
 	if t.maxWait > 0 && f.wait(position) > t.maxWait {
-		return errOverloaded.WithRetryAfter(t.retryAfter(f.wait(len(s.waiting))))
+		return g.overloadedError().WithRetryAfter(t.retryAfter(f.wait(len(s.waiting))))
 	}
 	for i, w := range s.waiting {
 		if i >= position {
 			i++
 		}
 		if w.missesDue(f.wait(i), now) {
-			return errOverloaded.WithRetryAfter(t.retryAfter(f.wait(len(s.waiting))))
+			return g.overloadedError().WithRetryAfter(t.retryAfter(f.wait(len(s.waiting))))
 		}
 	}
 	return nil
@@ -79,7 +83,21 @@
 	if left < s.serviceTime.value {
 		return errTooLittleTime
 	}
-	return errOverloaded.WithRetryAfter(t.retryAfter(f.wait(len(s.waiting))))
+	return g.overloadedError().WithRetryAfter(t.retryAfter(f.wait(len(s.waiting))))
+}
+
+// overloadedError returns the error of a call that cannot wait long enough.
+func (g *Gate) overloadedError() *errkind.Error {
+	if g.rateLimitBinds() {
+		return errRateLimited
+	}
+	return errOverloaded
+}
+
+// rateLimitBinds reports whether a slot is free, so that only the rate limit may keep a call
+// waiting.
+func (g *Gate) rateLimitBinds() bool {
+	return g.load.rateLimit.Load() != 0 && g.load.inUse.Load() < g.load.slots.Load()
 }
 
 // forecast is the expected wait in the queue of one share as a function of the position.
@@ -96,8 +114,8 @@
 
 // forecast returns the forecast for the queue of a share. It computes the slot time of the other
 // shares' calls that go before the first and before the last call of the share, and interpolates
-// linearly between the two.
-func (g *Gate) forecast(s *share) forecast {
+// linearly between the two. With a rate limit, it does the same with the numbers of the calls.
+func (g *Gate) forecast(s *share, now time.Time) forecast {
 	q, n := g.queue, len(s.waiting)
 	slots := time.Duration(g.limit.allowed())
 	var release time.Duration
@@ -105,14 +123,18 @@
 		release = time.Duration(releaseScale / max(q.releaseRate, 1))
 	}
 	start := max(s.tag, q.virtualTime)
-	first := q.aheadOf(s, start)
-	last := q.aheadOf(s, start+time.Duration(n)*s.serviceTime.value)
+	first, firstCalls := q.aheadOf(s, start)
+	last, lastCalls := q.aheadOf(s, start+time.Duration(n)*s.serviceTime.value)
+	byRate := g.rateForecast(s, firstCalls, lastCalls, now)
+	if g.inUse < g.limit.allowed() && byRate.base > 0 {
+		return byRate
+	}
 	f := forecast{base: release + first/slots, step: s.serviceTime.value / slots}
 	if n > 0 {
 		f.step += (last - first) / time.Duration(n) / slots
 	}
 	f.step = max(f.step, time.Duration(float64(s.serviceTime.value)/g.slotsLeftFor(s)))
-	return f
+	return forecast{base: max(f.base, byRate.base), step: max(f.step, byRate.step)}
 }
 
 // slotsLeftFor returns the number of slots that the share can expect to use beside the mean use
@@ -136,22 +158,23 @@
 	return max(slots-urgentUsage-(g.queue.usage[s.rank]-s.usage), fair)
 }
 
-// aheadOf returns the slot time of the waiting calls of other shares that go before a call of s
-// with the given start tag.
-func (q *fairQueue) aheadOf(s *share, tag time.Duration) time.Duration {
-	var ahead time.Duration
+// aheadOf returns the slot time and the number of the waiting calls of other shares that go before a
+// call of s with the given start tag.
+func (q *fairQueue) aheadOf(s *share, tag time.Duration) (ahead time.Duration, calls int) {
 	for _, o := range q.active {
 		switch {
 		case o == s || o.rank > s.rank || o.rank == s.rank && o.tag > tag:
 			continue
 		case o.rank < s.rank:
+			calls += len(o.waiting)
 			ahead += time.Duration(len(o.waiting)) * o.serviceTime.value
 		default:
-			n := 1 + (tag-o.tag)/max(o.serviceTime.value, 1)
-			ahead += min(n, time.Duration(len(o.waiting))) * o.serviceTime.value
+			n := min(1+(tag-o.tag)/max(o.serviceTime.value, 1), time.Duration(len(o.waiting)))
+			calls += int(n)
+			ahead += n * o.serviceTime.value
 		}
 	}
-	return ahead
+	return ahead, calls
 }
 
 // retryAfter returns the retry-after time of a rejected call: the wait until the present queue
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -53,6 +53,7 @@
 var (
 	errDraining      = errkind.New(errkind.Draining, "the backend server is draining")
 	errOverloaded    = errkind.New(errkind.Overloaded, "the queue is too long for the time left")
+	errRateLimited   = errkind.New(errkind.Overloaded, "the backend server's rate limit allows no start in the time left")
 	errDisplaced     = errkind.New(errkind.Overloaded, "displaced from the full queue by a customer with fewer waiting calls")
 	errTooLittleTime = errkind.New(errkind.DeadlineNotRun, "too little time is left to run the call")
 	errCanceled      = errkind.New(errkind.Canceled, "canceled before the call started")
@@ -63,9 +64,12 @@
 	opts   Options
 	load   counters
 	idleCh chan struct{}
+	// createdAt is the time that counters.rateReadyAt counts from.
+	createdAt time.Time
 
 	mu       sync.Mutex
 	limit    limit
+	rate     rateLimit
 	inUse    int
 	draining bool
 	isIdle   bool
@@ -78,10 +82,11 @@
 // New returns a gate that admits calls.
 func New(opts Options) *Gate {
 	g := &Gate{
-		opts:   opts,
-		idleCh: make(chan struct{}),
-		limit:  newLimit(opts.Slots, opts.FixedSlots),
-		queue:  newFairQueue(opts.ServiceTime),
+		opts:      opts,
+		idleCh:    make(chan struct{}),
+		createdAt: opts.Now(),
+		limit:     newLimit(opts.Slots, opts.FixedSlots),
+		queue:     newFairQueue(opts.ServiceTime),
 	}
 	g.publish()
 	return g
@@ -107,6 +112,11 @@
 	t := &Ticket{gate: g, deadline: now.Add(c.Remaining)}
 
 	g.mu.Lock()
+	if g.queue.len > 0 {
+		// The rate limit may allow a start that the timer has not made yet. It belongs to a waiting
+		// call.
+		g.dispatch(now)
+	}
 	err := g.startOrQueue(t, c, now)
 	queued := t.state == waiting
 	g.publish()
@@ -114,6 +124,7 @@
 
 	switch {
 	case err != nil:
+		g.countRejection()
 		return nil, err
 	case queued:
 		return g.wait(ctx, t)
@@ -151,7 +162,7 @@
 		t.due = now.Add(min(t.maxWait+t.maxWait/maxWaitSlackDivisor, t.deadline.Sub(now)-t.share.serviceTime.value))
 	}
 	g.queue.classifyShares(g.limit.allowed(), now)
-	if g.inUse < g.limit.allowed() && g.mayStart(t.share) {
+	if g.inUse < g.limit.allowed() && g.rate.allows(now) && g.mayStart(t.share) {
 		return true, nil
 	}
 	return false, g.checkWait(t, now)
@@ -178,6 +189,7 @@
 	}
 	t.state = waiting
 	g.queue.push(t)
+	g.setRateTimer(now)
 	return nil
 }
 
@@ -204,6 +216,7 @@
 // start assigns a slot to the ticket.
 func (g *Gate) start(t *Ticket, now time.Time) {
 	g.inUse++
+	g.rate.take(now)
 	t.state = running
 	t.started = now
 	t.inUseAtStart = g.inUse
@@ -214,7 +227,8 @@
 // than its expected service time, since the call would occupy a slot that another call can still
 // use in time.
 func (g *Gate) dispatch(now time.Time) {
-	for g.queue.len > 0 && g.inUse < g.limit.allowed() {
+	defer g.setRateTimer(now)
+	for g.queue.len > 0 && g.inUse < g.limit.allowed() && g.rate.allows(now) {
 		t := g.next()
 		if t == nil {
 			return
@@ -258,17 +272,25 @@
 	case <-ctx.Done():
 		return g.stopWaiting(t, errCanceled)
 	case <-timer.C:
+		g.countRejection()
 		return g.stopWaiting(t, g.waitTimeoutError(t))
 	}
 }
 
+// countRejection counts a rejected call if only the rate limit kept it waiting.
+func (g *Gate) countRejection() {
+	if g.rateLimitBinds() {
+		g.load.rateRejected.Add(1)
+	}
+}
+
 // waitTimeoutError returns the error for a call whose wait timed out: DeadlineNotRun if its
 // remaining time is too short to run it, Overloaded if only its maximum wait has passed. Waits
 // exceed the forecast if calls of a more urgent rank arrive or if calls take longer than
 // expected.
 func (g *Gate) waitTimeoutError(t *Ticket) *errkind.Error {
 	if t.maxWait > 0 && t.deadline.Sub(g.opts.Now()) > t.share.serviceTime.value {
-		return errOverloaded.WithRetryAfter(t.retryAfter(g.Load().Wait))
+		return g.overloadedError().WithRetryAfter(t.retryAfter(g.Load().Wait))
 	}
 	return errTooLittleTime
 }
--- a/internal/proxy/dialect/notice.go
+++ b/internal/proxy/dialect/notice.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -10,7 +12,7 @@
 // ServerNotice is what a backend server states about itself in a response.
 type ServerNotice struct {
 	// Limited is whether the server states a rate limit, and RateLimit that limit in requests per
-	// second from all hosts together.
+	// second from all hosts together. Of several limits in one response, the lowest counts.
 	Limited   bool
 	RateLimit float64
 	// Leaving is whether the server is about to exit and accepts no new requests.
@@ -20,24 +22,26 @@
 // leavingValue is the value of the Leaving header of a server that is about to exit.
 const leavingValue = "1"
 
-// Notice returns the notice in a response. get returns the value of a header field, or "" if the
-// response does not have it. An invalid rate limit is returned as an error, with Limited unset.
-func (d Dialect) Notice(get func(name string) string) (ServerNotice, error) {
+// Notice returns the notice in the header of a response. An invalid rate limit is returned as an
+// error beside the valid parts of the notice.
+func (d Dialect) Notice(h http.Header) (ServerNotice, error) {
 	var n ServerNotice
-	n.Leaving = d.Leaving != "" && get(d.Leaving) == leavingValue
+	n.Leaving = d.Leaving != "" && slices.Contains(h.Values(d.Leaving), leavingValue)
 	if d.RateLimit == "" {
 		return n, nil
 	}
-	value := get(d.RateLimit)
-	if value == "" {
-		return n, nil
-	}
-	limit, err := parseRateLimit(value)
-	if err != nil {
-		return n, errors.Wrapf(err, "header %s", d.RateLimit)
+	var invalid error
+	for _, value := range h.Values(d.RateLimit) {
+		limit, err := parseRateLimit(value)
+		if err != nil {
+			invalid = errors.Wrapf(err, "header %s", d.RateLimit)
+			continue
+		}
+		if !n.Limited || limit < n.RateLimit {
+			n.Limited, n.RateLimit = true, limit
+		}
 	}
-	n.Limited, n.RateLimit = true, limit
-	return n, nil
+	return n, invalid
 }
 
 // parseRateLimit parses a number of requests per second.
--- a/internal/proxy/inbound/call.go
+++ b/internal/proxy/inbound/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -52,6 +53,7 @@
 	if err := c.findServer(); err != nil {
 		return c.reject(err)
 	}
+	c.adoptNotice()
 	if err := c.checkQuarantine(); err != nil {
 		return c.reject(err)
 	}
@@ -184,6 +186,7 @@
 		Arrived:      c.arrived,
 		MadeBy:       advice.MadeByToProto(c.madeBy),
 		Callees:      advice.CalleesToProto(c.h.opts.CalleeStats.Rates()),
+		ServerNotice: c.serverNotice(),
 	}
 	_ = c.st.SetWriteDeadline(time.Now().Add(rejectTimeout))
 	if serr := c.st.Send(head); serr != nil {
@@ -201,6 +204,7 @@
 		Slots:         uint32(l.Slots),
 		Draining:      l.Draining,
 		ServiceTimeUs: uint32(l.ServiceTime.Microseconds()),
-		WaitUs:        uint32(l.Wait.Microseconds()),
+		WaitUs:        uint32(min(l.Wait.Microseconds(), math.MaxUint32)),
+		RateLimit:     l.RateLimit,
 	}
 }
--- a/internal/proxy/inbound/forward.go
+++ b/internal/proxy/inbound/forward.go
@@ -160,6 +160,7 @@
 		Load:          c.load(),
 		MadeBy:        advice.MadeByToProto(c.madeBy),
 		Callees:       advice.CalleesToProto(c.h.opts.CalleeStats.Rates()),
+		ServerNotice:  c.serverNotice(),
 	}
 }
 
--- a/internal/proxy/inbound/instance.go
+++ b/internal/proxy/inbound/instance.go
@@ -23,7 +23,7 @@
 	// running holds the calls that the instance is running.
 	running runningCalls
 	// notices is what the instance states about itself in its responses.
-	notices serverNotices
+	notices *serverNotices
 }
 
 // matches reports whether the instance is the announced server. An instance whose start is not
@@ -49,7 +49,7 @@
 
 func (s *serverInstances) init(opts Options) {
 	s.opts = opts
-	s.current.Store(&serverInstance{gate: opts.NewGate()})
+	s.current.Store(&serverInstance{gate: opts.NewGate(), notices: &serverNotices{}})
 }
 
 // forServer returns the instance of an announced server. It replaces the current instance if
@@ -69,7 +69,7 @@
 		return cur, nil
 	}
 	next := &serverInstance{
-		id: local.ID, url: local.URL, gate: cur.gate,
+		id: local.ID, url: local.URL, gate: cur.gate, notices: cur.notices,
 		client: backendconn.New(backendconn.Options{Address: u.Host, RequestIDHeader: s.opts.Dialect.RequestID}),
 	}
 	next.startUnixMs.Store(local.StartUnixMs)
@@ -78,10 +78,10 @@
 	}
 	if cur.id != local.ID || cur.startUnixMs.Load() != local.StartUnixMs {
 		cur.gate.Evict()
-		next.gate = s.newGate(local.Slots)
+		next.gate, next.notices = s.newGate(local.Slots), &serverNotices{}
+		s.opts.Metrics.SetServerNotice(0, false)
 	}
 	s.current.Store(next)
-	s.opts.Metrics.SetServerNotice(0, false)
 	return next, nil
 }
 
--- a/internal/proxy/inbound/notice.go
+++ b/internal/proxy/inbound/notice.go
@@ -3,9 +3,11 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/crocuscross/crocuscross/internal/proxy/dialect"
+	"github.com/crocuscross/crocuscross/peerpb"
 )
 
 // noticeLogLimit is the maximum number of log lines per second about the server's notices.
@@ -16,13 +18,20 @@
 type serverNotices struct {
 	mu      sync.Mutex
 	current dialect.ServerNotice
+	// observed is whether the instance has responded to this process.
+	observed bool
 	// limitedAt is when the latest response that stated a rate limit arrived.
 	limitedAt time.Time
+	// sent is the notice in force as a message, nil if the server states nothing.
+	sent atomic.Pointer[peerpb.ServerNotice]
 }
 
-// noticeChange is the notice in force before and after a response.
+// noticeChange is the notice in force before and after an observation.
 type noticeChange struct{ before, after dialect.ServerNotice }
 
+// changed reports whether the notice in force is another one.
+func (n noticeChange) changed() bool { return n.before != n.after }
+
 // observe applies the notice in a response that arrived at the time received, to a request sent at
 // the time sent. complete is whether the absence of a rate limit means that there is none.
 //
@@ -30,8 +39,6 @@
 // lifts a limit only if its request was sent after the latest response with a limit arrived. A server
 // that leaves does not stay after all.
 func (s *serverNotices) observe(n dialect.ServerNotice, complete bool, sent, received time.Time) noticeChange {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	before := s.current
 	inOrder := sent.After(s.limitedAt)
 	switch {
@@ -44,32 +51,105 @@
 		s.current.Limited, s.current.RateLimit = false, 0
 	}
 	s.current.Leaving = before.Leaving || n.Leaving
+	s.observed = s.observed || complete
+	return noticeChange{before, s.current}
+}
+
+// adopt applies a notice that another daemon received from the instance through an earlier process
+// of this daemon. Its rate limit counts until the instance itself responds to this process.
+func (s *serverNotices) adopt(n dialect.ServerNotice) noticeChange {
+	before := s.current
+	if n.Limited && !s.observed && (!before.Limited || n.RateLimit < before.RateLimit) {
+		s.current.Limited, s.current.RateLimit = true, n.RateLimit
+	}
+	s.current.Leaving = before.Leaving || n.Leaving
 	return noticeChange{before, s.current}
 }
 
-// observeNotice applies the notice in the server's response to this call. A rejection need not
-// repeat a limit that is in force.
+// message returns the notice in force for other daemons, nil if the server states nothing.
+func (s *serverNotices) message() *peerpb.ServerNotice { return s.sent.Load() }
+
+// changeNotice applies a change to the notice in force and to the gate, in one step.
+func (s *serverInstance) changeNotice(change func(*serverNotices) noticeChange) noticeChange {
+	s.notices.mu.Lock()
+	defer s.notices.mu.Unlock()
+	c := change(s.notices)
+	if !c.changed() {
+		return c
+	}
+	if c.after.Limited {
+		s.gate.SetRateLimit(c.after.RateLimit)
+	} else {
+		s.gate.ClearRateLimit()
+	}
+	s.notices.sent.Store(s.noticeMessage(c.after))
+	return c
+}
+
+func (s *serverInstance) noticeMessage(n dialect.ServerNotice) *peerpb.ServerNotice {
+	if n == (dialect.ServerNotice{}) {
+		return nil
+	}
+	return &peerpb.ServerNotice{
+		ServerId: s.id, ServerStartUnixMs: s.startUnixMs.Load(),
+		Limited: n.Limited, RequestsPerSecond: n.RateLimit, Leaving: n.Leaving,
+	}
+}
+
+// isAbout reports whether a notice is that of the instance. One of the two may lack a start.
+func (s *serverInstance) isAbout(m *peerpb.ServerNotice) bool {
+	start, stated := s.startUnixMs.Load(), m.GetServerStartUnixMs()
+	return s.id != "" && m.GetServerId() == s.id && (start == stated || start == 0 || stated == 0)
+}
+
+// observeNotice applies the notice in the server's response to this call.
 func (c *call) observeNotice(resp *http.Response, sent time.Time) {
-	d := c.h.opts.Dialect
-	n, err := d.Notice(resp.Header.Get)
+	n, err := c.h.opts.Dialect.Notice(resp.Header)
 	if err != nil && c.h.noticeLog.Allow() {
 		c.h.opts.Logger.Warn("inbound: notice of the backend server ignored", "server", c.instance.id, "request", c.head.GetRequestId(), "error", err)
 	}
-	complete := err == nil && !d.IsRejection(resp.StatusCode, resp.Header)
-	change := c.instance.notices.observe(n, complete, sent, time.Now())
-	if change.before != change.after {
-		c.h.reportNotice(c, change)
+	complete := err == nil && c.isServersOwn(resp)
+	c.applyNotice("response", func(s *serverNotices) noticeChange { return s.observe(n, complete, sent, time.Now()) })
+}
+
+// isServersOwn reports whether a response is certainly one that the server wrote itself for a call
+// that it ran. Others, such as rejections, need not repeat a limit that is in force.
+func (c *call) isServersOwn(resp *http.Response) bool {
+	d := c.h.opts.Dialect
+	return !d.IsRejection(resp.StatusCode, resp.Header) && (d.Signature == "" || resp.Header.Get(d.Signature) != "")
+}
+
+// adoptNotice applies the notice that the sender has received from the server: this daemon may have
+// restarted since.
+func (c *call) adoptNotice() {
+	m := c.head.GetServerNotice()
+	if m == nil || !c.instance.isAbout(m) {
+		return
 	}
+	n := dialect.ServerNotice{Limited: m.GetLimited(), RateLimit: m.GetRequestsPerSecond(), Leaving: m.GetLeaving()}
+	c.applyNotice("daemon", func(s *serverNotices) noticeChange { return s.adopt(n) })
 }
 
-// reportNotice logs a change of the server's notice and updates the metrics.
-func (h *Handler) reportNotice(c *call, change noticeChange) {
-	h.opts.Metrics.SetServerNotice(change.after.RateLimit, change.after.Leaving)
-	if !h.noticeLog.Allow() {
+// applyNotice changes the notice in force and reports the change. source is where the notice comes
+// from.
+func (c *call) applyNotice(source string, change func(*serverNotices) noticeChange) {
+	n := c.instance.changeNotice(change)
+	if !n.changed() {
 		return
 	}
-	h.opts.Logger.Info("inbound: notice of the backend server changed", "server", c.instance.id,
-		"request", c.head.GetRequestId(), "from", c.head.GetSenderHost(),
-		"limited", change.after.Limited, "requests_per_second", change.after.RateLimit, "leaving", change.after.Leaving,
-		"was_limited", change.before.Limited, "was_requests_per_second", change.before.RateLimit, "was_leaving", change.before.Leaving)
+	c.h.opts.Metrics.SetServerNotice(n.after.RateLimit, n.after.Leaving)
+	if c.h.noticeLog.Allow() {
+		c.h.opts.Logger.Info("inbound: notice of the backend server changed", "server", c.instance.id, "source", source,
+			"request", c.head.GetRequestId(), "from", c.head.GetSenderHost(),
+			"limited", n.after.Limited, "requests_per_second", n.after.RateLimit, "leaving", n.after.Leaving,
+			"was_limited", n.before.Limited, "was_requests_per_second", n.before.RateLimit)
+	}
+}
+
+// serverNotice returns the notice of the server that the call goes to, nil if it states nothing.
+func (c *call) serverNotice() *peerpb.ServerNotice {
+	if c.instance == nil {
+		return nil
+	}
+	return c.instance.notices.message()
 }
--- a/internal/proxy/inbound/once.go
+++ b/internal/proxy/inbound/once.go
@@ -101,7 +101,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, queryWait)
 	defer cancel()
-	return st.Send(queryAnswer(h.opts.Attempts.Await(ctx, id, query.GetBar())))
+	answer := queryAnswer(h.opts.Attempts.Await(ctx, id, query.GetBar()))
+	if answer.Answer != nil {
+		// The recorded response may contain a notice of the server.
+		answer.Answer.ServerNotice = h.instances.current.Load().notices.message()
+	}
+	return st.Send(answer)
 }
 
 // queryAnswer converts the result of a query to a message.
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -84,6 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
+	a.observeNotice(recorded.head)
 	return &pendingResponse{a: a, head: recorded.head, body: recorded.body, closed: true}, nil
 }
 
@@ -116,6 +117,7 @@
 	a.arrived = true
 	head := a.c.callHead(ctx, a.id[:])
 	head.ExpectContinue = a.expectContinue
+	head.ServerNotice = a.c.h.notices.get(a.server.Host)
 	if err := a.send(head); err != nil {
 		return nil, newLinkLostError(err)
 	}
@@ -167,6 +169,7 @@
 			return nil, newLinkLostError(err)
 		}
 		a.updateStats(head)
+		a.observeNotice(head)
 		if head.GetErrorKind() != "" {
 			a.arrived = head.GetArrived()
 			return head, a.handleRefusal(head)
@@ -324,6 +327,7 @@
 		Draining:    l.GetDraining(),
 		ServiceTime: time.Duration(l.GetServiceTimeUs()) * time.Microsecond,
 		Wait:        time.Duration(l.GetWaitUs()) * time.Microsecond,
+		RateLimit:   l.GetRateLimit(),
 	}
 }
 
--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -115,6 +115,7 @@
 	router          *bunrouter.Router
 	idAllocator     *once.IDAllocator
 	responseSizes   responseSizes
+	notices         serverNotices
 	initialTimeouts admission.InitialTimeouts
 	logLimit        telemetry.LogLimiter
 	inFlight        atomic.Int64
--- a/internal/telemetry/load.go
+++ b/internal/telemetry/load.go
@@ -11,13 +11,14 @@
 type GateCollector struct {
 	load func() gate.Load
 
-	inUse, queued, slots, draining, serviceTime *prometheus.Desc
+	inUse, queued, slots, draining, serviceTime, rejected *prometheus.Desc
 }
 
 // NewGateCollector returns a collector of the loads that load returns. The caller registers it.
 func NewGateCollector(load func() gate.Load) *GateCollector {
 	return &GateCollector{
 		load:        load,
+		rejected:    newDesc("gate_rate_rejected_total", "Calls that only the rate limit stated by the backend server kept from starting in time."),
 		inUse:       newDesc("gate_in_use", "Slots of the backend server that are in use."),
 		queued:      newDesc("gate_queued", "Calls waiting for a slot."),
 		slots:       newDesc("gate_slots", "Maximum number of slots that the gate grants; lower than announced while the backend server sheds calls."),
@@ -39,6 +40,7 @@
 	out.gauge(c.slots, float64(l.Slots))
 	out.gauge(c.draining, boolValue(l.Draining))
 	out.gauge(c.serviceTime, l.ServiceTime.Seconds())
+	out.counter(c.rejected, float64(l.RateRejected))
 }
 
 // QuotaCollector exports the enforcement of customers' contracts: refused calls, requests between
