Send nothing to a backend server that states its leaving (DRAIN)

Seen: a server that states Server-Leaving in its answers gets requests as before (TestStore_ServerThatStatesItsLeavingReceivesNoCalls: the next one, with 200).

Cause: only announcements told that a server leaves; its answers were not read.

Change: the first response that states it makes the server draining on the blackboard, the one place for that, whatever it announces later. The gate rejects what waits, the members' records spread it, and other daemons stop choosing the server. The rule binds the host that has passed on the answer, also after a restart of the daemon beside the server: senders send the notice along, and a gate that gets it rejects the call.

--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -69,8 +69,12 @@
 	// HealthURL is the URL of the server's health check, empty if the server does not announce
 	// one.
 	HealthURL string
-	// Draining is set once the server has announced that it is draining.
+	// Draining is set once the server has announced that it is draining or has stated that it is
+	// leaving.
 	Draining bool
+	// Leaving is set once the server has stated in a response that it is about to exit. Unlike
+	// Draining it outlasts later announcements of the instance.
+	Leaving bool
 	// Sequence is the sequence number of this instance's latest announcement, for a server with
 	// an ID.
 	Sequence uint64
--- a/internal/controller/announce/servers.go
+++ b/internal/controller/announce/servers.go
@@ -112,6 +112,8 @@
 		Version: a.Version, WarmAt: now.Add(time.Duration(a.WarmUpMs * float64(time.Millisecond))),
 	}
 	if same {
+		n.Leaving = old.Leaving
+		n.Draining = n.Draining || old.Leaving
 		n.FirstSeen = old.FirstSeen
 		n.StartUnixMs = max(old.StartUnixMs, a.StartUnixMs)
 	} else {
@@ -195,6 +197,20 @@
 	})
 }
 
+// HandleServerLeaving records that the server with the given ID has stated in a response that it is
+// about to exit. It counts as draining from then on, whatever it announces.
+func (c *Controller) HandleServerLeaving(id string) {
+	c.Board.Local.Update(func(old *blackboard.LocalBackend) *blackboard.LocalBackend {
+		if old == nil || old.ID != id || old.Leaving {
+			return old
+		}
+		c.Logger.Info("announce: backend server is leaving", "id", id, "service", old.Service, "draining", old.Draining)
+		n := *old
+		n.Leaving, n.Draining = true, true
+		return &n
+	})
+}
+
 func (c *Controller) checkServer(id string, a ServerAnnouncement) error {
 	switch {
 	case id == "" || len(id) > maxID:
--- a/internal/controller/announce/servers_test.go
+++ b/internal/controller/announce/servers_test.go
@@ -1,6 +1,7 @@
 package announce
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -177,3 +178,21 @@
 		}
 	})
 }
+
+// Guards against a server that counts as ready again because it keeps announcing that it is.
+func TestController_LeavingOutlastsAnnouncements(t *testing.T) {
+	f := newFixture()
+	announce := func(id string, sequence int) {
+		body := fmt.Sprintf(`{"service":"signs","address":"127.0.0.1:9001","slots":1,"state":"ready","sequence":%d}`, sequence)
+		must.Eq(t, http.StatusOK, f.sendServer(http.MethodPut, id, body))
+	}
+	announce("i-1", 1)
+	f.HandleServerLeaving("i-0")
+	must.False(t, f.Board.Local.Load().Draining)
+	f.HandleServerLeaving("i-1")
+	must.True(t, f.Board.Local.Load().Draining)
+	announce("i-1", 2)
+	must.True(t, f.Board.Local.Load().Draining)
+	announce("i-2", 1)
+	must.False(t, f.Board.Local.Load().Draining)
+}
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -35,6 +35,7 @@
 		Local: &d.board.Local, NewGate: d.newGate,
 		MergeRoutes: d.isDisabled(settings.WithoutRouteClasses), IgnoreObjective: d.isDisabled(settings.WithoutObjective),
 		Attempts: p.attempts, Dialect: d.dialect(), OnServerMismatch: p.announce.HandleServerMismatch,
+		OnServerLeaving: p.announce.HandleServerLeaving,
 		Quarantine:      p.quarantine, Rollout: p.rolloutGate, Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
 	})
 	balanceOptions := balance.DefaultOptions()
--- a/internal/proxy/inbound/call.go
+++ b/internal/proxy/inbound/call.go
@@ -53,7 +53,9 @@
 	if err := c.findServer(); err != nil {
 		return c.reject(err)
 	}
-	c.adoptNotice()
+	if err := c.adoptNotice(); err != nil {
+		return c.reject(err)
+	}
 	if err := c.checkQuarantine(); err != nil {
 		return c.reject(err)
 	}
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -64,6 +64,9 @@
 	// OnServerMismatch is called with the ID of a backend server if a different server responds
 	// at its address.
 	OnServerMismatch func(id string)
+	// OnServerLeaving is called with the ID of the backend server when it first states that it is
+	// about to exit.
+	OnServerLeaving func(id string)
 	// Quarantine determines which requests are kept from the backend server, and records the
 	// requests in progress when it exits.
 	Quarantine Quarantine
--- a/internal/proxy/inbound/notice.go
+++ b/internal/proxy/inbound/notice.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/internal/proxy/dialect"
 	"github.com/crocuscross/crocuscross/peerpb"
 )
@@ -32,6 +33,9 @@
 // changed reports whether the notice in force is another one.
 func (n noticeChange) changed() bool { return n.before != n.after }
 
+// beganLeaving reports whether the server has just stated that it leaves.
+func (n noticeChange) beganLeaving() bool { return n.after.Leaving && !n.before.Leaving }
+
 // observe applies the notice in a response that arrived at the time received, to a request sent at
 // the time sent. complete is whether the absence of a rate limit means that there is none.
 //
@@ -82,6 +86,9 @@
 	} else {
 		s.gate.ClearRateLimit()
 	}
+	if c.beganLeaving() {
+		s.gate.Evict()
+	}
 	s.notices.sent.Store(s.noticeMessage(c.after))
 	return c
 }
@@ -119,15 +126,20 @@
 	return !d.IsRejection(resp.StatusCode, resp.Header) && (d.Signature == "" || resp.Header.Get(d.Signature) != "")
 }
 
-// adoptNotice applies the notice that the sender has received from the server: this daemon may have
-// restarted since.
-func (c *call) adoptNotice() {
+// adoptNotice applies the notice that the sender has received from the server. It returns the
+// rejection of a call to a server that leaves: this daemon may have restarted since the server
+// stated that.
+func (c *call) adoptNotice() error {
 	m := c.head.GetServerNotice()
 	if m == nil || !c.instance.isAbout(m) {
-		return
+		return nil
 	}
 	n := dialect.ServerNotice{Limited: m.GetLimited(), RateLimit: m.GetRequestsPerSecond(), Leaving: m.GetLeaving()}
 	c.applyNotice("daemon", func(s *serverNotices) noticeChange { return s.adopt(n) })
+	if n.Leaving {
+		return errkind.Newf(errkind.Draining, "backend server %s has stated that it leaves", c.instance.id)
+	}
+	return nil
 }
 
 // applyNotice changes the notice in force and reports the change. source is where the notice comes
@@ -144,6 +156,9 @@
 			"limited", n.after.Limited, "requests_per_second", n.after.RateLimit, "leaving", n.after.Leaving,
 			"was_limited", n.before.Limited, "was_requests_per_second", n.before.RateLimit)
 	}
+	if n.beganLeaving() {
+		c.h.opts.OnServerLeaving(c.instance.id)
+	}
 }
 
 // serverNotice returns the notice of the server that the call goes to, nil if it states nothing.
