Choose a server that states a rate limit by that rate

Change: gates report their limit and the wait that it causes with each response; a picker adds that wait to the server's cost, counts the slots that the rate can use, passes over a server whose next start is later than the call may wait, and moves that start with each call that it sends.

Ruled out: the limit in members' records, so that daemons know it that never sent there: each would save one refusal, at the cost of updates to all daemons.

--- a/balance/member.go
+++ b/balance/member.go
@@ -64,7 +64,7 @@
 	excessFailureRate := max(st.currentFailureRate(now)-typical.failureRate-failureTolerance, 0)
 	otherLoad := blend(typical.load, st.otherLoad.load(), decay(now-st.reportedAt.load(), loadReportHalfLife))
 	load := (float64(st.inFlight.Load())/m.slots() + otherLoad) / m.slowStartWeight(now)
-	return m.hop + latency*(1+load) + excessFailureRate*failureCost*typical.latency
+	return m.hop + st.rateWait(now).Seconds() + latency*(1+load) + excessFailureRate*failureCost*typical.latency
 }
 
 // slots returns the number of calls that the server runs concurrently, as its gate reported or,
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -106,18 +106,13 @@
 	MaxWait time.Duration
 }
 
-// waitReportTTL is how long a gate's report of a long queue diverts calls. A queue that is too
-// long does not empty within that time.
-const waitReportTTL = instant(30 * time.Millisecond)
-
 // excludes reports whether the call must not be sent to the member.
 func (o PickOptions) excludes(m *member, now instant) bool {
 	return o.Exclude != nil && o.Exclude(m.server.ID) || o.waitTooLong(m, now)
 }
 
 func (o PickOptions) waitTooLong(m *member, now instant) bool {
-	st := m.stats
-	return o.MaxWait > 0 && now-st.reportedAt.load() < waitReportTTL && time.Duration(st.reportedWait.load()) > o.MaxWait
+	return o.MaxWait > 0 && m.stats.knownWait(now) > o.MaxWait
 }
 
 // maxObjectiveRatio limits the expected time that enters latencyCost, as a multiple of the
@@ -159,6 +154,7 @@
 
 func (p *Picker) lease(pool *pool, m *member, trial bool) *Lease {
 	m.stats.inFlight.Add(1)
+	m.stats.reserveStart(p.now())
 	return &Lease{picker: p, pool: pool, member: m, trial: trial}
 }
 
@@ -238,7 +234,7 @@
 	for _, t := range pl.tiers {
 		for _, group := range t {
 			for _, m := range group {
-				wait := time.Duration(m.stats.reportedWait.load())
+				wait := m.stats.knownWait(now)
 				if opts.waitTooLong(m, now) && (shortest == 0 || wait < shortest) {
 					shortest = wait
 				}
--- a/balance/pickoptions_test.go
+++ b/balance/pickoptions_test.go
@@ -70,3 +70,24 @@
 	_, err = p.PickWithOptions(servers, PickOptions{MaxWait: 100 * time.Millisecond})
 	must.NoError(t, err)
 }
+
+// A server has stated that it accepts two calls a second, some time ago. Guards against daemons that
+// send several calls for the one that it accepts next, and against a report that lapses while no call
+// is sent.
+func TestExpectsOneCallPerIntervalOfRateLimit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p, servers := newTestPicker(&now), twoServers()[:1]
+	l, err := p.Pick(servers, nil)
+	must.NoError(t, err)
+	l.Done(Result{Status: 200, Latency: time.Millisecond, Load: &Load{Slots: 9, RateLimit: 2, Wait: 400 * time.Millisecond}})
+	opts := PickOptions{MaxWait: 200 * time.Millisecond}
+	_, err = p.PickWithOptions(servers, opts)
+	must.Eq(t, errkind.Overloaded, errkind.Of(err))
+	must.Eq(t, 400*time.Millisecond, errkind.RetryAfterOf(err))
+	now = now.Add(time.Second)
+	_, err = p.PickWithOptions(servers, opts)
+	must.NoError(t, err)
+	_, err = p.PickWithOptions(servers, opts)
+	must.Eq(t, errkind.Overloaded, errkind.Of(err))
+	must.Eq(t, 500*time.Millisecond, errkind.RetryAfterOf(err))
+}
--- a/balance/stats.go
+++ b/balance/stats.go
@@ -54,6 +54,9 @@
 	// reportedWait is the expected wait for a slot, as reported at reportedAt.
 	reportedWait  atomicInstant
 	reportedSlots atomic.Int64
+	// rateInterval is the time between two calls that the server's rate limit allows, as reported at
+	// reportedAt, 0 without a limit. rateReadyAt is when the next call is expected to start under it.
+	rateInterval, rateReadyAt atomicInstant
 	// failureRate is the moving fraction of calls that failed, slowRate that of answered calls
 	// that were slow.
 	failureRate, slowRate atomicFloat
@@ -150,12 +153,55 @@
 
 func (st *serverStats) recordLoad(l *Load, now instant) {
 	others := max(float64(l.InUse+l.Queued)-float64(st.inFlight.Load()), 0)
-	st.reportedSlots.Store(int64(l.Slots))
-	st.otherLoad.store(others / float64(max(l.Slots, 1)))
+	slots := l.UsableSlots()
+	st.reportedSlots.Store(int64(slots))
+	st.otherLoad.store(others / float64(max(slots, 1)))
 	st.reportedWait.store(instant(l.Wait))
+	st.recordRate(l, now)
 	st.reportedAt.store(now)
 }
 
+// recordRate records the rate limit in a load report.
+func (st *serverStats) recordRate(l *Load, now instant) {
+	if l.RateLimit == 0 {
+		st.rateInterval.store(0)
+		return
+	}
+	st.rateInterval.store(instant(float64(time.Second) / l.RateLimit))
+	st.rateReadyAt.store(now + instant(l.Wait))
+}
+
+// reserveStart moves the time at which the rate limit allows the next call, for a call that is sent
+// now. Until the gate's next report, the calls of this daemon would otherwise all expect the same
+// start.
+func (st *serverStats) reserveStart(now instant) {
+	if interval := st.rateInterval.load(); interval > 0 {
+		st.rateReadyAt.store(max(st.rateReadyAt.load(), now) + interval)
+	}
+}
+
+// rateWait returns the expected wait of a call sent now until the rate limit allows its start. The
+// last report counts however old it is, since a limit does not end while no call is sent.
+func (st *serverStats) rateWait(now instant) time.Duration {
+	if st.rateInterval.load() == 0 {
+		return 0
+	}
+	return time.Duration(max(st.rateReadyAt.load()-now, 0))
+}
+
+// waitReportTTL is how long a gate's report of a long queue diverts calls. A queue that is too
+// long does not empty within that time.
+const waitReportTTL = instant(30 * time.Millisecond)
+
+// knownWait returns the wait that a call sent now would certainly meet at the gate: the one that the
+// gate has just reported, or that its rate limit causes.
+func (st *serverStats) knownWait(now instant) time.Duration {
+	if now-st.reportedAt.load() < waitReportTTL {
+		return max(time.Duration(st.reportedWait.load()), st.rateWait(now))
+	}
+	return st.rateWait(now)
+}
+
 func (st *serverStats) recordLatency(seconds float64) {
 	if seconds <= 0 {
 		return
--- a/gate/rate_test.go
+++ b/gate/rate_test.go
@@ -213,3 +213,15 @@
 		})
 	})
 }
+
+func BenchmarkEnterRateLimited(b *testing.B) {
+	g := newGate(10, 10)
+	g.SetRateLimit(9e5)
+	ctx := context.Background()
+	b.ReportAllocs()
+	for b.Loop() {
+		if ticket, err := g.Enter(ctx, "a", time.Second); err == nil {
+			ticket.Done(gate.Answered)
+		}
+	}
+}
