soak: servers state limits and that they leave

Servers, one, a zone's, a third or all, state a limit of 0.2 to 6 requests a second (a server gets some 12), change it up to three times and lift it; servers state that they leave while they announce that they are ready, and are replaced under the same address. They overlap with kills, planned restarts, pauses and cuts of daemons. The stand-in of a backend server states what it is told to, and lists what reached it; checkNotices holds the platform's own bounds by the host where each request began.

--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -55,8 +55,11 @@
 	Route       string
 	Sent, Ended time.Time
 	Outcome     outcome
-	// Service is the service that served the request.
-	Service string
+	// Service is the service that served the request, Server the ID of the server, empty if none
+	// did.
+	Service, Server string
+	// Limited and Leaving are whether the response stated a limit and that the server leaves.
+	Limited, Leaving bool
 }
 
 // disruption is a time in which a host, or every host if Host is empty, was disturbed.
@@ -73,6 +76,10 @@
 	Versions    []version
 	Probes      []probe
 	Disruptions []disruption
+	// Notices are the changes of what servers state about themselves, Arrivals the requests that
+	// reached servers.
+	Notices  []serverNotice
+	Arrivals []arrival
 }
 
 // violation is a probe that was handled as only an older version allows.
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -53,6 +53,8 @@
 	{"kill", false, killSome},
 	{"terminate", false, terminateSome},
 	{"hangup", false, hangupSome},
+	{"server-limit", false, limitServers},
+	{"server-leaving", false, leaveServers},
 }
 
 func faultNames() []string {
--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -53,7 +53,8 @@
 	daemon                *procs.Process
 	incarnation           int
 	// taken is set while a fault has reserved the daemon's process.
-	taken bool
+	taken  bool
+	server backendServer
 }
 
 // fleet is the running system with what was recorded of it.
@@ -73,6 +74,8 @@
 
 	mu  sync.Mutex
 	rec records
+	// servers is the number of backend servers that have been started.
+	servers int
 }
 
 func (o options) subnet() string { return fmt.Sprintf("127.%d", firstSubnet+o.slot) }
@@ -124,9 +127,7 @@
 		if err := f.startDaemon(h, true); err != nil {
 			return err
 		}
-		_, _, err := f.group.StartListening(ctx, h.name+"-backend", f.o.standin, "platform-backend", "--id", "i-"+h.name, "--service", h.service,
-			"--zone", h.zone, "--listen", h.addr(portBackend), "--daemon", "http://"+h.addr(portControl))
-		if err != nil {
+		if err := f.startServer(ctx, h); err != nil {
 			return err
 		}
 	}
@@ -253,9 +254,24 @@
 		return sleep(ctx, 2*promises.Contact+promises.Apply)
 	})
 	err := t.Wait()
+	if err == nil {
+		err = f.collectAllArrivals()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return records{Start: f.rec.Start, Versions: f.rec.Versions, Probes: f.rec.Probes, Disruptions: slices.Clone(f.rec.Disruptions)}, err
+	rec := f.rec
+	rec.Disruptions = slices.Clone(f.rec.Disruptions)
+	return rec, err
+}
+
+// collectAllArrivals records the requests that the running servers have received.
+func (f *fleet) collectAllArrivals() error {
+	for _, h := range f.hosts {
+		if err := f.collectArrivals(context.Background(), h); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // disrupt records that a host, or every host if h is nil, is disturbed until the returned function
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -72,22 +72,23 @@
 	}
 	defer d.close()
 	rec, err := d.soak(ctx)
-	violations := check(rec, promises)
-	report(os.Stdout, o, rec, violations)
-	if err == nil && len(violations) == 0 && !o.keep {
+	violations, breaches := check(rec, promises), checkNotices(rec, noticePromises)
+	report(os.Stdout, o, rec, violations, breaches)
+	broken := len(violations) + len(breaches)
+	if err == nil && broken == 0 && !o.keep {
 		return os.RemoveAll(d.dir)
 	}
 	fmt.Println("logs are in", d.dir)
-	if err == nil && len(violations) > 0 {
-		err = errors.Newf("seed %d: %d violations", o.seed, len(violations))
+	if err == nil && broken > 0 {
+		err = errors.Newf("seed %d: %d violations", o.seed, broken)
 	}
 	return err
 }
 
-// maxReported is the number of violations and of faults that are printed.
+// maxReported is the number of violations and of breaches that are printed.
 const maxReported = 20
 
-func report(out *os.File, o options, rec records, violations []violation) {
+func report(out *os.File, o options, rec records, violations []violation, breaches []string) {
 	served, refused := 0, 0
 	for _, p := range rec.Probes {
 		switch p.Outcome {
@@ -97,14 +98,17 @@
 			refused++
 		}
 	}
-	fmt.Fprintf(out, "seed %d: %d versions, %d probes (%d served, %d without a route), %d disruptions, %d violations\n",
-		o.seed, len(rec.Versions), len(rec.Probes), served, refused, len(rec.Disruptions), len(violations))
-	if len(violations) == 0 {
+	fmt.Fprintf(out, "seed %d: %d versions, %d probes (%d served, %d without a route), %d notices, %d disruptions, %d violations\n",
+		o.seed, len(rec.Versions), len(rec.Probes), served, refused, len(rec.Notices), len(rec.Disruptions), len(violations)+len(breaches))
+	if len(violations)+len(breaches) == 0 {
 		return
 	}
 	for _, d := range rec.Disruptions {
 		fmt.Fprintf(out, "  %8.3f to %8.3f %-24s %s\n", d.From.Sub(rec.Start).Seconds(), d.To.Sub(rec.Start).Seconds(), d.Kind, d.Host)
 	}
+	for _, s := range breaches[:min(maxReported, len(breaches))] {
+		fmt.Fprintln(out, " ", s)
+	}
 	for _, v := range violations[:min(maxReported, len(violations))] {
 		fmt.Fprintf(out, "  %s at %.3f: %s\n", v.Probe.Host, v.Probe.Sent.Sub(rec.Start).Seconds(), v)
 	}
--- a/bench/soak/operator.go
+++ b/bench/soak/operator.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/crocuscross/crocuscross/internal/standin/platformbackend"
 )
 
 const (
@@ -219,7 +221,7 @@
 		Routes   []route             `json:"routes"`
 	}{Version: o.number}
 	for _, s := range services {
-		doc.Services = append(doc.Services, map[string]string{"name": s, "health_path": "/health"})
+		doc.Services = append(doc.Services, map[string]string{"name": s, "health_path": platformbackend.PathHealth})
 	}
 	for _, key := range slices.Sorted(maps.Keys(o.routes)) {
 		virtualHost, path, _ := strings.Cut(key, "/")
--- a/bench/soak/probe.go
+++ b/bench/soak/probe.go
@@ -63,5 +63,7 @@
 		p.Outcome = refusedNoRoute
 	case http.StatusOK:
 		p.Outcome, p.Service = servedBy, resp.Header.Get(platformbackend.HeaderService)
+		p.Server = resp.Header.Get(names.Signature)
+		p.Limited, p.Leaving = resp.Header.Get(names.RateLimit) != "", resp.Header.Get(names.Leaving) != ""
 	}
 }
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -99,17 +99,30 @@
 	must.Error(t, err)
 }
 
-// A short run of the real programs, in which the store goes silent and hosts are cut off, paused,
-// killed and restarted while the configuration changes.
-func TestShortSoak(t *testing.T) {
+// buildPrograms builds the real programs and returns the flags that name them.
+func buildPrograms(t *testing.T) []string {
+	t.Helper()
 	dir := t.TempDir()
 	for _, program := range []string{"crocuscross", "standin"} {
 		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, program), "../../cmd/"+program).CombinedOutput()
 		must.NoError(t, err, must.Sprint(string(out)))
 	}
-	must.NoError(t, run(t.Context(), []string{
-		"--seed", "12", "--hosts", "8", "--duration", "25s", "--slot", "60", "--template", "../../deploy/daemon.jsonc",
-		"--kind", "store-silent", "--kind", "store-paused", "--kind", "cut", "--kind", "kill", "--kind", "pause",
+	return []string{
 		"--daemon", filepath.Join(dir, "crocuscross"), "--standin", filepath.Join(dir, "standin"),
-	}))
+		"--template", "../../deploy/daemon.jsonc", "--hosts", "8", "--duration", "25s", "--slot", "60",
+	}
+}
+
+// A short run of the real programs, in which the store goes silent and hosts are cut off, paused,
+// killed and restarted while the configuration changes.
+func TestShortSoak(t *testing.T) {
+	must.NoError(t, run(t.Context(), append(buildPrograms(t), "--seed", "12",
+		"--kind", "store-silent", "--kind", "store-paused", "--kind", "cut", "--kind", "kill", "--kind", "pause")))
+}
+
+// A short run of the real programs, in which servers state limits and that they leave while daemons
+// are killed, restarted, paused and cut off.
+func TestShortSoakOfServerNotices(t *testing.T) {
+	must.NoError(t, run(t.Context(), append(buildPrograms(t), "--seed", "1",
+		"--kind", "server-limit", "--kind", "server-leaving", "--kind", "kill", "--kind", "terminate", "--kind", "cut", "--kind", "pause")))
 }
--- a/cmd/standin/platformbackend.go
+++ b/cmd/standin/platformbackend.go
@@ -21,6 +21,7 @@
 	cmd.Flag("service", "Service that it offers.").Required().StringVar(&opts.Service)
 	cmd.Flag("zone", "Availability zone of its host.").StringVar(&opts.AvailabilityZone)
 	cmd.Flag("slots", "Requests that run at once, as announced.").Default("10").IntVar(&opts.Slots)
+	cmd.Flag("work", "How long it takes for each request.").Default("0s").DurationVar(&opts.Work)
 	cmd.Flag("daemon", "URL of the daemon's backend listener.").Required().StringVar(&opts.DaemonURL)
 	cmd.Action(action(func() error {
 		opts.Logger = slog.New(slog.NewTextHandler(env.stderr, nil))
--- a/internal/standin/platformbackend/platformbackend.go
+++ b/internal/standin/platformbackend/platformbackend.go
@@ -9,12 +9,14 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"gopkg.in/tomb.v2"
 
 	"github.com/crocuscross/crocuscross/internal/controller/announce"
+	"github.com/crocuscross/crocuscross/internal/loop"
 	"github.com/crocuscross/crocuscross/internal/proxy/dialect"
 	"github.com/crocuscross/crocuscross/internal/standin/serve"
 )
@@ -30,10 +32,15 @@
 // HeaderService is the response header with the service of the server that ran the request.
 const HeaderService = "X-Standin-Service"
 
+// PathHealth is the path of the health check.
+const PathHealth = "/health"
+
 // Options configure a server.
 type Options struct {
 	ID, Service, AvailabilityZone string
 	Slots                         int
+	// Work is how long the server takes for each request.
+	Work time.Duration
 	// DaemonURL is the URL of the backend listener of the daemon beside it.
 	DaemonURL string
 	// Dialect names the platform's headers.
@@ -41,25 +48,59 @@
 	Logger  *slog.Logger
 }
 
+// server is a running server.
+type server struct {
+	Options
+
+	mu       sync.Mutex
+	notice   Notice
+	arrivals []Arrival
+}
+
 // Run serves ln and announces the server until ctx ends.
 func Run(ctx context.Context, ln net.Listener, o Options) error {
+	s := &server{Options: o}
 	var t tomb.Tomb
 	t.Go(func() error {
 		t.Go(func() error { return announceUntilDone(ctx, ln.Addr().String(), o) })
-		return serve.Run(ctx, ln, http.HandlerFunc(o.serve), serve.Options{Grace: shutdownGrace})
+		return serve.Run(ctx, ln, s.handler(), serve.Options{Grace: shutdownGrace})
 	})
 	return t.Wait()
 }
 
-func (o Options) serve(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(o.Dialect.RequestID, r.Header.Get(o.Dialect.RequestID))
-	if want := r.Header.Get(o.Dialect.ExpectedServer); want != "" && want != o.ID {
-		w.Header().Set(o.Dialect.ServerID, o.ID)
+func (s *server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT "+PathNotice, s.setNotice)
+	mux.HandleFunc("GET "+PathArrivals, s.listArrivals)
+	mux.HandleFunc("GET "+PathHealth, s.health)
+	mux.HandleFunc("/", s.serve)
+	return mux
+}
+
+// health answers 200 unless the server leaves.
+func (s *server) health(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(s.Dialect.ServerID, s.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.notice.Leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (s *server) serve(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(s.Dialect.RequestID, r.Header.Get(s.Dialect.RequestID))
+	if want := r.Header.Get(s.Dialect.ExpectedServer); want != "" && want != s.ID {
+		w.Header().Set(s.Dialect.ServerID, s.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	w.Header().Set(o.Dialect.Signature, o.ID)
-	w.Header().Set(HeaderService, o.Service)
+	s.recordArrival(r.Header.Get(s.Dialect.RequestID))
+	if !loop.Sleep(r.Context(), s.Work) {
+		return
+	}
+	w.Header().Set(s.Dialect.Signature, s.ID)
+	w.Header().Set(HeaderService, s.Service)
+	s.writeNotice(w.Header())
 }
 
 func announceUntilDone(ctx context.Context, address string, o Options) error {
