A server that announces itself again after a lapse gets calls again

Seen: by reading, while looking for what a server's notice survives; then by TestServerInstances_ServerThatReturnsGetsCalls, which fails before ("the backend server is draining").

Cause: when an announcement lapses (6 s without one, as after a daemon that stood still), or when a server drains, its gate rejects all calls for good. An announcement of the same run of the server then found that gate again, so that the server was advertised to all daemons and rejected each call until it or its daemon restarted.

Change: an instance whose gate was closed so stands for the server no longer; the next announcement that is not draining gets a new gate. What the server has stated about itself belongs to the server, not to the gate: it is applied to the new one, also when a call that began at the old one brings it.

--- a/internal/proxy/inbound/instance.go
+++ b/internal/proxy/inbound/instance.go
@@ -19,20 +19,31 @@
 	// until the server has announced it.
 	startUnixMs atomic.Int64
 	gate        *gate.Gate
-	client      *backendconn.Client
+	// evicted is set once the gate rejects all calls for good, because the server drained or its
+	// announcement lapsed.
+	evicted atomic.Bool
+	client  *backendconn.Client
 	// running holds the calls that the instance is running.
 	running runningCalls
 	// notices is what the instance states about itself in its responses.
 	notices *serverNotices
 }
 
-// matches reports whether the instance is the announced server. An instance whose start is not
-// known yet adopts the announced one.
+// matches reports whether the instance is the announced server and its gate can still be used.
 func (s *serverInstance) matches(local *blackboard.LocalBackend) bool {
-	if s.id != local.ID || s.url != local.URL {
-		return false
-	}
-	return s.startUnixMs.Load() == local.StartUnixMs || s.startUnixMs.CompareAndSwap(0, local.StartUnixMs)
+	return s.url == local.URL && s.isSame(local) && (local.Draining || !s.evicted.Load())
+}
+
+// isSame reports whether the instance is the announced server, possibly at another address. An
+// instance whose start is not known yet adopts the announced one.
+func (s *serverInstance) isSame(local *blackboard.LocalBackend) bool {
+	return s.id == local.ID && (s.startUnixMs.Load() == local.StartUnixMs || s.startUnixMs.CompareAndSwap(0, local.StartUnixMs))
+}
+
+// evict makes the gate reject all calls.
+func (s *serverInstance) evict() {
+	s.evicted.Store(true)
+	s.gate.Evict()
 }
 
 // serverInstances holds the current instance of the backend server beside the daemon. A
@@ -76,11 +87,16 @@
 	if cur.client != nil {
 		cur.client.Close()
 	}
-	if cur.id != local.ID || cur.startUnixMs.Load() != local.StartUnixMs {
-		cur.gate.Evict()
-		next.gate, next.notices = s.newGate(local.Slots), &serverNotices{}
+	same := cur.isSame(local)
+	if !same || cur.evicted.Load() {
+		cur.evict()
+		next.gate = s.newGate(local.Slots)
+	}
+	if !same {
+		next.notices = &serverNotices{}
 		s.opts.Metrics.SetServerNotice(0, false)
 	}
+	next.takeOverNotices()
 	s.current.Store(next)
 	return next, nil
 }
@@ -100,7 +116,7 @@
 func (s *serverInstances) update(local *blackboard.LocalBackend) {
 	if local.Service == "" {
 		if cur := s.current.Load(); cur.id != "" {
-			cur.gate.Evict()
+			cur.evict()
 		}
 		return
 	}
@@ -110,7 +126,7 @@
 	}
 	inst.gate.SetSlots(local.Slots)
 	if local.ID != "" && local.Draining {
-		inst.gate.Evict()
+		inst.evict()
 	}
 }
 
--- a/internal/proxy/inbound/notice.go
+++ b/internal/proxy/inbound/notice.go
@@ -17,8 +17,10 @@
 // serverNotices tracks what one instance of the backend server states about itself in its
 // responses.
 type serverNotices struct {
-	mu      sync.Mutex
-	current dialect.ServerNotice
+	mu sync.Mutex
+	// instance is the latest one that stands for the server, whose gate enforces the notice.
+	instance *serverInstance
+	current  dialect.ServerNotice
 	// observed is whether the instance has responded to this process.
 	observed bool
 	// limitedAt is when the latest response that stated a rate limit arrived.
@@ -73,24 +75,37 @@
 // message returns the notice in force for other daemons, nil if the server states nothing.
 func (s *serverNotices) message() *peerpb.ServerNotice { return s.sent.Load() }
 
-// changeNotice applies a change to the notice in force and to the gate, in one step.
+// changeNotice applies a change to the notice in force and to the gate, in one step. The calls of a
+// replaced instance change the notice as well.
 func (s *serverInstance) changeNotice(change func(*serverNotices) noticeChange) noticeChange {
 	s.notices.mu.Lock()
 	defer s.notices.mu.Unlock()
 	c := change(s.notices)
-	if !c.changed() {
-		return c
+	if c.changed() {
+		s.notices.instance.enforce(c.after)
+		s.notices.sent.Store(s.noticeMessage(c.after))
 	}
-	if c.after.Limited {
-		s.gate.SetRateLimit(c.after.RateLimit)
+	return c
+}
+
+// enforce applies a notice to the gate.
+func (s *serverInstance) enforce(n dialect.ServerNotice) {
+	if n.Limited {
+		s.gate.SetRateLimit(n.RateLimit)
 	} else {
 		s.gate.ClearRateLimit()
 	}
-	if c.beganLeaving() {
+	if n.Leaving {
 		s.gate.Evict()
 	}
-	s.notices.sent.Store(s.noticeMessage(c.after))
-	return c
+}
+
+// takeOverNotices makes the notice in force, and later ones, apply to the gate of this instance.
+func (s *serverInstance) takeOverNotices() {
+	s.notices.mu.Lock()
+	defer s.notices.mu.Unlock()
+	s.notices.instance = s
+	s.enforce(s.notices.current)
 }
 
 func (s *serverInstance) noticeMessage(n dialect.ServerNotice) *peerpb.ServerNotice {
