--- a/gate/rate_test.go
+++ b/gate/rate_test.go
@@ -225,3 +225,38 @@
 		}
 	}
 }
+
+// A server gets ten times the calls that its limit allows. Guards against calls that are held until
+// they are late, and against less urgent calls that wait for starts that more urgent ones take.
+func TestRateLimit_ExcessIsRejectedEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(9, 100)
+		g.SetRateLimit(3)
+		var mu sync.Mutex
+		started, rejected, held := map[int]int{}, map[int]int{}, map[int]time.Duration{}
+		for i := range 30 * 60 {
+			call := gate.Call{Route: "r", Priority: 1 + 2*(i%2), Remaining: 2 * time.Second, MaxWait: 500 * time.Millisecond, ObjectiveLeft: 700 * time.Millisecond}
+			go func() {
+				arrived := time.Now()
+				ticket, err := g.Admit(t.Context(), call)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					rejected[call.Priority]++
+					held[call.Priority] += time.Since(arrived)
+					return
+				}
+				started[call.Priority]++
+				time.AfterFunc(200*time.Millisecond, func() { ticket.Done(gate.Answered) })
+			}()
+			time.Sleep(time.Second / 30)
+		}
+		time.Sleep(3 * time.Second)
+		for _, p := range []int{1, 3} {
+			t.Logf("rank %d: %d started, %d rejected after %v", p, started[p], rejected[p], held[p]/time.Duration(max(rejected[p], 1)))
+		}
+		must.Greater(t, 170, started[1])
+		must.Less(t, 20*time.Millisecond, held[1]/time.Duration(rejected[1]))
+		must.Less(t, 20*time.Millisecond, held[3]/time.Duration(rejected[3]))
+	})
+}
--- a/internal/proxy/inbound/instance.go
+++ b/internal/proxy/inbound/instance.go
@@ -94,7 +94,9 @@
 	}
 	if !same {
 		next.notices = &serverNotices{}
-		s.opts.Metrics.SetServerNotice(0, false)
+		if cur.notices.message() != nil {
+			s.opts.Metrics.SetServerNotice(0, false)
+		}
 	}
 	next.takeOverNotices()
 	s.current.Store(next)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -31,8 +31,9 @@
 	CallerDisconnects prometheus.Counter
 	// ServerRequests counts the requests sent to the backend server beside this daemon.
 	ServerRequests prometheus.Counter
-	// rateLimit and leaving are what that server states about itself in its responses.
-	rateLimit, leaving prometheus.Gauge
+	// rateLimit and leaving are what that server states about itself in its responses, noticeChanged
+	// is when that last changed.
+	rateLimit, leaving, noticeChanged prometheus.Gauge
 }
 
 // callSeries holds the series of one direction and kind. They are looked up by label once at the
@@ -77,9 +78,13 @@
 		leaving: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "server_leaving", Help: "Whether the backend server states that it is about to exit.",
 		}),
+		noticeChanged: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "server_notice_changed_timestamp_seconds",
+			Help: "Unix time at which the backend server last changed its rate limit or stated that it is about to exit; 0 if it never did.",
+		}),
 	}
 	reg.MustRegister(count, duration, c.attempts, c.retries, c.outcomeQueries, c.InFlight, c.CallerDisconnects,
-		c.ServerRequests, c.rateLimit, c.leaving)
+		c.ServerRequests, c.rateLimit, c.leaving, c.noticeChanged)
 	c.outbound = newCallSeries("outbound", count, duration)
 	c.inbound = newCallSeries("inbound", count, duration)
 	return c
@@ -115,6 +120,7 @@
 func (c *CallMeter) SetServerNotice(rateLimit float64, leaving bool) {
 	c.rateLimit.Set(rateLimit)
 	c.leaving.Set(boolValue(leaving))
+	c.noticeChanged.SetToCurrentTime()
 }
 
 // Attempt counts one attempt sent to another daemon. isFirst is false for a retry.
