gate: a rate limit changes nothing where there is none

Admit dispatched waiting calls also without a limit, and calls rejected for another reason counted as rejected by the rate.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -112,9 +112,8 @@
 	t := &Ticket{gate: g, deadline: now.Add(c.Remaining)}
 
 	g.mu.Lock()
-	if g.queue.len > 0 {
-		// The rate limit may allow a start that the timer has not made yet. It belongs to a waiting
-		// call.
+	if g.rate.perSecond() > 0 {
+		// The limit may allow a start that the timer has not made yet. It belongs to a waiting call.
 		g.dispatch(now)
 	}
 	err := g.startOrQueue(t, c, now)
@@ -124,7 +123,7 @@
 
 	switch {
 	case err != nil:
-		g.countRejection()
+		g.countRejection(err)
 		return nil, err
 	case queued:
 		return g.wait(ctx, t)
@@ -272,14 +271,15 @@
 	case <-ctx.Done():
 		return g.stopWaiting(t, errCanceled)
 	case <-timer.C:
-		g.countRejection()
-		return g.stopWaiting(t, g.waitTimeoutError(t))
+		err := g.waitTimeoutError(t)
+		g.countRejection(err)
+		return g.stopWaiting(t, err)
 	}
 }
 
-// countRejection counts a rejected call if only the rate limit kept it waiting.
-func (g *Gate) countRejection() {
-	if g.rateLimitBinds() {
+// countRejection counts a call that was rejected because only the rate limit kept it waiting.
+func (g *Gate) countRejection(err error) {
+	if errkind.Of(err) == errkind.Overloaded && g.rateLimitBinds() {
 		g.load.rateRejected.Add(1)
 	}
 }
