--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -44,8 +44,10 @@
 	noProbes bool
 	// linkMbps is the bandwidth at which each node sends, 0 for unlimited.
 	linkMbps int
-	// handlers counts the pushes being served.
-	handlers sync.WaitGroup
+	// handlers counts the pushes being served. awaitHandlers registers the wait for them, which is to
+	// run after the last node has stopped: until then more of them start.
+	handlers      sync.WaitGroup
+	awaitHandlers sync.Once
 }
 
 // node is one daemon. It implements the Peers and the log of its Spreader.
@@ -115,10 +117,12 @@
 	n.stop = cancel
 	done := make(chan error)
 	go func() { done <- n.Run(ctx) }()
-	n.fleet.t.(*testing.T).Cleanup(func() {
+	t := n.fleet.t.(*testing.T)
+	// Cleanups run in reverse order.
+	n.fleet.awaitHandlers.Do(func() { t.Cleanup(n.fleet.handlers.Wait) })
+	t.Cleanup(func() {
 		cancel()
 		<-done
-		n.fleet.handlers.Wait()
 	})
 }
 
