A daemon whose pull takes long reads the log beside it (CONFIG)

It knew offset 47 and had 34.

Cause: two waits in a row, each below the bound.

Why it works: a pull that has not ended after 300 ms no longer holds up the read. Pulls of small records take milliseconds, so that calm daemons read no more often; the pause between two such reads is as before.

--- a/spread/isolated_test.go
+++ b/spread/isolated_test.go
@@ -80,6 +80,33 @@
 	})
 }
 
+// A daemon hears others and is not heard, as after a cut one way, and probes reach it seldom. Guards
+// against a version that comes into force too late because the time until the daemon knows of it and
+// the time of a vain pull add up.
+func TestDaemonThatIsNotHeardReadsLogInTime(t *testing.T) {
+	const probeGap = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8, 1, func(o *Options) { o.Peers, o.OwnReadAfter = silentPeers{}, deployedOwnReadAfter })
+		f.run()
+		reader := f.readers("zone-0")[0].member
+		probe := func(offset uint64) {
+			for _, n := range f.nodes {
+				n.ObserveOffset(reader.Host, reader.PeerAddr, offset)
+			}
+		}
+		offset := f.append(contractChange("a", 0))
+		time.Sleep(2 * deployedOwnReadAfter)
+		for i := range uint64(20) {
+			probe(offset)
+			offset = f.append(contractChange("a", i+1))
+			time.Sleep(probeGap)
+			probe(offset)
+			time.Sleep(configApply - probeGap)
+			must.Zero(t, f.countBehind(offset))
+		}
+	})
+}
+
 // A daemon that knew of a newer version and could not pull it tried three daemons, 2 s each, before
 // it read the log.
 func TestDaemonReadsLogAfterFailedPull(t *testing.T) {
--- a/spread/pull.go
+++ b/spread/pull.go
@@ -33,6 +33,9 @@
 	// minPullTimeout is how long a pull of a small record may take. A daemon that cannot reach the
 	// others has to read the log itself in time.
 	minPullTimeout = time.Second
+	// pullPatience is the time after which a daemon whose pull has not ended also reads the log. A
+	// pull of small records takes milliseconds.
+	pullPatience = 300 * time.Millisecond
 )
 
 // errNoProgress means that a pull did not advance the state.
--- a/spread/pullschedule.go
+++ b/spread/pullschedule.go
@@ -1,6 +1,9 @@
 package spread
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // pullLoop pulls while this daemon is behind, and reads the log as a fallback if no other daemon is
 // in contact or pulls fail.
@@ -83,7 +86,7 @@
 	s := p.s
 	before := s.history.offset()
 	p.readIfPullsFail()
-	if c, ok := s.takePullCandidate(); ok && !pullAnswered(s.pullUntil(s.ctx, c.addr, c.offset)) {
+	if c, ok := s.takePullCandidate(); ok && !pullAnswered(p.pullFrom(c)) {
 		// Other daemons may not be reachable either.
 		p.failures = max(p.failures, pullsBeforeRead)
 	}
@@ -103,6 +106,31 @@
 	}
 }
 
+// pullFrom pulls from a candidate and returns the error with which that ended. If it takes longer than
+// pullPatience, it also reads the log: the time until a daemon knows that it is behind and the time of
+// a vain pull would otherwise add up.
+func (p *pullScheduler) pullFrom(c pullCandidate) error {
+	s := p.s
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- s.pullUntil(ctx, c.addr, c.offset) }()
+	timer := time.NewTimer(pullPatience)
+	defer timer.Stop()
+	select {
+	case err := <-ended:
+		return err
+	case <-timer.C:
+	}
+	if !time.Now().Before(p.nextFallbackRead) {
+		p.fallbackRead()
+	}
+	if s.history.offset() >= c.offset {
+		cancel()
+	}
+	return <-ended
+}
+
 // readIfPullsFail reads the log if pulls fail and the last fallback read is long enough ago.
 func (p *pullScheduler) readIfPullsFail() {
 	if p.failures >= pullsBeforeRead && !time.Now().Before(p.nextFallbackRead) {
