soak: a restart that was going on when a host was told excuses it

Trace: host-3 got SIGTERM at 34.84 s, passed on a response with the leaving of its server at 35.87 s, ended at 38.21 s and started again at 39.31 s; the request came to the new process at 39.55 s, 1.1 s after the restart. The rule: "A restart or a freeze of the machine since then excuses it." The check compared with the beginning of the disruption only, which lies before the response. A disruption that ended before the host was told still excuses nothing, nor does a cut; both are tested.

--- a/bench/soak/checknotice.go
+++ b/bench/soak/checknotice.go
@@ -68,9 +68,9 @@
 	arrivals []arrival
 	// limited and leaving are the responses with a limit and with the statement that it leaves.
 	limited, leaving []told
-	// forgot holds the times from which on a host may not know what it was told, as it restarted or
-	// stood still. The empty host stands for all.
-	forgot map[string][]time.Time
+	// forgot holds the disruptions in which a host restarted or stood still, and may have forgotten
+	// what it was told. The empty host stands for all.
+	forgot map[string][]disruption
 	sent   map[string]time.Time
 }
 
@@ -123,12 +123,12 @@
 // forgetfulFaults are the disruptions that excuse a host.
 var forgetfulFaults = []string{"kill", "terminate", "pause", "machine-halted"}
 
-// forgetting returns the beginnings of the disruptions that excuse each host.
-func forgetting(r records) map[string][]time.Time {
-	m := map[string][]time.Time{}
+// forgetting returns the disruptions that excuse each host.
+func forgetting(r records) map[string][]disruption {
+	m := map[string][]disruption{}
 	for _, d := range r.Disruptions {
 		if slices.Contains(forgetfulFaults, d.Kind) {
-			m[d.Host] = append(m[d.Host], d.From)
+			m[d.Host] = append(m[d.Host], d)
 		}
 	}
 	return m
@@ -141,8 +141,10 @@
 	})
 }
 
+// hasForgotten reports whether a disruption of the host was going on between two times. A process that
+// is told to stop passes on responses until its end, and its successor knows nothing of them.
 func (c *noticeCheck) hasForgotten(host string, from, to time.Time) bool {
-	within := func(t time.Time) bool { return t.After(from) && !t.After(to) }
+	within := func(d disruption) bool { return !d.From.After(to) && (d.To.IsZero() || d.To.After(from)) }
 	return slices.ContainsFunc(c.forgot[host], within) || slices.ContainsFunc(c.forgot[""], within)
 }
 
--- a/bench/soak/checknotice_test.go
+++ b/bench/soak/checknotice_test.go
@@ -70,11 +70,13 @@
 		disruptions []disruption
 		broken      int
 	}{
-		"sent before the bound": {sent: 12.0, host: "h"},
-		"sent after the bound":  {sent: 12.2, host: "h", broken: 1},
-		"from another host":     {sent: 12.2, host: "i"},
-		"the host stood still":  {sent: 12.2, host: "h", disruptions: []disruption{{Kind: "pause", Host: "h", From: at(11), To: at(12)}}},
-		"the host was cut off":  {sent: 12.2, host: "h", disruptions: []disruption{{Kind: "cut", Host: "h", From: at(11), To: at(12)}}, broken: 1},
+		"sent before the bound":                     {sent: 12.0, host: "h"},
+		"sent after the bound":                      {sent: 12.2, host: "h", broken: 1},
+		"from another host":                         {sent: 12.2, host: "i"},
+		"the host stood still":                      {sent: 12.2, host: "h", disruptions: []disruption{{Kind: "pause", Host: "h", From: at(11), To: at(12)}}},
+		"the host was restarting when it was told":  {sent: 12.2, host: "h", disruptions: []disruption{{Kind: "terminate", Host: "h", From: at(9), To: at(11)}}},
+		"the host had restarted before it was told": {sent: 12.2, host: "h", disruptions: []disruption{{Kind: "terminate", Host: "h", From: at(9), To: at(10)}}, broken: 1},
+		"the host was cut off":                      {sent: 12.2, host: "h", disruptions: []disruption{{Kind: "cut", Host: "h", From: at(11), To: at(12)}}, broken: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := records{
