--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -211,31 +211,38 @@
 	return []*host{first}
 }
 
-// take reserves hosts that no other fault of their processes has reserved.
-func (f *fleet) take(hosts []*host) []*host {
+// part is a part of a host that one fault at a time uses: it returns the mark for that.
+type part func(*host) (taken *bool)
+
+func daemonOf(h *host) *bool { return &h.taken }
+
+func serverOf(h *host) *bool { return &h.server.taken }
+
+// take reserves the parts of hosts that no other fault has reserved, and returns these hosts.
+func (f *fleet) take(p part, hosts []*host) []*host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var taken []*host
 	for _, h := range hosts {
-		if !h.taken {
-			h.taken = true
+		if mark := p(h); !*mark {
+			*mark = true
 			taken = append(taken, h)
 		}
 	}
 	return taken
 }
 
-func (f *fleet) release(hosts []*host) {
+func (f *fleet) release(p part, hosts []*host) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, h := range hosts {
-		h.taken = false
+		*p(h) = false
 	}
 }
 
 func pauseSome(ctx context.Context, f *fleet, rng *rand.Rand) error {
-	chosen := f.take(f.drawHosts(rng))
-	defer f.release(chosen)
+	chosen := f.take(daemonOf, f.drawHosts(rng))
+	defer f.release(daemonOf, chosen)
 	for _, h := range chosen {
 		defer f.disrupt("pause", h)()
 		f.signal(h, syscall.SIGSTOP)
@@ -248,8 +255,8 @@
 }
 
 func killSome(ctx context.Context, f *fleet, rng *rand.Rand) error {
-	chosen := f.take(f.drawHosts(rng))
-	defer f.release(chosen)
+	chosen := f.take(daemonOf, f.drawHosts(rng))
+	defer f.release(daemonOf, chosen)
 	for _, h := range chosen {
 		defer f.disrupt("kill", h)()
 		h.daemon.Kill()
@@ -267,8 +274,8 @@
 
 // terminateSome restarts daemons as planned, one after the other.
 func terminateSome(ctx context.Context, f *fleet, rng *rand.Rand) error {
-	chosen := f.take(f.drawHosts(rng))
-	defer f.release(chosen)
+	chosen := f.take(daemonOf, f.drawHosts(rng))
+	defer f.release(daemonOf, chosen)
 	for _, h := range chosen {
 		if err := f.terminate(ctx, h, time.Duration(rng.Int64N(int64(restartDelay)))); err != nil {
 			return err
--- a/bench/soak/notice.go
+++ b/bench/soak/notice.go
@@ -60,32 +60,10 @@
 	return nil
 }
 
-// takeServers reserves servers that no other fault uses.
-func (f *fleet) takeServers(hosts []*host) []*host {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var taken []*host
-	for _, h := range hosts {
-		if !h.server.taken {
-			h.server.taken = true
-			taken = append(taken, h)
-		}
-	}
-	return taken
-}
-
-func (f *fleet) releaseServers(hosts []*host) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, h := range hosts {
-		h.server.taken = false
-	}
-}
-
 // limitServers makes servers state a limit, change it and lift it.
 func limitServers(ctx context.Context, f *fleet, rng *rand.Rand) error {
-	chosen := f.takeServers(f.drawHosts(rng))
-	defer f.releaseServers(chosen)
+	chosen := f.take(serverOf, f.drawHosts(rng))
+	defer f.release(serverOf, chosen)
 	for _, h := range chosen {
 		defer f.disturb("server-limit", h)()
 	}
@@ -120,8 +98,8 @@
 // leaveServers makes servers state in their responses that they leave, while they announce that they
 // are ready, and replaces them after a while by others at the same addresses.
 func leaveServers(ctx context.Context, f *fleet, rng *rand.Rand) error {
-	chosen := f.takeServers(f.drawHosts(rng))
-	defer f.releaseServers(chosen)
+	chosen := f.take(serverOf, f.drawHosts(rng))
+	defer f.release(serverOf, chosen)
 	for _, h := range chosen {
 		defer f.disturb("server-leaving", h)()
 		if err := f.setNotice(ctx, h, platformbackend.Notice{Leaving: true}); err != nil {
--- a/gate/admit.go
+++ b/gate/admit.go
@@ -94,12 +94,6 @@
 	return errOverloaded
 }
 
-// rateLimitBinds reports whether a slot is free, so that only the rate limit may keep a call
-// waiting.
-func (g *Gate) rateLimitBinds() bool {
-	return g.load.rateLimit.Load() != 0 && g.load.inUse.Load() < g.load.slots.Load()
-}
-
 // forecast is the expected wait in the queue of one share as a function of the position.
 type forecast struct {
 	// base is the expected time until a slot is free for the first position, step the additional
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -277,13 +277,6 @@
 	}
 }
 
-// countRejection counts a call that was rejected because only the rate limit kept it waiting.
-func (g *Gate) countRejection(err error) {
-	if errkind.Of(err) == errkind.Overloaded && g.rateLimitBinds() {
-		g.load.rateRejected.Add(1)
-	}
-}
-
 // waitTimeoutError returns the error for a call whose wait timed out: DeadlineNotRun if its
 // remaining time is too short to run it, Overloaded if only its maximum wait has passed. Waits
 // exceed the forecast if calls of a more urgent rank arrive or if calls take longer than
--- a/gate/rate.go
+++ b/gate/rate.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/crocuscross/crocuscross/errkind"
 )
 
 const (
@@ -153,3 +155,16 @@
 	}
 	return f
 }
+
+// rateLimitBinds reports whether a slot is free, so that only the rate limit may keep a call
+// waiting.
+func (g *Gate) rateLimitBinds() bool {
+	return g.load.rateLimit.Load() != 0 && g.load.inUse.Load() < g.load.slots.Load()
+}
+
+// countRejection counts a call that was rejected because only the rate limit kept it waiting.
+func (g *Gate) countRejection(err error) {
+	if errkind.Of(err) == errkind.Overloaded && g.rateLimitBinds() {
+		g.load.rateRejected.Add(1)
+	}
+}
