gate: count a rejection where it is decided; loads of gates converted beside their statistics

A call whose wait timed out was counted as rejected by the rate limit before stopWaiting had decided whether it had just got its slot; it is counted there now, by the one place that rejects it. No assertion, bound or admission changed.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -271,9 +271,7 @@
 	case <-ctx.Done():
 		return g.stopWaiting(t, errCanceled)
 	case <-timer.C:
-		err := g.waitTimeoutError(t)
-		g.countRejection(err)
-		return g.stopWaiting(t, err)
+		return g.stopWaiting(t, g.waitTimeoutError(t))
 	}
 }
 
@@ -296,6 +294,7 @@
 	if t.state == waiting {
 		g.queue.remove(t)
 		t.state = ended
+		g.countRejection(reason)
 		g.publish()
 		g.mu.Unlock()
 		return nil, reason
--- a/gate/rate.go
+++ b/gate/rate.go
@@ -35,7 +35,7 @@
 // starts after the time that the limit states for one call.
 func (r *rateLimit) set(perSecond float64, now time.Time) {
 	if perSecond >= maxRateLimit {
-		r.limiter = nil
+		r.clear()
 		return
 	}
 	perSecond = max(perSecond, minRateLimit)
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -314,23 +314,6 @@
 
 func newLinkLostError(err error) error { return &linkLostError{err} }
 
-// loadFromHead returns the load that a gate reported, nil if it reported none.
-func loadFromHead(head *peerpb.AnswerHead) *balance.Load {
-	l := head.GetLoad()
-	if l == nil {
-		return nil
-	}
-	return &balance.Load{
-		InUse:       int(l.GetInUse()),
-		Queued:      int(l.GetQueued()),
-		Slots:       int(l.GetSlots()),
-		Draining:    l.GetDraining(),
-		ServiceTime: time.Duration(l.GetServiceTimeUs()) * time.Microsecond,
-		Wait:        time.Duration(l.GetWaitUs()) * time.Microsecond,
-		RateLimit:   l.GetRateLimit(),
-	}
-}
-
 // pendingResponse is a backend server's response whose body has not been forwarded yet.
 type pendingResponse struct {
 	a       *attempt
--- a/internal/proxy/outbound/feedback.go
+++ b/internal/proxy/outbound/feedback.go
@@ -1,6 +1,9 @@
 package outbound
 
 import (
+	"time"
+
+	"github.com/crocuscross/crocuscross/balance"
 	"github.com/crocuscross/crocuscross/internal/proxy/advice"
 	"github.com/crocuscross/crocuscross/peerpb"
 )
@@ -12,3 +15,20 @@
 	o.NestedRoutes.Update(a.c.head.GetRoute(), advice.MadeByFromProto(head.GetMadeBy()))
 	o.CallGraph.Update(a.c.service, advice.CalleesFromProto(head.GetCallees()))
 }
+
+// loadFromHead returns the load that a gate reported, nil if it reported none.
+func loadFromHead(head *peerpb.AnswerHead) *balance.Load {
+	l := head.GetLoad()
+	if l == nil {
+		return nil
+	}
+	return &balance.Load{
+		InUse:       int(l.GetInUse()),
+		Queued:      int(l.GetQueued()),
+		Slots:       int(l.GetSlots()),
+		Draining:    l.GetDraining(),
+		ServiceTime: time.Duration(l.GetServiceTimeUs()) * time.Microsecond,
+		Wait:        time.Duration(l.GetWaitUs()) * time.Microsecond,
+		RateLimit:   l.GetRateLimit(),
+	}
+}
