capacity: place calls by the use of availability zones

Calls left their zone whenever a server elsewhere had the lower cost, which grows with the third power of the expected time, and after a rejection they went on to zones that were as full.

With load.zone_spill on, each daemon keeps the use of a service's gates by zone from the loads that gates report. A call leaves its zone only if that saves more slot time than its bytes cost, with a probability that grows with the gain. Gates pass on what they have observed in AnswerHead.zone_loads. With the setting off nothing changes.

--- a/balance/lease.go
+++ b/balance/lease.go
@@ -62,6 +62,15 @@
 	}
 }
 
+// WithoutHop returns a time that includes the network delay of the call without that delay.
+func (l *Lease) WithoutHop(d time.Duration) time.Duration {
+	return time.Duration(l.withoutHop(d.Seconds()) * float64(time.Second))
+}
+
+// withoutHop subtracts the hop from a time in seconds. At least half remains: the hop is a setting
+// and may exceed the real delay.
+func (l *Lease) withoutHop(seconds float64) float64 { return max(seconds-l.member.hop, seconds/2) }
+
 // observation is a result together with the pool's baseline at that time.
 type observation struct {
 	outcome outcome
@@ -76,7 +85,7 @@
 func (l *Lease) observe(r Result) observation {
 	baseline := l.pool.current.Load().baseline
 	seconds := r.Latency.Seconds()
-	latency := max(seconds-l.member.hop, seconds/2)
+	latency := l.withoutHop(seconds)
 	outcome, ratio := outcomeOf(r), slowRatio
 	if outcome == outcomeAborted {
 		ratio = abortedSlowRatio
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/crocuscross/crocuscross/backend"
+	"github.com/crocuscross/crocuscross/capacity"
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/gate"
 )
@@ -35,6 +36,9 @@
 	DisableSlowEjection bool
 	// SlowStart is the time over which the share of calls of a new server increases.
 	SlowStart time.Duration
+	// Zones holds the use of the availability zones, by which calls leave their zone. If it is nil,
+	// they leave by latency.
+	Zones *capacity.Zones
 	// Now returns the time of a monotonic clock.
 	Now func() time.Time
 	// Rand returns a pseudo-random number in [0, n). It must be safe for concurrent use.
@@ -104,6 +108,12 @@
 	// reported a longer wait are skipped: the gate would reject the call, at the cost of a hop
 	// and without new information. 0 means no limit.
 	MaxWait time.Duration
+	// Spill describes the call for the decision whether it leaves its availability zone. It is used
+	// only with Options.Zones, and replaces RemoteCost.
+	Spill capacity.Call
+	// FinalPick states that the call is rejected if no server is found, so that it need not wait
+	// longer in its own zone.
+	FinalPick bool
 }
 
 // excludes reports whether the call must not be sent to the member.
@@ -145,11 +155,11 @@
 	if m := plan.trial(exclude, now); m != nil {
 		return p.lease(pool, m, true), nil
 	}
-	m := p.choose(plan, opts, now)
-	if m == nil {
-		return nil, plan.noMemberError(opts, now)
+	s := p.choose(plan, opts, now)
+	if s.member == nil {
+		return nil, plan.noMemberError(opts, now, s.withheld)
 	}
-	return p.lease(pool, m, false), nil
+	return p.lease(pool, s.member, false), nil
 }
 
 func (p *Picker) lease(pool *pool, m *member, trial bool) *Lease {
@@ -196,12 +206,25 @@
 	p.pools.Store(&pools)
 }
 
-// choose draws two servers inside the availability zone and two outside at random and returns the
-// one with the lowest cost. Comparing all servers would send the calls of all daemons to the same
+// choose selects the server of a call, by the capacity of the zones if it is known to this daemon
+// and by latency otherwise.
+func (p *Picker) choose(plan *plan, opts PickOptions, now instant) selection {
+	if p.opts.Zones == nil {
+		return selection{member: p.chooseByLatency(plan, plan.tiers, opts, now)}
+	}
+	s := p.chooseByZone(plan, opts, now)
+	if s.member != nil && !s.member.local {
+		p.opts.Zones.CountSpill(s.reason)
+	}
+	return s
+}
+
+// chooseByLatency draws two servers inside the availability zone and two outside at random and returns
+// the one with the lowest cost. Comparing all servers would send the calls of all daemons to the same
 // server between two reports of its load.
-func (p *Picker) choose(plan *plan, opts PickOptions, now instant) *member {
+func (p *Picker) chooseByLatency(plan *plan, tiers []tier, opts PickOptions, now instant) *member {
 	remote := opts.RemoteCost.Seconds()
-	for _, t := range plan.tiers {
+	for _, t := range tiers {
 		var best *member
 		var lowest float64
 		for _, group := range t {
@@ -228,8 +251,9 @@
 }
 
 // noMemberError returns the error for a call that no server can take: Overloaded with the
-// shortest wait reported if all waits are too long, NoBackend if there is no eligible server.
-func (pl *plan) noMemberError(opts PickOptions, now instant) error {
+// shortest wait reported if all waits are too long or servers were withheld because their zones are
+// full, NoBackend if there is no eligible server.
+func (pl *plan) noMemberError(opts PickOptions, now instant, withheld bool) error {
 	shortest := time.Duration(0)
 	for _, t := range pl.tiers {
 		for _, group := range t {
@@ -241,7 +265,7 @@
 			}
 		}
 	}
-	if shortest == 0 {
+	if shortest == 0 && !withheld {
 		return errNoBackend
 	}
 	return errAllBusy.WithRetryAfter(shortest)
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -33,11 +33,16 @@
 	// lastCount is guarded by rebuilding.
 	lastCount           callCount
 	disableSlowEjection bool
+	// placeByZone is whether plans list the members by availability zone.
+	placeByZone bool
 }
 
 // newPool returns the pool of the servers of a set. The caller holds mu.
 func (p *Picker) newPool(servers []*backend.Server) *pool {
-	pl := &pool{disableSlowEjection: p.opts.DisableSlowEjection, servers: servers, members: make([]*member, 0, len(servers))}
+	pl := &pool{
+		disableSlowEjection: p.opts.DisableSlowEjection, placeByZone: p.opts.Zones != nil,
+		servers: servers, members: make([]*member, 0, len(servers)),
+	}
 	for _, s := range servers {
 		st, ok := p.stats[s.ID]
 		if !ok {
@@ -76,6 +81,10 @@
 	builtAt instant
 	// tiers are tried in order.
 	tiers []tier
+	// byZone holds the members of the tiers by availability zone, if calls are placed by the
+	// capacity of zones.
+	byZone  []zoneTier
+	service string
 	// ejected lists the ejected members, which get trial calls.
 	ejected  []*member
 	baseline baseline
@@ -109,6 +118,9 @@
 	} else {
 		next.tiers = []tier{healthy.tier(), ejected.tier(), suspect.tier()}
 	}
+	if pl.placeByZone {
+		next.byZone, next.service = splitByZone(next.tiers), pl.servers[0].Service
+	}
 	return next
 }
 
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -7,6 +7,7 @@
 	"github.com/crocuscross/crocuscross/admission"
 	"github.com/crocuscross/crocuscross/backend"
 	"github.com/crocuscross/crocuscross/balance"
+	"github.com/crocuscross/crocuscross/capacity"
 	"github.com/crocuscross/crocuscross/gate"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
 	"github.com/crocuscross/crocuscross/internal/controller/announce"
@@ -30,8 +31,9 @@
 	attemptOptions.Bounds.MaxRecords, attemptOptions.Bounds.MaxBytes = maxCallRecords, maxResponseBytes
 	p.attempts = once.NewAttemptTable(attemptOptions)
 	runs, callees := admission.NewRuns(time.Now()), &admission.CalleeStats{}
+	p.buildZones(d)
 	p.inbound = inbound.NewHandler(inbound.Options{
-		LinkMbps: d.settings.LinkMbps, Runs: runs, CalleeStats: callees, HostShare: d.hostShare,
+		Zones: p.zones, LinkMbps: d.settings.LinkMbps, Runs: runs, CalleeStats: callees, HostShare: d.hostShare,
 		Local: &d.board.Local, NewGate: d.newGate,
 		MergeRoutes: d.isDisabled(settings.WithoutRouteClasses), IgnoreObjective: d.isDisabled(settings.WithoutObjective),
 		Attempts: p.attempts, Dialect: d.dialect(), OnServerMismatch: p.announce.HandleServerMismatch,
@@ -43,6 +45,7 @@
 	balanceOptions.ZoneCost = time.Duration(d.settings.Requests.ZoneCost)
 	balanceOptions.SlowStart = time.Duration(d.settings.Requests.SlowStart)
 	balanceOptions.DisableSlowEjection = d.settings.Requests.SlowServers == settings.SlowKeep
+	balanceOptions.Zones = p.zones
 	p.picker = balance.New(balanceOptions)
 	p.backends = &backends.Controller{Board: d.board, OnChange: func(s *backend.Set) { p.picker.Prune(s) }}
 	quotaOptions := quota.DefaultOptions()
@@ -68,6 +71,7 @@
 		TryBusyGates:  d.isDisabled(settings.WithoutBusyGates),
 		CallerService: d.localService, Runs: runs, NestedRoutes: &admission.NestedRoutes{},
 		CalleeStats: callees, CallGraph: &admission.CallGraph{},
+		Zones: p.zones, ZoneKilobyteTime: time.Duration(d.settings.Load.ZoneKilobyteTime),
 		KilobyteCost: d.kilobyteCost, Quarantine: p.quarantine, ConfigMayBeStale: d.configMayBeStale,
 		ConfigFreshness: p.configFreshness(d.board),
 	})
@@ -79,6 +83,15 @@
 	return nil
 }
 
+// buildZones builds the state of the load of services by availability zone, if the settings place
+// calls by it.
+func (p *components) buildZones(d *Daemon) {
+	if d.settings.Load.ZoneSpill != settings.On {
+		return
+	}
+	p.zones = capacity.New(capacity.Options{AvailabilityZone: d.settings.AvailabilityZone, Host: d.settings.Host, Now: time.Now})
+}
+
 // buildKeys builds the tables of idempotency keys. Keys chosen by callers require the platform's
 // log and are disabled unless the settings enable them.
 func (p *components) buildKeys(d *Daemon) error {
--- a/internal/daemon/components.go
+++ b/internal/daemon/components.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/crocuscross/crocuscross/balance"
+	"github.com/crocuscross/crocuscross/capacity"
 	"github.com/crocuscross/crocuscross/checkpoint"
 	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/eventlog/httplog"
@@ -73,11 +74,13 @@
 	quota      *quota.Manager
 	attempts   *once.AttemptTable
 	quarantine *quarantine.Tracker
-	picker     *balance.Picker
-	budgets    *retry.Budgets
-	keys       *once.KeyStore
-	ownKeys    once.KeyResolver
-	claimLoop  loop.Func
+	// zones is nil unless the settings place calls by the load of zones.
+	zones     *capacity.Zones
+	picker    *balance.Picker
+	budgets   *retry.Budgets
+	keys      *once.KeyStore
+	ownKeys   once.KeyResolver
+	claimLoop loop.Func
 
 	inbound     *inbound.Handler
 	outbound    *outbound.Handler
--- a/internal/proxy/inbound/call.go
+++ b/internal/proxy/inbound/call.go
@@ -189,6 +189,7 @@
 		MadeBy:       advice.MadeByToProto(c.madeBy),
 		Callees:      advice.CalleesToProto(c.h.opts.CalleeStats.Rates()),
 		ServerNotice: c.serverNotice(),
+		ZoneLoads:    c.zoneLoads(false),
 	}
 	_ = c.st.SetWriteDeadline(time.Now().Add(rejectTimeout))
 	if serr := c.st.Send(head); serr != nil {
@@ -210,3 +211,22 @@
 		RateLimit:     l.RateLimit,
 	}
 }
+
+// zoneLoads returns what this daemon knows of the load of the service by availability zone, nil if
+// the sender has just got it. holdsSlot is whether the call still holds its slot.
+func (c *call) zoneLoads(holdsSlot bool) []*peerpb.ZoneLoad {
+	zones := c.h.opts.Zones
+	if zones == nil || c.instance == nil {
+		return nil
+	}
+	service := c.head.GetService()
+	zones.ObserveLocal(service, c.h.Load(), holdsSlot)
+	var loads []*peerpb.ZoneLoad
+	for _, e := range zones.Report(service, c.head.GetSenderHost()) {
+		loads = append(loads, &peerpb.ZoneLoad{
+			AvailabilityZone: e.AvailabilityZone, Service: service,
+			UsePermille: uint32(math.Round(e.Use * 1000)), AgeMs: uint32(e.Age.Milliseconds()),
+		})
+	}
+	return loads
+}
--- a/internal/proxy/inbound/forward.go
+++ b/internal/proxy/inbound/forward.go
@@ -161,6 +161,7 @@
 		MadeBy:        advice.MadeByToProto(c.madeBy),
 		Callees:       advice.CalleesToProto(c.h.opts.CalleeStats.Rates()),
 		ServerNotice:  c.serverNotice(),
+		ZoneLoads:     c.zoneLoads(true),
 	}
 }
 
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/crocuscross/crocuscross/admission"
+	"github.com/crocuscross/crocuscross/capacity"
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/gate"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
@@ -57,6 +58,9 @@
 	// HostShare returns the fraction of the known hosts, 0 to 1, that run a backend server of a
 	// service.
 	HostShare func(service string) float64
+	// Zones holds the load of services by availability zone, which is reported with responses. If it
+	// is nil, none is reported.
+	Zones *capacity.Zones
 	// MergeRoutes makes the gate treat the calls of all routes alike. IgnoreObjective makes it
 	// ignore the latency objective, so that only the maximum wait that the sender states bounds
 	// the wait for a slot. Both are for experiments.
--- a/internal/proxy/outbound/feedback.go
+++ b/internal/proxy/outbound/feedback.go
@@ -14,6 +14,7 @@
 	o := a.c.h.opts
 	o.NestedRoutes.Update(a.c.head.GetRoute(), advice.MadeByFromProto(head.GetMadeBy()))
 	o.CallGraph.Update(a.c.service, advice.CalleesFromProto(head.GetCallees()))
+	a.observeZones(head)
 }
 
 // loadFromHead returns the load that a gate reported, nil if it reported none.
--- a/internal/proxy/outbound/handler.go
+++ b/internal/proxy/outbound/handler.go
@@ -24,6 +24,7 @@
 
 	"github.com/crocuscross/crocuscross/admission"
 	"github.com/crocuscross/crocuscross/balance"
+	"github.com/crocuscross/crocuscross/capacity"
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/internal/answer"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
@@ -82,6 +83,10 @@
 	// KilobyteCost returns the latency that is accepted to keep 1,000 bytes within the
 	// availability zone, for a latency objective of 1 s. It scales with the objective.
 	KilobyteCost func() time.Duration
+	// Zones holds the load of services by availability zone, nil if calls leave their zone by
+	// latency. ZoneKilobyteTime is the slot time that 1,000 bytes between zones are worth.
+	Zones            *capacity.Zones
+	ZoneKilobyteTime time.Duration
 	// Quarantine decides which requests are kept away from backend servers.
 	Quarantine Quarantine
 	// ConfigMayBeStale reports whether a newer configuration than the one in force may exist.
@@ -111,10 +116,13 @@
 
 // Handler serves callers' requests.
 type Handler struct {
-	opts            Options
-	router          *bunrouter.Router
-	idAllocator     *once.IDAllocator
-	responseSizes   responseSizes
+	opts          Options
+	router        *bunrouter.Router
+	idAllocator   *once.IDAllocator
+	responseSizes routeMeans
+	// routeTimes holds the mean service time of each route in nanoseconds. It is kept only with
+	// opts.Zones.
+	routeTimes      routeMeans
 	notices         serverNotices
 	initialTimeouts admission.InitialTimeouts
 	logLimit        telemetry.LogLimiter
--- a/internal/proxy/outbound/response_sizes.go
+++ b/internal/proxy/outbound/route_means.go
@@ -6,14 +6,14 @@
 	"sync/atomic"
 )
 
-// responseSizeWeight is the weight of the latest response in a route's moving average.
-const responseSizeWeight = 0.1
+// routeMeanWeight is the weight of the latest response in a route's moving average.
+const routeMeanWeight = 0.1
 
-// responseSizes keeps a moving average of the response body length of each route, in bytes.
-type responseSizes struct{ byRoute sync.Map }
+// routeMeans keeps a moving average of a property of the responses of each route.
+type routeMeans struct{ byRoute sync.Map }
 
 // mean returns the average of a route, 0 before its first response.
-func (s *responseSizes) mean(route string) float64 {
+func (s *routeMeans) mean(route string) float64 {
 	v, ok := s.byRoute.Load(route)
 	if !ok {
 		return 0
@@ -22,7 +22,7 @@
 }
 
 // observe adds a response to the average. One of two concurrent updates may be lost.
-func (s *responseSizes) observe(route string, bytes int64) {
+func (s *routeMeans) observe(route string, value int64) {
 	v, ok := s.byRoute.Load(route)
 	if !ok {
 		v, _ = s.byRoute.LoadOrStore(route, new(atomic.Uint64))
@@ -30,7 +30,7 @@
 	bits := v.(*atomic.Uint64)
 	mean := math.Float64frombits(bits.Load())
 	if mean == 0 {
-		mean = float64(bytes)
+		mean = float64(value)
 	}
-	bits.Store(math.Float64bits(mean + responseSizeWeight*(float64(bytes)-mean)))
+	bits.Store(math.Float64bits(mean + routeMeanWeight*(float64(value)-mean)))
 }
