telemetry: use of zones and calls that left theirs

Operators could not see that load.zone_spill works. The daemon exports the use of each zone as it knows it and the attempts that left their zone by reason, and logs when calls begin and cease to leave.

--- a/capacity/stats.go
+++ b/capacity/stats.go
@@ -8,6 +8,9 @@
 // CountSpill counts a call that left its zone.
 func (z *Zones) CountSpill(r Reason) { z.spills[r].Add(1) }
 
+// Reasons returns the reasons why calls leave their zone.
+func Reasons() []Reason { return []Reason{Relief, Probe, Refused, NoServer, Unknown} }
+
 // ZoneUse is the use of a service in one availability zone.
 type ZoneUse struct {
 	Service, AvailabilityZone string
@@ -31,7 +34,7 @@
 	}
 	z.mu.Unlock()
 	st := Stats{Spills: make(map[Reason]int64)}
-	for r := Stayed + 1; r < reasonCount; r++ {
+	for _, r := range Reasons() {
 		st.Spills[r] = z.spills[r].Load()
 	}
 	for _, name := range names {
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -7,7 +7,6 @@
 	"github.com/crocuscross/crocuscross/admission"
 	"github.com/crocuscross/crocuscross/backend"
 	"github.com/crocuscross/crocuscross/balance"
-	"github.com/crocuscross/crocuscross/capacity"
 	"github.com/crocuscross/crocuscross/gate"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
 	"github.com/crocuscross/crocuscross/internal/controller/announce"
@@ -83,15 +82,6 @@
 	return nil
 }
 
-// buildZones builds the state of the load of services by availability zone, if the settings place
-// calls by it.
-func (p *components) buildZones(d *Daemon) {
-	if d.settings.Load.ZoneSpill != settings.On {
-		return
-	}
-	p.zones = capacity.New(capacity.Options{AvailabilityZone: d.settings.AvailabilityZone, Host: d.settings.Host, Now: time.Now})
-}
-
 // buildKeys builds the tables of idempotency keys. Keys chosen by callers require the platform's
 // log and are disabled unless the settings enable them.
 func (p *components) buildKeys(d *Daemon) error {
--- a/internal/daemon/components.go
+++ b/internal/daemon/components.go
@@ -310,7 +310,7 @@
 		d.membership.Run, d.members.Run, d.backends.Run,
 		d.distribute.Run, d.apply.Run, d.announce.Run,
 		d.checkpointLoop, d.contacts.Run, d.quarantines.Run, d.rollouts.Run, d.claimLoop,
-		d.quota.Run, d.updateQuota, d.inbound.Run, d.updateRetryBudget, d.watchSettings, d.discoverBackend,
+		d.quota.Run, d.updateQuota, d.inbound.Run, d.updateRetryBudget, d.watchSettings, d.discoverBackend, d.logSpills,
 		d.self.Run, d.lifecycle.Run,
 	}
 }
--- a/internal/telemetry/docs_test.go
+++ b/internal/telemetry/docs_test.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/shoenig/test/must"
 
+	"github.com/crocuscross/crocuscross/capacity"
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/gate"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
@@ -34,7 +35,7 @@
 	selector    = regexp.MustCompile(`(crocuscross_[a-z0-9_]+)\{([^}]*)\}`)
 	labelMatch  = regexp.MustCompile(`(\w+)(?:=~|!~|!=|=)"([^"]*)"`)
 	description = regexp.MustCompile(`fqName: "([^"]+)".*variableLabels: \{([^}]*)\}`)
-	logMessage  = regexp.MustCompile("`((?:announce|apply|checkpoints?|claims|contacts|daemon|drain|membership|operator|peer|quarantine|quota|recovery|spread): [^`]+)`")
+	logMessage  = regexp.MustCompile("`((?:announce|apply|capacity|checkpoints?|claims|contacts|daemon|drain|membership|operator|peer|quarantine|quota|recovery|spread): [^`]+)`")
 	kindRow     = regexp.MustCompile("(?m)^\\| `(\\w+)` \\| (\\d+) \\| (no|unknown) \\|")
 	pageLink    = regexp.MustCompile(`(?:operations/|\()([a-z-]+\.md)`)
 )
@@ -75,7 +76,8 @@
 	d.MustRegister(NewBoardCollector(&blackboard.Board{}),
 		NewGateCollector(func() gate.Load { return gate.Load{} }),
 		NewQuotaCollector(func() quota.Stats { return quota.Stats{} }),
-		NewQuarantineCollector(func() quarantine.Stats { return quarantine.Stats{} }))
+		NewQuarantineCollector(func() quarantine.Stats { return quarantine.Stats{} }),
+		NewZoneCollector(func() capacity.Stats { return capacity.Stats{} }))
 	return d.labels
 }
 
