--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -30,8 +30,9 @@
 	attemptOptions.Bounds.MaxRecords, attemptOptions.Bounds.MaxBytes = maxCallRecords, maxResponseBytes
 	p.attempts = once.NewAttemptTable(attemptOptions)
 	runs, callees := admission.NewRuns(time.Now()), &admission.CalleeStats{}
+	p.buildZones(d)
 	p.inbound = inbound.NewHandler(inbound.Options{
-		LinkMbps: d.settings.LinkMbps, Runs: runs, CalleeStats: callees, HostShare: d.hostShare,
+		Zones: p.zones, LinkMbps: d.settings.LinkMbps, Runs: runs, CalleeStats: callees, HostShare: d.hostShare,
 		Local: &d.board.Local, NewGate: d.newGate,
 		MergeRoutes: d.isDisabled(settings.WithoutRouteClasses), IgnoreObjective: d.isDisabled(settings.WithoutObjective),
 		Attempts: p.attempts, Dialect: d.dialect(), OnServerMismatch: p.announce.HandleServerMismatch,
@@ -43,6 +44,7 @@
 	balanceOptions.ZoneCost = time.Duration(d.settings.Requests.ZoneCost)
 	balanceOptions.SlowStart = time.Duration(d.settings.Requests.SlowStart)
 	balanceOptions.DisableSlowEjection = d.settings.Requests.SlowServers == settings.SlowKeep
+	balanceOptions.Zones = p.zones
 	p.picker = balance.New(balanceOptions)
 	p.backends = &backends.Controller{Board: d.board, OnChange: func(s *backend.Set) { p.picker.Prune(s) }}
 	quotaOptions := quota.DefaultOptions()
@@ -68,6 +70,7 @@
 		TryBusyGates:  d.isDisabled(settings.WithoutBusyGates),
 		CallerService: d.localService, Runs: runs, NestedRoutes: &admission.NestedRoutes{},
 		CalleeStats: callees, CallGraph: &admission.CallGraph{},
+		Zones: p.zones, ZoneKilobyteTime: time.Duration(d.settings.Load.ZoneKilobyteTime),
 		KilobyteCost: d.kilobyteCost, Quarantine: p.quarantine, ConfigMayBeStale: d.configMayBeStale,
 		ConfigFreshness: p.configFreshness(d.board),
 	})
--- a/internal/daemon/components.go
+++ b/internal/daemon/components.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/crocuscross/crocuscross/balance"
+	"github.com/crocuscross/crocuscross/capacity"
 	"github.com/crocuscross/crocuscross/checkpoint"
 	"github.com/crocuscross/crocuscross/eventlog"
 	"github.com/crocuscross/crocuscross/eventlog/httplog"
@@ -73,11 +74,13 @@
 	quota      *quota.Manager
 	attempts   *once.AttemptTable
 	quarantine *quarantine.Tracker
-	picker     *balance.Picker
-	budgets    *retry.Budgets
-	keys       *once.KeyStore
-	ownKeys    once.KeyResolver
-	claimLoop  loop.Func
+	// zones is nil unless the settings place calls by the load of zones.
+	zones     *capacity.Zones
+	picker    *balance.Picker
+	budgets   *retry.Budgets
+	keys      *once.KeyStore
+	ownKeys   once.KeyResolver
+	claimLoop loop.Func
 
 	inbound     *inbound.Handler
 	outbound    *outbound.Handler
@@ -307,7 +310,7 @@
 		d.membership.Run, d.members.Run, d.backends.Run,
 		d.distribute.Run, d.apply.Run, d.announce.Run,
 		d.checkpointLoop, d.contacts.Run, d.quarantines.Run, d.rollouts.Run, d.claimLoop,
-		d.quota.Run, d.updateQuota, d.inbound.Run, d.updateRetryBudget, d.watchSettings, d.discoverBackend,
+		d.quota.Run, d.updateQuota, d.inbound.Run, d.updateRetryBudget, d.watchSettings, d.discoverBackend, d.logSpills,
 		d.self.Run, d.lifecycle.Run,
 	}
 }
