gate: reserve slots for urgent calls (load.urgent_slots)

Cause: a gate whose slots are all held by calls that can wait frees one too seldom for urgent calls, which accept a wait of an eighth of their objective. It rejects them on arrival although they have the first rank, and the next gate is full in the same way. Change: with the setting on, a gate measures how long the calls of each share can wait. Shares that can wait for several of their service times leave free the slots that urgent shares of earlier ranks and nested calls use on average, and one more, up to half of the slots. They wait until their objective or deadline instead. Forecasts include the reservation, and the load in an answer states the wait of the answered call. With the setting off, nothing changes. Metric: crocuscross_gate_reserved_slots.

--- a/gate/admit.go
+++ b/gate/admit.go
@@ -111,16 +111,14 @@
 // linearly between the two. With a rate limit, it does the same with the numbers of the calls.
 func (g *Gate) forecast(s *share, now time.Time) forecast {
 	q, n := g.queue, len(s.waiting)
-	slots := time.Duration(g.limit.allowed())
-	var release time.Duration
-	if g.inUse > 0 {
-		release = time.Duration(releaseScale / max(q.releaseRate, 1))
-	}
+	reserved := g.reservedFrom(s)
+	slots := time.Duration(g.limit.allowed() - reserved)
+	release := g.nextRelease(s, int(slots))
 	start := max(s.tag, q.virtualTime)
 	first, firstCalls := q.aheadOf(s, start)
 	last, lastCalls := q.aheadOf(s, start+time.Duration(n)*s.serviceTime.value)
 	byRate := g.rateForecast(s, firstCalls, lastCalls, now)
-	if g.inUse < g.limit.allowed() && byRate.base > 0 {
+	if g.inUse < g.limit.allowed() && byRate.base > 0 && reserved == 0 {
 		return byRate
 	}
 	f := forecast{base: release + first/slots, step: s.serviceTime.value / slots}
@@ -148,6 +146,7 @@
 			urgentUsage += usage
 		}
 	}
+	urgentUsage = max(urgentUsage, float64(g.reservedFrom(s)))
 	fair := max(slots-urgentUsage, minRankSlots) / float64(sameRank)
 	return max(slots-urgentUsage-(g.queue.usage[s.rank]-s.usage), fair)
 }
--- a/gate/call.go
+++ b/gate/call.go
@@ -50,3 +50,24 @@
 func (c Call) objectiveWait(serviceTime movingMean) time.Duration {
 	return c.ObjectiveLeft - serviceTime.value - serviceDeviations*serviceTime.deviation
 }
+
+// timeLeft returns the time within which the call's answer is useful: until its objective or, if
+// that is earlier or the call has no objective, its deadline.
+func (c Call) timeLeft() time.Duration {
+	if c.ObjectiveLeft == 0 {
+		return c.Remaining
+	}
+	return min(c.ObjectiveLeft, c.Remaining)
+}
+
+// patientWait returns the longest expected wait that a call of a share accepts that leaves slots
+// free for urgent calls: until most calls could no longer be answered within their objective or
+// deadline. It exceeds MaxWait, by which a sender limits the time at one gate because others may
+// have a free slot: urgent calls hold slots back at the others as well.
+func (c Call) patientWait(serviceTime movingMean) time.Duration {
+	maxWait := c.maxWait(serviceTime)
+	if maxWait == 0 || c.ObjectiveLeft == 0 {
+		return maxWait
+	}
+	return max(maxWait, c.timeLeft()-serviceTime.value-serviceDeviations*serviceTime.deviation)
+}
--- a/gate/fairqueue.go
+++ b/gate/fairqueue.go
@@ -38,6 +38,8 @@
 	// usage is the sum of share.usage by rank.
 	usage   map[int]float64
 	reserve reserve
+	// urgentSlots enables the reservation of slots for urgent calls.
+	urgentSlots bool
 }
 
 // shareKey identifies a share.
@@ -65,10 +67,21 @@
 	usedTime time.Duration
 	usage    float64
 	slow     bool
+	// releaseRate is the part of fairQueue.releaseRate that is due to the calls of the share.
+	releaseRate int64
+	// terms describes how long the calls of the share can wait.
+	terms terms
+	// urgent is whether slots are reserved for the share, yields whether its calls must leave
+	// reserved slots free.
+	urgent, yields bool
 }
 
-func newFairQueue(serviceTime time.Duration) *fairQueue {
-	return &fairQueue{shares: make(map[shareKey]*share), usage: make(map[int]float64), serviceTime: movingMean{value: serviceTime, samples: 1}, initialServiceTime: serviceTime}
+func newFairQueue(serviceTime time.Duration, urgentSlots bool) *fairQueue {
+	return &fairQueue{
+		shares: make(map[shareKey]*share), usage: make(map[int]float64),
+		serviceTime:        movingMean{value: serviceTime, samples: 1},
+		initialServiceTime: serviceTime, urgentSlots: urgentSlots,
+	}
 }
 
 // before reports whether the calls of s are served before those of o.
@@ -90,6 +103,9 @@
 		q.shares[k] = s
 		q.reserve.classifyDue = true
 	}
+	if q.urgentSlots && now.Sub(s.lastSeen) > reserveDuration {
+		q.reserve.classifyDue = true
+	}
 	s.lastSeen = now
 	return s
 }
@@ -158,7 +174,8 @@
 	q.virtualTime = max(s.tag, q.virtualTime)
 	s.tag = q.virtualTime + t.charged
 	s.running++
-	q.releaseRate += releaseScale / int64(t.charged)
+	q.addRelease(s, releaseScale/int64(t.charged))
+	q.reserve.count(s, 1)
 	if s.rank == nestedRank {
 		q.reserve.nestedRunning++
 	}
@@ -167,11 +184,21 @@
 	}
 }
 
+// addRelease adds the expected release rate of a call of the share, in units of releaseScale.
+func (q *fairQueue) addRelease(s *share, rate int64) {
+	q.releaseRate += rate
+	s.releaseRate += rate
+	if s.yields {
+		q.reserve.yieldingRelease += rate
+	}
+}
+
 // settle replaces the expected slot time of a call that ended by the measured one.
 func (q *fairQueue) settle(t *Ticket, now time.Time, o Outcome) {
 	s, held := t.share, now.Sub(t.started)
 	s.running--
-	q.releaseRate -= releaseScale / int64(t.charged)
+	q.addRelease(s, -releaseScale/int64(t.charged))
+	q.reserve.count(s, -1)
 	if s.rank == nestedRank {
 		q.reserve.nestedRunning--
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -14,40 +14,6 @@
 	"github.com/crocuscross/crocuscross/errkind"
 )
 
-// Options configures a Gate.
-type Options struct {
-	// Slots is the number of calls that the backend server runs concurrently.
-	Slots int
-	// FixedSlots keeps the announced number of slots even if the backend server sheds calls while
-	// it runs no more than that. It suits servers that shed a part of their calls at any load:
-	// fewer slots would not reduce the number of shed calls.
-	FixedSlots bool
-	// RetryAfterIgnoresObjective sets the retry-after time of a rejected call to the expected
-	// time until the current queue is served, even if a retry at that time can no longer be
-	// answered within the call's latency objective.
-	RetryAfterIgnoresObjective bool
-	// MaxQueue is the maximum number of waiting calls. It bounds memory; the wait itself is
-	// bounded by the remaining time of each call.
-	MaxQueue int
-	// ServiceTime is the assumed time that a call holds its slot, used until calls have been
-	// measured.
-	ServiceTime time.Duration
-	// Now returns the time of a monotonic clock. It must advance with the runtime's timers, which
-	// end the waits.
-	Now func() time.Time
-}
-
-// DefaultOptions returns options for a backend server with 10 slots and calls of a few
-// milliseconds.
-func DefaultOptions() Options {
-	return Options{
-		Slots:       10,
-		MaxQueue:    1024,
-		ServiceTime: 5 * time.Millisecond,
-		Now:         time.Now,
-	}
-}
-
 // The errors are allocated once: under overload many calls are rejected, and none of the errors
 // needs a stack trace.
 var (
@@ -86,7 +52,7 @@
 		idleCh:    make(chan struct{}),
 		createdAt: opts.Now(),
 		limit:     newLimit(opts.Slots, opts.FixedSlots),
-		queue:     newFairQueue(opts.ServiceTime),
+		queue:     newFairQueue(opts.ServiceTime, opts.UrgentSlots),
 	}
 	g.publish()
 	return g
@@ -112,8 +78,9 @@
 	t := &Ticket{gate: g, deadline: now.Add(c.Remaining)}
 
 	g.mu.Lock()
-	if g.rate.perSecond() > 0 {
-		// The limit may allow a start that the timer has not made yet. It belongs to a waiting call.
+	if g.rate.perSecond() > 0 || g.queue.reserve.urgent != nil {
+		// The rate limit may allow a start that the timer has not made yet, or a reservation may
+		// have ended. The slot belongs to a waiting call.
 		g.dispatch(now)
 	}
 	err := g.startOrQueue(t, c, now)
@@ -154,13 +121,19 @@
 		return false, errDraining
 	}
 	t.share = g.queue.share(c.key(), now)
+	if g.opts.UrgentSlots {
+		t.share.recordTerms(c)
+	}
+	g.queue.classifyShares(g.limit.allowed(), now)
 	t.maxWait = c.maxWait(t.share.serviceTime)
+	if t.share.yields {
+		t.maxWait = c.patientWait(t.share.serviceTime)
+	}
 	t.objectiveWait = c.objectiveWait(t.share.serviceTime)
 	t.due = t.deadline
 	if t.maxWait > 0 {
 		t.due = now.Add(min(t.maxWait+t.maxWait/maxWaitSlackDivisor, t.deadline.Sub(now)-t.share.serviceTime.value))
 	}
-	g.queue.classifyShares(g.limit.allowed(), now)
 	if g.inUse < g.limit.allowed() && g.rate.allows(now) && g.mayStart(t.share) {
 		return true, nil
 	}
@@ -227,6 +200,10 @@
 // use in time.
 func (g *Gate) dispatch(now time.Time) {
 	defer g.setRateTimer(now)
+	if g.queue.reserve.urgent != nil {
+		// A reservation ends when no urgent call has arrived for a while.
+		g.queue.classifyShares(g.limit.allowed(), now)
+	}
 	for g.queue.len > 0 && g.inUse < g.limit.allowed() && g.rate.allows(now) {
 		t := g.next()
 		if t == nil {
--- a/gate/load.go
+++ b/gate/load.go
@@ -20,6 +20,8 @@
 	RateLimit float64
 	// RateRejected is the number of calls that were rejected because of the rate limit alone.
 	RateRejected int64
+	// ReservedSlots is the number of slots that calls which can wait leave to urgent calls.
+	ReservedSlots int
 }
 
 // UsableSlots returns the number of slots that the rate limit allows to be in use on average, at
@@ -36,6 +38,7 @@
 // a mix of two consecutive states.
 type counters struct {
 	inUse, queued, slots atomic.Int64
+	reserved             atomic.Int64
 	draining             atomic.Bool
 	serviceTime, wait    atomic.Int64
 	// rateLimit holds the bits of Load.RateLimit. rateReadyAt is when the rate limit allows a call
@@ -57,8 +60,37 @@
 		Wait:        time.Duration(g.load.wait.Load()),
 		RateLimit:   math.Float64frombits(g.load.rateLimit.Load()),
 
-		RateRejected: g.load.rateRejected.Load(),
+		RateRejected:  g.load.rateRejected.Load(),
+		ReservedSlots: int(g.load.reserved.Load()),
 	}
+	return g.withRateWait(l)
+}
+
+// LoadFor returns the current load with the expected wait of a call like c. The wait differs from
+// the one of Load while slots are reserved: it is 0 for an urgent call if a reserved slot is free,
+// and for a call that leaves these slots free only if one more is.
+func (g *Gate) LoadFor(c Call) Load {
+	l := g.Load()
+	if l.ReservedSlots == 0 {
+		return l
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.queue.shares[c.key()]
+	switch {
+	case s == nil:
+		return l
+	case g.inUse < g.limit.allowed() && g.mayStart(s):
+		l.Wait = 0
+	default:
+		l.Wait = g.forecast(s, g.opts.Now()).wait(len(s.waiting))
+	}
+	return g.withRateWait(l)
+}
+
+// withRateWait returns the load with a wait of at least the time until the rate limit allows a
+// start.
+func (g *Gate) withRateWait(l Load) Load {
 	if l.RateLimit > 0 {
 		l.Wait = max(l.Wait, time.Duration(g.load.rateReadyAt.Load())-g.opts.Now().Sub(g.createdAt))
 	}
@@ -71,6 +103,7 @@
 	g.load.inUse.Store(int64(g.inUse))
 	g.load.queued.Store(int64(g.queue.len))
 	g.load.slots.Store(int64(g.limit.allowed()))
+	g.load.reserved.Store(int64(g.reservedSlots()))
 	g.load.draining.Store(g.draining)
 	g.load.serviceTime.Store(int64(g.queue.serviceTime.value))
 	g.load.wait.Store(int64(g.expectedWait()))
@@ -92,9 +125,10 @@
 }
 
 // expectedWait returns the expected wait for a slot of a call that is queued last and has the
-// mean service time. The caller holds mu.
+// mean service time. A slot that is reserved for urgent calls counts as in use. The caller holds
+// mu.
 func (g *Gate) expectedWait() time.Duration {
-	if g.inUse+g.reservedForNested() < g.limit.allowed() {
+	if g.inUse+g.reservedForNested()+g.urgentHeadroom(lastRank) < g.limit.allowed() {
 		return 0
 	}
 	ahead := g.queue.serviceTime.value
--- a/gate/reserve.go
+++ b/gate/reserve.go
@@ -33,6 +33,14 @@
 	// nestedSlots is the number of slots that are reserved for nested calls, nestedRunning the
 	// number of slots that nested calls hold.
 	nestedSlots, nestedRunning int
+
+	// urgent describes the use of slots by the shares for which slots are reserved, and by nested
+	// calls, in ascending order of ranks. It is nil if no share is urgent.
+	urgent []urgentUse
+	// yieldingRunning is the number of running calls of the shares that leave reserved slots free,
+	// yieldingRelease their part of fairQueue.releaseRate.
+	yieldingRunning int
+	yieldingRelease int64
 }
 
 // ReserveNestedSlot reserves one slot for nested calls from now on. If services call each other
@@ -82,6 +90,9 @@
 			r.fastUsage += s.usage
 		}
 	}
+	if q.urgentSlots {
+		q.classifyUrgent(slots, now)
+	}
 }
 
 // updateUsage updates the mean number of slots that each share uses.
@@ -101,13 +112,17 @@
 // mayStart reports whether the share may take one of the free slots. Slots reserved for nested
 // calls are available to nested calls only. A slow customer that already has its fair share of
 // the slots must leave free the slots that the fast customers use on average but do not hold at
-// the moment, plus one so that their use can grow.
+// the moment, plus one so that their use can grow. Shares that can wait leave slots free for urgent
+// ones likewise.
 func (g *Gate) mayStart(s *share) bool {
 	r := &g.queue.reserve
 	slots := g.limit.allowed()
 	if s.rank != nestedRank && slots-g.inUse <= g.reservedForNested() {
 		return false
 	}
+	if s.yields && !g.leavesUrgentSlots(s) {
+		return false
+	}
 	if !s.slow || r.fastShares == 0 || s.running < max(slots/(r.fastShares+1), 1) {
 		return true
 	}
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -141,6 +141,7 @@
 func (d *Daemon) newGate() *gate.Gate {
 	o := gate.DefaultOptions()
 	o.FixedSlots = d.usesMetadataStore()
+	o.UrgentSlots = d.settings.Load.UrgentSlots == settings.On
 	o.RetryAfterIgnoresObjective = d.isDisabled(settings.WithoutObjectiveRetryAfter)
 	return gate.New(o)
 }
--- a/internal/proxy/inbound/call.go
+++ b/internal/proxy/inbound/call.go
@@ -197,9 +197,9 @@
 	return err
 }
 
-// load returns the load of the gate as a message.
+// load returns the load of the gate as a message, with the expected wait of a call like this one.
 func (c *call) load() *peerpb.Load {
-	l := c.h.Load()
+	l := c.h.instances.current.Load().gate.LoadFor(c.gateCall())
 	return &peerpb.Load{
 		InUse:         uint32(l.InUse),
 		Queued:        uint32(l.Queued),
--- a/internal/telemetry/load.go
+++ b/internal/telemetry/load.go
@@ -11,7 +11,7 @@
 type GateCollector struct {
 	load func() gate.Load
 
-	inUse, queued, slots, draining, serviceTime, rejected *prometheus.Desc
+	inUse, queued, slots, draining, serviceTime, rejected, reserved *prometheus.Desc
 }
 
 // NewGateCollector returns a collector of the loads that load returns. The caller registers it.
@@ -22,6 +22,7 @@
 		inUse:       newDesc("gate_in_use", "Slots of the backend server that are in use."),
 		queued:      newDesc("gate_queued", "Calls waiting for a slot."),
 		slots:       newDesc("gate_slots", "Maximum number of slots that the gate grants; lower than announced while the backend server sheds calls."),
+		reserved:    newDesc("gate_reserved_slots", "Slots that calls which can wait leave to urgent calls (load.urgent_slots)."),
 		draining:    newDesc("gate_draining", "Whether the gate rejects new calls because it is draining."),
 		serviceTime: newDesc("gate_service_time_seconds", "Moving mean of the time in seconds for which a call holds its slot."),
 	}
@@ -38,6 +39,7 @@
 	out.gauge(c.inUse, float64(l.InUse))
 	out.gauge(c.queued, float64(l.Queued))
 	out.gauge(c.slots, float64(l.Slots))
+	out.gauge(c.reserved, float64(l.ReservedSlots))
 	out.gauge(c.draining, boolValue(l.Draining))
 	out.gauge(c.serviceTime, l.ServiceTime.Seconds())
 	out.counter(c.rejected, float64(l.RateRejected))
