--- a/gate/admit.go
+++ b/gate/admit.go
@@ -53,6 +53,9 @@
 	for i, w := range s.waiting {
 		if i >= position {
 			i++
+		} else if s.yields {
+			// The new call does not delay this one.
+			continue
 		}
 		if w.missesDue(f.wait(i), now) {
 			return g.overloadedError().WithRetryAfter(t.retryAfter(f.wait(len(s.waiting))))
--- a/gate/call.go
+++ b/gate/call.go
@@ -60,14 +60,14 @@
 	return min(c.ObjectiveLeft, c.Remaining)
 }
 
-// patientWait returns the longest expected wait that a call of a share accepts that leaves slots
-// free for urgent calls: until most calls could no longer be answered within their objective or
-// deadline. It exceeds MaxWait, by which a sender limits the time at one gate because others may
-// have a free slot: urgent calls hold slots back at the others as well.
+// patientWait returns the longest expected wait that the call accepts if its share leaves slots free
+// for urgent calls: until most calls could no longer be answered within their objective or deadline.
+// It ignores MaxWait, by which a sender limits the time at one gate because others may have a free
+// slot: the others hold slots back as well.
 func (c Call) patientWait(serviceTime movingMean) time.Duration {
-	maxWait := c.maxWait(serviceTime)
-	if maxWait == 0 || c.ObjectiveLeft == 0 {
-		return maxWait
+	if c.MaxWait == 0 || c.ObjectiveLeft == 0 {
+		return c.MaxWait
 	}
-	return max(maxWait, c.timeLeft()-serviceTime.value-serviceDeviations*serviceTime.deviation)
+	left := c.timeLeft()
+	return max(left-serviceTime.value-serviceDeviations*serviceTime.deviation, left/minWaitDivisor)
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -132,7 +132,12 @@
 	t.objectiveWait = c.objectiveWait(t.share.serviceTime)
 	t.due = t.deadline
 	if t.maxWait > 0 {
-		t.due = now.Add(min(t.maxWait+t.maxWait/maxWaitSlackDivisor, t.deadline.Sub(now)-t.share.serviceTime.value))
+		slack := t.maxWait / maxWaitSlackDivisor
+		if t.share.yields {
+			// The maximum wait is the last moment at which most calls can still be answered in time.
+			slack = 0
+		}
+		t.due = now.Add(min(t.maxWait+slack, t.deadline.Sub(now)-t.share.serviceTime.value))
 	}
 	if g.inUse < g.limit.allowed() && g.rate.allows(now) && g.mayStart(t.share) {
 		return true, nil
--- a/gate/urgent_test.go
+++ b/gate/urgent_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
 
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/gate"
@@ -207,3 +210,99 @@
 		must.Eq(t, 1, g.Load().InUse)
 	})
 }
+
+// Guards against a reservation for calls that gain nothing by it: their own work takes longer than
+// their objective, so that they are late after any wait.
+func TestNoReservationForCallsThatAreLateAnyway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newUrgentGate(9, true)
+		flood(t, g, audit(), auditWork, 14)
+		flood(t, g, signature(), 400*ms, 2)
+		time.Sleep(10 * time.Second)
+		must.Eq(t, 0, g.Load().ReservedSlots)
+	})
+}
+
+// Senders of an older version state no objective. Guards against calls that are then neither urgent
+// nor able to wait: the maximum wait and the deadline must suffice.
+func TestReservationWithoutObjectives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newUrgentGate(9, true)
+		urgent, patient := signature(), audit()
+		urgent.ObjectiveLeft, patient.ObjectiveLeft = 0, 0
+		flood(t, g, patient, auditWork, 14)
+		time.Sleep(2 * time.Second)
+		serve(t, g, urgent, signatureWork, 50*ms, 20)
+		admitted, _ := serve(t, g, urgent, signatureWork, 50*ms, 50)
+		must.Eq(t, 50, admitted)
+	})
+}
+
+// Guards against a reservation by outdated observations: the calls that held the slots become short,
+// so that one is free soon enough, and the gate must notice it by itself.
+func TestReservationFollowsServiceTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newUrgentGate(9, true)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() {
+			for ctx.Err() == nil {
+				serve(t, g, signature(), signatureWork, 50*ms, 1)
+			}
+		}()
+		stop := flood(t, g, audit(), auditWork, 14)
+		time.Sleep(3 * time.Second)
+		must.Positive(t, g.Load().ReservedSlots)
+		stop()
+		time.Sleep(time.Second)
+		flood(t, g, audit(), 20*ms, 14)
+		time.Sleep(5 * time.Second)
+		must.Eq(t, 0, g.Load().ReservedSlots)
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
+
+// Calls of urgent, patient and nested routes arrive, wait, give up and end in any order while the
+// number of slots changes. Guards against running calls that are counted twice or never uncounted
+// when a route becomes urgent or yields: the slots would stay reserved or be given away twice.
+func TestReservationCountsAreBalanced(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		slots := rapid.IntRange(1, 9).Draw(rt, "slots")
+		calls := rapid.SliceOfN(rapid.IntRange(0, 1<<16), 20, 200).Draw(rt, "calls")
+		synctest.Test(t, func(t *testing.T) {
+			g := newUrgentGate(slots, true)
+			var running, most atomic.Int64
+			var group sync.WaitGroup
+			for _, n := range calls {
+				time.Sleep(time.Duration(n%97) * ms)
+				group.Go(func() {
+					c := []gate.Call{signature(), audit(), nestedCall(), lookup(0)}[n%4]
+					work := []time.Duration{signatureWork, auditWork, 31 * ms, 100 * ms}[n%4]
+					ctx, cancel := context.WithTimeout(t.Context(), time.Duration(n%1013+1)*ms)
+					defer cancel()
+					ticket, err := g.Admit(ctx, c)
+					if err != nil {
+						return
+					}
+					most.Store(max(most.Load(), running.Add(1)))
+					time.Sleep(work * time.Duration(n%7+1) / 4)
+					running.Add(-1)
+					ticket.Done(gate.Outcome(n%3 + 1))
+				})
+			}
+			group.Wait()
+			must.LessEq(t, int64(slots), most.Load())
+			must.Eq(t, 0, g.Load().InUse)
+			must.Eq(t, 0, g.Load().Queued)
+			// Without urgent calls, audits get all slots again.
+			time.Sleep(12 * time.Second)
+			for range slots + 2 {
+				admitAsync(t, g, audit(), auditWork)
+			}
+			must.Eq(t, slots, g.Load().InUse)
+			time.Sleep(10 * time.Second)
+			must.Eq(t, 0, g.Load().InUse)
+		})
+	})
+}
