gate: share the slots of a route between accounts (load.account_shares)

Cause: slots are shared between routes, and accounts play no role inside a route. An account at five times its usual rate, within its quota, takes the slots of the others. Change: with the setting on, the waiting calls of a route and rank are queued by account, in start-time fair queueing with equal weights. Admission forecasts a call's wait from its account's position, and a full queue displaces calls of the account with the most. An account whose use of slots exceeds 1.5 times an equal part comes last while calls wait. The daemon passes the account to the gate. With the setting off, there is one account and nothing changes. Metrics: crocuscross_gate_waiting_accounts and crocuscross_gate_account_rejected_total.

--- a/gate/admit.go
+++ b/gate/admit.go
@@ -35,22 +35,39 @@
 
 // checkWait returns nil if the call may wait, and the error with which it is rejected otherwise.
 // A call may wait if it can be answered in time and if it does not make a waiting call of the
-// same share miss its due time. Due times determine the order within a share but do not decide
+// same account miss its due time. Due times determine the order within an account but do not decide
 // admission: without the second condition, a customer's calls with short deadlines would displace
 // its calls with long deadlines one by one after those have waited, which lowers goodput and
 // delays the rejections.
 func (g *Gate) checkWait(t *Ticket, now time.Time) error {
-	s := t.share
-	f := g.forecast(s, now)
-	position := s.position(t.due)
+	a := t.account
+	f := g.accountForecast(a, g.forecast(t.share, now))
+	position := a.position(t.due)
+	err := g.checkPosition(t, f, position, now)
+	if err != nil && position > 0 && g.opts.AccountShares {
+		// A call at the first position would not be rejected.
+		t.exceedsAccount = g.waitAccepted(t, f.wait(0), now)
+	}
+	return err
+}
+
+// waitAccepted reports whether the wait is within the limits of the call.
+func (g *Gate) waitAccepted(t *Ticket, wait time.Duration, now time.Time) bool {
+	return t.deadline.Sub(now) >= wait+t.share.serviceTime.value && (t.maxWait == 0 || wait <= t.maxWait)
+}
+
+// checkPosition returns the error with which a call is rejected that would wait at the position of
+// its account's queue, or nil if it may wait.
+func (g *Gate) checkPosition(t *Ticket, f forecast, position int, now time.Time) error {
+	s, a := t.share, t.account
 	left := t.deadline.Sub(now)
 	if left < f.wait(position)+s.serviceTime.value {
 		return g.noTimeError(t, left, f)
 	}
 	if t.maxWait > 0 && f.wait(position) > t.maxWait {
-		return g.overloadedError().WithRetryAfter(t.retryAfter(f.wait(len(s.waiting))))
+		return g.overloadedError().WithRetryAfter(t.retryAfter(f.wait(len(a.waiting))))
 	}
-	for i, w := range s.waiting {
+	for i, w := range a.waiting {
 		if i >= position {
 			i++
 		} else if s.yields {
@@ -58,7 +75,7 @@
 			continue
 		}
 		if w.missesDue(f.wait(i), now) {
-			return g.overloadedError().WithRetryAfter(t.retryAfter(f.wait(len(s.waiting))))
+			return g.overloadedError().WithRetryAfter(t.retryAfter(f.wait(len(a.waiting))))
 		}
 	}
 	return nil
@@ -79,14 +96,14 @@
 // service time, or than the expected wait plus the service time. If the service time estimate
 // rather than the queue is the cause, it lowers the estimate.
 func (g *Gate) noTimeError(t *Ticket, left time.Duration, f forecast) error {
-	s := t.share
+	s, a := t.share, t.account
 	if f.wait(0) < s.serviceTime.value {
 		s.lowerEstimate()
 	}
 	if left < s.serviceTime.value {
 		return errTooLittleTime
 	}
-	return g.overloadedError().WithRetryAfter(t.retryAfter(f.wait(len(s.waiting))))
+	return g.overloadedError().WithRetryAfter(t.retryAfter(f.wait(len(a.waiting))))
 }
 
 // overloadedError returns the error of a call that cannot wait long enough.
@@ -113,7 +130,7 @@
 // shares' calls that go before the first and before the last call of the share, and interpolates
 // linearly between the two. With a rate limit, it does the same with the numbers of the calls.
 func (g *Gate) forecast(s *share, now time.Time) forecast {
-	q, n := g.queue, len(s.waiting)
+	q, n := g.queue, s.queued
 	reserved := g.reservedFrom(s)
 	slots := time.Duration(g.limit.allowed() - reserved)
 	release := g.nextRelease(s, int(slots))
@@ -162,10 +179,10 @@
 		case o == s || o.rank > s.rank || o.rank == s.rank && o.tag > tag:
 			continue
 		case o.rank < s.rank:
-			calls += len(o.waiting)
-			ahead += time.Duration(len(o.waiting)) * o.serviceTime.value
+			calls += o.queued
+			ahead += time.Duration(o.queued) * o.serviceTime.value
 		default:
-			n := min(1+(tag-o.tag)/max(o.serviceTime.value, 1), time.Duration(len(o.waiting)))
+			n := min(1+(tag-o.tag)/max(o.serviceTime.value, 1), time.Duration(o.queued))
 			calls += int(n)
 			ahead += n * o.serviceTime.value
 		}
--- a/gate/call.go
+++ b/gate/call.go
@@ -9,6 +9,9 @@
 	// between routes as it is between customers, so that the excess load of one route does not
 	// delay the others and the service time is measured for each route.
 	Route string
+	// Account identifies the client account of a call with a route. With Options.AccountShares, slot
+	// time is shared between the accounts of a route as well. Calls without account form one account.
+	Account string
 	// Nested marks a call that a service makes while it handles a request. Nested calls start
 	// before all others: if one is rejected or late, the work already done for the request is
 	// lost. In one minute on 11 hosts whose services call each other, 2,344 attempts ended with a
--- a/gate/fairqueue.go
+++ b/gate/fairqueue.go
@@ -38,8 +38,10 @@
 	// usage is the sum of share.usage by rank.
 	usage   map[int]float64
 	reserve reserve
-	// urgentSlots enables the reservation of slots for urgent calls.
-	urgentSlots bool
+	// urgentSlots enables the reservation of slots for urgent calls, accountShares the accounts of
+	// shares. accounts is the number of accounts with a name.
+	urgentSlots, accountShares bool
+	accounts                   int
 }
 
 // shareKey identifies a share.
@@ -57,9 +59,18 @@
 	shareKey
 	// tag is the slot time consumed, on the scale of fairQueue.virtualTime.
 	tag time.Duration
-	// waiting is sorted by Ticket.due.
-	waiting     []*Ticket
-	running     int
+	// queued is the number of waiting calls, active lists the accounts that have some.
+	queued  int
+	active  []*account
+	running int
+	// unnamed holds the calls without account, and all calls if slots are not shared between
+	// accounts. accounts holds the others by name.
+	unnamed  account
+	accounts map[string]*account
+	// contended is whether a call has waited since the last update of usage.
+	contended bool
+	// virtualTime is the start tag of the account's call that was started last.
+	virtualTime time.Duration
 	serviceTime movingMean
 	lastSeen    time.Time
 	// usedTime is the slot time of the calls that ended since the last update of usage. usage is
@@ -76,11 +87,12 @@
 	urgent, yields bool
 }
 
-func newFairQueue(serviceTime time.Duration, urgentSlots bool) *fairQueue {
+func newFairQueue(opts Options) *fairQueue {
 	return &fairQueue{
 		shares: make(map[shareKey]*share), usage: make(map[int]float64),
-		serviceTime:        movingMean{value: serviceTime, samples: 1},
-		initialServiceTime: serviceTime, urgentSlots: urgentSlots,
+		serviceTime:        movingMean{value: opts.ServiceTime, samples: 1},
+		initialServiceTime: opts.ServiceTime,
+		urgentSlots:        opts.UrgentSlots, accountShares: opts.AccountShares,
 	}
 }
 
@@ -100,6 +112,7 @@
 			q.evictIdle()
 		}
 		s = &share{shareKey: k, serviceTime: movingMean{value: q.initialServiceTime, samples: 1}}
+		s.unnamed.share = s
 		q.shares[k] = s
 		q.reserve.classifyDue = true
 	}
@@ -113,27 +126,34 @@
 // evictIdle removes the shares without calls.
 func (q *fairQueue) evictIdle() {
 	for k, s := range q.shares {
-		if s.running == 0 && len(s.waiting) == 0 {
+		if s.running == 0 && s.queued == 0 {
+			q.accounts -= len(s.accounts)
 			delete(q.shares, k)
 		}
 	}
 }
 
-// push inserts a ticket into its share's queue, which is ordered by due time.
+// push inserts a ticket into its account's queue, which is ordered by due time.
 func (q *fairQueue) push(t *Ticket) {
-	s := t.share
-	if len(s.waiting) == 0 {
+	s, a := t.share, t.account
+	if s.queued == 0 {
 		s.tag = max(s.tag, q.virtualTime)
 		q.active = append(q.active, s)
 	}
-	s.waiting = slices.Insert(s.waiting, s.position(t.due), t)
+	if len(a.waiting) == 0 {
+		a.tag = max(a.tag, s.virtualTime)
+		s.active = append(s.active, a)
+	}
+	a.waiting = slices.Insert(a.waiting, a.position(t.due), t)
+	s.queued++
+	s.contended = true
 	q.len++
 }
 
-// position returns the index at which a call with the due time belongs in the share's queue:
+// position returns the index at which a call with the due time belongs in the account's queue:
 // behind all calls that are due at that time or earlier.
-func (s *share) position(due time.Time) int {
-	i, _ := slices.BinarySearchFunc(s.waiting, due, func(t *Ticket, d time.Time) int {
+func (a *account) position(due time.Time) int {
+	i, _ := slices.BinarySearchFunc(a.waiting, due, func(t *Ticket, d time.Time) int {
 		if t.due.After(d) {
 			return 1
 		}
@@ -142,24 +162,31 @@
 	return i
 }
 
-// remove removes a waiting ticket from its share's queue.
+// remove removes a waiting ticket from its account's queue.
 func (q *fairQueue) remove(t *Ticket) {
-	s := t.share
-	i := slices.Index(s.waiting, t)
-	s.waiting = slices.Delete(s.waiting, i, i+1)
+	s, a := t.share, t.account
+	i := slices.Index(a.waiting, t)
+	a.waiting = slices.Delete(a.waiting, i, i+1)
+	s.queued--
 	q.len--
-	if len(s.waiting) == 0 {
+	if len(a.waiting) == 0 {
+		i := slices.Index(s.active, a)
+		s.active = slices.Delete(s.active, i, i+1)
+	}
+	if s.queued == 0 {
 		i := slices.Index(q.active, s)
 		q.active = slices.Delete(q.active, i, i+1)
 	}
 }
 
-// longest returns the share with the most waiting calls, or nil if no calls wait.
-func (q *fairQueue) longest() *share {
-	var longest *share
+// longest returns the account with the most waiting calls, or nil if no calls wait.
+func (q *fairQueue) longest() *account {
+	var longest *account
 	for _, s := range q.active {
-		if longest == nil || len(s.waiting) > len(longest.waiting) {
-			longest = s
+		for _, a := range s.active {
+			if longest == nil || len(a.waiting) > len(longest.waiting) {
+				longest = a
+			}
 		}
 	}
 	return longest
@@ -173,6 +200,7 @@
 	t.fast = !s.slow
 	q.virtualTime = max(s.tag, q.virtualTime)
 	s.tag = q.virtualTime + t.charged
+	t.account.charge(t.charged)
 	s.running++
 	q.addRelease(s, releaseScale/int64(t.charged))
 	q.reserve.count(s, 1)
@@ -207,6 +235,7 @@
 	}
 	s.tag = min(s.tag+held-t.charged, max(s.tag, q.virtualTime+maxDebt))
 	s.usedTime += held
+	t.account.settle(t.charged, held)
 	switch o {
 	case Failed:
 		// The call was cut off and would have taken longer.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -52,7 +52,7 @@
 		idleCh:    make(chan struct{}),
 		createdAt: opts.Now(),
 		limit:     newLimit(opts.Slots, opts.FixedSlots),
-		queue:     newFairQueue(opts.ServiceTime, opts.UrgentSlots),
+		queue:     newFairQueue(opts),
 	}
 	g.publish()
 	return g
@@ -91,6 +91,9 @@
 	switch {
 	case err != nil:
 		g.countRejection(err)
+		if t.exceedsAccount {
+			g.load.accountRejected.Add(1)
+		}
 		return nil, err
 	case queued:
 		return g.wait(ctx, t)
@@ -121,6 +124,7 @@
 		return false, errDraining
 	}
 	t.share = g.queue.share(c.key(), now)
+	t.account = g.queue.account(t.share, c.Account, now)
 	if g.opts.UrgentSlots {
 		t.share.recordTerms(c)
 	}
@@ -156,7 +160,7 @@
 		g.start(t, now)
 		return nil
 	}
-	if g.queue.len >= g.opts.MaxQueue && !g.displaceFor(t.share) {
+	if g.queue.len >= g.opts.MaxQueue && !g.displaceFor(t.account) {
 		return errOverloaded.WithRetryAfter(maxRetryAfter)
 	}
 	t.ready = make(chan error, 1)
@@ -170,13 +174,13 @@
 	return nil
 }
 
-// displaceFor makes room in a full queue for a call of the share by rejecting the last call of
-// the share with the most waiting calls, provided that it is another share and has at least two
-// more waiting calls. A customer that fills the queue therefore displaces only its own calls. It
-// reports whether it made room.
-func (g *Gate) displaceFor(s *share) bool {
+// displaceFor makes room in a full queue for a call of the account by rejecting the last call of
+// the account with the most waiting calls, provided that it is another account and has at least
+// two more waiting calls. A customer that fills the queue therefore displaces only its own calls.
+// It reports whether it made room.
+func (g *Gate) displaceFor(a *account) bool {
 	longest := g.queue.longest()
-	if longest == nil || longest == s || len(longest.waiting) <= len(s.waiting)+1 {
+	if longest == nil || longest == a || len(longest.waiting) <= len(a.waiting)+1 {
 		return false
 	}
 	g.reject(longest.waiting[len(longest.waiting)-1], errDisplaced)
@@ -225,8 +229,8 @@
 }
 
 // next returns the ticket that starts next. Among the shares that may start a call, it selects
-// the most urgent rank, within the rank the share with the lowest tag, and within the share the
-// call with the earliest due time. It returns nil if no share may start a call.
+// the most urgent rank, within the rank the share and the account with the lowest tags, and within
+// the account the call with the earliest due time. It returns nil if no share may start a call.
 func (g *Gate) next() *Ticket {
 	var first *share
 	for _, s := range g.queue.active {
@@ -237,7 +241,7 @@
 	if first == nil {
 		return nil
 	}
-	return first.waiting[0]
+	return first.next()
 }
 
 // wait blocks until the ticket has a slot, is rejected, or its wait times out.
--- a/gate/load.go
+++ b/gate/load.go
@@ -22,6 +22,12 @@
 	RateRejected int64
 	// ReservedSlots is the number of slots that calls which can wait leave to urgent calls.
 	ReservedSlots int
+	// WaitingAccounts is the number of accounts with waiting calls, each counted once for each of
+	// its routes, if slots are shared between accounts.
+	WaitingAccounts int
+	// AccountRejected is the number of calls that were rejected because of the waiting calls of
+	// their account alone.
+	AccountRejected int64
 }
 
 // UsableSlots returns the number of slots that the rate limit allows to be in use on average, at
@@ -39,8 +45,10 @@
 type counters struct {
 	inUse, queued, slots atomic.Int64
 	reserved             atomic.Int64
-	draining             atomic.Bool
-	serviceTime, wait    atomic.Int64
+	// waitingAccounts and accountRejected hold the fields of Load with these names.
+	waitingAccounts, accountRejected atomic.Int64
+	draining                         atomic.Bool
+	serviceTime, wait                atomic.Int64
 	// rateLimit holds the bits of Load.RateLimit. rateReadyAt is when the rate limit allows a call
 	// that is queued last to start, in nanoseconds since the gate was created.
 	rateLimit   atomic.Uint64
@@ -62,16 +70,21 @@
 
 		RateRejected:  g.load.rateRejected.Load(),
 		ReservedSlots: int(g.load.reserved.Load()),
+
+		WaitingAccounts: int(g.load.waitingAccounts.Load()),
+		AccountRejected: g.load.accountRejected.Load(),
 	}
 	return g.withRateWait(l)
 }
 
 // LoadFor returns the current load with the expected wait of a call like c. The wait differs from
 // the one of Load while slots are reserved: it is 0 for an urgent call if a reserved slot is free,
-// and for a call that leaves these slots free only if one more is.
+// and for a call that leaves these slots free only if one more is. If slots are shared between
+// accounts, it is the wait of a call whose account has no other: the one load that a sender knows of
+// a gate serves it for the calls of all accounts.
 func (g *Gate) LoadFor(c Call) Load {
 	l := g.Load()
-	if l.ReservedSlots == 0 {
+	if l.ReservedSlots == 0 && !g.opts.AccountShares {
 		return l
 	}
 	g.mu.Lock()
@@ -83,7 +96,7 @@
 	case g.inUse < g.limit.allowed() && g.mayStart(s):
 		l.Wait = 0
 	default:
-		l.Wait = g.forecast(s, g.opts.Now()).wait(len(s.waiting))
+		l.Wait = g.newcomerWait(s, g.opts.Now())
 	}
 	return g.withRateWait(l)
 }
@@ -104,6 +117,7 @@
 	g.load.queued.Store(int64(g.queue.len))
 	g.load.slots.Store(int64(g.limit.allowed()))
 	g.load.reserved.Store(int64(g.reservedSlots()))
+	g.load.waitingAccounts.Store(int64(g.queue.waitingAccounts()))
 	g.load.draining.Store(g.draining)
 	g.load.serviceTime.Store(int64(g.queue.serviceTime.value))
 	g.load.wait.Store(int64(g.expectedWait()))
@@ -133,7 +147,7 @@
 	}
 	ahead := g.queue.serviceTime.value
 	for _, s := range g.queue.active {
-		ahead += time.Duration(len(s.waiting)) * s.serviceTime.value
+		ahead += time.Duration(s.queued) * s.serviceTime.value
 	}
 	return ahead / time.Duration(g.limit.allowed())
 }
--- a/gate/options.go
+++ b/gate/options.go
@@ -23,6 +23,9 @@
 	// UrgentSlots makes calls that can wait leave slots free for more urgent calls that cannot wait
 	// until one is free.
 	UrgentSlots bool
+	// AccountShares divides the slots of a route at a rank between accounts, so that the excess load
+	// of one account delays only its own calls.
+	AccountShares bool
 	// Now returns the time of a monotonic clock. It must advance with the runtime's timers, which
 	// end the waits.
 	Now func() time.Time
--- a/gate/rate.go
+++ b/gate/rate.go
@@ -150,7 +150,7 @@
 // it.
 func (g *Gate) rateForecast(s *share, first, last int, now time.Time) forecast {
 	f := forecast{base: g.rate.wait(first+1, now), step: g.rate.interval()}
-	if n := len(s.waiting); n > 0 {
+	if n := s.queued; n > 0 {
 		f.step += g.rate.interval() * time.Duration(last-first) / time.Duration(n)
 	}
 	return f
--- a/gate/reserve.go
+++ b/gate/reserve.go
@@ -105,7 +105,9 @@
 		s.usage += (float64(s.usedTime)/float64(elapsed) - s.usage) / 2
 		s.usedTime = 0
 		q.usage[s.rank] += s.usage
+		s.updateAccountUsage(elapsed)
 	}
+	q.forgetAccounts(now)
 	q.reserve.classifiedAt = now
 }
 
--- a/gate/ticket.go
+++ b/gate/ticket.go
@@ -30,8 +30,9 @@
 type Ticket struct {
 	gate     *Gate
 	share    *share
+	account  *account
 	deadline time.Time
-	// due orders the waiting calls of a share. It is the deadline or, for a call with a maximum
+	// due orders the waiting calls of an account. It is the deadline or, for a call with a maximum
 	// wait, the time at which it leaves the queue.
 	due time.Time
 	// ready receives nil when a waiting call gets a slot, or the error with which it is rejected.
@@ -41,6 +42,9 @@
 	// objectiveWait is the longest wait after which the call is expected to be answered within
 	// its objective. It is negative if the call has no objective or can no longer meet it.
 	objectiveWait time.Duration
+	// exceedsAccount is whether the call was rejected because of the waiting calls of its account
+	// alone.
+	exceedsAccount bool
 	// waitTimeout is how long the call waits at most: until its due time, or if it has no maximum
 	// wait, until its remaining time is the expected service time.
 	waitTimeout time.Duration
--- a/gate/urgent.go
+++ b/gate/urgent.go
@@ -150,7 +150,7 @@
 
 // recent reports whether a call of the share arrived within reserveDuration or has not ended.
 func (s *share) recent(now time.Time) bool {
-	return now.Sub(s.lastSeen) <= reserveDuration || len(s.waiting) > 0
+	return now.Sub(s.lastSeen) <= reserveDuration || s.queued > 0
 }
 
 // recount determines the use of slots by urgent and by yielding shares. Nested calls use the
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -142,6 +142,7 @@
 	o := gate.DefaultOptions()
 	o.FixedSlots = d.usesMetadataStore()
 	o.UrgentSlots = d.settings.Load.UrgentSlots == settings.On
+	o.AccountShares = d.settings.Load.AccountShares == settings.On
 	o.RetryAfterIgnoresObjective = d.isDisabled(settings.WithoutObjectiveRetryAfter)
 	return gate.New(o)
 }
--- a/internal/proxy/inbound/call.go
+++ b/internal/proxy/inbound/call.go
@@ -109,12 +109,14 @@
 	}
 	if g.Route != "" {
 		// The service time depends on the route, and one account has too few calls for an estimate.
-		g.Customer = ""
+		g.Customer, g.Account = "", g.Customer
 	}
 	if c.h.opts.MergeRoutes {
 		g.Route = ""
 	}
 	if g.Nested {
+		// The calls that services make belong to no account.
+		g.Account = ""
 		return g
 	}
 	g.MaxWait = time.Duration(c.head.GetMaxQueueMs()) * time.Millisecond
--- a/internal/telemetry/board_test.go
+++ b/internal/telemetry/board_test.go
@@ -124,11 +124,11 @@
 func TestLoadCollectors(t *testing.T) {
 	v := scrape(t,
 		NewGateCollector(func() gate.Load {
-			return gate.Load{InUse: 3, Queued: 2, Slots: 10, ReservedSlots: 4, Draining: true, ServiceTime: time.Second}
+			return gate.Load{InUse: 3, Queued: 2, Slots: 10, ReservedSlots: 4, WaitingAccounts: 6, AccountRejected: 8, Draining: true, ServiceTime: time.Second}
 		}),
 		NewQuotaCollector(func() quota.Stats { return quota.Stats{Refused: 5, Sent: 7, Failed: 2, Leases: 4} }))
 	for name, want := range map[string]float64{
-		"gate_in_use": 3, "gate_queued": 2, "gate_slots": 10, "gate_reserved_slots": 4, "gate_draining": 1, "gate_service_time_seconds": 1,
+		"gate_in_use": 3, "gate_queued": 2, "gate_slots": 10, "gate_reserved_slots": 4, "gate_waiting_accounts": 6, "gate_account_rejected_total": 8, "gate_draining": 1, "gate_service_time_seconds": 1,
 		"quota_refused_total": 5, "quota_asks_total ok": 5, "quota_asks_total error": 2, "quota_leases": 4,
 	} {
 		must.Eq(t, want, v["crocuscross_"+name], must.Sprint(name))
--- a/internal/telemetry/load.go
+++ b/internal/telemetry/load.go
@@ -12,19 +12,23 @@
 	load func() gate.Load
 
 	inUse, queued, slots, draining, serviceTime, rejected, reserved *prometheus.Desc
+
+	waitingAccounts, accountRejected *prometheus.Desc
 }
 
 // NewGateCollector returns a collector of the loads that load returns. The caller registers it.
 func NewGateCollector(load func() gate.Load) *GateCollector {
 	return &GateCollector{
-		load:        load,
-		rejected:    newDesc("gate_rate_rejected_total", "Calls that only the rate limit stated by the backend server kept from starting in time."),
-		inUse:       newDesc("gate_in_use", "Slots of the backend server that are in use."),
-		queued:      newDesc("gate_queued", "Calls waiting for a slot."),
-		slots:       newDesc("gate_slots", "Maximum number of slots that the gate grants; lower than announced while the backend server sheds calls."),
-		reserved:    newDesc("gate_reserved_slots", "Slots that calls which can wait leave to urgent calls (load.urgent_slots)."),
-		draining:    newDesc("gate_draining", "Whether the gate rejects new calls because it is draining."),
-		serviceTime: newDesc("gate_service_time_seconds", "Moving mean of the time in seconds for which a call holds its slot."),
+		load:            load,
+		rejected:        newDesc("gate_rate_rejected_total", "Calls that only the rate limit stated by the backend server kept from starting in time."),
+		inUse:           newDesc("gate_in_use", "Slots of the backend server that are in use."),
+		queued:          newDesc("gate_queued", "Calls waiting for a slot."),
+		slots:           newDesc("gate_slots", "Maximum number of slots that the gate grants; lower than announced while the backend server sheds calls."),
+		reserved:        newDesc("gate_reserved_slots", "Slots that calls which can wait leave to urgent calls (load.urgent_slots)."),
+		waitingAccounts: newDesc("gate_waiting_accounts", "Accounts with waiting calls, counted once for each route (load.account_shares)."),
+		accountRejected: newDesc("gate_account_rejected_total", "Calls rejected because of the waiting calls of their account alone (load.account_shares)."),
+		draining:        newDesc("gate_draining", "Whether the gate rejects new calls because it is draining."),
+		serviceTime:     newDesc("gate_service_time_seconds", "Moving mean of the time in seconds for which a call holds its slot."),
 	}
 }
 
@@ -40,6 +44,8 @@
 	out.gauge(c.queued, float64(l.Queued))
 	out.gauge(c.slots, float64(l.Slots))
 	out.gauge(c.reserved, float64(l.ReservedSlots))
+	out.gauge(c.waitingAccounts, float64(l.WaitingAccounts))
+	out.counter(c.accountRejected, float64(l.AccountRejected))
 	out.gauge(c.draining, boolValue(l.Draining))
 	out.gauge(c.serviceTime, l.ServiceTime.Seconds())
 	out.counter(c.rejected, float64(l.RateRejected))
