gate: read the service time under the lock when a wait times out

Change: the reason for the end of a wait is determined under the gate's lock. The races that remain under -race are in rate_test.go, which reads recorded starts without its lock.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -255,16 +255,16 @@
 		}
 		return t, nil
 	case <-ctx.Done():
-		return g.stopWaiting(t, errCanceled)
+		return g.stopWaiting(t, func(*Ticket) *errkind.Error { return errCanceled })
 	case <-timer.C:
-		return g.stopWaiting(t, g.waitTimeoutError(t))
+		return g.stopWaiting(t, g.waitTimeoutError)
 	}
 }
 
 // waitTimeoutError returns the error for a call whose wait timed out: DeadlineNotRun if its
 // remaining time is too short to run it, Overloaded if only its maximum wait has passed. Waits
 // exceed the forecast if calls of a more urgent rank arrive or if calls take longer than
-// expected.
+// expected. The caller holds mu.
 func (g *Gate) waitTimeoutError(t *Ticket) *errkind.Error {
 	if t.maxWait > 0 && t.deadline.Sub(g.opts.Now()) > t.share.serviceTime.value {
 		return g.overloadedError().WithRetryAfter(t.retryAfter(g.Load().Wait))
@@ -275,8 +275,9 @@
 // stopWaiting ends the wait of a ticket and returns the reason as its error. If a slot was
 // assigned concurrently, the call keeps it when only its wait timed out, because dispatch has
 // checked that the remaining time suffices; if the caller canceled, the slot is released.
-func (g *Gate) stopWaiting(t *Ticket, reason *errkind.Error) (*Ticket, error) {
+func (g *Gate) stopWaiting(t *Ticket, reasonFor func(*Ticket) *errkind.Error) (*Ticket, error) {
 	g.mu.Lock()
+	reason := reasonFor(t)
 	if t.state == waiting {
 		g.queue.remove(t)
 		t.state = ended
