--- a/gate/account_test.go
+++ b/gate/account_test.go
@@ -65,7 +65,10 @@
 		for range 6 {
 			admitAsync(t, g, call("a"), 100*ms)
 		}
-		must.Eq(t, errkind.Overloaded, errkind.Of(<-admitAsync(t, g, call("a"), 0)))
+		err := <-admitAsync(t, g, call("a"), 0)
+		must.Eq(t, errkind.Overloaded, errkind.Of(err))
+		must.Positive(t, errkind.RetryAfterOf(err))
+		must.StrContains(t, err.Error(), "the account's own waiting calls")
 		must.Eq(t, 1, g.Load().AccountRejected)
 		must.Eq(t, errkind.Overloaded, errkind.Of(g.Check(call("a"))))
 		must.NoError(t, g.Check(call("b")))
--- a/gate/admit.go
+++ b/gate/admit.go
@@ -44,9 +44,9 @@
 	f := g.accountForecast(a, g.forecast(t.share, now))
 	position := a.position(t.due)
 	err := g.checkPosition(t, f, position, now)
-	if err != nil && position > 0 && g.opts.AccountShares {
-		// A call at the first position would not be rejected.
-		t.exceedsAccount = g.waitAccepted(t, f.wait(0), now)
+	if err != nil && position > 0 && g.opts.AccountShares && g.waitAccepted(t, f.wait(0), now) {
+		t.exceedsAccount = true
+		return errAccountExcess.WithRetryAfter(errkind.RetryAfterOf(err))
 	}
 	return err
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -20,6 +20,7 @@
 	errDraining      = errkind.New(errkind.Draining, "the backend server is draining")
 	errOverloaded    = errkind.New(errkind.Overloaded, "the queue is too long for the time left")
 	errRateLimited   = errkind.New(errkind.Overloaded, "the backend server's rate limit allows no start in the time left")
+	errAccountExcess = errkind.New(errkind.Overloaded, "the account's own waiting calls leave too little time")
 	errDisplaced     = errkind.New(errkind.Overloaded, "displaced from the full queue by a customer with fewer waiting calls")
 	errTooLittleTime = errkind.New(errkind.DeadlineNotRun, "too little time is left to run the call")
 	errCanceled      = errkind.New(errkind.Canceled, "canceled before the call started")
--- a/internal/proxy/inbound/log.go
+++ b/internal/proxy/inbound/log.go
@@ -25,7 +25,7 @@
 		"request", c.head.GetRequestId(), "service", c.head.GetService(), "attempt", c.head.GetAttempt(),
 		"priority", c.head.GetPriority(), "config", c.head.GetConfigOffset(), "arrived", c.arrived,
 		"took", time.Since(c.start), "left", time.Until(c.deadline), "held_up", c.transitDelay,
-		"max_wait_ms", c.head.GetMaxQueueMs(), "in_use", l.InUse, "queued", l.Queued, "slots", l.Slots,
+		"max_wait_ms", c.head.GetMaxQueueMs(), "in_use", l.InUse, "queued", l.Queued, "slots", l.Slots, "reserved_slots", l.ReservedSlots,
 		"expected_wait", l.Wait, "kind", string(kind), "error", err,
 	}
 	if c.instance != nil {
