--- a/gate/call.go
+++ b/gate/call.go
@@ -9,6 +9,9 @@
 	// between routes as it is between customers, so that the excess load of one route does not
 	// delay the others and the service time is measured for each route.
 	Route string
+	// Account identifies the client account of a call with a route. With Options.AccountShares, slot
+	// time is shared between the accounts of a route as well. Calls without account form one account.
+	Account string
 	// Nested marks a call that a service makes while it handles a request. Nested calls start
 	// before all others: if one is rejected or late, the work already done for the request is
 	// lost. In one minute on 11 hosts whose services call each other, 2,344 attempts ended with a
@@ -50,3 +53,24 @@
 func (c Call) objectiveWait(serviceTime movingMean) time.Duration {
 	return c.ObjectiveLeft - serviceTime.value - serviceDeviations*serviceTime.deviation
 }
+
+// timeLeft returns the time within which the call's answer is useful: until its objective or, if
+// that is earlier or the call has no objective, its deadline.
+func (c Call) timeLeft() time.Duration {
+	if c.ObjectiveLeft == 0 {
+		return c.Remaining
+	}
+	return min(c.ObjectiveLeft, c.Remaining)
+}
+
+// patientWait returns the longest expected wait that the call accepts if its share leaves slots free
+// for urgent calls: until most calls could no longer be answered within their objective or deadline.
+// It ignores MaxWait, by which a sender limits the time at one gate because others may have a free
+// slot: the others hold slots back as well.
+func (c Call) patientWait(serviceTime movingMean) time.Duration {
+	if c.MaxWait == 0 || c.ObjectiveLeft == 0 {
+		return c.MaxWait
+	}
+	left := c.timeLeft()
+	return max(left-serviceTime.value-serviceDeviations*serviceTime.deviation, left/minWaitDivisor)
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -14,46 +14,13 @@
 	"github.com/crocuscross/crocuscross/errkind"
 )
 
-// Options configures a Gate.
-type Options struct {
-	// Slots is the number of calls that the backend server runs concurrently.
-	Slots int
-	// FixedSlots keeps the announced number of slots even if the backend server sheds calls while
-	// it runs no more than that. It suits servers that shed a part of their calls at any load:
-	// fewer slots would not reduce the number of shed calls.
-	FixedSlots bool
-	// RetryAfterIgnoresObjective sets the retry-after time of a rejected call to the expected
-	// time until the current queue is served, even if a retry at that time can no longer be
-	// answered within the call's latency objective.
-	RetryAfterIgnoresObjective bool
-	// MaxQueue is the maximum number of waiting calls. It bounds memory; the wait itself is
-	// bounded by the remaining time of each call.
-	MaxQueue int
-	// ServiceTime is the assumed time that a call holds its slot, used until calls have been
-	// measured.
-	ServiceTime time.Duration
-	// Now returns the time of a monotonic clock. It must advance with the runtime's timers, which
-	// end the waits.
-	Now func() time.Time
-}
-
-// DefaultOptions returns options for a backend server with 10 slots and calls of a few
-// milliseconds.
-func DefaultOptions() Options {
-	return Options{
-		Slots:       10,
-		MaxQueue:    1024,
-		ServiceTime: 5 * time.Millisecond,
-		Now:         time.Now,
-	}
-}
-
 // The errors are allocated once: under overload many calls are rejected, and none of the errors
 // needs a stack trace.
 var (
 	errDraining      = errkind.New(errkind.Draining, "the backend server is draining")
 	errOverloaded    = errkind.New(errkind.Overloaded, "the queue is too long for the time left")
 	errRateLimited   = errkind.New(errkind.Overloaded, "the backend server's rate limit allows no start in the time left")
+	errAccountExcess = errkind.New(errkind.Overloaded, "the account's own waiting calls leave too little time")
 	errDisplaced     = errkind.New(errkind.Overloaded, "displaced from the full queue by a customer with fewer waiting calls")
 	errTooLittleTime = errkind.New(errkind.DeadlineNotRun, "too little time is left to run the call")
 	errCanceled      = errkind.New(errkind.Canceled, "canceled before the call started")
@@ -86,7 +53,7 @@
 		idleCh:    make(chan struct{}),
 		createdAt: opts.Now(),
 		limit:     newLimit(opts.Slots, opts.FixedSlots),
-		queue:     newFairQueue(opts.ServiceTime),
+		queue:     newFairQueue(opts),
 	}
 	g.publish()
 	return g
@@ -112,8 +79,9 @@
 	t := &Ticket{gate: g, deadline: now.Add(c.Remaining)}
 
 	g.mu.Lock()
-	if g.rate.perSecond() > 0 {
-		// The limit may allow a start that the timer has not made yet. It belongs to a waiting call.
+	if g.rate.perSecond() > 0 || g.queue.reserve.urgent != nil {
+		// The rate limit may allow a start that the timer has not made yet, or a reservation may
+		// have ended. The slot belongs to a waiting call.
 		g.dispatch(now)
 	}
 	err := g.startOrQueue(t, c, now)
@@ -124,6 +92,9 @@
 	switch {
 	case err != nil:
 		g.countRejection(err)
+		if t.exceedsAccount {
+			g.load.accountRejected.Add(1)
+		}
 		return nil, err
 	case queued:
 		return g.wait(ctx, t)
@@ -154,13 +125,25 @@
 		return false, errDraining
 	}
 	t.share = g.queue.share(c.key(), now)
+	t.account = g.queue.account(t.share, c.Account, now)
+	if g.opts.UrgentSlots {
+		t.share.recordTerms(c)
+	}
+	g.queue.classifyShares(g.limit.allowed(), now)
 	t.maxWait = c.maxWait(t.share.serviceTime)
+	if t.share.yields {
+		t.maxWait = c.patientWait(t.share.serviceTime)
+	}
 	t.objectiveWait = c.objectiveWait(t.share.serviceTime)
 	t.due = t.deadline
 	if t.maxWait > 0 {
-		t.due = now.Add(min(t.maxWait+t.maxWait/maxWaitSlackDivisor, t.deadline.Sub(now)-t.share.serviceTime.value))
+		slack := t.maxWait / maxWaitSlackDivisor
+		if t.share.yields {
+			// The maximum wait is the last moment at which most calls can still be answered in time.
+			slack = 0
+		}
+		t.due = now.Add(min(t.maxWait+slack, t.deadline.Sub(now)-t.share.serviceTime.value))
 	}
-	g.queue.classifyShares(g.limit.allowed(), now)
 	if g.inUse < g.limit.allowed() && g.rate.allows(now) && g.mayStart(t.share) {
 		return true, nil
 	}
@@ -178,7 +161,7 @@
 		g.start(t, now)
 		return nil
 	}
-	if g.queue.len >= g.opts.MaxQueue && !g.displaceFor(t.share) {
+	if g.queue.len >= g.opts.MaxQueue && !g.displaceFor(t.account) {
 		return errOverloaded.WithRetryAfter(maxRetryAfter)
 	}
 	t.ready = make(chan error, 1)
@@ -192,13 +175,13 @@
 	return nil
 }
 
-// displaceFor makes room in a full queue for a call of the share by rejecting the last call of
-// the share with the most waiting calls, provided that it is another share and has at least two
-// more waiting calls. A customer that fills the queue therefore displaces only its own calls. It
-// reports whether it made room.
-func (g *Gate) displaceFor(s *share) bool {
+// displaceFor makes room in a full queue for a call of the account by rejecting the last call of
+// the account with the most waiting calls, provided that it is another account and has at least
+// two more waiting calls. A customer that fills the queue therefore displaces only its own calls.
+// It reports whether it made room.
+func (g *Gate) displaceFor(a *account) bool {
 	longest := g.queue.longest()
-	if longest == nil || longest == s || len(longest.waiting) <= len(s.waiting)+1 {
+	if longest == nil || longest == a || len(longest.waiting) <= len(a.waiting)+1 {
 		return false
 	}
 	g.reject(longest.waiting[len(longest.waiting)-1], errDisplaced)
@@ -227,6 +210,10 @@
 // use in time.
 func (g *Gate) dispatch(now time.Time) {
 	defer g.setRateTimer(now)
+	if g.queue.reserve.urgent != nil {
+		// A reservation ends when no urgent call has arrived for a while.
+		g.queue.classifyShares(g.limit.allowed(), now)
+	}
 	for g.queue.len > 0 && g.inUse < g.limit.allowed() && g.rate.allows(now) {
 		t := g.next()
 		if t == nil {
@@ -243,8 +230,8 @@
 }
 
 // next returns the ticket that starts next. Among the shares that may start a call, it selects
-// the most urgent rank, within the rank the share with the lowest tag, and within the share the
-// call with the earliest due time. It returns nil if no share may start a call.
+// the most urgent rank, within the rank the share and the account with the lowest tags, and within
+// the account the call with the earliest due time. It returns nil if no share may start a call.
 func (g *Gate) next() *Ticket {
 	var first *share
 	for _, s := range g.queue.active {
@@ -255,7 +242,7 @@
 	if first == nil {
 		return nil
 	}
-	return first.waiting[0]
+	return first.next()
 }
 
 // wait blocks until the ticket has a slot, is rejected, or its wait times out.
@@ -269,16 +256,16 @@
 		}
 		return t, nil
 	case <-ctx.Done():
-		return g.stopWaiting(t, errCanceled)
+		return g.stopWaiting(t, func(*Ticket) *errkind.Error { return errCanceled })
 	case <-timer.C:
-		return g.stopWaiting(t, g.waitTimeoutError(t))
+		return g.stopWaiting(t, g.waitTimeoutError)
 	}
 }
 
 // waitTimeoutError returns the error for a call whose wait timed out: DeadlineNotRun if its
 // remaining time is too short to run it, Overloaded if only its maximum wait has passed. Waits
 // exceed the forecast if calls of a more urgent rank arrive or if calls take longer than
-// expected.
+// expected. The caller holds mu.
 func (g *Gate) waitTimeoutError(t *Ticket) *errkind.Error {
 	if t.maxWait > 0 && t.deadline.Sub(g.opts.Now()) > t.share.serviceTime.value {
 		return g.overloadedError().WithRetryAfter(t.retryAfter(g.Load().Wait))
@@ -289,8 +276,9 @@
 // stopWaiting ends the wait of a ticket and returns the reason as its error. If a slot was
 // assigned concurrently, the call keeps it when only its wait timed out, because dispatch has
 // checked that the remaining time suffices; if the caller canceled, the slot is released.
-func (g *Gate) stopWaiting(t *Ticket, reason *errkind.Error) (*Ticket, error) {
+func (g *Gate) stopWaiting(t *Ticket, reasonFor func(*Ticket) *errkind.Error) (*Ticket, error) {
 	g.mu.Lock()
+	reason := reasonFor(t)
 	if t.state == waiting {
 		g.queue.remove(t)
 		t.state = ended
--- a/internal/proxy/inbound/call.go
+++ b/internal/proxy/inbound/call.go
@@ -109,12 +109,14 @@
 	}
 	if g.Route != "" {
 		// The service time depends on the route, and one account has too few calls for an estimate.
-		g.Customer = ""
+		g.Customer, g.Account = "", g.Customer
 	}
 	if c.h.opts.MergeRoutes {
 		g.Route = ""
 	}
 	if g.Nested {
+		// The calls that services make belong to no account.
+		g.Account = ""
 		return g
 	}
 	g.MaxWait = time.Duration(c.head.GetMaxQueueMs()) * time.Millisecond
@@ -198,9 +200,9 @@
 	return err
 }
 
-// load returns the load of the gate as a message.
+// load returns the load of the gate as a message, with the expected wait of a call like this one.
 func (c *call) load() *peerpb.Load {
-	l := c.h.Load()
+	l := c.h.instances.current.Load().gate.LoadFor(c.gateCall())
 	return &peerpb.Load{
 		InUse:         uint32(l.InUse),
 		Queued:        uint32(l.Queued),
