gate: publish reserved slots and waiting accounts only where they can change

Cause: each call stored both values, though they are 0 without the settings. Change: they are stored only with the setting on.

--- a/gate/account.go
+++ b/gate/account.go
@@ -216,9 +216,6 @@
 
 // waitingAccounts returns the number of accounts with waiting calls.
 func (q *fairQueue) waitingAccounts() int {
-	if !q.accountShares {
-		return 0
-	}
 	accounts := 0
 	for _, s := range q.active {
 		accounts += len(s.active)
--- a/gate/load.go
+++ b/gate/load.go
@@ -116,8 +116,12 @@
 	g.load.inUse.Store(int64(g.inUse))
 	g.load.queued.Store(int64(g.queue.len))
 	g.load.slots.Store(int64(g.limit.allowed()))
-	g.load.reserved.Store(int64(g.reservedSlots()))
-	g.load.waitingAccounts.Store(int64(g.queue.waitingAccounts()))
+	if g.opts.UrgentSlots {
+		g.load.reserved.Store(int64(g.reservedSlots()))
+	}
+	if g.opts.AccountShares {
+		g.load.waitingAccounts.Store(int64(g.queue.waitingAccounts()))
+	}
 	g.load.draining.Store(g.draining)
 	g.load.serviceTime.Store(int64(g.queue.serviceTime.value))
 	g.load.wait.Store(int64(g.expectedWait()))
--- a/gate/urgent.go
+++ b/gate/urgent.go
@@ -197,6 +197,9 @@
 // rounded up, and one more, so that a burst of a few calls finds a free slot. They get at most half
 // of the slots, so that no rank starves.
 func (r *reserve) urgentSlots(rank, slots int) (reserved, running int) {
+	if len(r.urgent) == 0 || r.urgent[0].rank >= rank {
+		return 0, 0
+	}
 	usage := 0.0
 	for _, u := range r.urgent {
 		if u.rank < rank {
@@ -204,13 +207,9 @@
 			running += u.running
 		}
 	}
-	switch {
-	case len(r.urgent) == 0 || r.urgent[0].rank >= rank:
-		return 0, 0
-	case usage <= minUrgentUsage:
-		reserved = 1
-	default:
-		reserved = int(math.Ceil(usage)) + 1
+	reserved = 1
+	if usage > minUrgentUsage {
+		reserved += int(math.Ceil(usage))
 	}
 	reserved = min(reserved, slots/2)
 	return reserved, min(running, reserved)
