--- a/snapshot/accounts.go
+++ b/snapshot/accounts.go
@@ -109,3 +109,16 @@
 // LimitedContracts returns the contracts and accounts whose calls are limited, by customer. The
 // caller must not modify the map.
 func (s *Snapshot) LimitedContracts() map[string]*Contract { return s.limits }
+
+// RateLimit returns the limit of a customer's contract or account in calls per second, 0 if there is
+// none. s may be nil.
+func (s *Snapshot) RateLimit(customer string) float64 {
+	if s == nil {
+		return 0
+	}
+	c := s.limits[customer]
+	if c == nil {
+		return 0
+	}
+	return c.Rate
+}
--- a/snapshot/accounts_test.go
+++ b/snapshot/accounts_test.go
@@ -53,6 +53,26 @@
 	must.MapEmpty(t, none.LimitedContracts())
 }
 
+// Guards against a limit that is not found, that is the one of a contract which an account of the
+// document replaces, or that is kept from an older configuration.
+func TestRateLimit(t *testing.T) {
+	var none *Snapshot
+	must.Eq(t, 0, none.RateLimit("a"))
+	st := publish(fold.Empty(), contract("a", 7), contract("c", 3))
+	s := Build(nil, st, backends())
+	must.Eq(t, 7, s.RateLimit("a"))
+	must.Eq(t, 0, s.RateLimit("b"))
+	s = Build(s, publish(st, contract("a", 14)), backends())
+	must.Eq(t, 14, s.RateLimit("a"))
+
+	first := accountsDocument(4, &configpb.DocumentAccount{Name: "a", RatePerSecond: 10}, &configpb.DocumentAccount{Name: "b"})
+	s = Build(nil, documentState(9, first), backends())
+	must.Eq(t, 10, s.RateLimit("a"))
+	must.Eq(t, 0, s.RateLimit("b"))
+	s = Build(s, documentState(10, accountsDocument(5, &configpb.DocumentAccount{Name: "a", RatePerSecond: 20})), backends())
+	must.Eq(t, 20, s.RateLimit("a"))
+}
+
 // The key of a customer leads to its contract until it is revoked, whatever happens to the contract.
 func TestCustomerKeys(t *testing.T) {
 	digest := apikey.DigestOf("k1")
