gate: share slots between accounts in proportion to their limits

Cause: accounts had equal weights. The largest account, with a third of the calls in the test, came after all small ones when all accounts send their usual rate and the gate can serve 0.6 of it. Change: Call.Weight states the weight of the account. Start-time fair queueing divides slot time by it, and forecasts, the rule for an account that exceeds its part and the displacement from a full queue use parts by weight. An account without a weight has the mean of the known weights. A changed weight converts the slot time that the account still owes.

--- a/gate/account.go
+++ b/gate/account.go
@@ -12,8 +12,8 @@
 	// accountIdleTime is the time after its last call from which an account is forgotten. Its use of
 	// slots has decayed to a thousandth by then.
 	accountIdleTime = 10 * time.Second
-	// excessFactor is the multiple of an equal part of a share's slots from which on an account
-	// exceeds its part. The use of slots is measured over two seconds, in which that of an account
+	// excessFactor is the multiple of an account's part of a share's slots by weight from which on the
+	// account exceeds its part. The use of slots is measured over two seconds, in which that of an account
 	// with a few calls per second varies by a third.
 	excessFactor = 1.5
 	// minAccountUsage is the mean number of slots from which on an account counts as one that uses
@@ -22,11 +22,14 @@
 )
 
 // account holds the waiting calls of one account in a share. The slot time of a share is shared
-// between its accounts by start-time fair queueing, as that of the gate is between shares.
+// between its accounts by start-time fair queueing, as that of the gate is between shares, but in
+// proportion to their weights.
 type account struct {
 	share *share
 	name  string
-	// tag is the slot time consumed, on the scale of share.virtualTime.
+	// weight is the latest one that a call stated, 0 if it is not known.
+	weight float64
+	// tag is the slot time consumed divided by relativeWeight, on the scale of share.virtualTime.
 	tag time.Duration
 	// waiting is sorted by Ticket.due.
 	waiting  []*Ticket
@@ -35,12 +38,13 @@
 	// usedTime and usage have the same meaning as in share.
 	usedTime time.Duration
 	usage    float64
-	// exceeds is whether the account uses clearly more than an equal part of the share's slots.
+	// exceeds is whether the account uses clearly more than its part of the share's slots by weight.
 	exceeds bool
 }
 
-// account returns the account with the name in the share and creates it if it does not exist.
-func (q *fairQueue) account(s *share, name string, now time.Time) *account {
+// account returns the account with the name in the share and creates it if it does not exist. The
+// weight replaces the one that the account had.
+func (q *fairQueue) account(s *share, name string, weight float64, now time.Time) *account {
 	if !q.accountShares || name == "" {
 		return &s.unnamed
 	}
@@ -57,6 +61,7 @@
 		q.accounts++
 	}
 	a.lastSeen = now
+	q.setWeight(a, weight)
 	return a
 }
 
@@ -74,26 +79,30 @@
 			}
 		}
 	}
+	q.countWeights()
 }
 
 // updateAccountUsage updates the mean number of slots that each account of the share uses, and
-// whether that exceeds an equal part of the share's slots. No account exceeds its part if no call
+// whether that exceeds its part of the share's slots by weight. No account exceeds its part if no call
 // had to wait since the last update.
 func (s *share) updateAccountUsage(elapsed time.Duration) {
 	if s.accounts == nil {
 		s.unnamed.usedTime = 0
 		return
 	}
-	users := 0
+	users := 0.0
 	for a := range s.allAccounts() {
 		a.updateUsage(elapsed)
 		if a.usage >= minAccountUsage {
-			users++
+			users += a.relativeWeight()
 		}
 	}
-	limit := excessFactor * s.usage / float64(max(users, 1))
 	for a := range s.allAccounts() {
-		a.exceeds = s.contended && a.usage > limit
+		part := s.usage
+		if users > 0 {
+			part *= min(a.relativeWeight()/users, 1)
+		}
+		a.exceeds = s.contended && a.usage > excessFactor*part
 	}
 	s.contended = s.queued > 0
 }
@@ -122,14 +131,14 @@
 func (a *account) charge(expected time.Duration) {
 	s := a.share
 	s.virtualTime = max(a.tag, s.virtualTime)
-	a.tag = s.virtualTime + expected
+	a.tag = s.virtualTime + a.weighted(expected)
 	a.running++
 }
 
 // settle replaces the expected slot time of a call that ended by the measured one.
 func (a *account) settle(expected, held time.Duration) {
 	a.running--
-	a.tag = min(a.tag+held-expected, max(a.tag, a.share.virtualTime+maxDebt))
+	a.tag = min(a.tag+a.weighted(held-expected), max(a.tag, a.share.virtualTime+maxDebt))
 	a.usedTime += held
 }
 
@@ -167,7 +176,7 @@
 		case a.exceeds && !o.exceeds:
 			calls += len(o.waiting)
 		case o.tag <= tag:
-			calls += int(min(1+(tag-o.tag)/max(s.serviceTime.value, 1), time.Duration(len(o.waiting))))
+			calls += int(min(1+(tag-o.tag)/max(o.weighted(s.serviceTime.value), 1), time.Duration(len(o.waiting))))
 		}
 	}
 	return calls
@@ -182,7 +191,7 @@
 	}
 	start := max(a.tag, s.virtualTime)
 	first := s.aheadOf(a, start)
-	last := s.aheadOf(a, start+time.Duration(n)*s.serviceTime.value)
+	last := s.aheadOf(a, start+time.Duration(n)*a.weighted(s.serviceTime.value))
 	result := forecast{base: f.wait(first), step: f.step}
 	if n > 0 {
 		result.step += f.step * time.Duration(last-first) / time.Duration(n)
@@ -193,15 +202,19 @@
 
 // slotsLeftForAccount returns the number of slots that the account can expect to use beside the
 // mean use of the share's other accounts, whose future calls may go first as well. It is at least
-// its fair part of the share's slots.
+// its part of the share's slots by weight.
 func (g *Gate) slotsLeftForAccount(a *account) float64 {
 	s := a.share
 	slots := g.slotsLeftFor(s)
-	accounts := len(s.active)
+	weight := a.relativeWeight()
+	active := 0.0
+	for _, o := range s.active {
+		active += o.relativeWeight()
+	}
 	if len(a.waiting) == 0 {
-		accounts++
+		active += weight
 	}
-	return max(slots-max(s.usage-a.usage, 0), slots/float64(accounts))
+	return max(slots-max(s.usage-a.usage, 0), slots*weight/active)
 }
 
 // newcomerWait returns the expected wait of a call of the share that is queued last or, if slots
--- a/gate/account_test.go
+++ b/gate/account_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -193,6 +194,7 @@
 				group.Go(func() {
 					c := []gate.Call{signature(), audit(), nestedCall(), lookup(0)}[n%4]
 					c.Account = []string{"", "a", "b", "c", "d"}[n%5]
+					c.Weight = []float64{0, 1, 40, 1e-300, math.MaxFloat64, math.Inf(1), math.NaN(), -1}[n%8]
 					ctx, cancel := context.WithTimeout(t.Context(), time.Duration(n%1013+1)*ms)
 					defer cancel()
 					ticket, err := g.Admit(ctx, c)
@@ -254,7 +256,7 @@
 					time.Sleep(time.Duration(rnd.ExpFloat64() / accountRate * float64(time.Second)))
 					work := time.Duration((0.5 + rnd.Float64()) * float64(statusWork))
 					group.Go(func() {
-						outcome := readStatus(t.Context(), g, fmt.Sprint("account ", i), work, maxWait)
+						outcome := readStatus(t.Context(), g, fmt.Sprint("account ", i), 0, work, maxWait)
 						mu.Lock()
 						defer mu.Unlock()
 						result.add(outcome)
@@ -268,10 +270,10 @@
 }
 
 // readStatus makes a call with the objective and the timeout of a status read.
-func readStatus(ctx context.Context, g *gate.Gate, account string, work, maxWait time.Duration) accountTally {
+func readStatus(ctx context.Context, g *gate.Gate, account string, weight float64, work, maxWait time.Duration) accountTally {
 	start := time.Now()
 	ticket, err := g.Admit(ctx, gate.Call{
-		Route: "status", Priority: 2, Account: account,
+		Route: "status", Priority: 2, Account: account, Weight: weight,
 		Remaining: time.Second, MaxWait: maxWait, ObjectiveLeft: 400 * ms,
 	})
 	if err != nil {
--- a/gate/call.go
+++ b/gate/call.go
@@ -12,6 +12,9 @@
 	// Account identifies the client account of a call with a route. With Options.AccountShares, slot
 	// time is shared between the accounts of a route as well. Calls without account form one account.
 	Account string
+	// Weight is the weight of the account, to which its part of the slots is proportional. If it is 0,
+	// the weight is not known, and the mean of the known weights at the gate is used.
+	Weight float64
 	// Nested marks a call that a service makes while it handles a request. Nested calls start
 	// before all others: if one is rejected or late, the work already done for the request is
 	// lost. In one minute on 11 hosts whose services call each other, 2,344 attempts ended with a
--- a/gate/fairqueue.go
+++ b/gate/fairqueue.go
@@ -42,6 +42,7 @@
 	// shares. accounts is the number of accounts with a name.
 	urgentSlots, accountShares bool
 	accounts                   int
+	weights                    weights
 }
 
 // shareKey identifies a share.
@@ -67,6 +68,8 @@
 	// accounts. accounts holds the others by name.
 	unnamed  account
 	accounts map[string]*account
+	// weights is the one of the gate's queue.
+	weights *weights
 	// contended is whether a call has waited since the last update of usage.
 	contended bool
 	// virtualTime is the start tag of the account's call that was started last.
@@ -111,7 +114,7 @@
 		if len(q.shares) >= maxShares {
 			q.evictIdle()
 		}
-		s = &share{shareKey: k, serviceTime: movingMean{value: q.initialServiceTime, samples: 1}}
+		s = &share{shareKey: k, weights: &q.weights, serviceTime: movingMean{value: q.initialServiceTime, samples: 1}}
 		s.unnamed.share = s
 		q.shares[k] = s
 		q.reserve.classifyDue = true
@@ -131,6 +134,7 @@
 			delete(q.shares, k)
 		}
 	}
+	q.countWeights()
 }
 
 // push inserts a ticket into its account's queue, which is ordered by due time.
@@ -179,12 +183,13 @@
 	}
 }
 
-// longest returns the account with the most waiting calls, or nil if no calls wait.
+// longest returns the account with the most waiting calls relative to its weight, not counting one of
+// each account, or nil if no calls wait.
 func (q *fairQueue) longest() *account {
 	var longest *account
 	for _, s := range q.active {
 		for _, a := range s.active {
-			if longest == nil || len(a.waiting) > len(longest.waiting) {
+			if longest == nil || a.excessCalls() > longest.excessCalls() {
 				longest = a
 			}
 		}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -125,7 +125,7 @@
 		return false, errDraining
 	}
 	t.share = g.queue.share(c.key(), now)
-	t.account = g.queue.account(t.share, c.Account, now)
+	t.account = g.queue.account(t.share, c.Account, c.Weight, now)
 	if g.opts.UrgentSlots {
 		t.share.recordTerms(c)
 	}
@@ -176,12 +176,13 @@
 }
 
 // displaceFor makes room in a full queue for a call of the account by rejecting the last call of
-// the account with the most waiting calls, provided that it is another account and has at least
-// two more waiting calls. A customer that fills the queue therefore displaces only its own calls.
+// the account with the most waiting calls relative to its weight, provided that it is another
+// account and, at equal weights, has at least two more waiting calls. A customer that fills the queue
+// therefore displaces only its own calls, and the only waiting call of an account is never displaced.
 // It reports whether it made room.
 func (g *Gate) displaceFor(a *account) bool {
 	longest := g.queue.longest()
-	if longest == nil || longest == a || len(longest.waiting) <= len(a.waiting)+1 {
+	if longest == nil || longest == a || longest.excessCalls() <= float64(len(a.waiting))/a.relativeWeight() {
 		return false
 	}
 	g.reject(longest.waiting[len(longest.waiting)-1], errDisplaced)
--- a/gate/options.go
+++ b/gate/options.go
@@ -24,7 +24,7 @@
 	// until one is free.
 	UrgentSlots bool
 	// AccountShares divides the slots of a route at a rank between accounts, so that the excess load
-	// of one account delays only its own calls.
+	// of one account delays only its own calls. The parts are proportional to Call.Weight.
 	AccountShares bool
 	// Now returns the time of a monotonic clock. It must advance with the runtime's timers, which
 	// end the waits.
