inbound, daemon: state the limit of an account to the gate

Cause: the gate shares slots by weight, and the daemon beside it knows the limits of the accounts from its own configuration. With the setting off, nothing is looked up. Nothing changes on the wire.

--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -34,7 +34,8 @@
 		LinkMbps: d.settings.LinkMbps, Runs: runs, CalleeStats: callees, HostShare: d.hostShare,
 		Local: &d.board.Local, NewGate: d.newGate,
 		MergeRoutes: d.isDisabled(settings.WithoutRouteClasses), IgnoreObjective: d.isDisabled(settings.WithoutObjective),
-		Attempts: p.attempts, Dialect: d.dialect(), OnServerMismatch: p.announce.HandleServerMismatch,
+		AccountWeight: d.accountWeight(),
+		Attempts:      p.attempts, Dialect: d.dialect(), OnServerMismatch: p.announce.HandleServerMismatch,
 		OnServerLeaving: p.announce.HandleServerLeaving,
 		Quarantine:      p.quarantine, Rollout: p.rolloutGate, Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
 	})
@@ -147,6 +148,16 @@
 	return gate.New(o)
 }
 
+// accountWeight returns the function by which calls state the weight of their account to the gate: its
+// limit in calls per second in the configuration in force. It returns nil if accounts do not share
+// slots.
+func (d *Daemon) accountWeight() func(name string) float64 {
+	if d.settings.Load.AccountShares != settings.On {
+		return nil
+	}
+	return func(name string) float64 { return d.board.Snapshot.Load().RateLimit(name) }
+}
+
 // configMayBeStale reports whether a newer configuration than the one in force may exist: one is
 // known, or this daemon reaches less than half of the others, so that it would not hear of one.
 func (d *Daemon) configMayBeStale() bool {
--- a/internal/proxy/inbound/call.go
+++ b/internal/proxy/inbound/call.go
@@ -119,6 +119,9 @@
 		g.Account = ""
 		return g
 	}
+	if g.Account != "" && c.h.opts.AccountWeight != nil {
+		g.Weight = c.h.opts.AccountWeight(g.Account)
+	}
 	g.MaxWait = time.Duration(c.head.GetMaxQueueMs()) * time.Millisecond
 	if left := time.Duration(c.head.GetObjectiveLeftMs()) * time.Millisecond; left > 0 && !c.h.opts.IgnoreObjective {
 		g.ObjectiveLeft = max(left-time.Since(c.start), time.Millisecond)
--- a/internal/proxy/inbound/gatecall_test.go
+++ b/internal/proxy/inbound/gatecall_test.go
@@ -28,3 +28,22 @@
 	must.Eq(t, "a", g.Customer)
 	must.Eq(t, "", g.Account)
 }
+
+// Guards against calls that do not state the limit of their account, state an old one after a change
+// of the configuration, or state one for nested calls, which belong to no account. Calls without a
+// configuration, or of an account without a limit, state that it is not known.
+func TestGateCall_Weight(t *testing.T) {
+	limits := map[string]float64{"a": 40}
+	weight := func(name string) float64 { return limits[name] }
+	head := &peerpb.CallHead{Customer: "a", Route: "status"}
+	c := &call{h: &Handler{opts: Options{AccountWeight: weight}}, head: head, madeBy: admission.MadeByCallers}
+	must.Eq(t, 40, c.gateCall().Weight)
+	limits["a"] = 80
+	must.Eq(t, 80, c.gateCall().Weight)
+	head.Customer = "b"
+	must.Eq(t, 0, c.gateCall().Weight)
+	head.Customer, c.madeBy = "a", admission.MadeByServices
+	must.Eq(t, 0, c.gateCall().Weight)
+	c.madeBy, c.h.opts.AccountWeight = admission.MadeByCallers, nil
+	must.Eq(t, 0, c.gateCall().Weight)
+}
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -61,6 +61,9 @@
 	// ignore the latency objective, so that only the maximum wait that the sender states bounds
 	// the wait for a slot. Both are for experiments.
 	MergeRoutes, IgnoreObjective bool
+	// AccountWeight returns the weight of an account at the gate, 0 if it is not known. It must not
+	// block or allocate. If it is nil, no weight is known.
+	AccountWeight func(name string) float64
 	// OnServerMismatch is called with the ID of a backend server if a different server responds
 	// at its address.
 	OnServerMismatch func(id string)
