capacity: use of a zone from the latest report of each gate

The use is now computed from the latest report of each gate, and calls move only by what exceeds the standard error of the reports. A zone is probed again while its reports are older than 1 s on average, and is unknown after an attempt there has failed. The own zone counts as unknown while its reports are that old.

--- a/balance/spill.go
+++ b/balance/spill.go
@@ -47,8 +47,7 @@
 func (t zoneTier) candidates(view *capacity.View) []capacity.Candidate {
 	list := make([]capacity.Candidate, len(t.remote))
 	for i, z := range t.remote {
-		use, known := view.Use(z.name)
-		list[i] = capacity.Candidate{AvailabilityZone: z.name, Use: use, Known: known, Hop: time.Duration(z.members[0].hop * float64(time.Second))}
+		list[i] = capacity.Candidate{AvailabilityZone: z.name, Knowledge: view.Zone(z.name), Hop: time.Duration(z.members[0].hop * float64(time.Second))}
 	}
 	return list
 }
@@ -72,8 +71,8 @@
 		first = len(plan.tiers)
 	}
 	view := p.opts.Zones.View(plan.service)
-	own, known := view.Use(p.opts.AvailabilityZone)
-	if first == 0 && (!known || opts.Spill.ServiceTime <= 0) {
+	own := view.Zone(p.opts.AvailabilityZone)
+	if first == 0 && (!own.Known || own.Stale || opts.Spill.ServiceTime <= 0) {
 		return selection{member: p.chooseByLatency(plan, plan.tiers, opts, now), reason: capacity.Unknown}
 	}
 	if m := p.chooseByLatency(plan, plan.tiers[:first], opts, now); m != nil {
@@ -91,7 +90,7 @@
 }
 
 // chooseInTier applies the rule to one tier. Only in the first tier do calls leave for relief.
-func (p *Picker) chooseInTier(plan *plan, t zoneTier, relief bool, own float64, view *capacity.View, opts PickOptions, now instant) selection {
+func (p *Picker) chooseInTier(plan *plan, t zoneTier, relief bool, own capacity.Knowledge, view *capacity.View, opts PickOptions, now instant) selection {
 	others := t.candidates(view)
 	if relief {
 		if i, reason := opts.Spill.Choose(own, others, p.draw01); i >= 0 {
@@ -107,7 +106,7 @@
 	var lowest selection
 	lowestUse := 0.0
 	for i, z := range t.remote {
-		if !opts.Spill.MayTakeRefused(own, others[i], final) {
+		if !opts.Spill.MayTakeRefused(own.Use, others[i], final) {
 			lowest.withheld = true
 			continue
 		}
--- a/capacity/decide.go
+++ b/capacity/decide.go
@@ -43,9 +43,7 @@
 // Candidate is another zone to which a call can go.
 type Candidate struct {
 	AvailabilityZone string
-	// Use is the use of the zone, if Known.
-	Use   float64
-	Known bool
+	Knowledge
 	// Hop is the time that a call to the zone takes additionally.
 	Hop time.Duration
 }
@@ -58,7 +56,7 @@
 	Stayed Reason = iota
 	// Relief calls saved more slot time than their bytes cost.
 	Relief
-	// Probe calls went to a zone of unknown use to learn it.
+	// Probe calls went to a zone of unknown or old use to learn it.
 	Probe
 	// Refused calls found no gate in their zone that takes them.
 	Refused
@@ -92,10 +90,11 @@
 // where it would wait as well. The probability is at most the difference of the pressures: of calls
 // that cost little, all senders would otherwise move all at once on a small difference, which may
 // be noise of the reports. In the model of load A with a burst, three seeds, the answers had 0.869 to
-// 0.878 of their value without that bound and 0.876 to 0.891 with it.
-func (c Call) leaveProbability(own, other float64, hop time.Duration) float64 {
-	saved, cost := c.saved(own, other), c.cost(hop)
-	if saved <= cost || other >= fullPressure {
+// 0.878 of their value without that bound and 0.878 to 0.891 with it.
+func (c Call) leaveProbability(own float64, to Candidate) float64 {
+	other := Pressure(to.Use + to.Error)
+	saved, cost := c.saved(own, other), c.cost(to.Hop)
+	if !to.Known || saved <= cost || other >= fullPressure {
 		return 0
 	}
 	p := min(own-other, 1)
@@ -105,41 +104,44 @@
 	return p
 }
 
-// Choose decides whether a call leaves its own zone, whose use is own. It returns the index of the
-// candidate that the call goes to, or -1 if it stays. draw returns a random number in [0, 1).
-func (c Call) Choose(own float64, others []Candidate, draw func() float64) (int, Reason) {
-	pressure := Pressure(own)
+// Choose decides whether a call leaves its own zone. It returns the index of the candidate that the
+// call goes to, or -1 if it stays. draw returns a random number in [0, 1). A difference of the uses
+// that may be due to the error of the reports moves no calls: without that margin, two zones that
+// were equally full exchanged 0.078 of their calls in the model, and 0.03 to 0.04 with it.
+func (c Call) Choose(own Knowledge, others []Candidate, draw func() float64) (int, Reason) {
+	pressure := Pressure(own.Use - own.Error)
 	if pressure == 0 {
 		return -1, Stayed
 	}
-	total, highest, unknown, probe := 0.0, 0.0, 0, 0.0
+	total, highest, probed := 0.0, 0.0, 0
 	for _, o := range others {
-		if !o.Known {
-			unknown++
-			probe = max(probe, c.leaveProbability(pressure, 0, o.Hop)/probeInterval)
-			continue
+		if c.mayProbe(pressure, o) {
+			probed++
 		}
-		p := c.leaveProbability(pressure, Pressure(o.Use), o.Hop)
+		p := c.leaveProbability(pressure, o)
 		total += p
 		highest = max(highest, p)
 	}
 	if highest > 0 && draw() < highest {
 		return c.drawKnown(pressure, others, draw()*total), Relief
 	}
-	if probe > 0 && draw() < probe {
-		return drawUnknown(others, int(draw()*float64(unknown))), Probe
+	if probed > 0 && draw() < 1.0/probeInterval {
+		return c.drawProbed(pressure, others, int(draw()*float64(probed))), Probe
 	}
 	return -1, Stayed
 }
 
+// mayProbe reports whether the call may go to a zone to learn its use: the use is not known or may
+// have changed, and the call would gain by leaving if the zone had no pressure.
+func (c Call) mayProbe(own float64, other Candidate) bool {
+	return (!other.Known || other.Stale) && c.saved(own, 0) > c.cost(other.Hop)
+}
+
 // drawKnown returns the candidate at a position in the sum of the probabilities.
-func (c Call) drawKnown(pressure float64, others []Candidate, position float64) int {
+func (c Call) drawKnown(own float64, others []Candidate, position float64) int {
 	last := -1
 	for i, o := range others {
-		if !o.Known {
-			continue
-		}
-		p := c.leaveProbability(pressure, Pressure(o.Use), o.Hop)
+		p := c.leaveProbability(own, o)
 		if p == 0 {
 			continue
 		}
@@ -151,10 +153,10 @@
 	return last
 }
 
-// drawUnknown returns the candidate of unknown use with the given number among them.
-func drawUnknown(others []Candidate, n int) int {
+// drawProbed returns the candidate with the given number among those that may be probed.
+func (c Call) drawProbed(own float64, others []Candidate, n int) int {
 	for i, o := range others {
-		if o.Known {
+		if !c.mayProbe(own, o) {
 			continue
 		}
 		if n == 0 {
@@ -166,13 +168,17 @@
 }
 
 // MayTakeRefused reports whether a call that no gate of its own zone takes now may go to another
-// zone. While the call can still wait longer in its own zone, leaving must save more slot time than
-// it costs, as for other calls; its zone counts as full whatever is known of it. With final set,
-// the call would be rejected otherwise: it goes wherever there may be room.
+// zone. A zone may have room unless fresh reports say that its slots are all in use. While the call
+// can still wait longer in its own zone, which counts as full whatever is known of it, leaving must
+// save more slot time than it costs, as for other calls. With final set, the call would be rejected
+// otherwise.
 func (c Call) MayTakeRefused(own float64, other Candidate, final bool) bool {
-	if final {
-		return !other.Known || Pressure(other.Use) < fullPressure
+	pressure := 0.0
+	if other.Known && !other.Stale {
+		pressure = Pressure(other.Use)
+	}
+	if pressure >= fullPressure {
+		return false
 	}
-	pressure := max(Pressure(own), fullPressure)
-	return other.Known && Pressure(other.Use) < fullPressure && c.saved(pressure, Pressure(other.Use)) > c.cost(other.Hop)
+	return final || c.saved(max(Pressure(own), fullPressure), pressure) > c.cost(other.Hop)
 }
--- a/capacity/report.go
+++ b/capacity/report.go
@@ -21,13 +21,14 @@
 type Entry struct {
 	AvailabilityZone string
 	Use              float64
-	// Age is the time since the daemon has observed it.
+	// Age is the mean age of the loads that the daemon has observed.
 	Age time.Duration
 }
 
 // Report returns what this daemon has itself observed of a service, its own zone first, for
 // another daemon. It returns nil if the receiver got a report less than 200 ms ago. What other
-// daemons have passed on is left out, so that no report returns to its origin.
+// daemons have passed on is left out, so that no report returns to its origin, and the age of each
+// entry is that of the loads it is computed from.
 func (z *Zones) Report(serviceName, receiver string) []Entry {
 	if receiver == "" {
 		return nil
@@ -43,8 +44,9 @@
 	z.reportedAt[receiver] = now
 	var entries []Entry
 	for name, zn := range s.zones {
-		if use, ok := estimate(now, zn.observed); ok {
-			entries = append(entries, Entry{AvailabilityZone: name, Use: use, Age: now.Sub(latest(zn.observed))})
+		k, age := estimate(now, zn.observed)
+		if k.Known {
+			entries = append(entries, Entry{AvailabilityZone: name, Use: k.Use, Age: age})
 		}
 	}
 	slices.SortFunc(entries, func(a, b Entry) int {
@@ -78,16 +80,6 @@
 	}
 }
 
-func latest(reports map[string]report) time.Time {
-	var at time.Time
-	for _, r := range reports {
-		if r.at.After(at) {
-			at = r.at
-		}
-	}
-	return at
-}
-
 // Learn adds an entry that the daemon on the host from has passed on. It replaces an older entry
 // of that daemon about the zone.
 func (z *Zones) Learn(serviceName, from string, e Entry) {
@@ -101,5 +93,5 @@
 	if zn == nil || !at.After(zn.learned[from].at) {
 		return
 	}
-	store(zn.learned, from, report{sum: min(max(e.Use, 0), maxUse), weight: 1, at: at})
+	store(zn.learned, from, report{min(max(e.Use, 0), maxUse), at})
 }
--- a/capacity/stats.go
+++ b/capacity/stats.go
@@ -38,8 +38,8 @@
 		st.Spills[r] = z.spills[r].Load()
 	}
 	for _, name := range names {
-		for zone, use := range z.View(name).uses {
-			st.Uses = append(st.Uses, ZoneUse{Service: name, AvailabilityZone: zone, Use: use})
+		for zone, k := range z.View(name).zones {
+			st.Uses = append(st.Uses, ZoneUse{Service: name, AvailabilityZone: zone, Use: k.Use})
 		}
 	}
 	slices.SortFunc(st.Uses, func(a, b ZoneUse) int {
--- a/capacity/zones.go
+++ b/capacity/zones.go
@@ -21,6 +21,15 @@
 	reportHalfLife = 500 * time.Millisecond
 	// reportTTL is the age at which a report is dropped. A zone without reports is unknown.
 	reportTTL = 2 * time.Second
+	// staleAge is the mean age of the reports from which on the use of a zone is learned anew. With
+	// the use taken as known for 2 s, a zone whose demand had gone was not used for as long.
+	staleAge = 2 * reportHalfLife
+	// failureTTL is how long a zone is unknown after an attempt there has failed. Reports of the time
+	// before have then lost most of their weight.
+	failureTTL = 2 * reportHalfLife
+	// minDeviation is the least deviation assumed between a gate's use and the mean of its zone, for
+	// zones with few reports: one call more or less at a gate with some ten slots.
+	minDeviation = 0.1
 	// viewTTL is the age at which the uses of a service are computed again, which costs more than a
 	// pick. Slots turn over more slowly than that.
 	viewTTL = 20 * time.Millisecond
@@ -62,29 +71,26 @@
 type service struct {
 	// zones holds the reports by zone. Its keys are bounded by maxZones.
 	zones map[string]*zone
-	view  atomic.Pointer[View]
+	// view is the latest view, nil if it must be computed again.
+	view *View
 }
 
 // zone holds the reports about a service's gates in one zone, by host: observed holds what gates
 // reported about themselves with answers to this daemon, learned what other daemons passed on.
 type zone struct {
 	observed, learned map[string]report
+	// failedAt is when the latest attempt failed to reach a host of the zone, zero if an answer from
+	// the zone has arrived since.
+	failedAt time.Time
 }
 
-// report is a moving mean of the use that one host reported.
+// report is the latest use that one host has reported. Earlier ones of the host are not averaged in:
+// a mean of past loads follows a change of the demand too late.
 type report struct {
-	sum, weight float64
-	at          time.Time
+	use float64
+	at  time.Time
 }
 
-// add adds a use to the moving mean.
-func (r report) add(use float64, at time.Time) report {
-	w := weightAt(at.Sub(r.at))
-	return report{sum: r.sum*w + use, weight: r.weight*w + 1, at: at}
-}
-
-func (r report) mean() float64 { return r.sum / r.weight }
-
 // weightAt returns the weight of a report of the given age, between 0 and 1.
 func weightAt(age time.Duration) float64 {
 	return math.Exp2(-float64(max(age, 0)) / float64(reportHalfLife))
@@ -116,7 +122,22 @@
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	if zn := z.zone(g.Service, g.AvailabilityZone); zn != nil {
-		store(zn.observed, g.Host, zn.observed[g.Host].add(use, now))
+		store(zn.observed, g.Host, report{use, now})
+		zn.failedAt = time.Time{}
+	}
+}
+
+// ObserveFailure states that an attempt has not reached the gate, or got no answer from it. Until a
+// gate of the zone answers, the use of the zone is unknown for a moment: if the zone is cut off, calls
+// must not leave for it on older reports or on those of other daemons.
+func (z *Zones) ObserveFailure(g Gate) {
+	now := z.opts.Now()
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if zn := z.zone(g.Service, g.AvailabilityZone); zn != nil {
+		delete(zn.observed, g.Host)
+		zn.failedAt = now
+		z.services[g.Service].view = nil
 	}
 }
 
@@ -153,17 +174,25 @@
 
 // View is the use of a service by availability zone at one time. It is immutable.
 type View struct {
-	at   time.Time
-	uses map[string]float64
+	at    time.Time
+	zones map[string]Knowledge
 }
 
-// Use returns the use of a zone: calls that run or wait, as a fraction of the slots. It returns
-// false if the use is not known.
-func (v *View) Use(zone string) (float64, bool) {
-	use, ok := v.uses[zone]
-	return use, ok
+// Knowledge is what is known of a service in one zone.
+type Knowledge struct {
+	// Use is the number of calls that run or wait, as a fraction of the slots, if Known.
+	Use   float64
+	Known bool
+	// Error is the standard error of Use.
+	Error float64
+	// Stale is set if the reports are older on average than staleAge. The use may have
+	// changed since.
+	Stale bool
 }
 
+// Zone returns what is known of a zone.
+func (v *View) Zone(name string) Knowledge { return v.zones[name] }
+
 // View returns the use of a service as known now.
 func (z *Zones) View(name string) *View {
 	now := z.opts.Now()
@@ -173,21 +202,22 @@
 	if !ok {
 		return &View{}
 	}
-	if v := s.view.Load(); v != nil && now.Sub(v.at) < viewTTL {
+	if v := s.view; v != nil && now.Sub(v.at) < viewTTL {
 		return v
 	}
-	v := &View{at: now, uses: make(map[string]float64, len(s.zones))}
+	v := &View{at: now, zones: make(map[string]Knowledge, len(s.zones))}
 	for zoneName, zn := range s.zones {
 		prune(zn.observed, now)
 		prune(zn.learned, now)
-		if use, ok := estimate(now, zn.observed, zn.learned); ok {
-			v.uses[zoneName] = use
+		failed := now.Sub(zn.failedAt) < failureTTL
+		if k, _ := estimate(now, zn.observed, zn.learned); k.Known && !failed {
+			v.zones[zoneName] = k
 		}
-		if len(zn.observed)+len(zn.learned) == 0 {
+		if len(zn.observed)+len(zn.learned) == 0 && !failed {
 			delete(s.zones, zoneName)
 		}
 	}
-	s.view.Store(v)
+	s.view = v
 	return v
 }
 
@@ -199,32 +229,56 @@
 	}
 }
 
-// sample is a use with its weight.
-type sample struct{ use, weight float64 }
+// sample is a use with its weight and its age in seconds.
+type sample struct{ use, weight, age float64 }
 
-// estimate combines reports to one use, and returns false if there are none. Each host counts at
-// most once in each map, however often it reports.
-func estimate(now time.Time, sources ...map[string]report) (float64, bool) {
+// estimate combines reports to the use of a zone and the mean age of the reports.
+func estimate(now time.Time, sources ...map[string]report) (Knowledge, time.Duration) {
 	var samples []sample
 	for _, reports := range sources {
 		for _, r := range reports {
-			if now.Sub(r.at) < reportTTL {
-				samples = append(samples, sample{r.mean(), min(r.weight, 1) * weightAt(now.Sub(r.at))})
+			if age := now.Sub(r.at); age < reportTTL {
+				samples = append(samples, sample{r.use, weightAt(age), age.Seconds()})
 			}
 		}
 	}
 	n := len(samples)
 	if n == 0 {
-		return 0, false
+		return Knowledge{}, 0
+	}
+	// The order by age makes the sums independent of the order of the map.
+	slices.SortFunc(samples, func(a, b sample) int { return cmp.Or(cmp.Compare(a.use, b.use), cmp.Compare(a.age, b.age)) })
+	middle := samples
+	if n >= minReportsForMean {
+		middle = samples[1 : n-1]
 	}
-	slices.SortFunc(samples, func(a, b sample) int { return cmp.Compare(a.use, b.use) })
+	use, age := weightedMean(middle)
 	if n < minReportsForMean {
-		return (samples[(n-1)/2].use + samples[n/2].use) / 2, true
+		use = (samples[(n-1)/2].use + samples[n/2].use) / 2
 	}
-	sum, weight := 0.0, 0.0
-	for _, s := range samples[1 : n-1] {
-		sum += s.use * s.weight
+	meanAge := time.Duration(age * float64(time.Second))
+	return Knowledge{Use: use, Known: true, Error: standardError(samples, use), Stale: meanAge > staleAge}, meanAge
+}
+
+// weightedMean returns the means of use and age.
+func weightedMean(samples []sample) (use, age float64) {
+	weight := 0.0
+	for _, s := range samples {
+		use += s.use * s.weight
+		age += s.age * s.weight
+		weight += s.weight
+	}
+	return use / weight, age / weight
+}
+
+// standardError returns the standard error of a mean of the samples.
+func standardError(samples []sample, mean float64) float64 {
+	variance, weight, squares := 0.0, 0.0, 0.0
+	for _, s := range samples {
+		variance += s.weight * (s.use - mean) * (s.use - mean)
 		weight += s.weight
+		squares += s.weight * s.weight
 	}
-	return sum / weight, true
+	deviation := max(math.Sqrt(variance/weight), minDeviation)
+	return deviation * math.Sqrt(squares) / weight
 }
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -81,6 +81,9 @@
 	}
 	recorded, err := a.resolveFailure(ctx, err)
 	a.close(balance.Result{Kind: errkind.Of(err), Latency: a.latency(), Load: loadFromHead(head)})
+	if head == nil {
+		a.observeNoAnswer(errkind.Of(err))
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/proxy/outbound/zones.go
+++ b/internal/proxy/outbound/zones.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/crocuscross/crocuscross/capacity"
+	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/peerpb"
 )
 
@@ -48,6 +49,19 @@
 	}
 }
 
+// observeNoAnswer adds an attempt that ended without any answer of the gate. Where the caller or this
+// daemon ended it, or the call was given time to run, that says nothing about the gate.
+func (a *attempt) observeNoAnswer(kind errkind.Kind) {
+	zones, s := a.c.h.opts.Zones, a.server
+	if zones == nil {
+		return
+	}
+	switch kind {
+	case errkind.Unreachable, errkind.BackendFailed, errkind.OutcomeUnknown, errkind.DeadlineNotRun:
+		zones.ObserveFailure(capacity.Gate{Service: a.c.service, AvailabilityZone: s.AvailabilityZone, Host: s.Host})
+	}
+}
+
 // observeRouteTime adds the answered attempt to the mean service time of its route: the slot time
 // that the gate reports for the route or, if it reports none, the time until the response less the
 // network delay.
