quota: reproduce rejections below an account's limit

Load A in virtual time: 64 daemons, 75 accounts, clumps of two. Counts the calls that one bucket (rate, burst) admits and the fleet rejects, and the state of holder and owner at each of them.

Causes seen: - Leased, not pooled: the burst divided among holders is half of the account's, so that a sudden rise finds half of what one bucket has. - Leased, not pooled: a call is rejected at once for 100 ms after a claim that brought no tokens, though the rate that was just granted or the next claim serves it. - Leased, pooled: the first holders get buckets by a demand of one or two calls in the first second. Rates of 4 to 10 times the account's demand are charged to idle buckets for 5 s, and the pool gets 0.2 to 0.7 of the limit. - Leased, pooled: a lease that turns from a bucket to the pool feeds it only from the next claim, 2 s later. - Owner killed: 2 to 4 s without owner, then 5 s of settling on what is reported, twice if the process comes back; holders of the pool lose what was not leased. - All restarted: settling owners grant 0.08 to 0.2 of the limit for 5 s.

--- /dev/null
+++ b/quota/limit_test.go
@@ -0,0 +1,290 @@
+package quota
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/crocuscross/crocuscross/snapshot"
+)
+
+// limitLoad is load A of docs/load-management.md as package quota sees it: 64 daemons, 75 accounts
+// whose usual rates follow a power law, with limits of 1.6 times the usual rate and a burst of one
+// second of that. It counts the rejected calls that one bucket for the whole fleet, with the
+// account's rate and burst, admits.
+type limitLoad struct {
+	w        *world
+	rng      *rand.Rand
+	accounts []*limitAccount
+	classes  map[string]int
+}
+
+// limitAccount is one account of a limitLoad.
+type limitAccount struct {
+	contract *snapshot.Contract
+	usual    float64
+	// oneBucket admits what one bucket for the whole fleet would admit.
+	oneBucket bucket
+	bySecond  []limitSecond
+}
+
+// limitSecond counts the calls of one account in one second of virtual time.
+type limitSecond struct {
+	// offered counts all calls, due those that one bucket admits, admitted those that were admitted,
+	// and rejected those of due that were rejected.
+	offered, due, admitted, rejected int
+}
+
+const (
+	limitDaemons  = 64
+	limitAccounts = 75
+	limitCalls    = 2217 // calls per second of all accounts, load A
+	limitStart    = 10 * time.Second
+	limitEnd      = 40 * time.Second
+)
+
+func newLimitLoad(seed uint64) *limitLoad {
+	l := &limitLoad{rng: rand.New(rand.NewPCG(seed, 11)), classes: map[string]int{}}
+	sum := 0.0
+	for i := range limitAccounts {
+		sum += math.Pow(float64(i+1), -1.2)
+	}
+	var contracts []*snapshot.Contract
+	for i := range limitAccounts {
+		usual := limitCalls * math.Pow(float64(i+1), -1.2) / sum
+		rate := 1.6 * usual
+		c := &snapshot.Contract{Customer: fmt.Sprint("account-", i), Rate: rate, Burst: rate}
+		contracts = append(contracts, c)
+		l.accounts = append(l.accounts, &limitAccount{
+			contract: c, usual: usual, oneBucket: bucket{level: rate}, bySecond: make([]limitSecond, 200),
+		})
+	}
+	l.w = newTolerantWorld(Tolerance{Window: promiseWindow, Share: promiseOverage - 1, Calls: promiseSlack}, 2, limitDaemons/2, contracts...)
+	l.w.rng = rand.New(rand.NewPCG(seed, 3))
+	return l
+}
+
+// offer schedules the calls of an account until the given time, in clumps of two at one daemon. factor is
+// the ratio to its usual rate.
+func (l *limitLoad) offer(a *limitAccount, until time.Duration, factor func(at time.Duration) float64) {
+	start := l.w.now
+	list := arrivals(l.rng.Uint64(), 1, until-start, func(_ int, at time.Duration) float64 { return a.usual / 2 * factor(start+at) })
+	var clumps []arrival
+	for _, c := range list {
+		d := l.rng.IntN(len(l.w.daemons))
+		clumps = append(clumps, arrival{c.at, d}, arrival{c.at + 2*time.Millisecond, d})
+	}
+	slices.SortStableFunc(clumps, func(a, b arrival) int { return int(a.at - b.at) })
+	l.w.feed(clumps, func(c arrival) { l.call(a, l.w.daemons[c.daemon]) })
+}
+
+func (l *limitLoad) call(a *limitAccount, d *daemon) {
+	if d.dead {
+		return
+	}
+	s := &a.bySecond[int(l.w.now/time.Second)]
+	s.offered++
+	a.oneBucket.refill(l.w.now, a.contract.Rate, a.contract.Burst)
+	due := a.oneBucket.take()
+	if due {
+		s.due++
+	}
+	m, at := d.m, l.w.now
+	d.call(a.contract, func(admitted bool) {
+		if admitted {
+			s.admitted++
+			return
+		}
+		if d.m != m || !due {
+			return
+		}
+		s.rejected++
+		if s.due >= s.offered-1 {
+			l.classes[l.class(a, d, l.w.now-at)]++
+		}
+	})
+}
+
+func (l *limitLoad) class(a *limitAccount, d *daemon, waited time.Duration) string {
+	acc := d.m.account(a.contract)
+	now := d.m.now()
+	le, leased := acc.current(now)
+	var b strings.Builder
+	fmt.Fprintf(&b, "leased=%v pooled=%v", leased, le.pooled)
+	fmt.Fprintf(&b, " failures=%d", min(1, acc.failures))
+	fmt.Fprintf(&b, " waited=%v", waited >= admitWait)
+	if waited < admitWait {
+		fmt.Fprintf(&b, " at once=%v", waited == 0)
+	}
+	if acc.owner == nil {
+		b.WriteString(" no owner")
+		return b.String()
+	}
+	o := l.w.find(acc.owner.Host)
+	if o.dead || o.boot != acc.owner.Boot {
+		b.WriteString(" owner dead")
+		return b.String()
+	}
+	led := o.m.owner.ledgers[a.contract.Customer]
+	if led == nil {
+		b.WriteString(" no ledger")
+		return b.String()
+	}
+	f := o.m.fleet.Load()
+	level := led.pool.level
+	level += led.poolRate(o.m.now(), f) * (o.m.now() - led.pool.at).Seconds()
+	fmt.Fprintf(&b, " open=%v poolEmpty=%v poolRate=%.1f charged=%.1f", led.open, level < 1,
+		math.Round(10*led.poolRate(o.m.now(), f)/led.contract.rate)/10, math.Round(5*led.sum.charged.rate/led.contract.rate)/5)
+	return b.String()
+}
+
+// missing returns the calls that one bucket admits, and those of them that were rejected. In seconds in
+// which an account exceeds its limit, it counts how many calls fewer than those were admitted.
+func (l *limitLoad) missing(a *limitAccount, from, to time.Duration) (due, missing int) {
+	for _, s := range a.bySecond[int(from/time.Second):int(to/time.Second)] {
+		due += s.due
+		if s.due == s.offered {
+			missing += s.rejected
+		} else {
+			missing += max(0, s.due-s.admitted)
+		}
+	}
+	return due, missing
+}
+
+func (l *limitLoad) total(from, to time.Duration) (due, missing int) {
+	for _, a := range l.accounts {
+		d, m := l.missing(a, from, to)
+		due, missing = due+d, missing+m
+	}
+	return due, missing
+}
+
+func (l *limitLoad) report(t *testing.T, name string) {
+	due, missing := l.total(limitStart, limitEnd)
+	t.Logf("%s: due %d missing %d = %.2f%% messages %d bytes %d", name, due, missing, 100*float64(missing)/float64(due), l.w.messages, l.w.bytes)
+	for _, g := range [][2]int{{0, 1}, {1, 2}, {2, 3}, {3, 10}, {10, 30}, {30, 75}} {
+		var by []string
+		d, m := 0, 0
+		for s := limitStart; s < limitEnd; s += time.Second {
+			mm := 0
+			for _, a := range l.accounts[g[0]:g[1]] {
+				x, y := l.missing(a, s, s+time.Second)
+				d, m, mm = d+x, m+y, mm+y
+			}
+			by = append(by, fmt.Sprint(mm))
+		}
+		t.Logf("  accounts %d..%d limit %.0f..%.0f: %d of %d: %s", g[0], g[1]-1, l.accounts[g[1]-1].contract.Rate, l.accounts[g[0]].contract.Rate, m, d, strings.Join(by, " "))
+	}
+	var keys []string
+	for k := range l.classes {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool { return l.classes[keys[i]] > l.classes[keys[j]] })
+	for _, k := range keys[:min(14, len(keys))] {
+		t.Logf("  %6d %s", l.classes[k], k)
+	}
+}
+
+func TestProbeLimit(t *testing.T) {
+	usual := func(time.Duration) float64 { return 1 }
+	calm := func(l *limitLoad) {
+		for _, a := range l.accounts {
+			l.offer(a, limitEnd, usual)
+		}
+	}
+	for _, s := range []struct {
+		name string
+		run  func(l *limitLoad)
+	}{
+		{"calm", calm},
+		{"doubled below limit at 20s", func(l *limitLoad) {
+			for i, a := range l.accounts {
+				l.offer(a, limitEnd, func(at time.Duration) float64 {
+					if i%3 == 1 && at < 20*time.Second {
+						return 0.6
+					}
+					if i%3 == 1 {
+						return 1.2
+					}
+					return 1
+				})
+			}
+		}},
+		{"account 1 at six times from 20s to 26.5s", func(l *limitLoad) {
+			for i, a := range l.accounts {
+				l.offer(a, limitEnd, func(at time.Duration) float64 {
+					if i == 1 && at >= 20*time.Second && at < 26500*time.Millisecond {
+						return 6
+					}
+					return 1
+				})
+			}
+		}},
+		{"sixth killed at 20s, restarted at 24s", func(l *limitLoad) {
+			calm(l)
+			l.w.at(20*time.Second, func() {
+				for _, i := range l.rng.Perm(limitDaemons)[:limitDaemons/6] {
+					d := l.w.daemons[i]
+					l.w.kill(d)
+					l.w.after(4*time.Second, func() { l.w.restart(d, l.contracts()...) })
+				}
+			})
+		}},
+		{"all restarted at 20s", func(l *limitLoad) {
+			calm(l)
+			l.w.at(20*time.Second, func() {
+				for _, d := range l.w.daemons {
+					l.w.kill(d)
+				}
+				l.w.after(time.Second, func() {
+					for _, d := range l.w.daemons {
+						l.w.restart(d, l.contracts()...)
+					}
+				})
+			})
+		}},
+		{"limits x0.7 at 20s, x2 at 30s (a third)", func(l *limitLoad) {
+			calm(l)
+			l.w.at(20*time.Second, func() { l.change(0.7) })
+			l.w.at(30*time.Second, func() { l.change(2) })
+		}},
+	} {
+		l := newLimitLoad(1)
+		l.w.runUntil(limitStart)
+		l.w.messages, l.w.bytes = 0, 0
+		s.run(l)
+		l.w.runUntil(limitEnd + time.Second)
+		l.report(t, s.name)
+	}
+}
+
+func (l *limitLoad) contracts() (list []*snapshot.Contract) {
+	for _, a := range l.accounts {
+		list = append(list, a.contract)
+	}
+	return list
+}
+
+// change multiplies the limits of a third of the accounts.
+func (l *limitLoad) change(factor float64) {
+	for i, a := range l.accounts {
+		if i%3 == 0 {
+			c := *a.contract
+			c.Rate *= factor
+			c.Burst *= factor
+			a.contract = &c
+		}
+	}
+	contracts := contractMap(l.contracts())
+	for _, d := range l.w.daemons {
+		l.w.after(time.Duration(l.rng.Int64N(int64(500*time.Millisecond))), func() {
+			d.execute(func() { d.m.SetContracts(contracts) })
+		})
+	}
+}
