quota: a window's token bucket has the contract's whole burst

A customer that rose above its rate for a second was rejected with half of its burst unused, and customers over many daemons had too little burst for buckets at the holders.

--- a/quota/tolerance.go
+++ b/quota/tolerance.go
@@ -23,7 +23,8 @@
 	// excessBurstShare is the share of the calls beyond rate x Window + burst that become burst. A
 	// larger burst gives buckets to more holders, a smaller one leaves more for settling owners.
 	excessBurstShare = 0.6
-	// minBurstShare is the share of the contract's burst that stays burst and does not become rate.
+	// minBurstShare is the share of the contract's burst that stays burst and does not become rate,
+	// even if the window has no room for rate and burst of the contract at once.
 	minBurstShare = 0.5
 	// settlingShareOfRest is the share of the calls of a window beyond those of the token bucket
 	// that a settling owner may grant.
@@ -36,7 +37,9 @@
 }
 
 // amount returns the token bucket that is divided among the holders of a contract: in each window it
-// admits at most windowShare of the allowed calls.
+// admits at most windowShare of the allowed calls. It has the contract's rate and burst as far as the
+// window has room for both. With half of the burst, a customer whose demand rose above its rate for a
+// second was rejected where its own bucket was still half full.
 func (t Tolerance) amount(c *snapshot.Contract) amount {
 	a := amount{rate: c.Rate, burst: c.Burst, slots: float64(c.MaxConcurrent)}
 	if t.Window <= 0 {
@@ -45,7 +48,8 @@
 	window := t.Window.Seconds()
 	steady := c.Rate*window + c.Burst
 	allowed := t.windowCalls(c)
-	a.burst = max(excessBurstShare*(allowed-steady), minBurstShare*c.Burst)
+	room := windowShare*allowed - c.Rate*window
+	a.burst = max(min(room, max(excessBurstShare*(allowed-steady), c.Burst)), minBurstShare*c.Burst)
 	a.rate = min((windowShare*allowed-a.burst)/window, steady/window)
 	return a
 }
