quota: calls below the limit wait for the next token

For 100 ms after a claim that brought no tokens, each call without a token was rejected at once, also where the customer's demand was below its limit and the holder's own bucket or the next claim had a token some milliseconds later. While the owner's latest answer shows that the whole demand is below the limit, such calls now wait for the next token or the next claim, at most admitWait in all. Calls of customers above their limits are rejected at once as before.

--- a/quota/admit.go
+++ b/quota/admit.go
@@ -14,6 +14,14 @@
 	retryWithoutLease = time.Second
 	// maxRetryAfter bounds the retry time of a refused call.
 	maxRetryAfter = 30 * time.Second
+	// claimsPerCall is the number of claims that a call waits for: the first one may have been sent
+	// already, the second one includes the call.
+	claimsPerCall = 2
+	// claimsPerCallBelowLimit is that number while the customer's demand is below its limit. Claims
+	// that bring no tokens are minEmptyClaimInterval apart, so that admitWait has room for no more.
+	claimsPerCallBelowLimit = 4
+	// minTryInterval is the shortest time after which a waiting call looks for a token again.
+	minTryInterval = time.Millisecond
 )
 
 // These errors are templates that refusals are copied from. Creating an error for each refusal
@@ -43,9 +51,10 @@
 }
 
 // AdmitWait is like Admit, but a call that finds no token waits for the owner's answer if the
-// answer may bring one. It waits at most admitWait, and not at all if the owner has just
-// answered that its pool is empty. AdmitWait serves customers whose calls are spread so thinly
-// that no daemon's share amounts to a whole call.
+// answer may bring one. It waits at most admitWait. If the owner has just answered that its pool is
+// empty, the call waits only while the customer's demand is below its limit, for the next token or
+// the next claim. AdmitWait serves customers whose calls are spread so thinly that no daemon's share
+// amounts to a whole call, and those whose demand rises faster than their leases.
 func (m *Manager) AdmitWait(ctx context.Context, c *snapshot.Contract) (*Grant, error) {
 	a, now := m.account(c), m.now()
 	a.arrivals.Add(1)
@@ -55,9 +64,18 @@
 	}
 	timeout := time.NewTimer(admitWait)
 	defer timeout.Stop()
-	// The first claim may have been sent already; the second one includes this call.
-	for range 2 {
-		if !a.claimAllowed(now) || !m.awaitClaim(ctx, a, timeout.C) {
+	deadline := now + admitWait
+	for claims := 0; ; {
+		claim, at := a.nextTry(now, claims, err)
+		if at >= deadline {
+			break
+		}
+		if claim {
+			claims++
+			if !m.awaitClaim(ctx, a, timeout.C) {
+				break
+			}
+		} else if !sleep(ctx, at-now) {
 			break
 		}
 		now = m.now()
@@ -68,6 +86,36 @@
 	return nil, m.refusal(a, now, err)
 }
 
+// nextTry returns what a call that was refused with err tries next: whether it waits for a claim, which
+// is sent now, or else the time at which it looks for a token again. That is forever if neither is
+// worthwhile. claims is the number of claims for which the call has waited.
+func (a *account) nextTry(now time.Duration, claims int, err *errkind.Error) (claim bool, at time.Duration) {
+	l, _ := a.current(now)
+	limit := claimsPerCall
+	if l.belowLimit {
+		limit = claimsPerCallBelowLimit
+	}
+	switch {
+	case claims < limit && a.claimAllowed(now):
+		return true, now
+	case claims >= limit || !l.belowLimit || err != errRate:
+		return false, forever
+	}
+	return false, now + max(minTryInterval, min(l.nextToken(now), time.Duration(a.notBefore.Load())-now))
+}
+
+// sleep waits for d and returns whether ctx was still valid then.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (m *Manager) tryAdmit(a *account, now time.Duration, c *snapshot.Contract) *errkind.Error {
 	if !a.active.Load() && a.active.CompareAndSwap(false, true) {
 		m.enqueue(a)
--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -254,6 +254,7 @@
 		at:           now,
 	}
 	l.retryRate = max(p.GetExpectedRate()-c.GetDemand(), minRetryShare*p.GetExpectedRate())
+	l.belowLimit = c.GetDemand() <= p.GetExpectedRate()
 	l.slotsContended = p.GetSlotsContended()
 	return l
 }
--- a/quota/lease.go
+++ b/quota/lease.go
@@ -35,6 +35,8 @@
 	origin     origin
 	// retryRate is the rate that is left for retries of refused calls, in calls per second.
 	retryRate float64
+	// belowLimit is set if the demand of all holders was below the limit when the lease was granted.
+	belowLimit bool
 	// slotsContended is set if the owner requests idle slots back.
 	slotsContended bool
 
@@ -242,6 +244,7 @@
 	s.delegation = l.delegation
 	s.origin = l.origin
 	s.retryRate = l.retryRate
+	s.belowLimit = l.belowLimit
 	s.slotsContended = l.slotsContended
 	return s
 }
--- a/quota/run_test.go
+++ b/quota/run_test.go
@@ -139,3 +139,28 @@
 		}
 	})
 }
+
+// A call finds no token, and the claim just before has brought none. The customer's demand is below its
+// limit, so the call waits for its next token. It was rejected at once for 100 ms after such a claim.
+func TestAdmitWait_waitsForTheNextTokenBelowTheLimit(t *testing.T) {
+	for _, below := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			c := &snapshot.Contract{Customer: "acme", Rate: 20, Burst: 20}
+			m, _ := fleetOf(t, c, "a", "b")
+			a := m.account(c)
+			l := newLease(amount{rate: 20, burst: 2}, true, m.now(), forever)
+			l.belowLimit = below
+			a.lease.Store(l)
+			a.notBefore.Store(int64(m.now() + minEmptyClaimInterval))
+			start := time.Now()
+			_, err := m.AdmitWait(t.Context(), c)
+			if below {
+				must.NoError(t, err)
+				must.Between(t, 50*time.Millisecond, time.Since(start), 60*time.Millisecond)
+				return
+			}
+			must.Eq(t, errkind.RateLimited, errkind.Of(err))
+			must.Zero(t, time.Since(start))
+		})
+	}
+}
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -83,6 +83,7 @@
 	c        *snapshot.Contract
 	pending  *pendingClaim
 	tries    int
+	waited   bool
 	deadline time.Duration
 	done     func(admitted bool)
 }
@@ -310,14 +311,30 @@
 }
 
 func (d *daemon) wait(call *waitingCall, now time.Duration) {
-	if call.tries == 2 || !call.a.claimAllowed(now) {
+	claim, at := call.a.nextTry(now, call.tries, errRate)
+	if at >= call.deadline {
 		d.m.refusal(call.a, now, errRate)
 		call.done(false)
 		return
 	}
-	if call.tries == 0 {
+	if !call.waited {
+		call.waited = true
 		d.w.waits++
 	}
+	if !claim {
+		m := d.m
+		d.w.after(at-now, func() {
+			d.execute(func() {
+				if d.m != m {
+					call.done(false)
+					return
+				}
+				d.retry(call, m.now())
+				d.step()
+			})
+		})
+		return
+	}
 	call.tries++
 	call.pending = call.a.pending.Load()
 	call.pending.waiters.Add(1)
@@ -325,6 +342,16 @@
 	d.waiting = append(d.waiting, call)
 }
 
+// retry looks for a token again for a call that has waited. It returns whether the call still waits.
+func (d *daemon) retry(call *waitingCall, now time.Duration) (waits bool) {
+	if d.m.tryAdmit(call.a, now, call.c) == nil {
+		d.run(call.a, call.done)
+		return false
+	}
+	d.wait(call, now)
+	return true
+}
+
 // retryWaiting retries the waiting calls whose answer has arrived.
 func (d *daemon) retryWaiting() {
 	now := d.m.now()
@@ -334,12 +361,7 @@
 	for _, call := range calls {
 		select {
 		case <-call.pending.done:
-			if d.m.tryAdmit(call.a, now, call.c) == nil {
-				d.run(call.a, call.done)
-				continue
-			}
-			d.wait(call, now)
-			again = true
+			again = d.retry(call, now) || again
 		default:
 			if now >= call.deadline {
 				call.done(false)
