quota: owners stop settling once all daemons have reported

A new owner settled for 5 s, in which it granted 0.08 to 0.2 of a limit, since daemons might hold leases of the owner before. After a restart of all daemons nearly all calls of accounts were rejected for that time. Daemons now claim at each new owner also for customers without calls there, and a ledger opens when each reachable process has claimed, after 1 s at the earliest. What unreachable processes may hold stays charged, as it did after the whole time.

--- a/quota/account.go
+++ b/quota/account.go
@@ -41,6 +41,8 @@
 	demand   demand
 	// listed is set while the account is in the holder's list of active accounts.
 	listed bool
+	// reportDue is set until the owner has granted a claim that informs it of what this daemon holds.
+	reportDue bool
 	// missed is set if a call found no token or slot since the latest claim.
 	missed bool
 	owner  *membership.Member
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -34,6 +34,8 @@
 	inUse       float64
 	// unconfirmed counts consecutive claims that show that no answer has arrived.
 	unconfirmed int
+	// claimedAt is the time of the latest claim.
+	claimedAt time.Duration
 	// seen is set once membership has shown this process on its host. If membership shows a
 	// different process later, this one has ended.
 	seen bool
--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -65,16 +65,22 @@
 // if it was idle.
 func (h *holder) activate(a *account, now time.Duration) {
 	if !a.listed {
-		a.listed = true
-		h.active = append(h.active, a)
+		h.list(a, now)
 		a.demand.reset(a.arrivals.Load()-1, now)
-		a.lastArrivalAt = now
-		a.nextClaim = now
-		h.setOwner(a, now)
 	}
 	a.missed = true
 }
 
+// list adds an idle account to the active accounts.
+func (h *holder) list(a *account, now time.Duration) {
+	a.listed = true
+	h.active = append(h.active, a)
+	a.demand.reset(a.arrivals.Load(), now)
+	a.lastArrivalAt = now
+	a.nextClaim = now
+	h.setOwner(a, now)
+}
+
 // tick updates all active accounts.
 func (h *holder) tick(now time.Duration) {
 	kept := h.active[:0]
@@ -103,7 +109,7 @@
 		return false
 	}
 	idle := now - a.lastArrivalAt
-	if idle < minIdle || a.awaiting || a.inFlight.Load() > 0 {
+	if idle < minIdle || a.awaiting || a.reportDue || a.inFlight.Load() > 0 {
 		return false
 	}
 	if l := a.lease.Load(); l.valid(now) && l.amount != (amount{}) {
@@ -229,7 +235,7 @@
 	}
 	a.lease.Store(l)
 
-	a.failures = 0
+	a.failures, a.reportDue = 0, false
 	renew := time.Duration(p.GetRenewAfterMs()) * time.Millisecond
 	a.nextClaim = now + renew - h.jitter(renew/5)
 	a.notBefore.Store(0)
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -16,6 +16,8 @@
 	at    time.Duration
 	// candidates are the members that may own customers: those reachable and not draining.
 	candidates []candidate
+	// reachable lists the processes of the members that count as reachable.
+	reachable []holderID
 	// known is the number of members, except those that left or have been unreachable for
 	// unreachableRetention.
 	known int
@@ -57,6 +59,7 @@
 		if f.isReachable(m) {
 			reachable++
 			r.reachable++
+			f.reachable = append(f.reachable, holderID{m.Host, m.Boot})
 			if !m.Draining {
 				f.candidates = append(f.candidates, candidate{xxhash.Sum64String(m.Host), m})
 			}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -21,6 +22,11 @@
 	// contract's rate.
 	unleasedShare = 0.02
 	unleasedBurst = 0.1
+	// maxReportedCustomers is the number of customers up to which a daemon also claims for those
+	// without calls when their owner changes. After a restart of all daemons each of them sends that
+	// many claims, some 20 KB, within reportSpread. With more customers, owners settle for their full
+	// time.
+	maxReportedCustomers = 256
 )
 
 // holder keeps the leases of this daemon: it claims, renews and returns them.
@@ -34,17 +40,20 @@
 	active []*account
 	// awaiting contains the hosts of the owners with an exchange in progress.
 	awaiting map[string]bool
-	sequence uint64
-	nextTick time.Duration
-	rng      *rand.Rand
+	// reportedTo maps each customer to the boot ID of the owner that was or will be informed of what
+	// this daemon holds.
+	reportedTo map[string]uint64
+	sequence   uint64
+	nextTick   time.Duration
+	rng        *rand.Rand
 }
 
 func newHolder(opts Options) *holder {
 	h := &holder{
 		opts:     opts,
 		queue:    make(chan *account, queueSize),
-		awaiting: map[string]bool{},
-		rng:      rand.New(rand.NewPCG(xxhash.Sum64String(opts.Host), 0)),
+		awaiting: map[string]bool{}, reportedTo: map[string]uint64{},
+		rng: rand.New(rand.NewPCG(xxhash.Sum64String(opts.Host), 0)),
 	}
 	h.accounts.Store(&map[string]*account{})
 	return h
@@ -117,6 +126,32 @@
 	}
 	h.active = slices.DeleteFunc(h.active, func(a *account) bool { return accounts[a.customer] != a })
 	h.accounts.Store(&accounts)
+	h.reportToOwners(now)
+}
+
+// reportToOwners schedules a claim for each customer whose owner is a process that this daemon has
+// not claimed from yet, also if the customer has no calls here. The owner stops settling once all
+// daemons have reported what they hold.
+func (h *holder) reportToOwners(now time.Duration) {
+	accounts := *h.accounts.Load()
+	if h.fleet == nil || len(accounts) > maxReportedCustomers {
+		return
+	}
+	maps.DeleteFunc(h.reportedTo, func(customer string, _ uint64) bool { return accounts[customer] == nil })
+	for customer, a := range accounts {
+		owner := h.fleet.owner(customer)
+		if owner == nil || h.reportedTo[customer] == owner.Boot {
+			continue
+		}
+		h.reportedTo[customer] = owner.Boot
+		a.reportDue = true
+		if a.listed {
+			// setOwner has scheduled a claim.
+			continue
+		}
+		h.list(a, now)
+		a.nextClaim = now + h.jitter(h.opts.reportSpread())
+	}
 }
 
 // revise applies a revised contract to an account. The lease shrinks with the contract at once.
@@ -156,6 +191,7 @@
 	for _, a := range h.active {
 		h.setOwner(a, now)
 	}
+	h.reportToOwners(now)
 }
 
 func (h *holder) setOwner(a *account, now time.Duration) {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -25,9 +25,10 @@
 	// sweptFleet is the fleet for which the entries were last updated.
 	sweptFleet *fleet
 
-	// opensAt is the earliest time at which the ledger stops settling.
-	opensAt time.Duration
-	open    bool
+	// opensAt is the time at which the ledger stops settling at the latest, and settlingSince the
+	// time since which holders must have claimed for it to stop earlier.
+	opensAt, settlingSince time.Duration
+	open                   bool
 	// reported is what holders are known to hold while the ledger settles. The ledger may
 	// renew and redistribute that amount.
 	reported amount
@@ -54,7 +55,7 @@
 // settle restarts settling: the ledger continues with what its holders have, since another
 // owner may have granted all the rest.
 func (l *ledger) settle(opensAt, now time.Duration) {
-	l.opensAt = opensAt
+	l.opensAt, l.settlingSince = opensAt, now
 	l.open = false
 	for _, e := range l.entries {
 		l.update(e, func() { e.pooled = false })
@@ -77,6 +78,7 @@
 	e := l.entry(id)
 	before := e.charged()
 	l.update(e, func() { e.recordClaim(sequence, f, c) })
+	e.claimedAt = now
 	l.pool.put(float64(c.GetReturned()), l.poolCapacity())
 	l.recordOrigin(now, f, e, before, c)
 	granted := l.grant(l.limit(now, f), e)
@@ -229,10 +231,25 @@
 	if !l.open && len(f.partitionedRegions) > 0 {
 		l.opensAt = max(l.opensAt, now+l.opts.settleTime())
 	}
-	l.open = l.open || now >= l.opensAt
+	l.open = l.open || now >= l.opensAt || l.allClaimed(now, f)
 	l.pool.refill(now, l.poolRate(now, f), l.poolCapacity())
 }
 
+// allClaimed reports whether every reachable process has reported what it holds. What unreachable
+// processes may hold stays charged, as it does after the whole settling time. The ledger settles for
+// minSettleTime in any case, because a daemon that has just started may not know all members yet.
+func (l *ledger) allClaimed(now time.Duration, f *fleet) bool {
+	if now < l.opensAt-l.opts.settleTime()+minSettleTime || f.isolated || len(f.partitionedRegions) > 0 || len(l.byHolder) < len(f.reachable) {
+		return false
+	}
+	for _, id := range f.reachable {
+		if e := l.byHolder[id]; e == nil || e.claimedAt < l.settlingSince {
+			return false
+		}
+	}
+	return true
+}
+
 // sweep drops leases that have ended.
 func (l *ledger) sweep(now time.Duration, f *fleet) {
 	l.advance(now, f)
