quota: a daemon without calls keeps its fallback after it has reported

An empty lease would reject the first calls of a customer with a limit of calls in progress, which the fallback admits (TestManager_refusesBeyondContract).

--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -233,7 +233,9 @@
 	if extra := p.GetTokens() - waiting; extra > 0 {
 		a.overflow += l.add(now, float64(extra))
 	}
-	a.lease.Store(l)
+	if !a.reportDue || l.amount != (amount{}) || prev.valid(now) {
+		a.lease.Store(l)
+	}
 
 	a.failures, a.reportDue = 0, false
 	renew := time.Duration(p.GetRenewAfterMs()) * time.Millisecond
