balance: place large bodies by the links of hosts

Senders had no information about the link of a backend server's host: uploads left their zone only once its gate had rejected them, and then went to any other server. With load.link_placement on, gates report the wait for their link with each answer and with each request for a part of a body. The picker sends a body above 16 kB to a server in its zone that is expected to answer in time, otherwise to one outside, and rejects the call if there is none.

go test ./balance ./internal/proxy/... ./internal/telemetry ./internal/controller/backends

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -32,6 +32,8 @@
 	PeerAddr netip.AddrPort
 	// Slots is the number of calls that the server runs concurrently, as it announced.
 	Slots int
+	// LinkMbps is the bandwidth of the host's network link in Mbit/s, 0 if it is not known.
+	LinkMbps float64
 	// Draining is set while the server must not receive new calls.
 	Draining bool
 	// Suspect is set while the daemon on the server's host does not answer probes. Such a server
--- a/balance/lease.go
+++ b/balance/lease.go
@@ -34,6 +34,8 @@
 	member *member
 	trial  bool
 	ended  atomic.Bool
+	// link accounts for the body of a call that was placed by the hosts' links.
+	link linkLease
 }
 
 // Server returns the server picked.
@@ -53,6 +55,7 @@
 		return
 	}
 	st := l.member.stats
+	l.link.settle(st)
 	st.inFlight.Add(-1)
 	if st.record(l.observe(r), l.picker.now()) {
 		l.pool.stale.Store(true)
--- /dev/null
+++ b/balance/link.go
@@ -0,0 +1,267 @@
+package balance
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/crocuscross/crocuscross/backend"
+)
+
+const (
+	// minLinkBody is the length, in bytes, above which a body is placed by the hosts' links. Bodies up
+	// to this length may be sent along with their calls, so that a gate cannot delay them.
+	minLinkBody = 16 << 10
+	// linkReportTTL is how long a gate's report of its link and its queue is used. The bodies that a
+	// report counts are carried by then, since calls with a longer wait are rejected.
+	linkReportTTL = instant(time.Second)
+	// serviceMarginDivisor is the inverse of the part of the service time by which an answer is
+	// expected to vary. Without a margin, half of the calls whose expected time equals their
+	// objective would be late.
+	serviceMarginDivisor = 4
+)
+
+// linkState is what is known of the network link of a server's host. The time of the report is
+// serverStats.reportedAt.
+type linkState struct {
+	// wait is the expected time until the link has carried the bodies already requested, and service
+	// the mean time for which a call holds its slot, as the gate reported them.
+	wait, service atomicInstant
+	// unreported is the number of bytes of bodies that this daemon has assigned to the server and that
+	// no report of the gate includes yet.
+	unreported atomic.Int64
+}
+
+func (s *linkState) record(l *Load) {
+	s.wait.store(instant(l.LinkWait))
+	s.service.store(instant(l.ServiceTime))
+}
+
+// linkLease accounts for the body of one call placed by the hosts' links. It is zero for other calls.
+type linkLease struct {
+	// maxWait is how long the call may wait at the gate, 0 for no limit.
+	maxWait time.Duration
+	bytes   int64
+	settled atomic.Bool
+}
+
+// settle removes the body from those that no report includes. Only the first call has an effect.
+func (l *linkLease) settle(st *serverStats) {
+	if l.bytes > 0 && !l.settled.Swap(true) {
+		st.link.unreported.Add(-l.bytes)
+	}
+}
+
+// MaxWait returns how long a call that was placed by the hosts' links may wait at the gate, for the
+// link or for a slot. It is 0 for other calls and for calls without a limit.
+func (l *Lease) MaxWait() time.Duration { return l.link.maxWait }
+
+// Report records the load that a gate reports when it requests the body of a call. From then on the
+// gate's reports include that body.
+func (l *Lease) Report(load *Load) {
+	if load == nil || !l.picker.opts.LinkPlacement || l.ended.Load() {
+		return
+	}
+	st := l.member.stats
+	l.link.settle(st)
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.recordLoad(load, l.picker.now())
+}
+
+// PlacesByLink reports whether PickWithOptions places a body of the given length by the links of the
+// servers' hosts. Without any known bandwidth it is placed like other calls.
+func (p *Picker) PlacesByLink(servers []*backend.Server, bodyBytes int64) bool {
+	if !p.opts.LinkPlacement || bodyBytes <= minLinkBody {
+		return false
+	}
+	for _, s := range servers {
+		if s.LinkMbps > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// linkPlacement is the placement of one call with a large body.
+type linkPlacement struct {
+	opts PickOptions
+	plan *plan
+	// host is the host of the daemon that sends the call.
+	host string
+	now  instant
+}
+
+// pickByLink picks a server inside the availability zone that is expected to answer in time. If there
+// is none, it picks one outside. The call is rejected if no server is expected to answer in time.
+func (p *Picker) pickByLink(pool *pool, plan *plan, opts PickOptions, now instant) (*Lease, error) {
+	lp := linkPlacement{opts: opts, plan: plan, host: p.opts.Host, now: now}
+	for _, t := range plan.tiers {
+		var local, remote []*member
+		for _, group := range t {
+			for _, m := range group {
+				switch {
+				case opts.Exclude != nil && opts.Exclude(m.server.ID):
+				case m.local:
+					local = append(local, m)
+				default:
+					remote = append(remote, m)
+				}
+			}
+		}
+		if len(local)+len(remote) == 0 {
+			continue
+		}
+		for _, group := range [...][]*member{local, remote} {
+			if m := p.drawByLink(group, lp); m != nil {
+				return p.linkLease(pool, m, lp), nil
+			}
+		}
+		// The servers of the next tiers fail or are silent. A body sent there would probably be lost.
+		return nil, errAllBusy.WithRetryAfter(lp.shortestWait(local, remote))
+	}
+	return nil, errNoBackend
+}
+
+// drawByLink draws two random members of the group that are expected to answer in time and returns the
+// one with the lower cost, or nil if there is none.
+func (p *Picker) drawByLink(group []*member, lp linkPlacement) *member {
+	n := len(group)
+	if n == 0 {
+		return nil
+	}
+	var best, rampingUp *member
+	drawn, start := 0, p.opts.Rand(n)
+	for i := 0; i < n && drawn < 2; i++ {
+		m := group[(start+i)%n]
+		if lp.late(m) {
+			continue
+		}
+		if w := m.slowStartWeight(lp.now); w < 1 && float64(p.opts.Rand(slowStartSteps)) >= w*slowStartSteps {
+			rampingUp = m
+			continue
+		}
+		drawn++
+		if best == nil || lp.cost(m) < lp.cost(best) {
+			best = m
+		}
+	}
+	if best == nil {
+		return rampingUp
+	}
+	return best
+}
+
+func (p *Picker) linkLease(pool *pool, m *member, lp linkPlacement) *Lease {
+	l := p.lease(pool, m, false)
+	l.link.maxWait = lp.maxWait(m)
+	if lp.usesLink(m) {
+		l.link.bytes = lp.opts.BodyBytes
+		m.stats.link.unreported.Add(l.link.bytes)
+	}
+	return l
+}
+
+// usesLink reports whether the body reaches the member over a link of known bandwidth.
+func (lp linkPlacement) usesLink(m *member) bool {
+	return m.server.LinkMbps > 0 && m.server.Host != lp.host
+}
+
+// linkTime returns how long the member's link takes to carry the given number of bytes.
+func (lp linkPlacement) linkTime(m *member, bytes int64) time.Duration {
+	if !lp.usesLink(m) {
+		return 0
+	}
+	return time.Duration(float64(bytes) * 8 / (m.server.LinkMbps * 1e6) * float64(time.Second))
+}
+
+// reported returns what is left of a wait that the member's gate reported. A report that is too old
+// counts as none.
+func (lp linkPlacement) reported(m *member, wait instant) time.Duration {
+	if !lp.hasReport(m) {
+		return 0
+	}
+	return time.Duration(max(wait-lp.age(m), 0))
+}
+
+func (lp linkPlacement) age(m *member) instant { return lp.now - m.stats.reportedAt.load() }
+
+func (lp linkPlacement) hasReport(m *member) bool {
+	return m.stats.reportedAt.load() != 0 && lp.age(m) < linkReportTTL
+}
+
+// linkWait returns the expected time until the member's link has carried the bodies before this one.
+func (lp linkPlacement) linkWait(m *member) time.Duration {
+	if !lp.usesLink(m) {
+		return 0
+	}
+	return lp.reported(m, m.stats.link.wait.load()) + lp.linkTime(m, m.stats.link.unreported.Load())
+}
+
+func (lp linkPlacement) slotWait(m *member) time.Duration {
+	return max(lp.reported(m, m.stats.reportedWait.load()), m.stats.rateWait(lp.now))
+}
+
+// startTime returns the expected time until the call starts. Slots become free while the body is
+// received, so the two waits overlap.
+func (lp linkPlacement) startTime(m *member) time.Duration {
+	return max(lp.linkWait(m)+lp.linkTime(m, lp.opts.BodyBytes), lp.slotWait(m))
+}
+
+// late reports whether an answer of the member is expected too late. A service time from an old report
+// does not count: if it made a call late, no call would be sent that brings a new report.
+func (lp linkPlacement) late(m *member) bool {
+	if lp.opts.TimeLeft == 0 {
+		return false
+	}
+	return lp.startTime(m)+lp.serviceTime(m)+lp.hop(m) > lp.opts.TimeLeft
+}
+
+// serviceTime returns the time that the call needs in its slot with a margin, 0 if it is not known.
+func (lp linkPlacement) serviceTime(m *member) time.Duration {
+	if !lp.hasReport(m) {
+		return 0
+	}
+	service := time.Duration(m.stats.link.service.load())
+	return service + service/serviceMarginDivisor
+}
+
+func (lp linkPlacement) hop(m *member) time.Duration {
+	return time.Duration(m.hop * float64(time.Second))
+}
+
+// maxWait returns how long the call may wait at the member's gate, 0 for no limit. The gate applies it
+// to its own view of the link, which is more recent.
+func (lp linkPlacement) maxWait(m *member) time.Duration {
+	if lp.opts.TimeLeft == 0 {
+		return 0
+	}
+	wait := lp.opts.TimeLeft - lp.serviceTime(m) - lp.hop(m) - lp.linkTime(m, lp.opts.BodyBytes)
+	return max(wait, time.Millisecond)
+}
+
+// cost returns the expected cost, in seconds, of the call at the member. Unlike member.cost, it does
+// not use the measured latency, which includes the times that bodies waited for the link.
+func (lp linkPlacement) cost(m *member) float64 {
+	st, typical := m.stats, lp.plan.baseline
+	service := time.Duration(st.link.service.load()).Seconds()
+	if service == 0 {
+		service = typical.latency
+	}
+	excessFailureRate := max(st.currentFailureRate(lp.now)-typical.failureRate-failureTolerance, 0)
+	otherLoad := blend(typical.load, st.otherLoad.load(), decay(lp.age(m), loadReportHalfLife))
+	load := float64(st.inFlight.Load())/m.slots() + otherLoad
+	return m.hop + lp.startTime(m).Seconds() + service*(1+load) + excessFailureRate*failureCost*typical.latency
+}
+
+// shortestWait returns the shortest wait for a link or a slot.
+func (lp linkPlacement) shortestWait(groups ...[]*member) time.Duration {
+	shortest := time.Duration(-1)
+	for _, group := range groups {
+		for _, m := range group {
+			if wait := max(lp.linkWait(m), lp.slotWait(m)); shortest < 0 || wait < shortest {
+				shortest = wait
+			}
+		}
+	}
+	return max(shortest, 0)
+}
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -33,6 +33,10 @@
 	// differ widely in length and whose servers differ in speed: there, a few long calls at a
 	// slower server look like a server that hangs.
 	DisableSlowEjection bool
+	// LinkPlacement places calls with large bodies by the network links of the servers' hosts. Host is
+	// the name of this daemon's host, whose own calls to its server do not use the link.
+	LinkPlacement bool
+	Host          string
 	// SlowStart is the time over which the share of calls of a new server increases.
 	SlowStart time.Duration
 	// Now returns the time of a monotonic clock.
@@ -104,6 +108,11 @@
 	// reported a longer wait are skipped: the gate would reject the call, at the cost of a hop
 	// and without new information. 0 means no limit.
 	MaxWait time.Duration
+	// BodyBytes is the length of the request body in bytes, 0 if it is not known. TimeLeft is the
+	// time within which the call must be answered, 0 for no limit. Both matter only with
+	// Options.LinkPlacement.
+	BodyBytes int64
+	TimeLeft  time.Duration
 }
 
 // excludes reports whether the call must not be sent to the member.
@@ -133,7 +142,8 @@
 
 // PickWithOptions picks a server as Pick does, for a call with requirements of its own. The error
 // is of kind NoBackend, or Overloaded if all eligible servers have too long a queue for
-// opts.MaxWait.
+// opts.MaxWait or, for a large body with Options.LinkPlacement, cannot answer within
+// opts.TimeLeft.
 func (p *Picker) PickWithOptions(servers []*backend.Server, opts PickOptions) (*Lease, error) {
 	exclude := opts.Exclude
 	if len(servers) == 0 {
@@ -145,6 +155,9 @@
 	if m := plan.trial(exclude, now); m != nil {
 		return p.lease(pool, m, true), nil
 	}
+	if p.PlacesByLink(servers, opts.BodyBytes) {
+		return p.pickByLink(pool, plan, opts, now)
+	}
 	m := p.choose(plan, opts, now)
 	if m == nil {
 		return nil, plan.noMemberError(opts, now)
--- a/balance/stats.go
+++ b/balance/stats.go
@@ -54,6 +54,8 @@
 	// reportedWait is the expected wait for a slot, as reported at reportedAt.
 	reportedWait  atomicInstant
 	reportedSlots atomic.Int64
+	// link holds what is known of the network link of the server's host.
+	link linkState
 	// rateInterval is the time between two calls that the server's rate limit allows, as reported at
 	// reportedAt, 0 without a limit. rateReadyAt is when the next call is expected to start under it.
 	rateInterval, rateReadyAt atomicInstant
@@ -157,6 +159,7 @@
 	st.reportedSlots.Store(int64(slots))
 	st.otherLoad.store(others / float64(max(slots, 1)))
 	st.reportedWait.store(instant(l.Wait))
+	st.link.record(l)
 	st.recordRate(l, now)
 	st.reportedAt.store(now)
 }
--- a/gate/load.go
+++ b/gate/load.go
@@ -16,6 +16,10 @@
 	ServiceTime time.Duration
 	// Wait is the expected wait until a call that arrives now starts.
 	Wait time.Duration
+	// LinkWait is the expected time until the network link of the gate's host has carried the
+	// request bodies that are already requested. The daemon sets it, since the gate does not know
+	// the link.
+	LinkWait time.Duration
 	// RateLimit is the maximum number of calls that start per second, 0 for no limit.
 	RateLimit float64
 	// RateRejected is the number of calls that were rejected because of the rate limit alone.
--- a/internal/controller/backends/backends.go
+++ b/internal/controller/backends/backends.go
@@ -46,6 +46,7 @@
 				Region:           m.Region,
 				PeerAddr:         m.PeerAddr,
 				Slots:            a.Slots,
+				LinkMbps:         float64(m.LinkMbps),
 				Draining:         a.Draining || m.Draining,
 				Suspect:          m.Liveness == membership.Suspect,
 				FirstSeen:        m.Since.Add(-a.Age),
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -31,7 +31,7 @@
 	p.attempts = once.NewAttemptTable(attemptOptions)
 	runs, callees := admission.NewRuns(time.Now()), &admission.CalleeStats{}
 	p.inbound = inbound.NewHandler(inbound.Options{
-		LinkMbps: d.settings.LinkMbps, Runs: runs, CalleeStats: callees, HostShare: d.hostShare,
+		LinkMbps: d.settings.LinkMbps, LinkPlacement: d.settings.Load.LinkPlacement == settings.On, Host: d.settings.Host, Runs: runs, CalleeStats: callees, HostShare: d.hostShare,
 		Local: &d.board.Local, NewGate: d.newGate,
 		MergeRoutes: d.isDisabled(settings.WithoutRouteClasses), IgnoreObjective: d.isDisabled(settings.WithoutObjective),
 		Attempts: p.attempts, Dialect: d.dialect(), OnServerMismatch: p.announce.HandleServerMismatch,
@@ -43,6 +43,7 @@
 	balanceOptions.ZoneCost = time.Duration(d.settings.Requests.ZoneCost)
 	balanceOptions.SlowStart = time.Duration(d.settings.Requests.SlowStart)
 	balanceOptions.DisableSlowEjection = d.settings.Requests.SlowServers == settings.SlowKeep
+	balanceOptions.LinkPlacement, balanceOptions.Host = d.settings.Load.LinkPlacement == settings.On, d.settings.Host
 	p.picker = balance.New(balanceOptions)
 	p.backends = &backends.Controller{Board: d.board, OnChange: func(s *backend.Set) { p.picker.Prune(s) }}
 	quotaOptions := quota.DefaultOptions()
--- a/internal/proxy/inbound/call.go
+++ b/internal/proxy/inbound/call.go
@@ -144,7 +144,12 @@
 
 // sendContinue requests the given number of bytes of the body, or all of it if bytes is 0.
 func (c *call) sendContinue(bytes int) error {
-	if err := c.st.Send(&peerpb.AnswerHead{Status: http.StatusContinue, ContinueBytes: uint32(bytes)}); err != nil {
+	head := &peerpb.AnswerHead{Status: http.StatusContinue, ContinueBytes: uint32(bytes)}
+	if c.h.opts.LinkPlacement {
+		// Until the answer, this is the sender's only information about the link.
+		head.Load = c.load()
+	}
+	if err := c.st.Send(head); err != nil {
 		return linkError(err)
 	}
 	return nil
@@ -200,6 +205,9 @@
 // load returns the load of the gate as a message.
 func (c *call) load() *peerpb.Load {
 	l := c.h.Load()
+	if !c.h.opts.LinkPlacement {
+		l.LinkWait = 0
+	}
 	return &peerpb.Load{
 		InUse:         uint32(l.InUse),
 		Queued:        uint32(l.Queued),
@@ -207,6 +215,7 @@
 		Draining:      l.Draining,
 		ServiceTimeUs: uint32(l.ServiceTime.Microseconds()),
 		WaitUs:        uint32(min(l.Wait.Microseconds(), math.MaxUint32)),
+		LinkWaitUs:    uint32(min(l.LinkWait.Microseconds(), math.MaxUint32)),
 		RateLimit:     l.RateLimit,
 	}
 }
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -49,6 +49,10 @@
 	// LinkMbps is the bandwidth of the host's network link in Mbit/s, or 0 if it is not
 	// configured.
 	LinkMbps float64
+	// LinkPlacement makes the handler report the state of that link to senders and keep it busy.
+	// Host is the name of this host, whose own calls do not use the link.
+	LinkPlacement bool
+	Host          string
 	// Runs tracks the calls that the backend server is running.
 	Runs *admission.Runs
 	// CalleeStats measures which services the backend server calls while it runs those calls.
@@ -121,8 +125,12 @@
 	return l.InUse + l.Queued + int(h.receiving.Load())
 }
 
-// Load returns the load of the backend server's gate.
-func (h *Handler) Load() gate.Load { return h.instances.current.Load().gate.Load() }
+// Load returns the load of the backend server's gate and of the host's link.
+func (h *Handler) Load() gate.Load {
+	l := h.instances.current.Load().gate.Load()
+	l.LinkWait = h.pacer.expectedWait()
+	return l
+}
 
 // RejectNewCalls rejects all new calls from now on, also those to a backend server that is
 // announced later.
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -177,6 +177,7 @@
 		if head.GetStatus() != statusContinue {
 			return head, nil
 		}
+		a.lease.Report(loadFromHead(head))
 		a.continueUpload(int64(head.GetContinueBytes()))
 	}
 }
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -104,6 +104,9 @@
 	// streamRead is set once some of stream may have been read, which rules out another
 	// attempt.
 	streamRead bool
+	// linkMaxWait is how long the current attempt may wait at the gate, set only if the call was
+	// placed by the links of hosts.
+	linkMaxWait time.Duration
 	// tried lists the backend servers that were picked already. It is cleared when fullWait is
 	// set.
 	tried []backend.ID
--- a/internal/proxy/outbound/feedback.go
+++ b/internal/proxy/outbound/feedback.go
@@ -29,6 +29,7 @@
 		Draining:    l.GetDraining(),
 		ServiceTime: time.Duration(l.GetServiceTimeUs()) * time.Microsecond,
 		Wait:        time.Duration(l.GetWaitUs()) * time.Microsecond,
+		LinkWait:    time.Duration(l.GetLinkWaitUs()) * time.Microsecond,
 		RateLimit:   l.GetRateLimit(),
 	}
 }
--- a/internal/proxy/outbound/pick.go
+++ b/internal/proxy/outbound/pick.go
@@ -7,6 +7,7 @@
 	"github.com/crocuscross/crocuscross/admission"
 	"github.com/crocuscross/crocuscross/backend"
 	"github.com/crocuscross/crocuscross/balance"
+	"github.com/crocuscross/crocuscross/errkind"
 )
 
 // pick chooses a backend server that this call has not tried yet. If all have refused the call
@@ -14,7 +15,8 @@
 // deadline.
 func (c *call) pick() (*balance.Lease, error) {
 	servers := c.snap.Backends(c.service)
-	opts := balance.PickOptions{Exclude: c.wasTried, RemoteCost: c.remoteCost()}
+	opts := balance.PickOptions{Exclude: c.wasTried, RemoteCost: c.remoteCost(), BodyBytes: c.bodyBytes(), TimeLeft: c.timeLeft()}
+	c.linkMaxWait = 0
 	if c.route != nil {
 		opts.Objective = c.route.Objective
 	}
@@ -22,7 +24,7 @@
 		opts.MaxWait = c.maxQueueTime()
 	}
 	lease, err := c.h.opts.Picker.PickWithOptions(servers, opts)
-	if err != nil && !c.fullWait && c.route != nil {
+	if err != nil && !c.fullWait && c.route != nil && !c.refusedForLinks(servers, err) {
 		c.fullWait, c.tried = true, nil
 		opts.MaxWait = c.maxQueueTime()
 		lease, err = c.h.opts.Picker.PickWithOptions(servers, opts)
@@ -31,9 +33,31 @@
 		return nil, err
 	}
 	c.tried = append(c.tried, lease.Server().ID)
+	c.linkMaxWait = lease.MaxWait()
 	return lease, nil
 }
 
+// bodyBytes returns the length of the request body, 0 if it is not known.
+func (c *call) bodyBytes() int64 { return max(c.head.GetContentLength(), 0) }
+
+// timeLeft returns the time within which the call should be answered: its objective or, if none
+// applies, its deadline.
+func (c *call) timeLeft() time.Duration {
+	now := time.Now()
+	if c.route != nil {
+		if left := c.admissionRequest.ObjectiveLeft(now); left > 0 {
+			return left
+		}
+	}
+	return max(c.deadline.Sub(now), time.Millisecond)
+}
+
+// refusedForLinks reports whether err means that no server can take the large body of the call in time.
+// Waiting longer at one of them would only make the answer late.
+func (c *call) refusedForLinks(servers []*backend.Server, err error) bool {
+	return errkind.Of(err) == errkind.Overloaded && c.h.opts.Picker.PlacesByLink(servers, c.bodyBytes())
+}
+
 // remoteCost returns the latency that is accepted to keep the bytes of the call and its
 // response within the availability zone.
 func (c *call) remoteCost() time.Duration {
@@ -51,6 +75,9 @@
 // maxQueueTime returns how long the next attempt may wait for a slot, 0 for until the call's
 // deadline.
 func (c *call) maxQueueTime() time.Duration {
+	if c.linkMaxWait > 0 {
+		return c.linkMaxWait
+	}
 	if c.route == nil {
 		return 0
 	}
--- a/internal/telemetry/load.go
+++ b/internal/telemetry/load.go
@@ -11,7 +11,7 @@
 type GateCollector struct {
 	load func() gate.Load
 
-	inUse, queued, slots, draining, serviceTime, rejected *prometheus.Desc
+	inUse, queued, slots, draining, serviceTime, linkWait, rejected *prometheus.Desc
 }
 
 // NewGateCollector returns a collector of the loads that load returns. The caller registers it.
@@ -24,6 +24,7 @@
 		slots:       newDesc("gate_slots", "Maximum number of slots that the gate grants; lower than announced while the backend server sheds calls."),
 		draining:    newDesc("gate_draining", "Whether the gate rejects new calls because it is draining."),
 		serviceTime: newDesc("gate_service_time_seconds", "Moving mean of the time in seconds for which a call holds its slot."),
+		linkWait:    newDesc("link_wait_seconds", "Expected time in seconds until the host's network link has carried the request bodies that are already requested; 0 without link_mbps."),
 	}
 }
 
@@ -40,6 +41,7 @@
 	out.gauge(c.slots, float64(l.Slots))
 	out.gauge(c.draining, boolValue(l.Draining))
 	out.gauge(c.serviceTime, l.ServiceTime.Seconds())
+	out.gauge(c.linkWait, l.LinkWait.Seconds())
 	out.counter(c.rejected, float64(l.RateRejected))
 }
 
