inbound: keep the host's link busy while senders are late

Two parts of 12.5 ms in flight, late or not, left the link idle while daemons of senders were paused for their processor quota. With load.link_placement on, a part that was overtaken counts as late, and so do all after 25 ms without one; another one is requested then. The window grows to five parts while the link is used below 0.93 of its bandwidth and bodies wait. Bodies are received in the order of their arrival, and a sender on the same host does not use the link.

--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -112,7 +112,7 @@
 		opts.Rollout = rollout.NewGate(time.Now)
 	}
 	h := &Handler{
-		opts: opts, rejectionLog: telemetry.NewLogLimiter(rejectionLogLimit), pacer: newPacer(opts.LinkMbps), transits: transit.New(),
+		opts: opts, rejectionLog: telemetry.NewLogLimiter(rejectionLogLimit), pacer: newPacer(opts.LinkMbps, opts.LinkPlacement), transits: transit.New(),
 		classifier: admission.NewRouteClassifier(opts.HostShare), noticeLog: telemetry.NewLogLimiter(noticeLogLimit),
 	}
 	h.instances.init(opts)
--- a/internal/proxy/inbound/pacer_test.go
+++ b/internal/proxy/inbound/pacer_test.go
@@ -14,7 +14,7 @@
 // small call waits for no more than two parts.
 func TestPacer_LimitsPartsInFlight(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPacer(5)
+		p := newPacer(5, false)
 		must.Eq(t, 7812, p.partBytes)
 		must.True(t, p.splits(60_000))
 		must.False(t, p.splits(5_000))
@@ -40,7 +40,7 @@
 // calls: the place of a part is released automatically after its timeout.
 func TestPacer_ReleasesStalledParts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := newPacer(5)
+		p := newPacer(5, false)
 		for range maxPartsInFlight {
 			_, err := p.acquire(t.Context())
 			must.NoError(t, err)
@@ -56,7 +56,7 @@
 // any of it, with the time after which to retry. If no bandwidth is configured, nothing is
 // rejected.
 func TestPacer_RejectsBeyondMaxWait(t *testing.T) {
-	p := newPacer(5)
+	p := newPacer(5, false)
 	p.pendingBytes.Add(125_000)
 	must.Eq(t, 200*time.Millisecond, p.expectedWait())
 	must.NoError(t, p.checkWait(0))
@@ -64,7 +64,7 @@
 	err := p.checkWait(100 * time.Millisecond)
 	must.Eq(t, errkind.Overloaded, errkind.Of(err))
 	must.Eq(t, 200*time.Millisecond, errkind.RetryAfterOf(err))
-	unlimited := newPacer(0)
+	unlimited := newPacer(0, false)
 	unlimited.pendingBytes.Add(1 << 30)
 	must.NoError(t, unlimited.checkWait(time.Millisecond))
 	must.False(t, unlimited.splits(1<<20))
--- a/internal/proxy/inbound/receive.go
+++ b/internal/proxy/inbound/receive.go
@@ -52,8 +52,10 @@
 	if err := c.instance.gate.Check(g); err != nil {
 		return err
 	}
-	if err := c.h.pacer.checkWait(g.MaxWait); err != nil {
-		return err
+	if !c.fromThisHost() {
+		if err := c.h.pacer.checkWait(g.MaxWait); err != nil {
+			return err
+		}
 	}
 	buf := make([]byte, c.head.GetContentLength())
 	if err := c.receiveParts(up, buf); err != nil {
@@ -62,41 +64,21 @@
 	return up.finishBuffered(buf)
 }
 
-// receiveParts requests the body and reads it into buf. It requests the whole body at once if
-// the pacer does not split it.
+// fromThisHost reports whether the body does not use the host's link, because the call comes from this
+// host itself.
+func (c *call) fromThisHost() bool {
+	return c.h.opts.LinkPlacement && c.head.GetSenderHost() == c.h.opts.Host
+}
+
+// receiveParts requests the body and reads it into buf, in parts if it uses the host's link.
 func (c *call) receiveParts(up *upload, buf []byte) error {
-	p := c.h.pacer
-	rest := buf
-	p.pendingBytes.Add(int64(len(rest)))
-	defer func() { p.pendingBytes.Add(-int64(len(rest))) }()
-	if !p.splits(len(buf)) {
+	if c.fromThisHost() {
 		if err := c.sendContinue(0); err != nil {
 			return err
 		}
 		return up.readPart(buf)
 	}
-	for len(rest) > 0 {
-		n := min(p.partBytes, len(rest))
-		if err := c.receivePart(up, rest[:n]); err != nil {
-			return err
-		}
-		p.pendingBytes.Add(-int64(n))
-		rest = rest[n:]
-	}
-	return nil
-}
-
-// receivePart requests the next part of the body and reads it.
-func (c *call) receivePart(up *upload, part []byte) error {
-	release, err := c.h.pacer.acquire(c.ctx)
-	if err != nil {
-		return err
-	}
-	defer release()
-	if err := c.sendContinue(len(part)); err != nil {
-		return err
-	}
-	return up.readPart(part)
+	return c.h.pacer.receive(c.ctx, buf, transport{request: c.sendContinue, read: up.readPart})
 }
 
 // reserveBuffer reserves memory for a body of n bytes and reports whether enough was available.
