--- a/balance/link.go
+++ b/balance/link.go
@@ -70,6 +70,9 @@
 // link or for a slot. It is 0 for other calls and for calls without a limit.
 func (l *Lease) MaxWait() time.Duration { return l.link.maxWait }
 
+// InZone reports whether the server is in the availability zone of this daemon.
+func (l *Lease) InZone() bool { return l.member.local }
+
 // Report records the load that a gate reports when it requests the body of a call. From then on the
 // gate's reports include that body.
 func (l *Lease) Report(load *Load) {
--- a/internal/proxy/inbound/call.go
+++ b/internal/proxy/inbound/call.go
@@ -145,7 +145,7 @@
 // sendContinue requests the given number of bytes of the body, or all of it if bytes is 0.
 func (c *call) sendContinue(bytes int) error {
 	head := &peerpb.AnswerHead{Status: http.StatusContinue, ContinueBytes: uint32(bytes)}
-	if c.h.opts.LinkPlacement {
+	if c.h.opts.LinkPlacement && c.head.GetContentLength() > minReportedBody {
 		// Until the answer, this is the sender's only information about the link.
 		head.Load = c.load()
 	}
--- a/internal/proxy/inbound/receive.go
+++ b/internal/proxy/inbound/receive.go
@@ -18,6 +18,9 @@
 	// bytes. It is a small part of the 184 MB of memory of a small host, and holds more than
 	// 100 uploads.
 	maxBufferedBytes = 8 << 20
+	// minReportedBody is the length, in bytes, above which senders place a body by the links of hosts and
+	// are informed of the load with each request for a part.
+	minReportedBody = 16 << 10
 )
 
 // receiveBody receives the body before the call queues, if possible, and returns a function
--- a/internal/proxy/outbound/pick.go
+++ b/internal/proxy/outbound/pick.go
@@ -35,6 +35,9 @@
 		}
 		lease, err = c.h.opts.Picker.PickWithOptions(servers, opts)
 	}
+	if byLink {
+		c.h.opts.Metrics.LinkPlacement(err != nil, err == nil && lease.InZone())
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -25,6 +25,7 @@
 	attempts          prometheus.Counter
 	retries           prometheus.Counter
 	outcomeQueries    *prometheus.CounterVec
+	linkPlacements    *prometheus.CounterVec
 	// InFlight is the number of callers' requests in progress.
 	InFlight prometheus.Gauge
 	// CallerDisconnects counts the requests whose caller disconnected before they were handled.
@@ -63,6 +64,9 @@
 		outcomeQueries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "asks_total", Help: "Queries to a gate for the outcome of an attempt, by outcome returned.",
 		}, []string{"outcome"}),
+		linkPlacements: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "link_placements_total", Help: "Decisions for an attempt of a call whose body is placed by the links of hosts, by result: own_zone, other_zone or rejected.",
+		}, []string{"result"}),
 		InFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "calls_in_flight", Help: "Callers' requests in progress.",
 		}),
@@ -83,7 +87,7 @@
 			Help: "Unix time at which the backend server last changed its rate limit or stated that it is about to exit; 0 if it never did.",
 		}),
 	}
-	reg.MustRegister(count, duration, c.attempts, c.retries, c.outcomeQueries, c.InFlight, c.CallerDisconnects,
+	reg.MustRegister(count, duration, c.attempts, c.retries, c.outcomeQueries, c.linkPlacements, c.InFlight, c.CallerDisconnects,
 		c.ServerRequests, c.rateLimit, c.leaving, c.noticeChanged)
 	c.outbound = newCallSeries("outbound", count, duration)
 	c.inbound = newCallSeries("inbound", count, duration)
@@ -131,6 +135,19 @@
 	}
 }
 
+// LinkPlacement counts one decision about a body that is placed by the links of hosts. rejected means
+// that no server could take it in time, inZone that the server is in the availability zone.
+func (c *CallMeter) LinkPlacement(rejected, inZone bool) {
+	result := "other_zone"
+	switch {
+	case rejected:
+		result = "rejected"
+	case inZone:
+		result = "own_zone"
+	}
+	c.linkPlacements.WithLabelValues(result).Inc()
+}
+
 // OutcomeQuery counts one query to a gate for the outcome of an attempt, with the outcome returned.
 func (c *CallMeter) OutcomeQuery(o peerpb.Outcome) {
 	c.outcomeQueries.WithLabelValues(o.String()).Inc()
