--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -32,7 +32,8 @@
 	runs, callees := admission.NewRuns(time.Now()), &admission.CalleeStats{}
 	p.buildZones(d)
 	p.inbound = inbound.NewHandler(inbound.Options{
-		Zones: p.zones, LinkMbps: d.settings.LinkMbps, Runs: runs, CalleeStats: callees, HostShare: d.hostShare,
+		Zones: p.zones, LinkMbps: d.settings.LinkMbps, LinkPlacement: d.settings.Load.LinkPlacement == settings.On, Host: d.settings.Host,
+		Runs: runs, CalleeStats: callees, HostShare: d.hostShare,
 		Local: &d.board.Local, NewGate: d.newGate,
 		MergeRoutes: d.isDisabled(settings.WithoutRouteClasses), IgnoreObjective: d.isDisabled(settings.WithoutObjective),
 		AccountWeight: d.accountWeight(),
@@ -46,6 +47,7 @@
 	balanceOptions.SlowStart = time.Duration(d.settings.Requests.SlowStart)
 	balanceOptions.DisableSlowEjection = d.settings.Requests.SlowServers == settings.SlowKeep
 	balanceOptions.Zones = p.zones
+	balanceOptions.LinkPlacement, balanceOptions.Host = d.settings.Load.LinkPlacement == settings.On, d.settings.Host
 	p.picker = balance.New(balanceOptions)
 	p.backends = &backends.Controller{Board: d.board, OnChange: func(s *backend.Set) { p.picker.Prune(s) }}
 	quotaOptions := quota.DefaultOptions()
--- a/internal/proxy/inbound/call.go
+++ b/internal/proxy/inbound/call.go
@@ -149,7 +149,12 @@
 
 // sendContinue requests the given number of bytes of the body, or all of it if bytes is 0.
 func (c *call) sendContinue(bytes int) error {
-	if err := c.st.Send(&peerpb.AnswerHead{Status: http.StatusContinue, ContinueBytes: uint32(bytes)}); err != nil {
+	head := &peerpb.AnswerHead{Status: http.StatusContinue, ContinueBytes: uint32(bytes)}
+	if c.h.opts.LinkPlacement && c.head.GetContentLength() > minReportedBody {
+		// Until the answer, this is the sender's only information about the link.
+		head.Load = c.load()
+	}
+	if err := c.st.Send(head); err != nil {
 		return linkError(err)
 	}
 	return nil
@@ -206,6 +211,9 @@
 // load returns the load of the gate as a message, with the expected wait of a call like this one.
 func (c *call) load() *peerpb.Load {
 	l := c.h.instances.current.Load().gate.LoadFor(c.gateCall())
+	if c.h.opts.LinkPlacement {
+		l.LinkWait = c.h.pacer.expectedWait()
+	}
 	return &peerpb.Load{
 		InUse:         uint32(l.InUse),
 		Queued:        uint32(l.Queued),
@@ -213,6 +221,7 @@
 		Draining:      l.Draining,
 		ServiceTimeUs: uint32(l.ServiceTime.Microseconds()),
 		WaitUs:        uint32(min(l.Wait.Microseconds(), math.MaxUint32)),
+		LinkWaitUs:    uint32(min(l.LinkWait.Microseconds(), math.MaxUint32)),
 		RateLimit:     l.RateLimit,
 	}
 }
--- a/internal/telemetry/load.go
+++ b/internal/telemetry/load.go
@@ -11,7 +11,7 @@
 type GateCollector struct {
 	load func() gate.Load
 
-	inUse, queued, slots, draining, serviceTime, rejected, reserved *prometheus.Desc
+	inUse, queued, slots, draining, serviceTime, linkWait, rejected, reserved *prometheus.Desc
 
 	waitingAccounts, accountRejected *prometheus.Desc
 }
@@ -29,6 +29,7 @@
 		accountRejected: newDesc("gate_account_rejected_total", "Calls rejected because of the waiting calls of their account alone (load.account_shares)."),
 		draining:        newDesc("gate_draining", "Whether the gate rejects new calls because it is draining."),
 		serviceTime:     newDesc("gate_service_time_seconds", "Moving mean of the time in seconds for which a call holds its slot."),
+		linkWait:        newDesc("link_wait_seconds", "Expected time in seconds until the host's network link has carried the request bodies that are already requested; 0 without link_mbps."),
 	}
 }
 
@@ -48,6 +49,7 @@
 	out.counter(c.accountRejected, float64(l.AccountRejected))
 	out.gauge(c.draining, boolValue(l.Draining))
 	out.gauge(c.serviceTime, l.ServiceTime.Seconds())
+	out.gauge(c.linkWait, l.LinkWait.Seconds())
 	out.counter(c.rejected, float64(l.RateRejected))
 }
 
