balance: place calls by the speed of servers

Cause: the picker keeps one latency per server over all routes, so that the mix of calls that a server had is mistaken for its speed. Change: with load.speed_placement on, gates report the mean slot time of the call's route, and the picker estimates a speed factor of each server from these times and from its overdue calls. Calls with a tight objective prefer fast servers, calls with slack slow servers with a free slot.

--- a/balance/lease.go
+++ b/balance/lease.go
@@ -34,6 +34,12 @@
 	member *member
 	trial  bool
 	ended  atomic.Bool
+	// route is the route of the call if calls are placed by speed, empty otherwise. startedAt is when
+	// the server was picked, expectedWait the wait for a slot that its gate had reported.
+	route                   string
+	startedAt, expectedWait instant
+	// index is the position in speedStats.inFlight, whose mutex guards it.
+	index int
 }
 
 // Server returns the server picked.
@@ -54,7 +60,11 @@
 	}
 	st := l.member.stats
 	st.inFlight.Add(-1)
-	if st.record(l.observe(r), l.picker.now()) {
+	now := l.picker.now()
+	if l.route != "" {
+		l.recordSpeed(r, now)
+	}
+	if st.record(l.observe(r), now) {
 		l.pool.stale.Store(true)
 	}
 	if l.trial {
@@ -62,6 +72,20 @@
 	}
 }
 
+// recordSpeed records what the result shows about the speed of the server.
+func (l *Lease) recordSpeed(r Result, now instant) {
+	speed := &l.member.stats.speed
+	switch {
+	case r.Load != nil:
+		speed.end(l, false, 0, now)
+		if r.Load.RouteTime > 0 {
+			speed.record(l.route, r.Load.RouteTime.Seconds(), now)
+		}
+	default:
+		speed.end(l, outcomeOf(r) == outcomeAborted, r.Latency.Seconds()-l.member.hop, now)
+	}
+}
+
 // observation is a result together with the pool's baseline at that time.
 type observation struct {
 	outcome outcome
--- a/balance/member.go
+++ b/balance/member.go
@@ -36,6 +36,8 @@
 	// firstSeen is the instant at which the server became known.
 	firstSeen instant
 	slowStart instant
+	// index is the position of the member in its pool.
+	index int
 }
 
 func (p *Picker) newMember(s *backend.Server, st *serverStats) *member {
@@ -59,12 +61,28 @@
 // cost returns the expected cost, in seconds, of a call at the member: the hop, the latency, the
 // wait for a slot, and the cost of failures.
 func (m *member) cost(pl *plan, now instant) float64 {
-	st, typical := m.stats, pl.baseline
-	latency := typical.latency + max(st.currentLatency(typical, now)-latencyTolerance*typical.latency, 0)
-	excessFailureRate := max(st.currentFailureRate(now)-typical.failureRate-failureTolerance, 0)
-	otherLoad := blend(typical.load, st.otherLoad.load(), decay(now-st.reportedAt.load(), loadReportHalfLife))
-	load := (float64(st.inFlight.Load())/m.slots() + otherLoad) / m.slowStartWeight(now)
-	return m.hop + st.rateWait(now).Seconds() + latency*(1+load) + excessFailureRate*failureCost*typical.latency
+	typical := pl.baseline
+	latency := typical.latency + m.excessLatency(typical, now)
+	return m.hop + m.stats.rateWait(now).Seconds() + latency*(1+m.load(pl, now)) + m.failureCost(typical, typical.latency, now)
+}
+
+// excessLatency returns the time in seconds by which the latency of the member's calls exceeds what
+// is tolerated.
+func (m *member) excessLatency(typical baseline, now instant) float64 {
+	return max(m.stats.currentLatency(typical, now)-latencyTolerance*typical.latency, 0)
+}
+
+// failureCost returns the cost in seconds of the member's failures beyond the typical ones, for a
+// call that takes the given time.
+func (m *member) failureCost(typical baseline, seconds float64, now instant) float64 {
+	return max(m.stats.currentFailureRate(now)-typical.failureRate-failureTolerance, 0) * failureCost * seconds
+}
+
+// load returns the fraction of the slots that calls use or wait for, as far as known.
+func (m *member) load(pl *plan, now instant) float64 {
+	st := m.stats
+	otherLoad := blend(pl.baseline.load, st.otherLoad.load(), decay(now-st.reportedAt.load(), loadReportHalfLife))
+	return (float64(st.inFlight.Load())/m.slots() + otherLoad) / m.slowStartWeight(now)
 }
 
 // slots returns the number of calls that the server runs concurrently, as its gate reported or,
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -33,6 +33,9 @@
 	// differ widely in length and whose servers differ in speed: there, a few long calls at a
 	// slower server look like a server that hangs.
 	DisableSlowEjection bool
+	// SpeedPlacement places the calls of a route by the speed of the servers, as the slot times that
+	// gates report show it. No server is ejected because its calls are slow.
+	SpeedPlacement bool
 	// SlowStart is the time over which the share of calls of a new server increases.
 	SlowStart time.Duration
 	// Now returns the time of a monotonic clock.
@@ -81,6 +84,8 @@
 // instant is a time in nanoseconds since the epoch of the picker.
 type instant int64
 
+func (i instant) seconds() float64 { return time.Duration(i).Seconds() }
+
 func (p *Picker) now() instant { return instant(p.opts.Now().Sub(p.epoch)) }
 
 // Pick picks one of the servers, which belong to one service. The slice must come from a
@@ -104,6 +109,10 @@
 	// reported a longer wait are skipped: the gate would reject the call, at the cost of a hop
 	// and without new information. 0 means no limit.
 	MaxWait time.Duration
+	// Route is the name of the call's route, empty if it has none. Nested is whether a service makes
+	// the call while it processes a request. Both are used for placement by speed.
+	Route  string
+	Nested bool
 }
 
 // excludes reports whether the call must not be sent to the member.
@@ -143,19 +152,25 @@
 	pool := p.pool(servers)
 	plan := pool.plan(now)
 	if m := plan.trial(exclude, now); m != nil {
-		return p.lease(pool, m, true), nil
+		return p.lease(pool, m, opts, now, true), nil
 	}
 	m := p.choose(plan, opts, now)
 	if m == nil {
 		return nil, plan.noMemberError(opts, now)
 	}
-	return p.lease(pool, m, false), nil
+	return p.lease(pool, m, opts, now, false), nil
 }
 
-func (p *Picker) lease(pool *pool, m *member, trial bool) *Lease {
+func (p *Picker) lease(pool *pool, m *member, opts PickOptions, now instant, trial bool) *Lease {
 	m.stats.inFlight.Add(1)
 	m.stats.reserveStart(p.now())
-	return &Lease{picker: p, pool: pool, member: m, trial: trial}
+	l := &Lease{picker: p, pool: pool, member: m, trial: trial}
+	if pool.speedPlacement && opts.Route != "" {
+		pool.recordUse(opts, now)
+		l.route, l.startedAt, l.expectedWait = opts.Route, now, m.stats.lastWait(now)
+		m.stats.speed.begin(l)
+	}
+	return l
 }
 
 // pool returns the pool of a slice of servers and builds a new one if the set has changed. The
@@ -211,7 +226,7 @@
 				if m == nil {
 					continue
 				}
-				cost := opts.latencyCost(m.cost(plan, now))
+				cost := plan.cost(m, opts, now)
 				if !m.local {
 					cost += remote
 				}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -33,18 +33,28 @@
 	// lastCount is guarded by rebuilding.
 	lastCount           callCount
 	disableSlowEjection bool
+	speedPlacement      bool
+	// uses holds the *routeUse of each route by name, useCount their number.
+	uses     sync.Map
+	useCount atomic.Int64
 }
 
 // newPool returns the pool of the servers of a set. The caller holds mu.
 func (p *Picker) newPool(servers []*backend.Server) *pool {
-	pl := &pool{disableSlowEjection: p.opts.DisableSlowEjection, servers: servers, members: make([]*member, 0, len(servers))}
-	for _, s := range servers {
+	pl := &pool{
+		servers: servers, members: make([]*member, 0, len(servers)), speedPlacement: p.opts.SpeedPlacement,
+		// A server that is slow gets fewer calls because of its speed factor.
+		disableSlowEjection: p.opts.DisableSlowEjection || p.opts.SpeedPlacement,
+	}
+	for i, s := range servers {
 		st, ok := p.stats[s.ID]
 		if !ok {
 			st = &serverStats{}
 			p.stats[s.ID] = st
 		}
-		pl.members = append(pl.members, p.newMember(s, st))
+		m := p.newMember(s, st)
+		m.index = i
+		pl.members = append(pl.members, m)
 	}
 	pl.current.Store(pl.buildPlan(p.now()))
 	return pl
@@ -79,6 +89,8 @@
 	// ejected lists the ejected members, which get trial calls.
 	ejected  []*member
 	baseline baseline
+	// speeds is nil if calls are not placed by the speed of servers.
+	speeds *speeds
 }
 
 // tier is a list of groups of members. For each call, members are drawn from every group.
@@ -91,6 +103,7 @@
 func (pl *pool) buildPlan(now instant) *plan {
 	next := &plan{builtAt: now, baseline: pl.baseline()}
 	next.baseline.callRate = pl.callRate(now)
+	next.speeds = pl.buildSpeeds(now)
 	var healthy, suspect, ejected zoneSplit
 	for _, m := range pl.members {
 		switch {
@@ -168,7 +181,11 @@
 		}
 	}
 	if len(latencies) == 0 {
-		return baseline{latency: assumedLatency}
+		b := baseline{latency: assumedLatency}
+		if pl.speedPlacement {
+			b.slowRate = 1
+		}
+		return b
 	}
 	if pl.disableSlowEjection {
 		// No slow rate exceeds 1, so no server is ejected for slow calls.
--- a/balance/stats.go
+++ b/balance/stats.go
@@ -68,6 +68,7 @@
 	trialInFlight atomic.Bool
 	// endedCalls is the number of calls that have ended.
 	endedCalls atomic.Int64
+	speed      speedStats
 
 	mu sync.Mutex
 	// latencySamples is the number of samples in latency, goodTrials the number of successful
@@ -193,6 +194,9 @@
 // long does not empty within that time.
 const waitReportTTL = instant(30 * time.Millisecond)
 
+// waitHistoryTTL is how long a reported wait is part of the time that a call is expected to take.
+const waitHistoryTTL = instant(time.Second)
+
 // knownWait returns the wait that a call sent now would certainly meet at the gate: the one that the
 // gate has just reported, or that its rate limit causes.
 func (st *serverStats) knownWait(now instant) time.Duration {
@@ -202,6 +206,16 @@
 	return st.rateWait(now)
 }
 
+// lastWait returns the wait for a slot that the gate reported in the last second, less the time
+// since then.
+func (st *serverStats) lastWait(now instant) instant {
+	age := now - st.reportedAt.load()
+	if age > waitHistoryTTL {
+		return 0
+	}
+	return max(st.reportedWait.load()-age, 0)
+}
+
 func (st *serverStats) recordLatency(seconds float64) {
 	if seconds <= 0 {
 		return
--- a/gate/load.go
+++ b/gate/load.go
@@ -20,6 +20,9 @@
 	RateLimit float64
 	// RateRejected is the number of calls that were rejected because of the rate limit alone.
 	RateRejected int64
+	// RouteTime is the mean slot time of the calls of the answered call's route, 0 if it is not
+	// known. Gate.Load does not set it; see Gate.RouteTime.
+	RouteTime time.Duration
 }
 
 // UsableSlots returns the number of slots that the rate limit allows to be in use on average, at
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -43,6 +43,7 @@
 	balanceOptions.ZoneCost = time.Duration(d.settings.Requests.ZoneCost)
 	balanceOptions.SlowStart = time.Duration(d.settings.Requests.SlowStart)
 	balanceOptions.DisableSlowEjection = d.settings.Requests.SlowServers == settings.SlowKeep
+	balanceOptions.SpeedPlacement = d.settings.Load.SpeedPlacement == settings.On
 	p.picker = balance.New(balanceOptions)
 	p.backends = &backends.Controller{Board: d.board, OnChange: func(s *backend.Set) { p.picker.Prune(s) }}
 	quotaOptions := quota.DefaultOptions()
--- a/internal/proxy/inbound/call.go
+++ b/internal/proxy/inbound/call.go
@@ -200,6 +200,10 @@
 // load returns the load of the gate as a message.
 func (c *call) load() *peerpb.Load {
 	l := c.h.Load()
+	var routeTime time.Duration
+	if c.instance != nil {
+		routeTime = c.instance.gate.RouteTime(c.gateCall())
+	}
 	return &peerpb.Load{
 		InUse:         uint32(l.InUse),
 		Queued:        uint32(l.Queued),
@@ -208,5 +212,6 @@
 		ServiceTimeUs: uint32(l.ServiceTime.Microseconds()),
 		WaitUs:        uint32(min(l.Wait.Microseconds(), math.MaxUint32)),
 		RateLimit:     l.RateLimit,
+		RouteTimeUs:   uint32(min(routeTime.Microseconds(), math.MaxUint32)),
 	}
 }
--- a/internal/proxy/outbound/feedback.go
+++ b/internal/proxy/outbound/feedback.go
@@ -30,5 +30,6 @@
 		ServiceTime: time.Duration(l.GetServiceTimeUs()) * time.Microsecond,
 		Wait:        time.Duration(l.GetWaitUs()) * time.Microsecond,
 		RateLimit:   l.GetRateLimit(),
+		RouteTime:   time.Duration(l.GetRouteTimeUs()) * time.Microsecond,
 	}
 }
--- a/internal/proxy/outbound/pick.go
+++ b/internal/proxy/outbound/pick.go
@@ -17,6 +17,7 @@
 	opts := balance.PickOptions{Exclude: c.wasTried, RemoteCost: c.remoteCost()}
 	if c.route != nil {
 		opts.Objective = c.route.Objective
+		opts.Route, opts.Nested = c.route.Name, c.admissionRequest.Nested
 	}
 	if !c.h.opts.TryBusyGates {
 		opts.MaxWait = c.maxQueueTime()
