--- a/balance/picker.go
+++ b/balance/picker.go
@@ -113,6 +113,9 @@
 	// the call while it processes a request. Both are used for placement by speed.
 	Route  string
 	Nested bool
+
+	// speeds are those of the plan in use, nil if calls are not placed by speed.
+	speeds *speeds
 }
 
 // excludes reports whether the call must not be sent to the member.
@@ -151,6 +154,7 @@
 	now := p.now()
 	pool := p.pool(servers)
 	plan := pool.plan(now)
+	opts.speeds = plan.speeds
 	if m := plan.trial(exclude, now); m != nil {
 		return p.lease(pool, m, opts, now, true), nil
 	}
@@ -277,7 +281,7 @@
 		if m == first || opts.excludes(m, now) {
 			continue
 		}
-		if w := m.slowStartWeight(now); w == 1 || float64(p.opts.Rand(slowStartSteps)) < w*slowStartSteps {
+		if w := m.slowStartWeight(now) * opts.speeds.drawWeight(m, opts); w == 1 || float64(p.opts.Rand(slowStartSteps)) < w*slowStartSteps {
 			return m
 		}
 		rampingUp = m
--- a/balance/speed.go
+++ b/balance/speed.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"sync"
+	"time"
 )
 
 const (
@@ -16,8 +17,8 @@
 	// age from which on it is ignored. A daemon that sends one call per second to a server knows its
 	// factor; a server that gets no call for some seconds counts as one of median speed again and is
 	// tried.
-	speedHalfLife = instant(3e9)
-	speedTTL      = instant(15e9)
+	speedHalfLife = instant(3 * time.Second)
+	speedTTL      = instant(15 * time.Second)
 	// maxSpeedRoutes limits the number of routes whose times are kept for one server.
 	maxSpeedRoutes = 32
 	// speedIterations is the number of times that route times and speed factors are computed from
@@ -31,25 +32,6 @@
 	// overduePrior is the number of calls with the expected time that the overdue calls of a server
 	// are averaged with.
 	overduePrior = 2
-	// A call has slack if its objective is at least maxTightRatio times the time of its route: a
-	// server 1.8 times as slow as the median one that takes two mean deviations longer than usual
-	// still answers it within the objective. Below minSlackRatio it has none. Between the two, the
-	// preference grows linearly, so that a small change of the measured time does not move all calls
-	// of a route at once.
-	minSlackRatio = 3.0
-	maxTightRatio = 4.0
-	// similarSpeed is the ratio of speed factors up to which calls with slack do not distinguish
-	// servers. Measured factors of equal servers differ by some 10%.
-	similarSpeed = 1.25
-	// tightCallTTL is how long after its last call a route counts as one whose calls need the fast
-	// servers.
-	tightCallTTL = instant(10e9)
-	// crowdedLoad is the fraction of used slots above which a server may have no free slot when the
-	// call arrives, as the reported load is some 100 ms old. The expected time then grows by up to
-	// crowdedCost times the call's time at full use, since the gate rejects a call that cannot wait,
-	// and another attempt elsewhere takes as long as a wait.
-	crowdedLoad = 0.7
-	crowdedCost = 1.5
 )
 
 // speedStats holds what this daemon knows about the speed of one server.
@@ -269,92 +251,3 @@
 		s.factors[i] = min(s.factors[i]*max(ratio/typical, 1), maxSpeedFactor)
 	}
 }
-
-// routeUse holds the latest call of a route.
-type routeUse struct {
-	objective atomicFloat
-	at        atomicInstant
-	nested    bool
-}
-
-// recordUse records that a call is made.
-func (pl *pool) recordUse(o PickOptions, now instant) {
-	if !pl.speedPlacement || o.Route == "" || o.Objective == 0 && !o.Nested {
-		return
-	}
-	v, ok := pl.uses.Load(o.Route)
-	if !ok {
-		if pl.useCount.Add(1) > maxSpeedRoutes {
-			return
-		}
-		v, _ = pl.uses.LoadOrStore(o.Route, &routeUse{nested: o.Nested})
-	}
-	use := v.(*routeUse)
-	use.objective.store(o.Objective.Seconds())
-	use.at.store(now)
-}
-
-// hasTightCalls reports whether calls without full slack were made in the last seconds.
-func (pl *pool) hasTightCalls(s *speeds, now instant) bool {
-	found := false
-	pl.uses.Range(func(route, v any) bool {
-		use := v.(*routeUse)
-		t := s.times[route.(string)]
-		recent := now-use.at.load() < tightCallTTL
-		found = recent && t > 0 && (use.nested || use.objective.load() < maxTightRatio*t)
-		return !found
-	})
-	return found
-}
-
-// slack returns how much of a call's preference for fast servers is replaced by one for slow servers,
-// between 0 and 1. t is the time of its route in seconds. A nested call has no slack: the request
-// that it is made for waits for it.
-func (s *speeds) slack(o PickOptions, t float64) float64 {
-	if !s.tight || o.Nested {
-		return 0
-	}
-	return min(max((o.Objective.Seconds()/t-minSlackRatio)/(maxTightRatio-minSlackRatio), 0), 1)
-}
-
-// cost returns the cost of a call at a member. Calls of a route whose time is known are placed by
-// the speed of the servers.
-func (pl *plan) cost(m *member, o PickOptions, now instant) float64 {
-	if s := pl.speeds; s != nil {
-		if t := s.times[o.Route]; t > 0 {
-			return s.cost(pl, m, o, t, now)
-		}
-	}
-	return o.latencyCost(m.cost(pl, now))
-}
-
-// cost returns the cost of a call whose route takes t seconds at a server of median speed. A call
-// with slack prefers, among the servers in its zone that have a free slot, the slow ones.
-func (s *speeds) cost(pl *plan, m *member, o PickOptions, t float64, now instant) float64 {
-	factor, load := s.factors[m.index], m.load(pl, now)
-	latency := t * factor
-	if !s.known[m.index] {
-		latency += m.excessLatency(pl.baseline, now)
-	}
-	crowding := crowdedCost * max(load-crowdedLoad, 0) / (1 - crowdedLoad)
-	expected := m.hop + m.stats.rateWait(now).Seconds() + latency*(1+load+crowding) + m.failureCost(pl.baseline, t, now)
-	cost := o.latencyCost(expected)
-	if slack := s.slack(o, t); slack > 0 {
-		cost += slack * o.Objective.Seconds() * s.slowPreference(m, load)
-	}
-	return cost
-}
-
-// slowPreference returns the cost, between 0 and 1, that keeps calls with slack away from fast
-// servers, and from those that have no free slot. Outside the zone it is that of the fastest server,
-// so that no call leaves its zone for the sake of a slow server.
-func (s *speeds) slowPreference(m *member, load float64) float64 {
-	if load+1/m.slots() > 1 {
-		return 1
-	}
-	factor := s.factors[m.index]
-	if !m.local {
-		factor = s.fastest
-	}
-	return max(1-similarSpeed*factor/s.slowest, 0)
-}
