balance, telemetry: model tests of placement by speed, and the speed factor as a metric

Cause: the effect on callers and on failures was not tested, and an operator could not see which servers count as slow. Change: models of load A's signers and load B's desks, with and without placement by speed, with reports missing, false or lost at a restart, and a short slowdown; crocuscross_server_speed_factor for the 100 servers that differ most.

--- a/balance/speed_model_test.go
+++ b/balance/speed_model_test.go
@@ -6,7 +6,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -46,11 +45,17 @@
 	speeds         []float64 // in turn
 	slots          int
 	length         time.Duration
-	// Each server is slowBy times as slow for slowTime at a time, a slowShare of the time.
+	// Each server is slowBy times as slow for slowTime at a time, in all for slowShare of the time.
 	slowShare, slowBy float64
 	slowTime          time.Duration
-	// reports changes the load that a server reports, kept are the servers that it leaves as they are.
-	report func(server int, age time.Duration, l *gate.Load)
+	// slowAt holds the time from which on a server is slow once, for slowTime.
+	slowAt map[int]time.Duration
+	// daemons is the number of daemons, speedDaemons if it is 0.
+	daemons int
+	// onAttempt is called for each attempt with the server it is sent to.
+	onAttempt func(server int, age time.Duration)
+	// report changes the load that a server reports.
+	report func(server int, l *gate.Load)
 	// restartAt is when the daemons with an even number lose what they know.
 	restartAt time.Duration
 	seed      uint64
@@ -67,14 +72,6 @@
 	speedRetryBurst = 20
 )
 
-// speedCount holds the results of a route's calls, or of those at a server.
-type speedCount struct{ inTime, late, rejected, expired int }
-
-func (c speedCount) total() int { return c.inTime + c.late + c.rejected + c.expired }
-
-// share returns the fraction of the calls that were answered in time.
-func (c speedCount) share() float64 { return float64(c.inTime) / float64(max(c.total(), 1)) }
-
 // speedRun is the state of one run.
 type speedRun struct {
 	speedLoad
@@ -87,8 +84,8 @@
 	pickers  []*balance.Picker
 	counts   map[string]*speedCount
 	started  map[string][]int // calls that started, by route and server
-	slowRuns int              // calls that were sent to a server while it was slow
-	runs     int
+	slowRuns int              // attempts that were sent to a server while it was slow
+	attempts int
 	leftZone float64 // kilobytes that left the zone
 	allBytes float64
 	budget   float64
@@ -98,6 +95,9 @@
 func (l speedLoad) run(t *testing.T, bySpeed bool) *speedRun {
 	t.Helper()
 	r := &speedRun{speedLoad: l, counts: make(map[string]*speedCount), started: make(map[string][]int), budget: speedRetryBurst, latency: make(map[string]time.Duration)}
+	if r.daemons == 0 {
+		r.daemons = speedDaemons
+	}
 	synctest.Test(t, func(*testing.T) {
 		r.start = time.Now()
 		rng := rand.New(rand.NewPCG(l.seed, 7))
@@ -109,7 +109,7 @@
 		if r.restartAt > 0 {
 			time.Sleep(r.restartAt)
 			r.mu.Lock()
-			for i := 0; i < speedDaemons; i += 2 {
+			for i := 0; i < r.daemons; i += 2 {
 				r.pickers[i] = r.newPicker(i, bySpeed)
 			}
 			r.mu.Unlock()
@@ -130,7 +130,7 @@
 func (r *speedRun) zoneOf(daemon int) int { return daemon % len(r.zones) }
 
 func (r *speedRun) setUp(rng *rand.Rand, bySpeed bool) {
-	for i := range speedDaemons {
+	for i := range r.daemons {
 		r.pickers = append(r.pickers, r.newPicker(i, bySpeed))
 	}
 	for zone, n := range r.zones {
@@ -150,6 +150,9 @@
 					slow = append(slow, at)
 				}
 			}
+			if at, ok := r.slowAt[i]; ok {
+				slow = append(slow, at)
+			}
 			r.slow = append(r.slow, slow)
 		}
 	}
@@ -167,7 +170,7 @@
 func (r *speedRun) work(server int, need time.Duration, deadline time.Time) {
 	const step = 5 * time.Millisecond
 	for speed := r.speeds[server%len(r.speeds)]; need > 0 && time.Now().Before(deadline); {
-		if r.slowShare == 0 {
+		if r.slowBy == 0 {
 			time.Sleep(min(time.Duration(float64(need)/speed), time.Until(deadline)))
 			return
 		}
@@ -202,7 +205,7 @@
 			w -= r.callers[zone]
 			zone++
 		}
-		daemon := zone + len(r.zones)*rng.IntN(speedDaemons/len(r.zones))
+		daemon := zone + len(r.zones)*rng.IntN(r.daemons/len(r.zones))
 		work := route.work.Seconds() * math.Exp(sigma*rng.NormFloat64()-sigma*sigma/2)
 		if rng.Float64() < route.longShare {
 			work *= route.longBy
@@ -288,8 +291,11 @@
 		hop = speedLocalHop
 	}
 	r.mu.Lock()
+	if r.onAttempt != nil {
+		r.onAttempt(server, r.age())
+	}
 	if r.age() > speedWarmUp {
-		r.runs++
+		r.attempts++
 		r.allBytes += route.kilobytes
 		if hop != speedLocalHop {
 			r.leftZone += route.kilobytes
@@ -326,39 +332,13 @@
 			result.Kind, outcome = errkind.Deadline, gate.Failed
 		}
 		load = g.Load()
-		load.RouteTime = g.RouteTime(call)
 		ticket.Done(outcome)
 	}
 	load.RouteTime = g.RouteTime(call)
 	if r.report != nil {
-		r.report(server, r.age(), &load)
+		r.report(server, &load)
 	}
 	time.Sleep(hop)
 	result.Latency, result.Load = time.Since(start), &load
 	return result
 }
-
-// log prints the results by route, with the fraction of the route's calls that ran at each speed.
-func (r *speedRun) log(t *testing.T, name string) {
-	t.Helper()
-	for _, route := range r.routes {
-		c, bySpeed := r.counts[route.name], make([]float64, len(r.speeds))
-		n := 0
-		for _, k := range r.started[route.name] {
-			n += k
-		}
-		for i, k := range r.started[route.name] {
-			bySpeed[i%len(r.speeds)] += float64(k) / float64(max(n, 1))
-		}
-		var split strings.Builder
-		for i, s := range r.speeds {
-			fmt.Fprintf(&split, " %.2g:%.2f", s, bySpeed[i])
-		}
-		total := float64(c.total())
-		t.Logf("%-10s %-10s in time %.3f late %.3f rejected %.3f expired %.3f mean %3.0f ms; by speed%s", name, route.name,
-			c.share(), float64(c.late)/total, float64(c.rejected)/total, float64(c.expired)/total,
-			ms(r.latency[route.name])/float64(max(c.inTime+c.late, 1)), split.String())
-	}
-	t.Logf("%-10s attempts %d, bytes outside the zone %.3f, at slow servers %.3f", name, r.runs,
-		r.leftZone/r.allBytes, float64(r.slowRuns)/float64(r.runs))
-}
--- a/balance/speed_test.go
+++ b/balance/speed_test.go
@@ -217,3 +217,21 @@
 	must.MapContainsKey(t, stats.times, "signature")
 	must.SliceEmpty(t, stats.inFlight)
 }
+
+// The metric must show the servers that differ most, no more than its limit, and none whose gate
+// reports nothing.
+func TestSpeedFactors(t *testing.T) {
+	h := newSpeedHarness(5)
+	for i, reported := range []time.Duration{100, 100, 300, 120, 0} {
+		h.callAt(t, i, signature, reported*time.Millisecond)
+	}
+	h.clock = h.clock.Add(time.Duration(planTTL))
+	h.pickAt(t, 0, signature)
+	factors := h.SpeedFactors(2)
+	must.Len(t, 2, factors)
+	must.Eq(t, "2", factors[0].Server.Host)
+	must.InDelta(t, 3, factors[0].Factor, 0.1)
+	must.Eq(t, "3", factors[1].Server.Host)
+	must.Len(t, 4, h.SpeedFactors(10))
+	must.SliceEmpty(t, newHarness(1).SpeedFactors(10))
+}
--- a/internal/daemon/components.go
+++ b/internal/daemon/components.go
@@ -115,7 +115,7 @@
 	p.registerHandlers()
 	d.registry.MustRegister(telemetry.NewBoardCollector(d.board),
 		telemetry.NewGateCollector(p.inbound.Load), telemetry.NewQuotaCollector(p.quota.Stats),
-		telemetry.NewQuarantineCollector(p.quarantine.Stats))
+		telemetry.NewQuarantineCollector(p.quarantine.Stats), telemetry.NewSpeedCollector(p.picker.SpeedFactors))
 	return p, nil
 }
 
--- a/internal/telemetry/docs_test.go
+++ b/internal/telemetry/docs_test.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/shoenig/test/must"
 
+	"github.com/crocuscross/crocuscross/balance"
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/gate"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
@@ -75,7 +76,8 @@
 	d.MustRegister(NewBoardCollector(&blackboard.Board{}),
 		NewGateCollector(func() gate.Load { return gate.Load{} }),
 		NewQuotaCollector(func() quota.Stats { return quota.Stats{} }),
-		NewQuarantineCollector(func() quarantine.Stats { return quarantine.Stats{} }))
+		NewQuarantineCollector(func() quarantine.Stats { return quarantine.Stats{} }),
+		NewSpeedCollector(func(int) []balance.SpeedFactor { return nil }))
 	return d.labels
 }
 
