gate: read the service time under the lock when a wait times out

Cause: waitTimeoutError read the service time of a share while calls that ended changed it; found by go test -race ./balance -run TestSpeedLoad_Signers. The fault is older than placement by speed. Change: the read takes the gate's lock. The run above passes.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -280,7 +280,10 @@
 // exceed the forecast if calls of a more urgent rank arrive or if calls take longer than
 // expected.
 func (g *Gate) waitTimeoutError(t *Ticket) *errkind.Error {
-	if t.maxWait > 0 && t.deadline.Sub(g.opts.Now()) > t.share.serviceTime.value {
+	g.mu.Lock()
+	serviceTime := t.share.serviceTime.value
+	g.mu.Unlock()
+	if t.maxWait > 0 && t.deadline.Sub(g.opts.Now()) > serviceTime {
 		return g.overloadedError().WithRetryAfter(t.retryAfter(g.Load().Wait))
 	}
 	return errTooLittleTime
