--- a/balance/speed_test.go
+++ b/balance/speed_test.go
@@ -189,8 +189,8 @@
 	must.Eq(t, []float64{1, 1, 1, 1}, h.speeds().factors)
 }
 
-// A server that answers nothing must not look as fast as before when its calls have timed out. It
-// keeps getting calls, few, and is not ejected.
+// A server that answers nothing must not look as fast as before when its calls have timed out. It is
+// not ejected, and is tried again once its reports are old.
 func TestSpeed_UnansweredCallsCount(t *testing.T) {
 	h := newSpeedHarness(3)
 	for i := range 3 {
@@ -205,6 +205,9 @@
 	}
 	must.Eq(t, maxSpeedFactor, h.speeds().factors[0])
 	must.False(t, h.pool(h.servers).members[0].stats.ejected.Load())
+	must.Less(t, 0.1, h.shares(t, 1000, signature)[0])
+	h.clock = h.clock.Add(time.Duration(speedTTL))
+	must.Greater(t, 0.2, h.shares(t, 1000, signature)[0])
 }
 
 // Callers choose no route names, but a document may have many routes. The memory per server is
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -34,7 +34,8 @@
 		LinkMbps: d.settings.LinkMbps, Runs: runs, CalleeStats: callees, HostShare: d.hostShare,
 		Local: &d.board.Local, NewGate: d.newGate,
 		MergeRoutes: d.isDisabled(settings.WithoutRouteClasses), IgnoreObjective: d.isDisabled(settings.WithoutObjective),
-		Attempts: p.attempts, Dialect: d.dialect(), OnServerMismatch: p.announce.HandleServerMismatch,
+		ReportRouteTimes: d.settings.Load.SpeedPlacement == settings.On,
+		Attempts:         p.attempts, Dialect: d.dialect(), OnServerMismatch: p.announce.HandleServerMismatch,
 		OnServerLeaving: p.announce.HandleServerLeaving,
 		Quarantine:      p.quarantine, Rollout: p.rolloutGate, Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
 	})
--- a/internal/proxy/inbound/call.go
+++ b/internal/proxy/inbound/call.go
@@ -201,7 +201,7 @@
 func (c *call) load() *peerpb.Load {
 	l := c.h.Load()
 	var routeTime time.Duration
-	if c.instance != nil {
+	if c.instance != nil && c.h.opts.ReportRouteTimes {
 		routeTime = c.instance.gate.RouteTime(c.gateCall())
 	}
 	return &peerpb.Load{
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -61,6 +61,8 @@
 	// ignore the latency objective, so that only the maximum wait that the sender states bounds
 	// the wait for a slot. Both are for experiments.
 	MergeRoutes, IgnoreObjective bool
+	// ReportRouteTimes adds the mean slot time of a call's route to the load in its answer.
+	ReportRouteTimes bool
 	// OnServerMismatch is called with the ID of a backend server if a different server responds
 	// at its address.
 	OnServerMismatch func(id string)
