--- a/balance/link.go
+++ b/balance/link.go
@@ -183,7 +183,7 @@
 }
 
 func (p *Picker) linkLease(pool *pool, m *member, lp linkPlacement) *Lease {
-	l := p.lease(pool, m, false)
+	l := p.lease(pool, m, lp.opts, p.now(), false)
 	l.link.maxWait = lp.maxWait(m)
 	if lp.usesLink(m) {
 		l.link.bytes = lp.opts.BodyBytes
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -38,6 +38,9 @@
 	// the name of this daemon's host, whose own calls to its server do not use the link.
 	LinkPlacement bool
 	Host          string
+	// SpeedPlacement places the calls of a route by the speed of the servers, as the slot times that
+	// gates report show it. No server is ejected because its calls are slow.
+	SpeedPlacement bool
 	// SlowStart is the time over which the share of calls of a new server increases.
 	SlowStart time.Duration
 	// Zones holds the use of the availability zones, by which calls leave their zone. If it is nil,
@@ -89,6 +92,8 @@
 // instant is a time in nanoseconds since the epoch of the picker.
 type instant int64
 
+func (i instant) seconds() float64 { return time.Duration(i).Seconds() }
+
 func (p *Picker) now() instant { return instant(p.opts.Now().Sub(p.epoch)) }
 
 // Pick picks one of the servers, which belong to one service. The slice must come from a
@@ -120,6 +125,13 @@
 	// Options.LinkPlacement.
 	BodyBytes int64
 	TimeLeft  time.Duration
+	// Route is the name of the call's route, empty if it has none. Nested is whether a service makes
+	// the call while it processes a request. Both are used for placement by speed.
+	Route  string
+	Nested bool
+
+	// speeds are those of the plan in use, nil if calls are not placed by speed.
+	speeds *speeds
 }
 
 // excludes reports whether the call must not be sent to the member.
@@ -159,8 +171,9 @@
 	now := p.now()
 	pool := p.pool(servers)
 	plan := pool.plan(now)
+	opts.speeds = plan.speeds
 	if m := plan.trial(exclude, now); m != nil {
-		return p.lease(pool, m, true), nil
+		return p.lease(pool, m, opts, now, true), nil
 	}
 	if p.PlacesByLink(servers, opts.BodyBytes) {
 		return p.pickByLink(pool, plan, opts, now)
@@ -169,13 +182,19 @@
 	if s.member == nil {
 		return nil, plan.noMemberError(opts, now, s.withheld)
 	}
-	return p.lease(pool, s.member, false), nil
+	return p.lease(pool, s.member, opts, now, false), nil
 }
 
-func (p *Picker) lease(pool *pool, m *member, trial bool) *Lease {
+func (p *Picker) lease(pool *pool, m *member, opts PickOptions, now instant, trial bool) *Lease {
 	m.stats.inFlight.Add(1)
 	m.stats.reserveStart(p.now())
-	return &Lease{picker: p, pool: pool, member: m, trial: trial}
+	l := &Lease{picker: p, pool: pool, member: m, trial: trial}
+	if pool.speedPlacement && opts.Route != "" {
+		pool.recordUse(opts, now)
+		l.route, l.startedAt, l.expectedWait = opts.Route, now, m.stats.lastWait(now)
+		m.stats.speed.begin(l)
+	}
+	return l
 }
 
 // pool returns the pool of a slice of servers and builds a new one if the set has changed. The
@@ -244,7 +263,7 @@
 				if m == nil {
 					continue
 				}
-				cost := opts.latencyCost(m.cost(plan, now))
+				cost := plan.cost(m, opts, now)
 				if !m.local {
 					cost += remote
 				}
@@ -296,7 +315,7 @@
 		if m == first || opts.excludes(m, now) {
 			continue
 		}
-		if w := m.slowStartWeight(now); w == 1 || float64(p.opts.Rand(slowStartSteps)) < w*slowStartSteps {
+		if w := m.slowStartWeight(now) * opts.speeds.drawWeight(m, opts); w == 1 || float64(p.opts.Rand(slowStartSteps)) < w*slowStartSteps {
 			return m
 		}
 		rampingUp = m
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -31,25 +31,35 @@
 	// plan in the meantime.
 	rebuilding sync.Mutex
 	// lastCount is guarded by rebuilding.
-	lastCount           callCount
+	lastCount callCount
+	// estimate holds the speeds as last estimated from reports. It is guarded by rebuilding.
+	estimate            *speeds
 	disableSlowEjection bool
 	// placeByZone is whether plans list the members by availability zone.
-	placeByZone bool
+	placeByZone    bool
+	speedPlacement bool
+	// uses holds the *routeUse of each route by name, useCount their number.
+	uses     sync.Map
+	useCount atomic.Int64
 }
 
 // newPool returns the pool of the servers of a set. The caller holds mu.
 func (p *Picker) newPool(servers []*backend.Server) *pool {
 	pl := &pool{
-		disableSlowEjection: p.opts.DisableSlowEjection, placeByZone: p.opts.Zones != nil,
-		servers: servers, members: make([]*member, 0, len(servers)),
+		placeByZone: p.opts.Zones != nil, speedPlacement: p.opts.SpeedPlacement,
+		// A server that is slow gets fewer calls because of its speed factor.
+		disableSlowEjection: p.opts.DisableSlowEjection || p.opts.SpeedPlacement,
+		servers:             servers, members: make([]*member, 0, len(servers)),
 	}
-	for _, s := range servers {
+	for i, s := range servers {
 		st, ok := p.stats[s.ID]
 		if !ok {
 			st = &serverStats{}
 			p.stats[s.ID] = st
 		}
-		pl.members = append(pl.members, p.newMember(s, st))
+		m := p.newMember(s, st)
+		m.index = i
+		pl.members = append(pl.members, m)
 	}
 	pl.current.Store(pl.buildPlan(p.now()))
 	return pl
@@ -88,6 +98,8 @@
 	// ejected lists the ejected members, which get trial calls.
 	ejected  []*member
 	baseline baseline
+	// speeds is nil if calls are not placed by the speed of servers.
+	speeds *speeds
 }
 
 // tier is a list of groups of members. For each call, members are drawn from every group.
@@ -100,6 +112,7 @@
 func (pl *pool) buildPlan(now instant) *plan {
 	next := &plan{builtAt: now, baseline: pl.baseline()}
 	next.baseline.callRate = pl.callRate(now)
+	next.speeds = pl.buildSpeeds(now)
 	var healthy, suspect, ejected zoneSplit
 	for _, m := range pl.members {
 		switch {
@@ -180,7 +193,11 @@
 		}
 	}
 	if len(latencies) == 0 {
-		return baseline{latency: assumedLatency}
+		b := baseline{latency: assumedLatency}
+		if pl.speedPlacement {
+			b.slowRate = 1
+		}
+		return b
 	}
 	if pl.disableSlowEjection {
 		// No slow rate exceeds 1, so no server is ejected for slow calls.
--- a/balance/spill.go
+++ b/balance/spill.go
@@ -152,13 +152,21 @@
 			break
 		}
 		drawn[i] = m.server.ID
-		if cost := m.cost(plan, now); best == nil || cost < lowest {
+		if cost := plan.costInZone(m, opts, now); best == nil || cost < lowest {
 			best, lowest = m, cost
 		}
 	}
 	return best
 }
 
+// costInZone returns the cost of a call at a member, compared with others of its zone.
+func (pl *plan) costInZone(m *member, opts PickOptions, now instant) float64 {
+	if pl.speeds != nil {
+		return pl.cost(m, opts, now)
+	}
+	return m.cost(pl, now)
+}
+
 // drawSteps is the resolution of a random draw between 0 and 1.
 const drawSteps = 1 << 20
 
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -36,8 +36,8 @@
 		Runs: runs, CalleeStats: callees, HostShare: d.hostShare,
 		Local: &d.board.Local, NewGate: d.newGate,
 		MergeRoutes: d.isDisabled(settings.WithoutRouteClasses), IgnoreObjective: d.isDisabled(settings.WithoutObjective),
-		AccountWeight: d.accountWeight(),
-		Attempts:      p.attempts, Dialect: d.dialect(), OnServerMismatch: p.announce.HandleServerMismatch,
+		AccountWeight: d.accountWeight(), ReportRouteTimes: d.settings.Load.SpeedPlacement == settings.On,
+		Attempts: p.attempts, Dialect: d.dialect(), OnServerMismatch: p.announce.HandleServerMismatch,
 		OnServerLeaving: p.announce.HandleServerLeaving,
 		Quarantine:      p.quarantine, Rollout: p.rolloutGate, Tracer: d.tracer, Metrics: metrics, Logger: d.logger,
 	})
@@ -48,6 +48,7 @@
 	balanceOptions.DisableSlowEjection = d.settings.Requests.SlowServers == settings.SlowKeep
 	balanceOptions.Zones = p.zones
 	balanceOptions.LinkPlacement, balanceOptions.Host = d.settings.Load.LinkPlacement == settings.On, d.settings.Host
+	balanceOptions.SpeedPlacement = d.settings.Load.SpeedPlacement == settings.On
 	p.picker = balance.New(balanceOptions)
 	p.backends = &backends.Controller{Board: d.board, OnChange: func(s *backend.Set) { p.picker.Prune(s) }}
 	quotaOptions := quota.DefaultOptions()
--- a/internal/proxy/inbound/call.go
+++ b/internal/proxy/inbound/call.go
@@ -214,6 +214,10 @@
 	if c.h.opts.LinkPlacement {
 		l.LinkWait = c.h.pacer.expectedWait()
 	}
+	var routeTime time.Duration
+	if c.instance != nil && c.h.opts.ReportRouteTimes {
+		routeTime = c.instance.gate.RouteTime(c.gateCall())
+	}
 	return &peerpb.Load{
 		InUse:         uint32(l.InUse),
 		Queued:        uint32(l.Queued),
@@ -223,6 +227,7 @@
 		WaitUs:        uint32(min(l.Wait.Microseconds(), math.MaxUint32)),
 		LinkWaitUs:    uint32(min(l.LinkWait.Microseconds(), math.MaxUint32)),
 		RateLimit:     l.RateLimit,
+		RouteTimeUs:   uint32(min(routeTime.Microseconds(), math.MaxUint32)),
 	}
 }
 
--- a/internal/proxy/inbound/inbound.go
+++ b/internal/proxy/inbound/inbound.go
@@ -72,6 +72,8 @@
 	// AccountWeight returns the weight of an account at the gate, 0 if it is not known. It must not
 	// block or allocate. If it is nil, no weight is known.
 	AccountWeight func(name string) float64
+	// ReportRouteTimes adds the mean slot time of a call's route to the load in its answer.
+	ReportRouteTimes bool
 	// OnServerMismatch is called with the ID of a backend server if a different server responds
 	// at its address.
 	OnServerMismatch func(id string)
--- a/internal/proxy/outbound/feedback.go
+++ b/internal/proxy/outbound/feedback.go
@@ -32,5 +32,6 @@
 		Wait:        time.Duration(l.GetWaitUs()) * time.Microsecond,
 		LinkWait:    time.Duration(l.GetLinkWaitUs()) * time.Microsecond,
 		RateLimit:   l.GetRateLimit(),
+		RouteTime:   time.Duration(l.GetRouteTimeUs()) * time.Microsecond,
 	}
 }
--- a/internal/proxy/outbound/pick.go
+++ b/internal/proxy/outbound/pick.go
@@ -20,6 +20,7 @@
 	}
 	if c.route != nil {
 		opts.Objective = c.route.Objective
+		opts.Route, opts.Nested = c.route.Name, c.admissionRequest.Nested
 	}
 	byLink := c.h.opts.Picker.PlacesByLink(servers, opts.BodyBytes)
 	c.linkMaxWait = 0
--- a/internal/telemetry/docs_test.go
+++ b/internal/telemetry/docs_test.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/shoenig/test/must"
 
+	"github.com/crocuscross/crocuscross/balance"
 	"github.com/crocuscross/crocuscross/capacity"
 	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/gate"
@@ -77,7 +78,8 @@
 		NewGateCollector(func() gate.Load { return gate.Load{} }),
 		NewQuotaCollector(func() quota.Stats { return quota.Stats{} }),
 		NewQuarantineCollector(func() quarantine.Stats { return quarantine.Stats{} }),
-		NewZoneCollector(func() capacity.Stats { return capacity.Stats{} }))
+		NewZoneCollector(func() capacity.Stats { return capacity.Stats{} }),
+		NewSpeedCollector(func(int) []balance.SpeedFactor { return nil }))
 	return d.labels
 }
 
