--- a/internal/proxy/inbound/window.go
+++ b/internal/proxy/inbound/window.go
@@ -14,8 +14,8 @@
 	// and the late ones, all in multiples of a full part. If all of them arrive at once, a small call
 	// waits for 75 ms, which is a tenth of an objective of 800 ms.
 	minWindow      = 2
-	maxWindow      = 5
-	maxOutstanding = 6
+	maxWindow      = 3
+	maxOutstanding = 4
 	// maxPartsOfBody bounds the parts outstanding of one body.
 	maxPartsOfBody = 2
 	// idleTimeout is the time without a part after which those in flight are late: the time in which
