--- a/capacity/model_call_test.go
+++ b/capacity/model_call_test.go
@@ -107,7 +107,7 @@
 	for {
 		history := admission.AttemptHistory{Refusals: refusals, FullWait: *fullWait, RemoteCost: opts.RemoteCost}
 		opts.MaxWait = q.MaxWait(history, time.Now())
-		lease, err := d.picker.PickWithOptions(m.servers[r.service], opts)
+		lease, err := d.state.Load().picker.PickWithOptions(m.servers[r.service], opts)
 		if err == nil {
 			return lease
 		}
@@ -130,7 +130,7 @@
 		time.Sleep(50 * time.Millisecond)
 		res.failed++
 		if m.spill {
-			d.zones.ObserveFailure(capacity.Gate{Service: r.service, AvailabilityZone: s.AvailabilityZone, Host: s.Host})
+			d.state.Load().zones.ObserveFailure(capacity.Gate{Service: r.service, AvailabilityZone: s.AvailabilityZone, Host: s.Host})
 		}
 		lease.Done(balance.Result{Kind: errkind.Unreachable, Latency: time.Since(start)})
 		return false, false
@@ -160,8 +160,9 @@
 	}
 	var entries []capacity.Entry
 	if m.spill {
-		h.zones.ObserveLocal(r.service, load, ran)
-		entries = h.zones.Report(r.service, d.name)
+		zones := h.state.Load().zones
+		zones.ObserveLocal(r.service, load, ran)
+		entries = zones.Report(r.service, d.name)
 	}
 	if ran {
 		ticket.Done(gate.Answered)
@@ -185,9 +186,9 @@
 
 func (d *daemon) learn(service string, s *backend.Server, l *gate.Load, answered bool, entries []capacity.Entry) {
 	if l != nil {
-		d.zones.Observe(capacity.Gate{Service: service, AvailabilityZone: s.AvailabilityZone, Host: s.Host}, *l, answered)
+		d.state.Load().zones.Observe(capacity.Gate{Service: service, AvailabilityZone: s.AvailabilityZone, Host: s.Host}, *l, answered)
 	}
 	for _, e := range entries {
-		d.zones.Learn(service, s.Host, e)
+		d.state.Load().zones.Learn(service, s.Host, e)
 	}
 }
--- a/capacity/model_test.go
+++ b/capacity/model_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -137,14 +138,20 @@
 
 // daemon is one sender.
 type daemon struct {
-	name   string
-	zone   int
-	rng    *rand.Rand
+	name string
+	zone int
+	// state is replaced when the daemon restarts.
+	state atomic.Pointer[state]
+	mu    sync.Mutex
+	// rng and the means by route are guarded by mu.
+	rng          *rand.Rand
+	times, sizes map[string]float64
+}
+
+// state is what a daemon knows of servers and zones. zones is nil with the old decision.
+type state struct {
 	picker *balance.Picker
 	zones  *capacity.Zones
-	// times and sizes are the means by route.
-	mu           sync.Mutex
-	times, sizes map[string]float64
 }
 
 func zoneName(i int) string { return string(rune('a' + i)) }
@@ -162,17 +169,21 @@
 func (m *model) reset(d *daemon) {
 	o := balance.DefaultOptions()
 	o.AvailabilityZone, o.DisableSlowEjection, o.SlowStart, o.ZoneCost = zoneName(d.zone), true, 0, 2*zoneHop
-	var mu sync.Mutex
 	o.Rand = func(n int) int {
-		mu.Lock()
-		defer mu.Unlock()
+		d.mu.Lock()
+		defer d.mu.Unlock()
 		return d.rng.IntN(n)
 	}
+	next := &state{}
 	if m.spill {
-		d.zones = capacity.New(capacity.Options{AvailabilityZone: zoneName(d.zone), Host: d.name, Now: time.Now})
-		o.Zones = d.zones
+		next.zones = capacity.New(capacity.Options{AvailabilityZone: zoneName(d.zone), Host: d.name, Now: time.Now})
+		o.Zones = next.zones
 	}
-	d.picker, d.times, d.sizes = balance.New(o), make(map[string]float64), make(map[string]float64)
+	next.picker = balance.New(o)
+	d.state.Store(next)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.times, d.sizes = make(map[string]float64), make(map[string]float64)
 }
 
 // observe updates the means of a route after an answer.
@@ -217,7 +228,7 @@
 	for _, senders := range m.daemons {
 		for _, d := range senders {
 			if spill {
-				for reason, n := range d.zones.Stats().Spills {
+				for reason, n := range d.state.Load().zones.Stats().Spills {
 					m.spills[reason] += n
 				}
 			}
@@ -258,9 +269,7 @@
 	for _, senders := range m.daemons {
 		for i, d := range senders {
 			if i%2 == 0 {
-				d.mu.Lock()
 				m.reset(d)
-				d.mu.Unlock()
 			}
 		}
 	}
