quota: holders keep their leases while the owner is gone

When an owner was killed, holders with buckets rejected a third of their calls, though the sum of their leases covered the demand: - Pairs of calls were taken for changes of demand, so that leases of equal holders differed by a factor of ten. The threshold is now 2.5 standard deviations for pairs. - Each claim to the silent owner, and the first one to the next owner, gave up what the last seconds had not needed, and a settling owner granted less than what was held. Both now keep the lease; a settling owner as far as its limit goes. - A call that waited for the silent owner did not see the token that its own lease had meanwhile. It now takes it. - The rate delegated to a process that has ended, as its host runs another one, was unused for three more seconds.

What is left are customers without buckets, whose calls all need the owner.

--- a/quota/admit.go
+++ b/quota/admit.go
@@ -20,8 +20,9 @@
 	// claimsPerCallBelowLimit is that number while the customer's demand is below its limit. Claims
 	// that bring no tokens are minEmptyClaimInterval apart, so that admitWait has room for no more.
 	claimsPerCallBelowLimit = 4
-	// minTryInterval is the shortest time after which a waiting call looks for a token again.
-	minTryInterval = time.Millisecond
+	// minTryInterval is the shortest time after which a waiting call looks for a token again. Many
+	// calls may wait for the tokens of one lease.
+	minTryInterval = 5 * time.Millisecond
 )
 
 // These errors are templates that refusals are copied from. Creating an error for each refusal
@@ -51,7 +52,8 @@
 }
 
 // AdmitWait is like Admit, but a call that finds no token waits for the owner's answer if the
-// answer may bring one. It waits at most admitWait. If the owner has just answered that its pool is
+// answer may bring one, or for the next token of the lease, which counts while the owner does not
+// answer. It waits at most admitWait. If the owner has just answered that its pool is
 // empty, the call waits only while the customer's demand is below its limit, for the next token or
 // the next claim. AdmitWait serves customers whose calls are spread so thinly that no daemon's share
 // amounts to a whole call, and those whose demand rises faster than their leases.
@@ -62,53 +64,71 @@
 	if err == nil {
 		return &a.grant, nil
 	}
-	timeout := time.NewTimer(admitWait)
-	defer timeout.Stop()
 	deadline := now + admitWait
+	var claim *pendingClaim
 	for claims := 0; ; {
-		claim, at := a.nextTry(now, claims, err)
-		if at >= deadline {
+		next, at := a.nextTry(now, claims, claim != nil, err)
+		if at >= deadline && claim == nil && !next {
 			break
 		}
-		if claim {
+		if next {
 			claims++
-			if !m.awaitClaim(ctx, a, timeout.C) {
-				break
-			}
-		} else if !sleep(ctx, at-now) {
+			claim = m.joinClaim(a)
+		}
+		if !claim.wait(ctx, min(at, deadline)-now) {
 			break
 		}
+		if claim != nil && claim.answered() {
+			claim = nil
+		}
 		now = m.now()
 		if err = m.tryAdmit(a, now, c); err == nil {
 			return &a.grant, nil
 		}
+		if now >= deadline {
+			break
+		}
 	}
 	return nil, m.refusal(a, now, err)
 }
 
-// nextTry returns what a call that was refused with err tries next: whether it waits for a claim, which
-// is sent now, or else the time at which it looks for a token again. That is forever if neither is
-// worthwhile. claims is the number of claims for which the call has waited.
-func (a *account) nextTry(now time.Duration, claims int, err *errkind.Error) (claim bool, at time.Duration) {
+// nextTry returns what a call that was refused with err tries next: whether it joins the next claim,
+// and the time at which it looks for a token again unless the claim is answered before. That is forever
+// if it is not worthwhile. claims is the number of claims that the call has joined, and waiting is
+// whether the latest of them is not answered yet.
+func (a *account) nextTry(now time.Duration, claims int, waiting bool, err *errkind.Error) (claim bool, at time.Duration) {
 	l, _ := a.current(now)
+	at = forever
+	if err == errRate {
+		at = now + max(minTryInterval, l.nextToken(now))
+	}
 	limit := claimsPerCall
 	if l.belowLimit {
 		limit = claimsPerCallBelowLimit
 	}
 	switch {
+	case waiting:
+		return false, at
 	case claims < limit && a.claimAllowed(now):
-		return true, now
+		return true, at
 	case claims >= limit || !l.belowLimit || err != errRate:
 		return false, forever
 	}
-	return false, now + max(minTryInterval, min(l.nextToken(now), time.Duration(a.notBefore.Load())-now))
+	return false, min(at, max(now+minTryInterval, time.Duration(a.notBefore.Load())))
 }
 
-// sleep waits for d and returns whether ctx was still valid then.
-func sleep(ctx context.Context, d time.Duration) bool {
+// wait waits until the claim is answered, at most for d. It returns whether ctx was still valid then.
+// A nil claim is never answered.
+func (p *pendingClaim) wait(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
+	var done chan struct{}
+	if p != nil {
+		done = p.done
+	}
 	select {
+	case <-done:
+		return true
 	case <-timer.C:
 		return true
 	case <-ctx.Done():
@@ -116,6 +136,16 @@
 	}
 }
 
+// answered reports whether the claim has been answered or has failed.
+func (p *pendingClaim) answered() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 func (m *Manager) tryAdmit(a *account, now time.Duration, c *snapshot.Contract) *errkind.Error {
 	if !a.active.Load() && a.active.CompareAndSwap(false, true) {
 		m.enqueue(a)
@@ -130,19 +160,12 @@
 	}
 }
 
-// awaitClaim registers with the next claim and waits for its answer. It returns false if ctx or
-// timeout ends first.
-func (m *Manager) awaitClaim(ctx context.Context, a *account, timeout <-chan time.Time) bool {
-	r := a.pending.Load()
-	r.waiters.Add(1)
+// joinClaim registers a waiting call with the next claim.
+func (m *Manager) joinClaim(a *account) *pendingClaim {
+	p := a.pending.Load()
+	p.waiters.Add(1)
 	m.enqueue(a)
-	select {
-	case <-r.done:
-		return true
-	case <-timeout:
-	case <-ctx.Done():
-	}
-	return false
+	return p
 }
 
 // claimAllowed reports whether the owner may have tokens to give, so that a claim is
--- a/quota/claim.go
+++ b/quota/claim.go
@@ -71,7 +71,7 @@
 	}
 	a.missed = false
 	a.claimPeak = 0
-	a.fillHeld(c, a.giveUpUnneeded(now, float64(c.InUse), contended), owner, now)
+	a.fillHeld(c, a.giveUpUnneeded(now, owner, float64(c.InUse), contended), owner, now)
 	c.Returned = uint32(a.overflow)
 	a.overflow -= float64(c.Returned)
 	return c
@@ -144,13 +144,16 @@
 
 // giveUpUnneeded shrinks the lease to what the account needs and returns it, or nil if there is
 // no valid lease.
-func (a *account) giveUpUnneeded(now time.Duration, slots float64, contended bool) *lease {
+func (a *account) giveUpUnneeded(now time.Duration, owner uint64, slots float64, contended bool) *lease {
 	l := a.lease.Load()
 	if !l.valid(now) {
 		return nil
 	}
 	keep := l.amount
-	if want := wantedRate(a.reported); want < shrinkThreshold*keep.rate {
+	// An owner that does not answer or has just taken over grants no more than what is held, so
+	// that each low sample of the demand would shrink the lease for some seconds.
+	stays := a.failures > 0 || l.grantedBy != owner && a.reported > 0
+	if want := wantedRate(a.reported); want < shrinkThreshold*keep.rate && !stays {
 		keep.rate = want
 		keep.burst = min(keep.burst, wantedBurst(want))
 	}
--- a/quota/demand.go
+++ b/quota/demand.go
@@ -15,9 +15,12 @@
 	changeTimeConstant = 500 * time.Millisecond
 	// changeThreshold is the difference between the square roots of the two means, in calls
 	// per second, above which demand counts as changed. The square root of a Poisson count
-	// has a standard deviation of about 0.5 whatever its mean, so the threshold is three
-	// standard deviations.
-	changeThreshold = 1.5
+	// has a standard deviation of about 0.5 whatever its mean, and one of 0.7 if calls come in
+	// pairs, so the threshold is two and a half standard deviations. At 1.5, leases of holders
+	// with equal demand differed by a factor of ten, and the holders of small ones rejected calls
+	// when their owner was killed. At 2.1, a daemon with 4 calls per second that get 26 is not
+	// noticed.
+	changeThreshold = 1.75
 	// minSample is the shortest time over which a rate is computed.
 	minSample = 50 * time.Millisecond
 	// minIdle is the shortest time without calls that counts as idle.
--- a/quota/demand_test.go
+++ b/quota/demand_test.go
@@ -28,3 +28,35 @@
 	}
 	must.LessEq(t, 2/demandTimeConstant.Seconds(), highest)
 }
+
+// Calls come in pairs at a steady rate. Each false change makes a claim, and a lease that is several times
+// too large or too small.
+func TestDemand_pairsAreNoChange(t *testing.T) {
+	pairs := arrivals(1, 1, 1000*time.Second, func(int, time.Duration) float64 { return 1.3 })
+	var d demand
+	d.reset(0, 0)
+	arrived, i := int64(0), 0
+	for now := tickInterval; now <= 1000*time.Second; now += tickInterval {
+		for ; i < len(pairs) && pairs[i].at <= now; i++ {
+			arrived += 2
+		}
+		d.observe(arrived, now)
+	}
+	must.LessEq(t, 10, d.changes, must.Sprint("changes in 1000 s"))
+}
+
+// Demand rises to six times its rate. Calls are rejected until the owner knows.
+func TestDemand_riseIsSeenWithinASecond(t *testing.T) {
+	var d demand
+	d.reset(0, 0)
+	arrived := 0.0
+	for now := tickInterval; now <= 11*time.Second; now += tickInterval {
+		rate := 4.3
+		if now > 10*time.Second {
+			rate = 26
+		}
+		arrived += rate * tickInterval.Seconds()
+		d.observe(int64(arrived), now)
+	}
+	must.GreaterEq(t, 20, d.rate(int64(arrived)))
+}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -168,6 +168,10 @@
 		a.nextClaim = now + h.jitter(h.opts.reportSpread())
 		a.notBefore.Store(0)
 		a.failures = 0
+		if h.fleet.replaced(holderID{previous.Host, previous.Boot}) {
+			// The process has ended, and its pool with it.
+			a.lease.Load().endDelegation(previous.Boot, now)
+		}
 		a.askPrevious(previous, h.fleet, now)
 	}
 }
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -132,7 +132,11 @@
 	limit.burst = min(limit.burst, d.localBurst())
 	room := limit.minus(l.sum.charged).atLeastZero().plus(e.held)
 	granted := d.share(e.demand, e.inUse, e.held.burst).min(room).wholeSlots()
-	if withinTolerance(granted.rate, e.held.rate) || e.delegatedElsewhere() && granted.rate < e.held.rate {
+	// A ledger that settles keeps what it is told as far as it may grant that much: the sum of the
+	// demand is not known yet, and what one holder loses now is not free for another until its next
+	// claim.
+	keep := !l.open && l.sum.charged.rate <= limit.rate || e.delegatedElsewhere()
+	if withinTolerance(granted.rate, e.held.rate) || keep && granted.rate < e.held.rate {
 		granted.rate = e.held.rate
 	}
 	if granted.burst < minLocalBurst {
--- a/quota/limit_test.go
+++ b/quota/limit_test.go
@@ -5,8 +5,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"sort"
-	"strings"
 	"testing"
 	"time"
 
@@ -112,39 +110,6 @@
 	})
 }
 
-func (l *limitLoad) class(a *limitAccount, d *daemon, waited time.Duration) string {
-	acc := d.m.account(a.contract)
-	now := d.m.now()
-	le, leased := acc.current(now)
-	var b strings.Builder
-	fmt.Fprintf(&b, "leased=%v pooled=%v", leased, le.pooled)
-	fmt.Fprintf(&b, " failures=%d", min(1, acc.failures))
-	fmt.Fprintf(&b, " waited=%v", waited >= admitWait)
-	if waited < admitWait {
-		fmt.Fprintf(&b, " at once=%v", waited == 0)
-	}
-	if acc.owner == nil {
-		b.WriteString(" no owner")
-		return b.String()
-	}
-	o := l.w.find(acc.owner.Host)
-	if o.dead || o.boot != acc.owner.Boot {
-		b.WriteString(" owner dead")
-		return b.String()
-	}
-	led := o.m.owner.ledgers[a.contract.Customer]
-	if led == nil {
-		b.WriteString(" no ledger")
-		return b.String()
-	}
-	f := o.m.fleet.Load()
-	level := led.pool.level
-	level += led.poolRate(o.m.now(), f) * (o.m.now() - led.pool.at).Seconds()
-	fmt.Fprintf(&b, " open=%v poolEmpty=%v poolRate=%.1f charged=%.1f", led.open, level < 1,
-		math.Round(10*led.poolRate(o.m.now(), f)/led.contract.rate)/10, math.Round(5*led.sum.charged.rate/led.contract.rate)/5)
-	return b.String()
-}
-
 // missing returns the calls that one bucket admits, and those of them that were rejected. In seconds in
 // which an account exceeds its limit, it counts how many calls fewer than those were admitted.
 func (l *limitLoad) missing(a *limitAccount, from, to time.Duration) (due, missing int) {
@@ -167,30 +132,16 @@
 	return due, missing
 }
 
-func (l *limitLoad) report(t *testing.T, name string) {
-	due, missing := l.total(limitStart, limitEnd)
-	t.Logf("%s: due %d missing %d = %.2f%% messages %d bytes %d", name, due, missing, 100*float64(missing)/float64(due), l.w.messages, l.w.bytes)
-	for _, g := range [][2]int{{0, 1}, {1, 2}, {2, 3}, {3, 10}, {10, 30}, {30, 75}} {
-		var by []string
-		d, m := 0, 0
-		for s := limitStart; s < limitEnd; s += time.Second {
-			mm := 0
-			for _, a := range l.accounts[g[0]:g[1]] {
-				x, y := l.missing(a, s, s+time.Second)
-				d, m, mm = d+x, m+y, mm+y
-			}
-			by = append(by, fmt.Sprint(mm))
+// killSixth kills a sixth of the daemons at 20 s under the usual load, and restarts them after repair.
+func (l *limitLoad) killSixth(repair time.Duration) {
+	l.calm()
+	l.w.at(20*time.Second, func() {
+		for _, i := range l.rng.Perm(limitDaemons)[:limitDaemons/6] {
+			d := l.w.daemons[i]
+			l.w.kill(d)
+			l.w.after(repair, func() { l.w.restart(d, l.contracts()...) })
 		}
-		t.Logf("  accounts %d..%d limit %.0f..%.0f: %d of %d: %s", g[0], g[1]-1, l.accounts[g[1]-1].contract.Rate, l.accounts[g[0]].contract.Rate, m, d, strings.Join(by, " "))
-	}
-	var keys []string
-	for k := range l.classes {
-		keys = append(keys, k)
-	}
-	sort.Slice(keys, func(i, j int) bool { return l.classes[keys[i]] > l.classes[keys[j]] })
-	for _, k := range keys[:min(14, len(keys))] {
-		t.Logf("  %6d %s", l.classes[k], k)
-	}
+	})
 }
 
 // calm schedules the usual calls of all accounts from now on.
@@ -200,7 +151,7 @@
 	}
 }
 
-// run lets all daemons be idle until limitStart, and then runs the load that begin schedules.
+// runLimitLoad lets all daemons be idle until limitStart, and then runs the load that begin schedules.
 func runLimitLoad(seed uint64, begin func(l *limitLoad)) *limitLoad {
 	l := newLimitLoad(seed)
 	l.w.runUntil(limitStart)
@@ -273,3 +224,15 @@
 		})
 	}
 }
+
+// A sixth of the daemons is killed, and with them the owners of a sixth of the accounts. Holders of buckets
+// serve their calls meanwhile. Those that ask for each token have nothing until another owner is known.
+func TestLimit_SixthOfTheDaemonsKilled(t *testing.T) {
+	due, missing := 0, 0
+	for seed := range uint64(6) {
+		l := runLimitLoad(seed, func(l *limitLoad) { l.killSixth(4 * time.Second) })
+		d, m := l.total(20*time.Second, 25*time.Second)
+		due, missing = due+d, missing+m
+	}
+	test.LessEq(t, due/20, missing, test.Sprintf("%d of %d calls below the limit rejected in 5 s", missing, due))
+}
--- a/quota/probe_test.go
+++ b/quota/probe_test.go
@@ -2,99 +2,76 @@
 
 import (
 	"fmt"
+	"math"
+	"sort"
+	"strings"
 	"testing"
 	"time"
 )
 
-func (l *limitLoad) dump(t *testing.T, i int) {
-	a := l.accounts[i]
-	for _, d := range l.w.daemons {
-		led := d.m.owner.ledgers[a.contract.Customer]
-		if led == nil || d.dead || !d.m.fleet.Load().selfOwns(a.contract.Customer) {
-			continue
-		}
-		f := d.m.fleet.Load()
-		kinds := map[string]int{}
-		rates := map[string]float64{}
-		for _, e := range led.entries {
-			k := fmt.Sprintf("bucket=%v heldbucket=%v delegates=%v feeding=%v", e.granted.burst > 0, e.held.burst > 0, e.delegates, e.pooled)
-			kinds[k]++
-			rates[k] += e.charged().rate
-		}
-		t.Logf("%v acct %d limit %.0f amount %.0f/%.0f owner %s open=%v reported=%.1f limit=%.1f charged=%.1f/%.1f poolRate=%.1f level=%.1f demand=%.1f holders=%.0f earlier=%.1f", l.w.now, i, a.contract.Rate, led.contract.rate, led.contract.burst, d.host, led.open,
-			led.reported.rate, led.limit(d.m.now(), f).rate, led.sum.charged.rate, led.sum.charged.burst, led.poolRate(d.m.now(), f), led.pool.level, led.sum.demand, led.sum.holders, led.earlier.unreported(d.m.now()).rate)
-		for k := range kinds {
-			t.Logf("     %s n=%d rate=%.1f", k, kinds[k], rates[k])
-		}
+// class describes the state of the holder and the owner when a call was rejected.
+func (l *limitLoad) class(a *limitAccount, d *daemon, waited time.Duration) string {
+	acc := d.m.account(a.contract)
+	now := d.m.now()
+	le, leased := acc.current(now)
+	var b strings.Builder
+	fmt.Fprintf(&b, "leased=%v pooled=%v", leased, le.pooled)
+	fmt.Fprintf(&b, " failures=%d", min(1, acc.failures))
+	fmt.Fprintf(&b, " waited=%v", waited >= admitWait)
+	if waited < admitWait {
+		fmt.Fprintf(&b, " at once=%v", waited == 0)
 	}
-}
-
-func TestProbeCalm(t *testing.T) {
-	l := newLimitLoad(1)
-	l.w.runUntil(limitStart)
-	for _, a := range l.accounts {
-		l.offer(a, limitEnd, func(time.Duration) float64 { return 1 })
+	if acc.owner == nil {
+		b.WriteString(" no owner")
+		return b.String()
 	}
-	for _, at := range []float64{10.3, 11, 12, 13, 15, 20, 25, 30} {
-		l.w.runUntil(time.Duration(at * float64(time.Second)))
-		for _, i := range []int{2, 15, 40, 60} {
-			l.dump(t, i)
-		}
+	o := l.w.find(acc.owner.Host)
+	if o.dead || o.boot != acc.owner.Boot {
+		b.WriteString(" owner dead")
+		return b.String()
 	}
-}
-
-func TestProbeKill(t *testing.T) {
-	l := newLimitLoad(1)
-	l.w.runUntil(limitStart)
-	for _, a := range l.accounts {
-		l.offer(a, limitEnd, func(time.Duration) float64 { return 1 })
-	}
-	l.w.at(20*time.Second, func() {
-		for _, i := range l.rng.Perm(limitDaemons)[:limitDaemons/6] {
-			d := l.w.daemons[i]
-			l.w.kill(d)
-			l.w.after(4*time.Second, func() { l.w.restart(d, l.contracts()...) })
-		}
-	})
-	for at := 19.9; at < 31; at += 0.5 {
-		l.w.runUntil(time.Duration(at * float64(time.Second)))
-		l.dump(t, 2)
+	led := o.m.owner.ledgers[a.contract.Customer]
+	if led == nil {
+		b.WriteString(" no ledger")
+		return b.String()
 	}
+	f := o.m.fleet.Load()
+	level := led.pool.level
+	level += led.poolRate(o.m.now(), f) * (o.m.now() - led.pool.at).Seconds()
+	fmt.Fprintf(&b, " open=%v poolEmpty=%v poolRate=%.1f charged=%.1f", led.open, level < 1,
+		math.Round(10*led.poolRate(o.m.now(), f)/led.contract.rate)/10, math.Round(5*led.sum.charged.rate/led.contract.rate)/5)
+	return b.String()
 }
 
-func (l *limitLoad) dumpHolders(t *testing.T, i int) {
-	a := l.accounts[i]
-	for _, d := range l.w.daemons {
-		if d.dead {
-			continue
-		}
-		acc := d.m.account(a.contract)
-		le := acc.lease.Load()
-		if !le.valid(d.m.now()) {
-			t.Logf("   %s none failures %d demand %.2f next %v owner %v", d.host, acc.failures, acc.demand.rate(acc.arrivals.Load()), acc.nextClaim-d.m.now(), acc.owner != nil)
-			continue
+// report logs the rejected calls by group of accounts and second, and by class.
+func (l *limitLoad) report(t *testing.T, name string) {
+	due, missing := l.total(limitStart, limitEnd)
+	t.Logf("%s: due %d missing %d = %.2f%% messages %d bytes %d", name, due, missing, 100*float64(missing)/float64(due), l.w.messages, l.w.bytes)
+	for _, g := range [][2]int{{0, 1}, {1, 2}, {2, 3}, {3, 10}, {10, 30}, {30, 75}} {
+		var by []string
+		d, m := 0, 0
+		for s := limitStart; s < limitEnd; s += time.Second {
+			mm := 0
+			for _, a := range l.accounts[g[0]:g[1]] {
+				x, y := l.missing(a, s, s+time.Second)
+				d, m, mm = d+x, m+y, mm+y
+			}
+			by = append(by, fmt.Sprint(mm))
 		}
-		t.Logf("   %s pooled=%v local=%v rate=%.1f burst=%.1f level=%.1f failures %d demand %.2f below=%v next %v expires %v", d.host, le.pooled, le.local, le.rate, le.burst, le.level(d.m.now()), acc.failures, acc.demand.rate(acc.arrivals.Load()), le.belowLimit, acc.nextClaim-d.m.now(), le.expires-d.m.now())
+		t.Logf("  accounts %d..%d limit %.0f..%.0f: %d of %d: %s", g[0], g[1]-1, l.accounts[g[1]-1].contract.Rate, l.accounts[g[0]].contract.Rate, m, d, strings.Join(by, " "))
 	}
-}
-
-func TestProbeKillHolders(t *testing.T) {
-	l := newLimitLoad(1)
-	l.w.runUntil(limitStart)
-	for _, a := range l.accounts {
-		l.offer(a, limitEnd, func(time.Duration) float64 { return 1 })
+	var keys []string
+	for k := range l.classes {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool { return l.classes[keys[i]] > l.classes[keys[j]] })
+	for _, k := range keys[:min(14, len(keys))] {
+		t.Logf("  %6d %s", l.classes[k], k)
 	}
-	l.w.at(20*time.Second, func() {
-		for _, i := range l.rng.Perm(limitDaemons)[:limitDaemons/6] {
-			d := l.w.daemons[i]
-			l.w.kill(d)
-			l.w.after(4*time.Second, func() { l.w.restart(d, l.contracts()...) })
-		}
-	})
-	l.w.runUntil(21500 * time.Millisecond)
-	l.dumpHolders(t, 2)
 }
 
+// TestProbeLimit logs what is rejected below the limit in several situations. Its figures are in
+// docs/measure/quota.md.
 func TestProbeLimit(t *testing.T) {
 	usual := func(time.Duration) float64 { return 1 }
 	calm := func(l *limitLoad) {
@@ -130,16 +107,7 @@
 				})
 			}
 		}},
-		{"sixth killed at 20s, restarted at 24s", func(l *limitLoad) {
-			calm(l)
-			l.w.at(20*time.Second, func() {
-				for _, i := range l.rng.Perm(limitDaemons)[:limitDaemons/6] {
-					d := l.w.daemons[i]
-					l.w.kill(d)
-					l.w.after(4*time.Second, func() { l.w.restart(d, l.contracts()...) })
-				}
-			})
-		}},
+		{"sixth killed at 20s, restarted at 24s", func(l *limitLoad) { l.killSixth(4 * time.Second) }},
 		{"all restarted at 20s", func(l *limitLoad) {
 			calm(l)
 			l.w.at(20*time.Second, func() {
@@ -167,3 +135,20 @@
 		l.report(t, s.name)
 	}
 }
+
+// TestProbeLimit_sixthKilled logs the same for the 5 s after a sixth of the daemons is killed, and for the
+// time after that.
+func TestProbeLimit_sixthKilled(t *testing.T) {
+	for _, repair := range []time.Duration{time.Second, 4 * time.Second, 15 * time.Second} {
+		var due, missing, dueLater, missingLater int
+		for seed := range uint64(6) {
+			l := runLimitLoad(seed, func(l *limitLoad) { l.killSixth(repair) })
+			d, m := l.total(20*time.Second, 25*time.Second)
+			due, missing = due+d, missing+m
+			d, m = l.total(25*time.Second, limitEnd)
+			dueLater, missingLater = dueLater+d, missingLater+m
+		}
+		t.Logf("restarted after %v: %.2f %% missing, %.2f %% from 5 s to 20 s", repair,
+			100*float64(missing)/float64(due), 100*float64(missingLater)/float64(dueLater))
+	}
+}
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/crocuscross/crocuscross/errkind"
 	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/quota/quotapb"
 	"github.com/crocuscross/crocuscross/snapshot"
@@ -79,13 +80,14 @@
 }
 
 type waitingCall struct {
-	a        *account
-	c        *snapshot.Contract
-	pending  *pendingClaim
-	tries    int
-	waited   bool
-	deadline time.Duration
-	done     func(admitted bool)
+	a       *account
+	c       *snapshot.Contract
+	pending *pendingClaim
+	tries   int
+	// waited is set once the call has waited, ended once it has been admitted or refused.
+	waited, ended bool
+	deadline      time.Duration
+	done          func(admitted bool)
 }
 
 const (
@@ -295,12 +297,13 @@
 	}
 	a, now := d.m.account(c), d.m.now()
 	a.arrivals.Add(1)
-	if d.m.tryAdmit(a, now, c) == nil {
+	err := d.m.tryAdmit(a, now, c)
+	if err == nil {
 		d.run(a, done)
 		d.step()
 		return
 	}
-	d.wait(&waitingCall{a: a, c: c, deadline: now + admitWait, done: done}, now)
+	d.wait(&waitingCall{a: a, c: c, deadline: now + admitWait, done: done}, now, err)
 	d.step()
 }
 
@@ -310,64 +313,61 @@
 	d.w.after(callTime, func() { a.grant.Done() })
 }
 
-func (d *daemon) wait(call *waitingCall, now time.Duration) {
-	claim, at := call.a.nextTry(now, call.tries, errRate)
-	if at >= call.deadline {
-		d.m.refusal(call.a, now, errRate)
-		call.done(false)
+func (d *daemon) wait(call *waitingCall, now time.Duration, err *errkind.Error) {
+	claim, at := call.a.nextTry(now, call.tries, call.pending != nil, err)
+	if at >= call.deadline && call.pending == nil && !claim {
+		d.m.refusal(call.a, now, err)
+		call.end(false)
 		return
 	}
 	if !call.waited {
 		call.waited = true
 		d.w.waits++
 	}
-	if !claim {
-		m := d.m
-		d.w.after(at-now, func() {
-			d.execute(func() {
-				if d.m != m {
-					call.done(false)
-					return
-				}
+	if claim {
+		call.tries++
+		call.pending = d.m.joinClaim(call.a)
+	}
+	m := d.m
+	d.w.after(min(at, call.deadline)-now, func() {
+		d.execute(func() {
+			if d.m == m && !call.ended {
 				d.retry(call, m.now())
 				d.step()
-			})
+			}
 		})
-		return
-	}
-	call.tries++
-	call.pending = call.a.pending.Load()
-	call.pending.waiters.Add(1)
-	d.m.enqueue(call.a)
+	})
 	d.waiting = append(d.waiting, call)
 }
 
-// retry looks for a token again for a call that has waited. It returns whether the call still waits.
-func (d *daemon) retry(call *waitingCall, now time.Duration) (waits bool) {
-	if d.m.tryAdmit(call.a, now, call.c) == nil {
+func (c *waitingCall) end(admitted bool) {
+	c.ended = true
+	c.done(admitted)
+}
+
+// retry looks for a token again for a call that has waited.
+func (d *daemon) retry(call *waitingCall, now time.Duration) {
+	d.waiting = slices.DeleteFunc(d.waiting, func(c *waitingCall) bool { return c == call })
+	err := d.m.tryAdmit(call.a, now, call.c)
+	switch {
+	case err == nil:
+		call.ended = true
 		d.run(call.a, call.done)
-		return false
+	case now >= call.deadline:
+		call.end(false)
+	default:
+		d.wait(call, now, err)
 	}
-	d.wait(call, now)
-	return true
 }
 
-// retryWaiting retries the waiting calls whose answer has arrived.
+// retryWaiting retries the waiting calls whose claim has been answered.
 func (d *daemon) retryWaiting() {
-	now := d.m.now()
-	calls := d.waiting
-	d.waiting = nil
 	again := false
-	for _, call := range calls {
-		select {
-		case <-call.pending.done:
-			again = d.retry(call, now) || again
-		default:
-			if now >= call.deadline {
-				call.done(false)
-				continue
-			}
-			d.waiting = append(d.waiting, call)
+	for _, call := range slices.Clone(d.waiting) {
+		if call.pending != nil && call.pending.answered() {
+			call.pending = nil
+			d.retry(call, d.m.now())
+			again = true
 		}
 	}
 	if again {
