quota: a cut limit reaches all leases soon after the owner has it

Holders claim again within a second after a revision of a contract. If the owner got the revision after that, it granted the previous limit again, until the next renewal up to 5 s later. Holders now renew each second until the owner has had settleTime to get the revision.

--- a/quota/account.go
+++ b/quota/account.go
@@ -53,6 +53,9 @@
 	awaiting bool
 	// nextClaim is the time at which the next claim is due.
 	nextClaim time.Duration
+	// revisedUntil is the time until which the owner may not have the latest revision of the
+	// contract.
+	revisedUntil time.Duration
 	// reported is the demand in the latest claim, in calls per second.
 	reported float64
 	// overflow is the number of tokens that did not fit into the bucket. They are returned
--- a/quota/claim_test.go
+++ b/quota/claim_test.go
@@ -92,3 +92,27 @@
 		must.Eq(t, errkind.RateLimited, errkind.Of(err))
 	})
 }
+
+// A limit is cut to a tenth, and the owner gets the new configuration two seconds after the holders. Their
+// first claims then bring leases from the previous limit, which must not last until the next renewal.
+func TestFault_ownerLearnsOfALimitLast(t *testing.T) {
+	c := &snapshot.Contract{Customer: "acme", Rate: 600, Burst: 600}
+	w := newTolerantWorld(Tolerance{Window: promiseWindow, Share: promiseOverage - 1, Calls: promiseSlack}, 2, 8, c)
+	var k counter
+	w.runUntil(10 * time.Second)
+	for _, d := range w.daemons {
+		w.load(d, c, 30, 40*time.Second, &k)
+	}
+	w.runUntil(20 * time.Second)
+	cut := &snapshot.Contract{Customer: "acme", Rate: 60, Burst: 60}
+	owner := w.owner(c)
+	for _, d := range w.daemons {
+		after := time.Duration(0)
+		if d == owner {
+			after = 2 * time.Second
+		}
+		w.after(after, func() { d.m.SetContracts(contractMap([]*snapshot.Contract{cut})) })
+	}
+	w.runUntil(22*time.Second + 1500*time.Millisecond)
+	must.LessEq(t, 1.3*60, w.admissibleRate(cut), must.Sprint("calls/s that all daemons may admit 1.5 s after the owner has the limit"))
+}
--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -231,6 +231,9 @@
 
 	a.failures = 0
 	renew := time.Duration(p.GetRenewAfterMs()) * time.Millisecond
+	if now < a.revisedUntil {
+		renew = min(renew, h.opts.reportSpread())
+	}
 	a.nextClaim = now + renew - h.jitter(renew/5)
 	a.notBefore.Store(0)
 	if p.GetTokens() < c.GetNeed() {
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -120,13 +120,16 @@
 }
 
 // revise applies a revised contract to an account. The lease shrinks with the contract at once.
-// All holders claim again soon, spread out to avoid a simultaneous burst of claims.
+// All holders claim again soon, spread out to avoid a simultaneous burst of claims, and do so until
+// the owner has had time to get the revision: one that still had the previous contract granted that
+// again until the next renewal.
 func (h *holder) revise(a *account, c *snapshot.Contract, now time.Duration) {
 	previous := h.opts.Tolerance.amount(a.contract)
 	revised := h.opts.Tolerance.amount(c)
 	a.contract = c
 	h.setFallback(a, now)
 	a.nextClaim = min(a.nextClaim, now+h.jitter(h.opts.reportSpread()))
+	a.revisedUntil = now + h.opts.settleTime()
 	if previous.slots == 0 && revised.slots > 0 {
 		// A lease from a contract without a concurrency limit has no slots.
 		a.nextClaim = now
