--- a/gate/gate.go
+++ b/gate/gate.go
@@ -268,10 +268,7 @@
 // exceed the forecast if calls of a more urgent rank arrive or if calls take longer than
 // expected. The caller holds mu.
 func (g *Gate) waitTimeoutError(t *Ticket) *errkind.Error {
-	g.mu.Lock()
-	serviceTime := t.share.serviceTime.value
-	g.mu.Unlock()
-	if t.maxWait > 0 && t.deadline.Sub(g.opts.Now()) > serviceTime {
+	if t.maxWait > 0 && t.deadline.Sub(g.opts.Now()) > t.share.serviceTime.value {
 		return g.overloadedError().WithRetryAfter(t.retryAfter(g.Load().Wait))
 	}
 	return errTooLittleTime
