--- a/bench/soak/fleet.go
+++ b/bench/soak/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -186,16 +187,20 @@
 			seeds = append(seeds, fmt.Sprintf("%s:%d", other.advertisedIP, portControl))
 		}
 	}
+	bounds := map[string]any{"retry_budget_ratio": 0.2, "budget_extra_tries": 64, "grace": 6}
+	if f.o.limitedAccounts {
+		maps.Copy(bounds, map[string]any{"quota_window": 5, "quota_overage": 0.1, "quota_slack": 20})
+	}
 	text, err := render(f.template, map[string]any{
 		"node_name": h.name, "availability_zone": h.zone, "region": "region", "ip": h.ip, "bootstrap": first,
 		"service": h.service, "app_address": h.addr(portBackend), "seed_nodes": seeds,
-		"limits":              map[string]any{"link_mbps": 1000.0},
+		"limits":              map[string]any{"link_mbps": f.o.linkMbps},
 		"internal_port_range": map[string]any{"0": portPeers},
 		"listen": map[string]any{
 			"outbound": h.addr(portCallers), "ready": h.addr(portReady), "control": h.addr(portControl),
 		},
 		"platform": map[string]any{"address": fmt.Sprintf("%s:%d", h.storeIP, portStore)},
-		"bounds":   map[string]any{"retry_budget_ratio": 0.2, "budget_extra_tries": 64, "grace": 6},
+		"bounds":   bounds,
 	})
 	// The platform has nothing between its hosts, so its template does not state this address.
 	peers := fmt.Sprintf(`"peers": %q,`, h.addr(portPeers))
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -27,6 +27,8 @@
 	big             int
 	daemon, standin string
 	template        string
+	linkMbps        float64
+	limitedAccounts bool
 	keep            bool
 }
 
@@ -53,6 +55,8 @@
 	app.Flag("daemon", "Program of the daemon.").Default("bin/crocuscross").StringVar(&o.daemon)
 	app.Flag("standin", "Program of the stand-ins.").Default("bin/standin").StringVar(&o.standin)
 	app.Flag("template", "Template of the settings file.").Default("deploy/daemon.jsonc").StringVar(&o.template)
+	app.Flag("link-mbps", "Bandwidth of the hosts' links that the settings state, in Mbit/s.").Default("1000").Float64Var(&o.linkMbps)
+	app.Flag("limited-accounts", "Render the settings of a deployment whose accounts have limits, with the load management that the template enables there.").BoolVar(&o.limitedAccounts)
 	app.Flag("keep", "Keep the logs of a run that passes.").BoolVar(&o.keep)
 	_, err := app.Parse(args)
 	if err == nil && (o.hosts < 1 || o.hosts > 250 || o.zones < 1 || o.slot < 0 || o.slot > 60) {
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -126,3 +126,11 @@
 	must.NoError(t, run(t.Context(), append(buildPrograms(t), "--seed", "1",
 		"--kind", "server-limit", "--kind", "server-leaving", "--kind", "kill", "--kind", "terminate", "--kind", "cut", "--kind", "pause")))
 }
+
+// A short run with the load management of deployments whose accounts have limits. Guards against calls
+// that the placement by zones or the reservation of slots keeps from servers while daemons are killed,
+// restarted and cut off.
+func TestShortSoakOfLoadManagement(t *testing.T) {
+	must.NoError(t, run(t.Context(), append(buildPrograms(t), "--seed", "3", "--limited-accounts", "--link-mbps", "15",
+		"--kind", "kill", "--kind", "terminate", "--kind", "cut", "--kind", "pause", "--kind", "server-leaving")))
+}
