--- a/internal/proxy/inbound/window.go
+++ b/internal/proxy/inbound/window.go
@@ -12,10 +12,10 @@
 const (
 	// minWindow and maxWindow bound the parts in flight, and maxOutstanding bounds the parts in flight
 	// and the late ones, all in multiples of a full part. If all of them arrive at once, a small call
-	// waits for 75 ms, which is a tenth of an objective of 800 ms.
+	// waits for 62 ms, which is a quarter of the objective of a nested lookup (250 ms).
 	minWindow      = 2
-	maxWindow      = 3
-	maxOutstanding = 4
+	maxWindow      = 4
+	maxOutstanding = 5
 	// maxPartsOfBody bounds the parts outstanding of one body.
 	maxPartsOfBody = 2
 	// idleTimeout is the time without a part after which those in flight are late: the time in which
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,8 +17,10 @@
 	at    time.Duration
 	// candidates are the members that may own customers: those reachable and not draining.
 	candidates []candidate
-	// reachable lists the processes of the members that count as reachable.
+	// reachable lists the processes of the members that count as reachable, and grownAt is when the
+	// last one was added to them.
 	reachable []holderID
+	grownAt   time.Duration
 	// known is the number of members, except those that left or have been unreachable for
 	// unreachableRetention.
 	known int
@@ -74,11 +77,27 @@
 	f.reachableShare = float64(reachable) / float64(max(1, f.known))
 	own := regions[view.Self.Region]
 	f.isolated = own.known > 1 && own.reachable*2 <= own.known
+	f.trackGrowth(prev)
 	f.trackRejoining(prev, opts.rejoinTime())
 	f.trackUnreachable(prev, opts.settleTime())
 	return f
 }
 
+// trackGrowth records whether a process has become reachable since the previous fleet.
+func (f *fleet) trackGrowth(prev *fleet) {
+	f.grownAt = f.at
+	if prev == nil {
+		return
+	}
+	known := make(map[holderID]bool, len(prev.reachable))
+	for _, id := range prev.reachable {
+		known[id] = true
+	}
+	if !slices.ContainsFunc(f.reachable, func(id holderID) bool { return !known[id] }) {
+		f.grownAt = prev.grownAt
+	}
+}
+
 // trackRejoining records which partitioned regions have become reachable again.
 func (f *fleet) trackRejoining(prev *fleet, rejoinTime time.Duration) {
 	if prev == nil {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -240,10 +240,12 @@
 }
 
 // allClaimed reports whether every reachable process has reported what it holds. What unreachable
-// processes may hold stays charged, as it does after the whole settling time. The ledger settles for
-// minSettleTime in any case, because a daemon that has just started may not know all members yet.
+// processes may hold stays charged, as it does after the whole settling time. The ledger settles until
+// no process has become reachable for minSettleTime: while a daemon that has just started learns of the
+// members, others may take themselves for the owner.
 func (l *ledger) allClaimed(now time.Duration, f *fleet) bool {
-	if now < l.opensAt-l.opts.settleTime()+minSettleTime || f.isolated || len(f.partitionedRegions) > 0 || len(l.byHolder) < len(f.reachable) {
+	settledFor := min(now-(l.opensAt-l.opts.settleTime()), now-f.grownAt)
+	if settledFor < minSettleTime || f.isolated || len(f.partitionedRegions) > 0 || len(l.byHolder) < len(f.reachable) {
 		return false
 	}
 	for _, id := range f.reachable {
--- a/quota/options.go
+++ b/quota/options.go
@@ -63,8 +63,9 @@
 	// delegateSoon is the renew interval of a holder that had a bucket and is to delegate its rate to
 	// the pool. Nobody can use the rate until then.
 	delegateSoon = 2 * tickInterval
-	// minSettleTime is the shortest settling time of a new owner, whatever has been reported to it. A
-	// daemon learns of members that it does not know within one or two membership exchanges.
+	// minSettleTime is the shortest settling time of a new owner, and the time for which its view of
+	// the fleet must not have grown, whatever has been reported to it. A daemon learns of members that
+	// it does not know within one or two membership exchanges.
 	minSettleTime = time.Second
 	// settleDivisor sets the settling time of a new owner: the lease time divided by
 	// settleDivisor.
