--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -82,9 +82,9 @@
 func TestRenderedSettingsAreValid(t *testing.T) {
 	template, err := os.ReadFile("../../deploy/daemon.jsonc")
 	must.NoError(t, err)
-	f := &fleet{template: string(template)}
 	h := options{zones: 4}.newHost(0)
 	for _, first := range []bool{true, false} {
+		f := &fleet{template: string(template), o: options{limitedAccounts: !first}}
 		text, err := f.settings(h, first)
 		must.NoError(t, err)
 		s, err := settings.Parse("node.json", []byte(text))
@@ -94,6 +94,8 @@
 		must.Eq(t, "127.160.101.1:7380", s.Listen.AdvertisePeers)
 		must.Less(t, promises.Apply, time.Duration(s.Spread.OwnReadAfter)*5/4)
 		must.Eq(t, first, s.FirstStart == settings.On)
+		must.Eq(t, first, s.Load.LinkPlacement == settings.On)
+		must.Eq(t, !first, s.Load.ZoneSpill == settings.On)
 	}
 	_, err = render("{{unknown|other}}", nil)
 	must.Error(t, err)
