--- a/balance/link.go
+++ b/balance/link.go
@@ -21,12 +21,10 @@
 	serviceMargin = 0.5
 	// linkWaitMargin is the part of the link wait by which it may be longer than forecast: it is known from
 	// reports that are up to some 100 ms old, and daemons pause while their processor quota is used up.
-	// In a model at 1.08 times the capacity of the links, 0.34 of the uploads were late without this margin
-	// and 0.04 with it, at the same number of rejections.
+	// Without this margin, a third of the uploads are late when demand just exceeds the links.
 	linkWaitMargin = 0.5
 	// remoteReserve is the part of the time left that must remain at a server outside the availability
-	// zone. Zones whose links are equally busy would otherwise exchange uploads: in the same model, 0.51
-	// of the bytes left their zone without it and 0.30 with it, at the same number of answers in time.
+	// zone. Zones whose links are equally busy would otherwise exchange uploads.
 	remoteReserve = 0.25
 	// minWaitDivisor is the inverse of the part of the time left that a call may wait in any case. Without
 	// it, calls whose work takes nearly as long as their objective would be rejected at idle servers.
--- a/capacity/decide.go
+++ b/capacity/decide.go
@@ -97,8 +97,7 @@
 // saves what it costs to 1 where it saves twice that. No call leaves for a zone without free slots,
 // where it would wait as well. The probability is at most the difference of the pressures: of calls
 // that cost little, all senders would otherwise move all at once on a small difference, which may
-// be noise of the reports. In the model of load A with a burst, three seeds, the answers had 0.869 to
-// 0.878 of their value without that bound and 0.878 to 0.891 with it.
+// be noise of the reports.
 func (c Call) leaveProbability(own float64, to Candidate) float64 {
 	other := Pressure(to.Use + to.Error)
 	saved, cost := c.saved(own, other), c.cost(to.Hop)
@@ -114,8 +113,8 @@
 
 // Choose decides whether a call leaves its own zone. It returns the index of the candidate that the
 // call goes to, or -1 if it stays. draw returns a random number in [0, 1). A difference of the uses
-// that may be due to the error of the reports moves no calls: without that margin, two zones that
-// were equally full exchanged 0.078 of their calls in the model, and 0.02 to 0.04 with it.
+// that may be due to the error of the reports moves no calls. Without that margin, zones that are
+// equally full exchange calls.
 func (c Call) Choose(own Knowledge, others []Candidate, draw func() float64) (int, Reason) {
 	pressure := Pressure(own.Use - own.Error)
 	if c.Refused {
