--- a/quota/run_test.go
+++ b/quota/run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -134,8 +135,11 @@
 			if host == m.opts.Host {
 				continue
 			}
-			must.Len(t, 1, owner.owner.ledgers["acme"].entries)
-			must.Eq(t, m.opts.Host, owner.owner.ledgers["acme"].entries[0].holder.host)
+			owner.owner.mu.Lock()
+			entries := slices.Clone(owner.owner.ledgers["acme"].entries)
+			owner.owner.mu.Unlock()
+			must.Len(t, 1, entries)
+			must.Eq(t, m.opts.Host, entries[0].holder.host)
 		}
 	})
 }
