--- a/quota/probe_test.go
+++ b/quota/limit_bench_test.go
@@ -44,7 +44,7 @@
 }
 
 // report logs the rejected calls by group of accounts and second, and by class.
-func (l *limitLoad) report(t *testing.T, name string) {
+func (l *limitLoad) report(t testing.TB, name string) {
 	due, missing := l.total(limitStart, limitEnd)
 	t.Logf("%s: due %d missing %d = %.2f%% messages %d bytes %d", name, due, missing, 100*float64(missing)/float64(due), l.w.messages, l.w.bytes)
 	for _, g := range [][2]int{{0, 1}, {1, 2}, {2, 3}, {3, 10}, {10, 30}, {30, 75}} {
@@ -70,9 +70,9 @@
 	}
 }
 
-// TestProbeLimit logs what is rejected below the limit in several situations. Its figures are in
+// BenchmarkLimit_Situations logs what is rejected below the limit in several situations. Its figures are in
 // docs/measure/quota.md.
-func TestProbeLimit(t *testing.T) {
+func BenchmarkLimit_Situations(b *testing.B) {
 	usual := func(time.Duration) float64 { return 1 }
 	calm := func(l *limitLoad) {
 		for _, a := range l.accounts {
@@ -132,13 +132,13 @@
 		l.w.messages, l.w.bytes = 0, 0
 		s.run(l)
 		l.w.runUntil(limitEnd + time.Second)
-		l.report(t, s.name)
+		l.report(b, s.name)
 	}
 }
 
-// TestProbeLimit_sixthKilled logs the same for the 5 s after a sixth of the daemons is killed, and for the
+// BenchmarkLimit_SixthKilled logs the same for the 5 s after a sixth of the daemons is killed, and for the
 // time after that.
-func TestProbeLimit_sixthKilled(t *testing.T) {
+func BenchmarkLimit_SixthKilled(b *testing.B) {
 	for _, repair := range []time.Duration{time.Second, 4 * time.Second, 15 * time.Second} {
 		var due, missing, dueLater, missingLater int
 		for seed := range uint64(6) {
@@ -148,7 +148,7 @@
 			d, m = l.total(25*time.Second, limitEnd)
 			dueLater, missingLater = dueLater+d, missingLater+m
 		}
-		t.Logf("restarted after %v: %.2f %% missing, %.2f %% from 5 s to 20 s", repair,
+		b.Logf("restarted after %v: %.2f %% missing, %.2f %% from 5 s to 20 s", repair,
 			100*float64(missing)/float64(due), 100*float64(missingLater)/float64(dueLater))
 	}
 }
