--- /dev/null
+++ b/review/3/main.go
@@ -0,0 +1,141 @@
+// Command 2 shows whether tenants get more than their quota if a machine that was frozen while their
+// version was published wakes again.
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/crocuscross/crocuscross/review/kit"
+)
+
+const (
+	service = "intake"
+	route   = "submit"
+	hosts   = 10
+	// frozenHost is the index of the machine that freezes.
+	frozenHost = 8
+
+	// window, overage and slack are the bounds of the site tuul-signq-grown.
+	window  = 5 * time.Second
+	overage = 0.1
+	slack   = 20
+
+	// perS and burst are the quota of each tenant.
+	perS    = 8.0
+	burst   = 100.0
+	tenants = 12
+	// wanted is what each tenant sends, in requests per second.
+	wanted = 100
+
+	// freeze is the longest freeze that a site file names.
+	freeze = 4 * time.Second
+	// publishAfter is the time from the freeze to the version with the tenants, beginAfter that from
+	// the version to their first requests.
+	publishAfter = 2900 * time.Millisecond
+	beginAfter   = 500 * time.Millisecond
+)
+
+func main() {
+	kit.Main(kit.Options{
+		Services: slices.Repeat([]string{service}, hosts), Zones: 1, Born: true,
+		Bounds: map[string]any{"quota_window": 5, "quota_overage": overage, "quota_slack": slack},
+	}, run)
+}
+
+func run(d *kit.Deployment) (bool, error) {
+	var targets []*kit.Target
+	for _, h := range d.Hosts {
+		t, err := h.StartTarget("i-"+h.Name, 5*time.Millisecond)
+		if err != nil {
+			return false, err
+		}
+		targets = append(targets, t)
+	}
+	c := kit.NewConfig(3, service)
+	c.AddRoute(route, service, kit.NonIdempotent, 2000)
+	c.Tenants = []kit.Tenant{tenant("first")}
+	d.Publish(c)
+	if err := d.AwaitReady(); err != nil {
+		return false, err
+	}
+	time.Sleep(8 * time.Second)
+
+	frozen := d.Hosts[frozenHost]
+	if kit.Trouble() {
+		frozen.Signal(syscall.SIGSTOP)
+		time.AfterFunc(freeze, func() { frozen.Signal(syscall.SIGCONT) })
+	}
+	time.Sleep(publishAfter)
+	c.Version = 7
+	var names []string
+	for i := range tenants {
+		names = append(names, fmt.Sprintf("tenant-%d", i))
+		c.Tenants = append(c.Tenants, tenant(names[i]))
+	}
+	d.Publish(c)
+	time.Sleep(beginAfter)
+	end := time.Now().Add(10 * time.Second)
+	var others []*kit.Host
+	for _, h := range d.Hosts {
+		if h != frozen {
+			others = append(others, h)
+		}
+	}
+	var wg sync.WaitGroup
+	for _, name := range names {
+		wg.Go(func() { send(others, name, end) })
+	}
+	wg.Wait()
+	return exceeded(d, targets, names), nil
+}
+
+func tenant(name string) kit.Tenant {
+	return kit.Tenant{Name: name, Keys: []string{"key-" + name}, PerS: perS, Burst: burst}
+}
+
+// send sends the requests of a tenant through the hosts in turn.
+func send(hosts []*kit.Host, name string, end time.Time) {
+	var clients []*kit.Client
+	for _, h := range hosts {
+		clients = append(clients, h.NewClient())
+	}
+	kit.Pace(wanted, end, func(i int) {
+		clients[i%len(clients)].Do(kit.Request{Method: http.MethodPost, Route: route, Key: "key-" + name, Body: name, Deadline: time.Second})
+	})
+}
+
+// request is when a request was sent and when a target ran it.
+type request struct{ sent, ran time.Time }
+
+// exceeded reports whether in some window more requests of a tenant were both sent and run than its
+// quota allows.
+func exceeded(d *kit.Deployment, targets []*kit.Target, names []string) bool {
+	allowed := (perS*window.Seconds()+burst)*(1+overage) + slack
+	requests := map[string][]request{}
+	for _, t := range targets {
+		for _, r := range t.Runs() {
+			requests[r.Tenant] = append(requests[r.Tenant], request{kit.SentAt(r.ID), r.At})
+		}
+	}
+	broken := false
+	for _, name := range names {
+		most := 0
+		for _, first := range requests[name] {
+			n := 0
+			for _, r := range requests[name] {
+				if !r.sent.Before(first.sent) && !r.ran.After(first.sent.Add(window)) {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+		d.Record.Log("most requests sent and run in a window", "tenant", name, "count", most, "allowed", allowed)
+		broken = broken || float64(most) > allowed
+	}
+	return broken
+}
