--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,5 +1,5 @@
-// Command 2 shows whether tenants get more than their quota if a machine that was frozen while their
-// version was published wakes again.
+// Command 3 shows whether tenants get more than their quota if a machine that was cut off from the
+// others while their version was published is back.
 package main
 
 import (
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/crocuscross/crocuscross/review/kit"
@@ -17,8 +16,8 @@
 	service = "intake"
 	route   = "submit"
 	hosts   = 10
-	// frozenHost is the index of the machine that freezes.
-	frozenHost = 8
+	// cutHost is the index of the machine that is cut off.
+	cutHost = 8
 
 	// window, overage and slack are the bounds of the site tuul-signq-grown.
 	window  = 5 * time.Second
@@ -32,17 +31,17 @@
 	// wanted is what each tenant sends, in requests per second.
 	wanted = 100
 
-	// freeze is the longest freeze that a site file names.
-	freeze = 4 * time.Second
-	// publishAfter is the time from the freeze to the version with the tenants, beginAfter that from
-	// the version to their first requests.
-	publishAfter = 2900 * time.Millisecond
+	// cut is how long the machine is cut off, at most 8 s on the pages.
+	cut = 4500 * time.Millisecond
+	// publishAfter is the time from the cut to the version with the tenants, beginAfter that from the
+	// version to their first requests.
+	publishAfter = 3500 * time.Millisecond
 	beginAfter   = 500 * time.Millisecond
 )
 
 func main() {
 	kit.Main(kit.Options{
-		Services: slices.Repeat([]string{service}, hosts), Zones: 1, Born: true,
+		Services: slices.Repeat([]string{service}, hosts), Zones: 1, Born: true, Proxied: true,
 		Bounds: map[string]any{"quota_window": 5, "quota_overage": overage, "quota_slack": slack},
 	}, run)
 }
@@ -65,10 +64,10 @@
 	}
 	time.Sleep(8 * time.Second)
 
-	frozen := d.Hosts[frozenHost]
+	away := d.Hosts[cutHost]
 	if kit.Trouble() {
-		frozen.Signal(syscall.SIGSTOP)
-		time.AfterFunc(freeze, func() { frozen.Signal(syscall.SIGCONT) })
+		away.CutOff()
+		time.AfterFunc(cut, d.Heal)
 	}
 	time.Sleep(publishAfter)
 	c.Version = 7
@@ -82,7 +81,7 @@
 	end := time.Now().Add(10 * time.Second)
 	var others []*kit.Host
 	for _, h := range d.Hosts {
-		if h != frozen {
+		if h != away {
 			others = append(others, h)
 		}
 	}
--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -18,6 +19,7 @@
 	"syscall"
 	"time"
 
+	"github.com/crocuscross/crocuscross/bench/network"
 	"github.com/crocuscross/crocuscross/bench/procs"
 	"github.com/crocuscross/crocuscross/platform/storetest"
 )
@@ -54,6 +56,8 @@
 	Bounds map[string]any
 	// Born makes targets state when they started.
 	Born bool
+	// Proxied puts a proxy between each two daemons, so that machines can be cut off.
+	Proxied bool
 }
 
 // Deployment is a running deployment.
@@ -67,6 +71,7 @@
 	subnet    string
 	group     *procs.Group
 	storeHTTP *http.Server
+	proxy     *network.Network
 	settings  string
 }
 
@@ -140,6 +145,9 @@
 			IP: fmt.Sprintf("%s.%d.%d", d.subnet, zone, i+1), d: d,
 		})
 	}
+	if err := d.startProxy(); err != nil {
+		return err
+	}
 	for _, h := range d.Hosts {
 		ln, err := net.Listen("tcp", h.storeAddress())
 		if err != nil {
@@ -155,6 +163,46 @@
 	return nil
 }
 
+// startProxy starts the proxy between the daemons, if there is to be one.
+func (d *Deployment) startProxy() error {
+	if !d.opts.Proxied {
+		return nil
+	}
+	var hosts []network.Host
+	for _, h := range d.Hosts {
+		hosts = append(hosts, network.Host{
+			Name: h.Name, Listen: netip.MustParseAddrPort(h.addr(portPeers)), Advertise: netip.MustParseAddrPort(h.proxyAddress()),
+		})
+	}
+	var err error
+	d.proxy, err = network.New(hosts)
+	return err
+}
+
+// proxyAddress is where other daemons reach the daemon through the proxy.
+func (h *Host) proxyAddress() string {
+	_, host, _ := strings.Cut(h.Name, "-")
+	return fmt.Sprintf("%s.201.%s:%d", h.d.subnet, host, portPeers)
+}
+
+// CutOff drops all that the daemon and the others send each other, until Heal.
+func (h *Host) CutOff() {
+	h.d.Record.Log("machine cut off from the others", "host", h.Name)
+	var others []string
+	for _, o := range h.d.Hosts {
+		if o != h {
+			others = append(others, o.Name)
+		}
+	}
+	h.d.proxy.Cut([]string{h.Name}, others)
+}
+
+// Heal ends all cuts.
+func (d *Deployment) Heal() {
+	d.Record.Log("the cut heals")
+	d.proxy.Heal()
+}
+
 // pickSubnet finds a loopback subnet whose addresses are free.
 func (d *Deployment) pickSubnet() error {
 	for range 40 {
@@ -211,6 +259,9 @@
 // Close ends all processes and removes their folder, unless KEEP is set.
 func (d *Deployment) Close() {
 	d.group.KillAll()
+	if d.proxy != nil {
+		_ = d.proxy.Close()
+	}
 	if d.storeHTTP != nil {
 		_ = d.storeHTTP.Close()
 	}
@@ -253,6 +304,10 @@
 	if err != nil {
 		return err
 	}
+	if h.d.opts.Proxied {
+		peers := fmt.Sprintf("%q: %q,", "peers", h.addr(portPeers))
+		text = strings.Replace(text, peers, fmt.Sprintf("%s %q: %q,", peers, "advertise_peers", h.proxyAddress()), 1)
+	}
 	path := filepath.Join(h.d.dir, h.Name+".jsonc")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
