--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,102 +1,165 @@
-// Command 1 shows whether machines in touch have a version in force in time, if other machines have
-// been lost just before.
+// Command 2 shows whether a request that isn't idempotent runs twice, or is answered as not run and
+// has run, if a target rejects some requests and sends some of its answers a second time.
 package main
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/crocuscross/crocuscross/review/kit"
 )
 
 const (
-	oldService, newService = "sign-feed", "site-ops"
-	route                  = "lookup"
+	service, otherService = "site-ops", "sign-feed"
+	route                 = "correction"
 
-	zones, hostsPerZone = 3, 4
+	// shed is the share of the requests that the target rejects while its health check is good, at
+	// most 0.45 for 6.5 s on the pages.
+	shed    = 0.12
+	shedFor = 6500 * time.Millisecond
+	// extra is the share of the answers that the target sends a second time, late.
+	extra    = 0.03
+	extraFor = 5 * time.Second
+	lateBy   = 30 * time.Millisecond
+	// episodes is how often both begin, one every pause.
+	episodes = 7
+	pause    = 8 * time.Second
 
-	// contact and configApply are the bounds of the site neps-mesh.
-	contact     = 3 * time.Second
-	configApply = 2 * time.Second
-	// watch is how long requests are sent after the acknowledgement.
-	watch = 15 * time.Second
+	work      = 80 * time.Millisecond
+	perSecond = 90
 )
 
+// target is a target that may shed requests and repeat answers.
+type target struct {
+	sheds, repeats atomic.Bool
+	record         *kit.Record
+}
+
 func main() {
-	var services []string
-	for i := range zones * hostsPerZone {
-		services = append(services, []string{oldService, newService}[(i/zones)%2])
-	}
-	kit.Main(kit.Options{Services: services, Zones: zones}, run)
+	kit.Main(kit.Options{Services: []string{service, otherService}, Zones: 1}, run)
 }
 
 func run(d *kit.Deployment) (bool, error) {
-	targets := map[*kit.Host]*kit.Target{}
-	for _, h := range d.Hosts {
-		t, err := h.StartTarget("i-"+h.Name, 10*time.Millisecond)
-		if err != nil {
-			return false, err
-		}
-		targets[h] = t
+	t := &target{record: d.Record}
+	server, err := d.Hosts[0].StartRawTarget("i-ops", t.serve)
+	if err != nil {
+		return false, err
+	}
+	if _, err := d.Hosts[1].StartTarget("i-feed", work); err != nil {
+		return false, err
 	}
-	c := kit.NewConfig(3, oldService, newService)
-	c.AddRoute(route, oldService, kit.Idempotent, 2000)
+	c := kit.NewConfig(3, service, otherService)
+	c.AddRoute(route, service, kit.NonIdempotent, 1500)
 	d.Publish(c)
 	if err := d.AwaitReady(); err != nil {
 		return false, err
 	}
-	time.Sleep(contact + 5*time.Second)
+	time.Sleep(3 * time.Second)
 
-	var lost []*kit.Host
-	if kit.Trouble() {
-		lost = d.Readers(2, 5*time.Second)
-		if 2*len(lost) > len(d.Hosts) {
-			return false, fmt.Errorf("%d of %d machines read the store, at most half may be lost", len(lost), len(d.Hosts))
-		}
-	}
-	var left []*kit.Host
-	for _, h := range d.Hosts {
-		if !slices.Contains(lost, h) {
-			left = append(left, h)
-		}
-	}
-	var clients sync.WaitGroup
-	end := time.Now().Add(2*time.Second + watch)
-	for _, h := range left {
-		clients.Go(func() {
-			cl := h.NewClient()
-			kit.Pace(20, end, func(int) {
-				cl.Do(kit.Request{Method: http.MethodGet, Route: route, Deadline: 2 * time.Second})
-			})
+	client := d.Hosts[1].NewClient()
+	end := time.Now().Add(episodes*pause + 2*time.Second)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		kit.Pace(perSecond, end, func(int) {
+			client.Do(kit.Request{Method: http.MethodDelete, Route: route, Deadline: 3 * time.Second})
 		})
+	})
+	time.Sleep(2 * time.Second)
+	for range episodes {
+		if kit.Trouble() {
+			d.Record.Log("target: sheds requests and repeats answers")
+			t.sheds.Store(true)
+			t.repeats.Store(true)
+			time.AfterFunc(extraFor, func() { t.repeats.Store(false) })
+			time.AfterFunc(shedFor, func() { t.sheds.Store(false) })
+		}
+		time.Sleep(pause)
 	}
+	wg.Wait()
 	time.Sleep(time.Second)
-	for _, h := range lost {
-		h.Kill()
-		targets[h].End()
+	return check(d, server.Runs(), client.Answers()), nil
+}
+
+// check reports whether a request ran more than once, or was answered as not run and has run.
+func check(d *kit.Deployment, runs []kit.Run, answers []kit.Answer) bool {
+	count := map[string]int{}
+	for _, r := range runs {
+		count[r.ID]++
 	}
-	time.Sleep(time.Second)
-	c.Version = 8
-	c.Routes[0].Service = newService
-	acked := d.Publish(c)
-	clients.Wait()
+	twice, refused := 0, 0
+	for _, a := range answers {
+		switch n := count[a.ID]; {
+		case n > 1:
+			twice++
+			d.Record.Log("TWICE: ran more than once", "request", a.ID, "runs", n, "status", a.Status)
+		case n == 1 && (a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests):
+			refused++
+			d.Record.Log("REFUSED: answered as not run and has run", "request", a.ID, "status", a.Status)
+		}
+	}
+	d.Record.Log("requests", "sent", len(answers), "twice", twice, "refused", refused)
+	return twice+refused > 0
+}
 
-	late, latest := 0, time.Duration(0)
-	for _, h := range left {
-		if h.Service != oldService {
+// serve serves one connection, one request at a time.
+func (t *target) serve(server *kit.Target, conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	w := &writer{conn: conn}
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if r.URL.Path == kit.HealthPath {
+			w.write("HTTP/1.1 200 OK\r\nX-Crocuscross-Instance-Id: " + server.ID + "\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
-		for _, r := range targets[h].Runs() {
-			if after := kit.SentAt(r.ID).Sub(acked); after > configApply {
-				late++
-				latest = max(latest, after)
-			}
+		id := r.Header.Get("X-Crocuscross-Request-Id")
+		answer := t.answer(server, r, id)
+		w.write(answer)
+		if t.repeats.Load() && rand.Float64() < extra {
+			time.AfterFunc(lateBy, func() {
+				t.record.Log("target: sends its answer a second time", "request", id)
+				w.write(answer)
+			})
 		}
 	}
-	d.Record.Log("requests sent later than config_apply after the acknowledgement and run by the old service",
-		"count", late, "latest_sent_after", latest.Round(time.Millisecond))
-	return late > 0, nil
+}
+
+// answer rejects or runs a request.
+func (t *target) answer(server *kit.Target, r *http.Request, id string) string {
+	head := "X-Crocuscross-Request-Id: " + id + "\r\nKeep-Alive: timeout=10\r\n"
+	if want := r.Header.Get("X-Crocuscross-Expected-Instance"); want != "" && want != server.ID {
+		return "HTTP/1.1 421 Misdirected Request\r\nX-Crocuscross-Not-Executed: 1\r\n" + head + "Content-Length: 0\r\n\r\n"
+	}
+	if t.sheds.Load() && rand.Float64() < shed {
+		t.record.Log("target: rejects", "request", id)
+		return "HTTP/1.1 503 Service Unavailable\r\nX-Crocuscross-Not-Executed: 1\r\n" + head + "Content-Length: 0\r\n\r\n"
+	}
+	server.AddRun(r)
+	time.Sleep(work)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Crocuscross-Server-Signature: %s.%s\r\n%sContent-Length: 2\r\n\r\nok", server.ID, id, head)
+}
+
+// writer writes whole answers to a connection.
+type writer struct {
+	mu   sync.Mutex
+	conn net.Conn
+}
+
+func (w *writer) write(answer string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, _ = io.WriteString(w.conn, answer)
 }
