quota: log changes of ownership

One line for each change of the fleet or of the contracts that moves accounts, with counts and the state of the fleet.

--- a/quota/owner.go
+++ b/quota/owner.go
@@ -40,9 +40,11 @@
 	if same {
 		return
 	}
+	var c ownershipChange
 	for customer := range o.contracts {
-		o.reassign(customer, now+o.opts.settleTime(), now)
+		c.add(o.reassign(customer, now+o.opts.settleTime(), now))
 	}
+	o.log("the fleet has changed", c)
 }
 
 // setContracts replaces the contracts in force. The ledger of a customer that is new to the
@@ -51,6 +53,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	first := o.contracts == nil
+	var change ownershipChange
 	for customer := range o.contracts {
 		if contracts[customer] == nil {
 			delete(o.opensAt, customer)
@@ -71,9 +74,10 @@
 		if first {
 			opensAt = now + o.opts.settleTime()
 		}
-		o.reassign(customer, opensAt, now)
+		change.add(o.reassign(customer, opensAt, now))
 	}
 	o.contracts = contracts
+	o.log("contracts have changed", change)
 }
 
 // fillTime returns the time in which the rate of a contract fills its burst.
@@ -81,20 +85,47 @@
 	return time.Duration(min(contract.burst/contract.rate*float64(time.Second), float64(maxInterval)))
 }
 
-// reassign updates whether this daemon owns the customer. The ledger of a newly owned customer
-// settles until opensAt.
-func (o *owner) reassign(customer string, opensAt, now time.Duration) {
+// reassign updates whether this daemon owns the customer, and returns what has changed. The ledger of
+// a newly owned customer settles until opensAt.
+func (o *owner) reassign(customer string, opensAt, now time.Duration) ownershipChange {
+	_, owned := o.opensAt[customer]
 	if !o.fleet.selfOwns(customer) {
 		delete(o.opensAt, customer)
-		return
+		return ownershipChange{givenUp: count(owned)}
 	}
-	if _, ok := o.opensAt[customer]; ok {
-		return
+	if owned {
+		return ownershipChange{}
 	}
 	o.opensAt[customer] = opensAt
 	if l := o.ledgers[customer]; l != nil {
 		l.settle(opensAt, now)
 	}
+	return ownershipChange{taken: 1, open: count(opensAt <= now)}
+}
+
+// ownershipChange counts the customers that this daemon has become the owner of, those of them whose
+// ledger is open at once, and those that it no longer owns.
+type ownershipChange struct{ taken, open, givenUp int }
+
+func (c *ownershipChange) add(o ownershipChange) {
+	c.taken += o.taken
+	c.open += o.open
+	c.givenUp += o.givenUp
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (o *owner) log(reason string, c ownershipChange) {
+	if c == (ownershipChange{}) {
+		return
+	}
+	o.opts.Logger.Info("quota: ownership changed", "reason", reason, "taken", c.taken, "open_at_once", c.open, "given_up", c.givenUp,
+		"owned", len(o.opensAt), "reachable", len(o.fleet.reachable), "known", o.fleet.known, "isolated", o.fleet.isolated)
 }
 
 // serve answers a request.
