backendconn: no two attempts of a request on one connection

Cause: the attempts of a request share the request ID of the caller, and a connection told responses apart by that ID only. After a rejection without a body the connection is kept, and the next attempt takes it. If the backend server sends the rejection a second time, late, it arrives where the response to the second attempt is expected and is taken for it, while the server runs the request.

Change: a connection keeps the hashes of the request IDs that it carried and takes no second call with one of them. After 256 calls it is closed, since nothing bounds how late a copy may come. Calls without an ID count as having the same one. Not only rejections are concerned: a copied 500 or 200 of an earlier run was taken as well.

--- a/internal/proxy/backendconn/client.go
+++ b/internal/proxy/backendconn/client.go
@@ -13,10 +13,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -107,7 +110,8 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &NotSentError{err}
 	}
-	cn := c.takeIdle()
+	requestID := c.requestID(r)
+	cn := c.takeIdle(func(cn *conn) bool { return cn.fits(requestID) })
 	if cn == nil {
 		var err error
 		if cn, err = c.dial(ctx); err != nil {
@@ -136,7 +140,7 @@
 // open, and its address refuses new connections. A connection that the check opens is kept for
 // the next call.
 func (c *Client) ServerExited() bool {
-	if cn := c.takeIdle(); cn != nil {
+	if cn := c.takeIdle(func(*conn) bool { return true }); cn != nil {
 		c.putIdle(cn)
 		return false
 	}
@@ -151,27 +155,40 @@
 	return false
 }
 
-// takeIdle returns the most recently used connection that is still usable, or nil if there is
-// none. It closes the unusable connections that it finds.
-func (c *Client) takeIdle() *conn {
+// requestID returns the hash of the call's request ID. Calls without an ID have the same one.
+func (c *Client) requestID(r *Request) uint64 {
+	if c.opts.RequestIDHeader == "" {
+		return 0
+	}
+	return xxhash.Sum64String(r.Header.Get(c.opts.RequestIDHeader))
+}
+
+// takeIdle returns the most recently used idle connection that fits and is still usable, or nil if
+// there is none. It closes the unusable connections that it finds.
+func (c *Client) takeIdle(fits func(*conn) bool) *conn {
 	now := time.Now()
 	for {
-		c.mu.Lock()
-		n := len(c.idle)
-		if n == 0 {
-			c.mu.Unlock()
-			return nil
-		}
-		cn := c.idle[n-1]
-		c.idle = c.idle[:n-1]
-		c.mu.Unlock()
-		if now.Before(cn.reusableUntil) && cn.reusable() {
+		cn := c.removeIdle(fits)
+		if cn == nil || now.Before(cn.reusableUntil) && cn.reusable() {
 			return cn
 		}
 		cn.close()
 	}
 }
 
+// removeIdle removes the most recently used connection that fits from the idle list and returns it.
+func (c *Client) removeIdle(fits func(*conn) bool) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, cn := range slices.Backward(c.idle) {
+		if fits(cn) {
+			c.idle = slices.Delete(c.idle, i, i+1)
+			return cn
+		}
+	}
+	return nil
+}
+
 // putIdle returns a connection whose response has been read completely to the idle list. It
 // closes the connection if the list is full or the client is closed.
 func (c *Client) putIdle(cn *conn) {
--- a/internal/proxy/backendconn/conn.go
+++ b/internal/proxy/backendconn/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +25,9 @@
 	// response is read. It fits into the TCP windows of a connection, so that a server that
 	// responds early cannot block the write.
 	maxDirectBody = 16 << 10
+	// maxRequestIDs bounds the request IDs that are kept for a connection, 8 bytes each. A connection
+	// that has carried as many calls is closed, since nothing bounds how late a second response may be.
+	maxRequestIDs = 256
 	// bufferSize is the size of the read buffer and of the write buffer of a connection, in
 	// bytes.
 	bufferSize = 4 << 10
@@ -38,8 +42,10 @@
 	// reusableUntil is the time until which the connection may take another call.
 	reusableUntil time.Time
 	number        uint64
-	// calls is the number of calls that the connection has carried.
-	calls int
+	// calls is the number of calls that the connection has carried, and requestIDs has the hashes of
+	// their request IDs.
+	calls      int
+	requestIDs []uint64
 }
 
 func newConn(c *Client, nc net.Conn, number uint64) *conn {
@@ -59,11 +65,20 @@
 	return found == netopt.NoInput || found == netopt.InputUnknown
 }
 
+// fits reports whether a call with a request ID may be sent on the connection. The attempts of a
+// request share its ID, so the connection must not have carried another one of them: a late second
+// response to that one would be taken for the response to the call. An ID may match by a collision
+// of hashes, which costs a connection.
+func (cn *conn) fits(requestID uint64) bool { return !slices.Contains(cn.requestIDs, requestID) }
+
 // do sends a call on the connection. When the call ends, the connection is closed or returned
 // to the idle list.
 func (cn *conn) do(ctx context.Context, r *Request) (*http.Response, error) {
 	r.Conn = ConnInfo{Number: cn.number, EarlierCalls: cn.calls}
 	cn.calls++
+	if cn.client.opts.RequestIDHeader != "" {
+		cn.requestIDs = append(cn.requestIDs, cn.client.requestID(r))
+	}
 	unbind := context.AfterFunc(ctx, func() { _ = cn.nc.SetDeadline(time.Unix(1, 0)) })
 	writer := &requestWriter{cn: cn, done: make(chan struct{})}
 	if err := writer.start(r); err != nil {
@@ -77,7 +92,8 @@
 		cn.close()
 		return nil, err
 	}
-	resp.Body = &responseBody{src: resp.Body, cn: cn, writer: writer, unbind: unbind, keepAlive: !resp.Close && !bodyMayBeUnread(r, resp), reusableUntil: reuseDeadline(resp.Header)}
+	keepAlive := !resp.Close && !bodyMayBeUnread(r, resp) && len(cn.requestIDs) < maxRequestIDs
+	resp.Body = &responseBody{src: resp.Body, cn: cn, writer: writer, unbind: unbind, keepAlive: keepAlive, reusableUntil: reuseDeadline(resp.Header)}
 	return resp, nil
 }
 
@@ -92,7 +108,8 @@
 }
 
 // readResponse returns the head of the call's own response. A late second response to an
-// earlier call may precede it and is recognized by its request ID.
+// earlier call may precede it and is recognized by its request ID, which no earlier call on the
+// connection had.
 func (cn *conn) readResponse(r *Request) (*http.Response, error) {
 	id := cn.client.opts.RequestIDHeader
 	for foreign := 0; foreign <= maxForeignResponses; {
