quota: an owner that was away settles, also if it did not notice

Cause: a host that is cut off for a few seconds hears from nobody, suspects nobody, and so sees no change of the fleet. The others elect another owner for its accounts, which grants the burst. Accounts that are added meanwhile are taken for new to the fleet, their ledgers are open at once with a full pool; after the cut the host goes on as their owner. It is the same for accounts that it knew before, and for accounts that are added just after a pause.

Change: membership.Standing says when another member was heard last and when one reported that it held this process for dead. The owner asks for it before each step and each request. If nobody was heard for as long as the others need to elect another owner, if it was declared dead, or if the process was paused, all its ledgers settle, and so do those of accounts that are added soon after. The others can send claims only after the refutation, which is sent after the standing is set, so no claim comes first.

--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -54,6 +54,8 @@
 	quotaOptions := quota.DefaultOptions()
 	quotaOptions.Host = d.settings.Host
 	quotaOptions.Peers = quotaPeers{p.controlPool}
+	quotaOptions.ProbeInterval = time.Duration(d.settings.Membership.ProbeInterval)
+	quotaOptions.Standing = p.membership.Standing
 	quotaOptions.Tolerance = quota.Tolerance{
 		Window: time.Duration(d.settings.Quota.Window), Share: d.settings.Quota.Share, Calls: float64(d.settings.Quota.Calls),
 	}
--- a/membership/apply.go
+++ b/membership/apply.go
@@ -104,6 +104,7 @@
 	if m.left {
 		return
 	}
+	m.recordClaim(r.liveness, now)
 	if r.state.compare(m.self.state) <= 0 {
 		if r.liveness != Alive && !m.queue.contains(m.self.host) {
 			// The refutation was lost, for example in a one-way partition, and no daemon gossips
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -52,6 +52,7 @@
 	repairs        map[string]*repair
 	contacts       []Contact
 	onOffset       OffsetFunc
+	standing       Standing
 
 	lastTick   time.Time
 	lastGossip time.Time
--- a/membership/packets.go
+++ b/membership/packets.go
@@ -32,6 +32,7 @@
 	}
 	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 	m.update(func(now time.Time) {
+		m.standing.HeardAt = now
 		m.forward(pkt, m.applyUpdates(pkt, now))
 		m.recordOffset(pkt)
 		m.answer(pkt, from, now)
--- /dev/null
+++ b/quota/absence_test.go
@@ -0,0 +1,190 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/membership"
+	"github.com/crocuscross/crocuscross/snapshot"
+)
+
+// absenceRun is a fleet of ten daemons in which the owner of a customer is away for a while. The
+// customer sends several times its rate through the other daemons.
+type absenceRun struct {
+	w        *world
+	away     *daemon
+	customer *snapshot.Contract
+	admitted []time.Duration
+}
+
+const (
+	absenceStart = 10 * time.Second
+	absenceLoad  = 10 * time.Second // how long the customer sends
+)
+
+// absenceCase is an absence from absenceStart on. The other times are relative to that.
+type absenceCase struct {
+	name string
+	// length is how long the owner is away, paused is whether its process does not run meanwhile; else
+	// it is cut off from all others.
+	length time.Duration
+	paused bool
+	// added is when the customer is added, 0 if it has been there from the start, and load when it
+	// begins to send.
+	added, load time.Duration
+}
+
+var absenceCases = []absenceCase{
+	{"added during a cut", 4500 * time.Millisecond, false, 3500 * time.Millisecond, 4 * time.Second},
+	{"added just after a cut", 4500 * time.Millisecond, false, 4700 * time.Millisecond, 4750 * time.Millisecond},
+	{"known before a cut", 8 * time.Second, false, 0, 7500 * time.Millisecond},
+	{"added during a pause", 4500 * time.Millisecond, true, 3500 * time.Millisecond, 4 * time.Second},
+	{"added just after a pause", 4500 * time.Millisecond, true, 4700 * time.Millisecond, 4750 * time.Millisecond},
+	{"known before a pause", 8 * time.Second, true, 0, 7500 * time.Millisecond},
+}
+
+func runAbsence(c absenceCase) *absenceRun {
+	earlier := &snapshot.Contract{Customer: "earlier", Rate: 150, Burst: 150}
+	r := &absenceRun{customer: &snapshot.Contract{Customer: "customer", Rate: 150, Burst: 150}}
+	list := []*snapshot.Contract{earlier}
+	if c.added == 0 {
+		list = append(list, r.customer)
+	}
+	r.w = newTolerantWorld(Tolerance{Window: promiseWindow, Share: promiseOverage - 1, Calls: promiseSlack}, 1, 10, list...)
+	r.w.runUntil(absenceStart)
+	r.away = r.w.owner(r.customer)
+	if c.paused {
+		r.w.pause(r.away)
+		r.w.after(c.length, func() { r.w.resume(r.away) })
+	} else {
+		r.w.cutOff(c.length, r.away)
+	}
+	if c.added > 0 {
+		r.w.after(c.added, func() { r.add(earlier, r.customer) })
+	}
+	r.w.after(c.load, r.load)
+	r.w.runUntil(absenceStart + c.load + absenceLoad)
+	return r
+}
+
+// add puts contracts in force, within half a second, also at a daemon that is cut off: it reads the
+// configuration from the platform.
+func (r *absenceRun) add(list ...*snapshot.Contract) {
+	for _, d := range r.w.daemons {
+		r.w.after(r.w.within(0, 500*time.Millisecond), func() {
+			d.execute(func() { d.m.SetContracts(contractMap(list)) })
+		})
+	}
+}
+
+// load sends 400 calls per second through the daemons that are not away.
+func (r *absenceRun) load() {
+	for _, d := range r.w.daemons {
+		if d == r.away {
+			continue
+		}
+		list := arrivals(uint64(d.index), 1, absenceLoad, func(int, time.Duration) float64 { return 400.0 / 9 })
+		r.w.feed(list, func(arrival) {
+			d.call(r.customer, func(admitted bool) {
+				if admitted {
+					r.admitted = append(r.admitted, r.w.now)
+				}
+			})
+		})
+	}
+}
+
+// mostInWindow returns the largest number of admitted calls in a promiseWindow.
+func mostInWindow(admitted []time.Duration) int {
+	most, from := 0, 0
+	for to, end := range admitted {
+		for admitted[from] <= end-promiseWindow {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return most
+}
+
+// Guards against a burst that is granted twice: by the daemon that owns a customer while its owner is
+// away, and by the owner when it is back.
+func TestFault_ownerAwayGrantsNoSecondBurst(t *testing.T) {
+	for _, c := range absenceCases {
+		t.Run(c.name, func(t *testing.T) {
+			r := runAbsence(c)
+			must.LessEq(t, int(promised(r.customer)), mostInWindow(r.admitted))
+		})
+	}
+}
+
+// Guards against a returned owner that settles for so long that a customer gets much less than its
+// rate: it sends more than that, so that all of it should be used.
+func TestFault_ownerThatReturnsGrantsTheRate(t *testing.T) {
+	for _, c := range absenceCases {
+		t.Run(c.name, func(t *testing.T) {
+			r := runAbsence(c)
+			from := absenceStart + max(c.length, c.load) + 2*time.Second
+			n := 0
+			for _, at := range r.admitted {
+				if at >= from && at < from+4*time.Second {
+					n++
+				}
+			}
+			must.GreaterEq(t, int(0.9*4*r.customer.Rate), n)
+		})
+	}
+}
+
+// Guards against owners that settle although nothing happened: a version adds many customers to a calm
+// fleet, and each of them sends its burst at once.
+func TestAddedCustomersGetTheirBurstInACalmFleet(t *testing.T) {
+	earlier := &snapshot.Contract{Customer: "earlier", Rate: 150, Burst: 150}
+	w := newTolerantWorld(Tolerance{Window: promiseWindow, Share: promiseOverage - 1, Calls: promiseSlack}, 2, 16, earlier)
+	w.runUntil(absenceStart)
+	list := []*snapshot.Contract{earlier}
+	for i := range 60 {
+		list = append(list, &snapshot.Contract{Customer: fmt.Sprint("added-", i), Rate: 30, Burst: 30})
+	}
+	for _, d := range w.daemons {
+		d.m.SetContracts(contractMap(list))
+	}
+	w.runUntil(w.now + 500*time.Millisecond)
+	offered, admitted := 0, 0
+	for i, c := range list[1:] {
+		for range int(0.8 * c.Burst) {
+			offered++
+			w.daemons[i%len(w.daemons)].call(c, func(ok bool) { admitted += count(ok) })
+		}
+	}
+	w.runUntil(w.now + time.Second)
+	must.GreaterEq(t, offered*99/100, admitted)
+}
+
+// Guards against an absence that goes unnoticed, because another member has not declared the daemon dead
+// yet or because it has been heard again before the next check.
+func TestOwner_DetectsAbsence(t *testing.T) {
+	base := time.Unix(1000, 0)
+	now := time.Duration(0)
+	s := membership.Standing{HeardAt: base}
+	o := newOwner(Options{
+		Host: "a", ProbeInterval: 500 * time.Millisecond, Standing: func() membership.Standing { return s },
+		Now: func() time.Time { return base.Add(now) },
+	}.withDefaults())
+	a := &membership.Member{Host: "a", Boot: 1, Liveness: membership.Alive, Since: base}
+	b := &membership.Member{Host: "b", Boot: 2, Liveness: membership.Alive, Since: base}
+	o.setFleet(newFleet(&membership.View{Self: a, Members: []*membership.Member{a, b}}, base, 0, nil, o.opts), 0)
+	step := func(to time.Duration) absence {
+		now = to
+		return o.absence(now)
+	}
+	must.Eq(t, present, step(o.opts.contactTimeout()))
+	must.Eq(t, silent, step(o.opts.contactTimeout()+time.Millisecond))
+	s.HeardAt = base.Add(now)
+	must.Eq(t, present, step(now+time.Millisecond))
+	s.DeclaredDeadAt = base.Add(now)
+	must.Eq(t, declaredDead, step(now))
+	must.Eq(t, present, step(now))
+}
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -19,9 +19,11 @@
 //     answer frees nothing.
 //   - A rate that is delegated to the pool of an owner that no longer answers is not used
 //     elsewhere until that pool has certainly stopped using it.
-//   - A new owner, and an owner that detects that its process was paused, first settles: until
-//     every holder has had time to report, it renews what holders report and grants no more
-//     than that and settlingShare of the contract, or a part of Options.Tolerance. Leases of the
+//   - A new owner, and an owner that the other daemons may have taken for unreachable, first
+//     settles: until every holder has had time to report, it renews what holders report and grants
+//     no more than that and settlingShare of the contract, or a part of Options.Tolerance. Such an
+//     owner was paused, heard from no other member, or was declared dead; it may have seen no
+//     change of the fleet. Customers that are added soon after settle as well. Leases of the
 //     previous owner that no holder reports stay charged until they have ended, as far as
 //     unreachable members may hold them. Their sum follows from the totals that the other holders
 //     saw when they received their leases.
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -154,6 +154,24 @@
 	}
 }
 
+// reportToSelf schedules a claim for each customer that this daemon owns, since its ledgers settle
+// again.
+func (h *holder) reportToSelf(now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.fleet == nil {
+		return
+	}
+	self := h.fleet.boot()
+	maps.DeleteFunc(h.reportedTo, func(_ string, owner uint64) bool { return owner == self })
+	h.reportToOwners(now)
+	for _, a := range h.active {
+		if a.owner != nil && a.owner.Boot == self {
+			a.nextClaim = min(a.nextClaim, now+h.jitter(h.opts.reportSpread()))
+		}
+	}
+}
+
 // revise applies a revised contract to an account. The lease shrinks with the contract at once.
 // All holders claim again soon, spread out to avoid a simultaneous burst of claims, and do so until
 // the owner has had time to get the revision: one that still had the previous contract granted that
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -64,6 +64,16 @@
 	l.pool = pool{at: now}
 }
 
+// settleAgain restarts settling. If the absence continues for which a ledger settles already, only its
+// end is postponed, so that the pool keeps what the settling rate has brought.
+func (l *ledger) settleAgain(opensAt, now time.Duration, continues bool) {
+	if continues && !l.open {
+		l.opensAt, l.settlingSince = opensAt, now
+		return
+	}
+	l.settle(opensAt, now)
+}
+
 // claim answers one claim.
 func (l *ledger) claim(now time.Duration, f *fleet, id holderID, sequence uint64, c *quotapb.Claim) *quotapb.Lease {
 	if e := l.byHolder[id]; e != nil && sequence <= e.sequence {
@@ -196,8 +206,15 @@
 	return n
 }
 
-// poolCapacity returns the number of tokens that the pool may hold.
-func (l *ledger) poolCapacity() float64 { return max(1, l.contract.burst-l.sum.charged.burst) }
+// poolCapacity returns the number of tokens that the pool may hold. While the ledger settles, the pool
+// stores little: an owner that is away for long would otherwise bring another burst back.
+func (l *ledger) poolCapacity() float64 {
+	capacity := l.contract.burst - l.sum.charged.burst
+	if !l.open {
+		capacity = min(capacity, l.settlingRate*minSettleTime.Seconds())
+	}
+	return max(1, capacity)
+}
 
 // limit returns the total amount that may be granted.
 func (l *ledger) limit(now time.Duration, f *fleet) amount {
--- a/quota/manager.go
+++ b/quota/manager.go
@@ -146,6 +146,9 @@
 		m.setView(f.view, now)
 	}
 	m.owner.heartbeat(now)
+	if m.owner.takeReportAgain() {
+		m.holder.reportToSelf(now)
+	}
 	exchanges := m.holder.step(now)
 	remote := exchanges[:0]
 	for _, q := range exchanges {
--- a/quota/options.go
+++ b/quota/options.go
@@ -17,6 +17,8 @@
 	// DefaultRenewInterval is the default renew interval of a customer whose demand is
 	// below its contract.
 	DefaultRenewInterval = 5 * time.Second
+	// DefaultProbeInterval is the default of membership.Options.
+	DefaultProbeInterval = time.Second
 
 	// tickInterval is the interval at which a holder checks demand and due claims.
 	tickInterval = 100 * time.Millisecond
@@ -92,6 +94,11 @@
 	// Tolerance is the number of calls that a contract allows in a window. It must be the same on all
 	// daemons.
 	Tolerance Tolerance
+	// ProbeInterval is that of package membership.
+	ProbeInterval time.Duration
+	// Standing returns how the other members see this daemon. If it is nil, only pauses of the process
+	// are detected.
+	Standing func() membership.Standing
 	// Now returns the current time with a monotonic clock reading.
 	Now    func() time.Time
 	Peers  Peers
@@ -103,6 +110,7 @@
 	return Options{
 		LeaseTime:     DefaultLeaseTime,
 		RenewInterval: DefaultRenewInterval,
+		ProbeInterval: DefaultProbeInterval,
 		Now:           time.Now,
 		Logger:        slog.New(slog.DiscardHandler),
 	}
@@ -117,6 +125,9 @@
 	if o.RenewInterval == 0 {
 		o.RenewInterval = d.RenewInterval
 	}
+	if o.ProbeInterval == 0 {
+		o.ProbeInterval = d.ProbeInterval
+	}
 	if o.Now == nil {
 		o.Now = d.Now
 	}
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -25,6 +25,16 @@
 	nextSweep     time.Duration
 	// refuseUntil is the time until which no claim is served after a pause of the process.
 	refuseUntil time.Duration
+	// settleUntil is the time until which the ledgers of added customers settle as well, because other
+	// daemons may have had another owner for them.
+	settleUntil time.Duration
+	// lastSign is the time of the latest sign of an absence, and silent whether it was that. declaredDeadAt
+	// is the latest Standing.DeclaredDeadAt that was acted on.
+	lastSign       time.Duration
+	silent         bool
+	declaredDeadAt time.Time
+	// reportAgain is set until the holder of this daemon reports again.
+	reportAgain bool
 }
 
 func newOwner(opts Options) *owner {
@@ -47,11 +57,12 @@
 	o.log("the fleet has changed", c)
 }
 
-// setContracts replaces the contracts in force. The ledger of a customer that is new to the
-// fleet need not settle, since no owner can have granted anything.
+// setContracts replaces the contracts in force. The ledger of an added customer need not settle, since
+// no owner can have granted anything, unless other daemons may have had another owner.
 func (o *owner) setContracts(contracts map[string]*snapshot.Contract, now time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.detectAbsence(now)
 	first := o.contracts == nil
 	var change ownershipChange
 	for customer := range o.contracts {
@@ -67,11 +78,10 @@
 		if o.contracts[customer] != nil || o.fleet == nil {
 			continue
 		}
-		// The pool of a customer that is new to the fleet starts full, because its
-		// first calls follow a quiet period. If the pool filled only from now on, those
-		// calls would be refused.
+		// The pool of an added customer starts full, because its first calls follow a quiet
+		// period. If the pool filled only from now on, those calls would be refused.
 		opensAt := now - fillTime(o.opts.Tolerance.amount(c))
-		if first {
+		if first || now < o.settleUntil {
 			opensAt = now + o.opts.settleTime()
 		}
 		change.add(o.reassign(customer, opensAt, now))
@@ -133,7 +143,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	answer := &quotapb.Answer{Leases: make([]*quotapb.Lease, 0, len(req.GetClaims()))}
-	o.detectPause(now)
+	o.detectAbsence(now)
 	if o.fleet != nil {
 		answer.Boot = o.fleet.boot()
 	}
@@ -166,7 +176,7 @@
 func (o *owner) heartbeat(now time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.detectPause(now)
+	o.detectAbsence(now)
 	o.running, o.lastHeartbeat = true, now
 	if o.fleet == nil || now < o.nextSweep {
 		return
@@ -181,29 +191,6 @@
 	}
 }
 
-// detectPause checks whether the process was paused. If so, it gives up ownership before acting
-// on it: other daemons may have declared this one dead and elected another owner, which may
-// have granted the whole contract. Without this check, claims that waited in the socket would
-// be granted from a ledger that does not include the other owner's leases.
-func (o *owner) detectPause(now time.Duration) {
-	gap := now - o.lastHeartbeat
-	if !o.running || gap <= maxHeartbeatGap {
-		return
-	}
-	o.opts.Logger.Warn("quota: paused, ownership starts anew", "gap", gap)
-	o.lastHeartbeat = now
-	// The holders whose requests waited during the pause have given up on them. If these
-	// claims were accepted, the holders would be charged for what they no longer hold.
-	o.refuseUntil = now + requestTimeout
-	for customer := range o.opensAt {
-		o.opensAt[customer] = now + o.opts.settleTime()
-		if l := o.ledgers[customer]; l != nil && o.fleet != nil {
-			l.sweep(now, o.fleet)
-			l.settle(o.opensAt[customer], now)
-		}
-	}
-}
-
 // size returns the number of ledgers and the number of leases in them.
 func (o *owner) size() (ledgers, leases int) {
 	o.mu.Lock()
--- a/quota/schedule_test.go
+++ b/quota/schedule_test.go
@@ -117,16 +117,23 @@
 	list := s.changes[customer]
 	list[len(list)-1].until = s.w.now + changeDelay
 	s.changes[customer] = append(list, limitChange{s.w.now, forever, next})
+	s.putInForce()
+}
+
+// putInForce puts the current contracts in force at each daemon, with a delay of its own.
+func (s *schedule) putInForce() {
 	contracts := contractMap(slices.Collect(mapsValues(s.contracts)))
 	s.version++
 	version := s.version
 	for _, d := range s.w.daemons {
 		m := d.m
 		s.w.after(time.Duration(s.rng.Int64N(int64(changeDelay))), func() {
-			if !d.dead && d.m == m && s.inForce[d] < version {
-				s.inForce[d] = version
-				d.m.SetContracts(contracts)
-			}
+			d.execute(func() {
+				if d.m == m && s.inForce[d] < version {
+					s.inForce[d] = version
+					d.m.SetContracts(contracts)
+				}
+			})
 		})
 	}
 }
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -77,6 +77,11 @@
 	// recoveries counts how often another daemon became alive again. The suspicions before that no
 	// longer apply.
 	recoveries map[*daemon]int
+	// heardAt is when the daemon last heard another one, and declaredDeadAt when another one last told
+	// it that it was held for dead.
+	heardAt, declaredDeadAt time.Duration
+	// cuts is the number of cuts from all others in progress.
+	cuts int
 }
 
 type waitingCall struct {
@@ -135,7 +140,8 @@
 func (w *world) boot(d *daemon, contracts map[string]*snapshot.Contract) {
 	d.dead, d.paused = false, false
 	d.backlog, d.waiting = nil, nil
-	d.m = New(Options{Host: d.host, Tolerance: w.tolerance, Now: func() time.Time { return w.base.Add(w.now) }})
+	d.heardAt, d.declaredDeadAt = w.now, 0
+	d.m = New(Options{Host: d.host, Tolerance: w.tolerance, Standing: d.standing, Now: func() time.Time { return w.base.Add(w.now) }})
 	d.view = w.actualMembers()
 	d.publish()
 	d.m.SetContracts(contracts)
@@ -270,14 +276,14 @@
 	o := w.find(q.owner.Host)
 	hop := w.hop(d, o)
 	w.after(hop, func() {
-		if w.cut(d, o) || o.boot != q.owner.Boot {
+		if w.isCut(d, o) || o.boot != q.owner.Boot {
 			return
 		}
 		o.execute(func() {
 			answer := o.m.Serve(q.request)
 			w.bytes += proto.Size(answer)
 			w.after(hop, func() {
-				if !w.cut(o, d) {
+				if !w.isCut(o, d) {
 					finish(answer, nil)
 				}
 			})
@@ -406,6 +412,7 @@
 // resume runs the events that have accumulated during the pause, in order.
 func (w *world) resume(d *daemon) {
 	d.paused = false
+	w.refute(d)
 	backlog := d.backlog
 	d.backlog = nil
 	for _, run := range backlog {
@@ -432,6 +439,7 @@
 func (w *world) heal() {
 	w.cut = func(a, b *daemon) bool { return false }
 	for _, d := range w.daemons {
+		w.refute(d)
 		for _, o := range w.daemons {
 			if !o.dead {
 				d.setLiveness(o, membership.Alive, w.within(500*time.Millisecond, 2*time.Second))
@@ -440,6 +448,55 @@
 	}
 }
 
+// standing is what membership would know of how the others see this daemon.
+func (d *daemon) standing() membership.Standing {
+	if slices.ContainsFunc(d.w.daemons, func(o *daemon) bool { return o != d && !o.dead && !o.paused && !d.w.isCut(o, d) }) {
+		d.heardAt = d.w.now
+	}
+	s := membership.Standing{HeardAt: d.w.base.Add(d.heardAt)}
+	if d.declaredDeadAt > 0 {
+		s.DeclaredDeadAt = d.w.base.Add(d.declaredDeadAt)
+	}
+	return s
+}
+
+// isCut reports whether nothing that a sends reaches b.
+func (w *world) isCut(a, b *daemon) bool { return a.cuts > 0 || b.cuts > 0 || w.cut(a, b) }
+
+// refute tells a daemon that others hold it for dead. Only then does it refute that.
+func (w *world) refute(d *daemon) {
+	for _, o := range w.daemons {
+		if o != d && !o.dead && !w.isCut(o, d) && o.view[d.index].Liveness == membership.Dead && o.view[d.index].Boot == d.boot {
+			d.declaredDeadAt = w.now
+		}
+	}
+}
+
+// cutOff separates single daemons from all others and from each other, for a time. Nothing changes in
+// the views of these daemons: who hears from nobody suspects nobody.
+func (w *world) cutOff(length time.Duration, away ...*daemon) {
+	for _, d := range away {
+		d.cuts++
+		for _, o := range w.daemons {
+			if !slices.Contains(away, o) {
+				o.setLiveness(d, membership.Suspect, w.within(time.Second, 2*time.Second))
+				o.setLiveness(d, membership.Dead, w.within(5*time.Second, 6*time.Second))
+			}
+		}
+	}
+	w.after(length, func() {
+		for _, d := range away {
+			d.cuts--
+		}
+		for _, d := range away {
+			w.refute(d)
+			for _, o := range w.daemons {
+				o.setLiveness(d, membership.Alive, w.within(50*time.Millisecond, 500*time.Millisecond))
+			}
+		}
+	})
+}
+
 func (w *world) within(lo, hi time.Duration) time.Duration {
 	return lo + time.Duration(w.rng.Int64N(int64(hi-lo)))
 }
