quota: accounts of a version that others had before settle

The fleet keeps the latest offset that another process had in force when it became reachable; accounts that a version up to that offset adds settle.

--- a/examples/embed/node.go
+++ b/examples/embed/node.go
@@ -124,7 +124,7 @@
 
 // followLog folds each record and puts the result in force.
 func (n *node) followLog(ctx context.Context) error {
-	n.quota.SetContracts(map[string]*snapshot.Contract{})
+	n.quota.SetContracts(map[string]*snapshot.Contract{}, 0)
 	for state := fold.Empty(); ctx.Err() == nil; {
 		records, err := n.log.Read(ctx, state.Offset+1, readLimit, readWait)
 		if err != nil || len(records) == 0 {
@@ -134,7 +134,7 @@
 			return err
 		}
 		next := snapshot.Build(n.inForce.Load(), state, backend.NewSet(nil))
-		n.quota.SetContracts(next.Contracts())
+		n.quota.SetContracts(next.Contracts(), state.Offset)
 		n.inForce.Store(next)
 	}
 	return nil
--- a/internal/daemon/components.go
+++ b/internal/daemon/components.go
@@ -325,7 +325,7 @@
 			d.quota.SetView(view)
 		}
 		if snap != nil {
-			d.quota.SetContracts(snap.LimitedContracts())
+			d.quota.SetContracts(snap.LimitedContracts(), snap.Offset)
 		}
 		select {
 		case <-viewChanged:
--- a/quota/absence_test.go
+++ b/quota/absence_test.go
@@ -75,7 +75,7 @@
 func (r *absenceRun) add(list ...*snapshot.Contract) {
 	for _, d := range r.w.daemons {
 		r.w.after(r.w.within(0, 500*time.Millisecond), func() {
-			d.execute(func() { d.m.SetContracts(contractMap(list)) })
+			d.execute(func() { d.m.SetContracts(contractMap(list), 0) })
 		})
 	}
 }
@@ -149,7 +149,7 @@
 		list = append(list, &snapshot.Contract{Customer: fmt.Sprint("added-", i), Rate: 30, Burst: 30})
 	}
 	for _, d := range w.daemons {
-		d.m.SetContracts(contractMap(list))
+		d.m.SetContracts(contractMap(list), 0)
 	}
 	w.runUntil(w.now + 500*time.Millisecond)
 	offered, admitted := 0, 0
--- a/quota/bench_test.go
+++ b/quota/bench_test.go
@@ -22,8 +22,8 @@
 	self := &membership.Member{Host: "a", Boot: 1, Liveness: membership.Alive, Since: time.Now()}
 	m.SetView(&membership.View{Self: self, Members: []*membership.Member{self}})
 	// The contract is new to the fleet, so its ledger need not settle.
-	m.SetContracts(map[string]*snapshot.Contract{})
-	m.SetContracts(map[string]*snapshot.Contract{c.Customer: c})
+	m.SetContracts(map[string]*snapshot.Contract{}, 0)
+	m.SetContracts(map[string]*snapshot.Contract{c.Customer: c}, 0)
 	l := newLease(amount{rate: 1e9, burst: 1e9, slots: 1e6}, true, m.now(), forever)
 	l.fill(m.now(), 1e9)
 	m.account(c).lease.Store(l)
@@ -118,7 +118,7 @@
 // BenchmarkSetView measures the cost of a membership change in a fleet of 910 members.
 func BenchmarkSetView(b *testing.B) {
 	m, contracts, view := largeFleet()
-	m.SetContracts(contracts)
+	m.SetContracts(contracts, 0)
 	b.ReportAllocs()
 	for b.Loop() {
 		for i, one := range view.Members[1:] {
@@ -156,7 +156,7 @@
 	for b.Loop() {
 		m, contracts, _ := largeFleet()
 		start := heapBytes()
-		m.SetContracts(contracts)
+		m.SetContracts(contracts, 0)
 		known := heapBytes()
 		for _, a := range *m.holder.accounts.Load() {
 			a.lease.Store(newLease(amount{rate: 1, burst: 1}, true, 0, forever))
--- a/quota/claim_test.go
+++ b/quota/claim_test.go
@@ -61,7 +61,7 @@
 	owner := &membership.Member{Host: "a", Boot: 1, Liveness: membership.Alive, Since: base}
 	self := &membership.Member{Host: "b", Boot: 2, Liveness: membership.Alive, Since: base, Draining: true}
 	m.SetView(&membership.View{Self: self, Members: []*membership.Member{owner, self}})
-	m.SetContracts(map[string]*snapshot.Contract{c.Customer: c})
+	m.SetContracts(map[string]*snapshot.Contract{c.Customer: c}, 0)
 	_, _ = m.Admit(c)
 	m.step(m.now())
 	a := m.account(c)
@@ -111,7 +111,7 @@
 		if d == owner {
 			after = 2 * time.Second
 		}
-		w.after(after, func() { d.m.SetContracts(contractMap([]*snapshot.Contract{cut})) })
+		w.after(after, func() { d.m.SetContracts(contractMap([]*snapshot.Contract{cut}), 0) })
 	}
 	w.runUntil(22*time.Second + 1500*time.Millisecond)
 	must.LessEq(t, 1.3*60, w.admissibleRate(cut), must.Sprint("calls/s that all daemons may admit 1.5 s after the owner has the limit"))
--- a/quota/example_test.go
+++ b/quota/example_test.go
@@ -16,11 +16,11 @@
 	m := quota.New(quota.Options{Host: "host-1"})
 	self := &membership.Member{Host: "host-1", Boot: 1, Liveness: membership.Alive, Since: time.Now()}
 	m.SetView(&membership.View{Self: self, Members: []*membership.Member{self}})
-	m.SetContracts(map[string]*snapshot.Contract{})
+	m.SetContracts(map[string]*snapshot.Contract{}, 0)
 
 	// The contract is published while the daemon runs.
 	contract := &snapshot.Contract{Customer: "garage-12", Rate: 0.1, Burst: 2}
-	m.SetContracts(map[string]*snapshot.Contract{contract.Customer: contract})
+	m.SetContracts(map[string]*snapshot.Contract{contract.Customer: contract}, 0)
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/quota/fault_test.go
+++ b/quota/fault_test.go
@@ -220,7 +220,7 @@
 	}
 	w.runUntil(simWarmup + 10*time.Second)
 	for _, d := range w.daemons {
-		d.m.SetContracts(contractMap([]*snapshot.Contract{half}))
+		d.m.SetContracts(contractMap([]*snapshot.Contract{half}), 0)
 	}
 	must.LessEq(t, 1.0, w.admissibleRate(half)/half.Rate)
 	w.runUntil(2 * simWarmup)
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +20,9 @@
 	// last one was added to them.
 	reachable []holderID
 	grownAt   time.Duration
+	// metOffset is the latest configuration offset that another process had in force when it became
+	// reachable for this one.
+	metOffset uint64
 	// known is the number of members, except those that left or have been unreachable for
 	// unreachableRetention.
 	known int
@@ -83,18 +85,25 @@
 	return f
 }
 
-// trackGrowth records whether a process has become reachable since the previous fleet.
+// trackGrowth records whether a process has become reachable since the previous fleet, and which offset
+// it had in force.
 func (f *fleet) trackGrowth(prev *fleet) {
 	f.grownAt = f.at
-	if prev == nil {
-		return
-	}
-	known := make(map[holderID]bool, len(prev.reachable))
-	for _, id := range prev.reachable {
-		known[id] = true
+	known := map[holderID]bool{}
+	if prev != nil {
+		f.grownAt, f.metOffset = prev.grownAt, prev.metOffset
+		for _, id := range prev.reachable {
+			known[id] = true
+		}
 	}
-	if !slices.ContainsFunc(f.reachable, func(id holderID) bool { return !known[id] }) {
-		f.grownAt = prev.grownAt
+	for _, id := range f.reachable {
+		if known[id] {
+			continue
+		}
+		f.grownAt = f.at
+		if m := f.view.Find(id.host); m != nil && m != f.view.Self {
+			f.metOffset = max(f.metOffset, m.Offset)
+		}
 	}
 }
 
--- a/quota/limit_test.go
+++ b/quota/limit_test.go
@@ -220,7 +220,7 @@
 	contracts := contractMap(l.contracts())
 	for _, d := range l.w.daemons {
 		l.w.after(time.Duration(l.rng.Int64N(int64(500*time.Millisecond))), func() {
-			d.execute(func() { d.m.SetContracts(contracts) })
+			d.execute(func() { d.m.SetContracts(contracts, 0) })
 		})
 	}
 }
--- a/quota/manager.go
+++ b/quota/manager.go
@@ -73,11 +73,11 @@
 	m.holder.setFleet(f, now)
 }
 
-// SetContracts replaces the contracts in force, by customer. The map must not be modified
-// afterwards.
-func (m *Manager) SetContracts(contracts map[string]*snapshot.Contract) {
+// SetContracts replaces the contracts in force, by customer, with those of a configuration offset, which is
+// 0 if it is not known. The map must not be modified afterwards.
+func (m *Manager) SetContracts(contracts map[string]*snapshot.Contract, offset uint64) {
 	now := m.now()
-	m.owner.setContracts(contracts, now)
+	m.owner.setContracts(contracts, offset, now)
 	m.holder.setContracts(contracts, now)
 }
 
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -57,13 +57,14 @@
 	o.log("the fleet has changed", c)
 }
 
-// setContracts replaces the contracts in force. The ledger of an added customer need not settle, since
-// no owner can have granted anything, unless other daemons may have had another owner.
-func (o *owner) setContracts(contracts map[string]*snapshot.Contract, now time.Duration) {
+// setContracts replaces the contracts in force with those of an offset. The ledger of an added customer
+// need not settle, since no owner can have granted anything, unless other daemons may have had another
+// owner: because this one was away, or because they had the offset in force before they met this one.
+func (o *owner) setContracts(contracts map[string]*snapshot.Contract, offset uint64, now time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.detectAbsence(now)
-	first := o.contracts == nil
+	settles := o.contracts == nil || now < o.settleUntil || o.fleet != nil && offset > 0 && offset <= o.fleet.metOffset
 	var change ownershipChange
 	for customer := range o.contracts {
 		if contracts[customer] == nil {
@@ -81,7 +82,7 @@
 		// The pool of an added customer starts full, because its first calls follow a quiet
 		// period. If the pool filled only from now on, those calls would be refused.
 		opensAt := now - fillTime(o.opts.Tolerance.amount(c))
-		if first || now < o.settleUntil {
+		if settles {
 			opensAt = now + o.opts.settleTime()
 		}
 		change.add(o.reassign(customer, opensAt, now))
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -21,7 +21,7 @@
 	m = New(Options{Host: "a", Now: func() time.Time { return base.Add(*clock) }})
 	self := &membership.Member{Host: "a", Boot: 1, Liveness: membership.Alive, Since: base}
 	m.SetView(&membership.View{Self: self, Members: []*membership.Member{self}})
-	m.SetContracts(map[string]*snapshot.Contract{c.Customer: c})
+	m.SetContracts(map[string]*snapshot.Contract{c.Customer: c}, 0)
 	for *clock = 0; *clock < DefaultLeaseTime; *clock += tickInterval {
 		must.SliceEmpty(t, m.step(*clock))
 	}
--- a/quota/run_test.go
+++ b/quota/run_test.go
@@ -61,7 +61,7 @@
 	for i, host := range hosts {
 		m := managers[host]
 		m.SetView(&membership.View{Self: view.Members[i], Members: view.Members})
-		m.SetContracts(map[string]*snapshot.Contract{c.Customer: c})
+		m.SetContracts(map[string]*snapshot.Contract{c.Customer: c}, 0)
 		running.Go(func() { test.NoError(t, m.Run(ctx)) })
 		if !m.fleet.Load().selfOwns(c.Customer) {
 			nonOwner = host
--- a/quota/schedule_test.go
+++ b/quota/schedule_test.go
@@ -131,7 +131,8 @@
 			d.execute(func() {
 				if d.m == m && s.inForce[d] < version {
 					s.inForce[d] = version
-					d.m.SetContracts(contracts)
+					d.offset = uint64(version)
+					d.m.SetContracts(contracts, d.offset)
 				}
 			})
 		})
@@ -182,7 +183,7 @@
 				s.w.resume(d)
 				return
 			}
-			s.inForce[d] = s.version
+			s.inForce[d], d.offset = s.version, uint64(s.version)
 			s.w.restart(d, slices.Collect(mapsValues(s.contracts))...)
 		})
 	}
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -80,6 +80,8 @@
 	// heardAt is when the daemon last heard another one, and declaredDeadAt when another one last told
 	// it that it was held for dead.
 	heardAt, declaredDeadAt time.Duration
+	// offset is the configuration offset in force.
+	offset uint64
 	// cuts is the number of cuts from all others in progress.
 	cuts int
 }
@@ -144,7 +146,7 @@
 	d.m = New(Options{Host: d.host, Tolerance: w.tolerance, Standing: d.standing, Now: func() time.Time { return w.base.Add(w.now) }})
 	d.view = w.actualMembers()
 	d.publish()
-	d.m.SetContracts(contracts)
+	d.m.SetContracts(contracts, d.offset)
 	m := d.m
 	offset := time.Duration(w.rng.Int64N(int64(tickInterval)))
 	w.after(offset, func() { d.tick(m) })
@@ -162,7 +164,7 @@
 	for i, o := range w.daemons {
 		if o.dead {
 			view[i] = o.member(membership.Dead)
-		} else if view[i].Boot != o.boot {
+		} else if view[i].Boot != o.boot || view[i].Offset != o.offset {
 			view[i] = o.member(membership.Alive)
 		}
 	}
@@ -171,7 +173,7 @@
 
 func (d *daemon) member(l membership.Liveness) *membership.Member {
 	return &membership.Member{
-		Host: d.host, Boot: d.boot, Liveness: l, Since: d.w.base.Add(d.w.now),
+		Host: d.host, Boot: d.boot, Liveness: l, Since: d.w.base.Add(d.w.now), Offset: d.offset,
 		AvailabilityZone: fmt.Sprint("z", d.zone), Region: fmt.Sprint("r", d.region),
 	}
 }
