quota: an account that is removed and soon added again settles

A version without an account removes its ledger, the next one with it opened a new one with a full pool: 1,041 requests in a window where 1,010 are allowed (TestFault_customerAddedAgainGetsNoSecondBurst, 0.1 s between the two versions, virtual time). The owner keeps for the settling time which accounts were removed, and lets them settle when they are added again.

--- a/quota/absence_test.go
+++ b/quota/absence_test.go
@@ -120,6 +120,27 @@
 	}
 }
 
+// Guards against a second burst for a customer that is removed and soon added again.
+func TestFault_customerAddedAgainGetsNoSecondBurst(t *testing.T) {
+	earlier := &snapshot.Contract{Customer: "earlier", Rate: 150, Burst: 150}
+	r := &absenceRun{customer: &snapshot.Contract{Customer: "customer", Rate: 150, Burst: 150}}
+	r.w = newTolerantWorld(Tolerance{Window: promiseWindow, Share: promiseOverage - 1, Calls: promiseSlack}, 1, 10, earlier, r.customer)
+	r.w.runUntil(absenceStart)
+	r.load()
+	putInForce := func(after time.Duration, list ...*snapshot.Contract) {
+		r.w.after(after, func() {
+			for _, d := range r.w.daemons {
+				d.m.SetContracts(contractMap(list), 0)
+			}
+		})
+	}
+	putInForce(time.Second, earlier)
+	putInForce(1100*time.Millisecond, earlier, r.customer)
+	r.w.runUntil(absenceStart + absenceLoad)
+	must.LessEq(t, int(promised(r.customer)), mostInWindow(r.admitted))
+	must.GreaterEq(t, int(0.9*r.customer.Rate*absenceLoad.Seconds()), len(r.admitted))
+}
+
 // Guards against a returned owner that settles for so long that a customer gets much less than its
 // rate: it sends more than that, so that all of it should be used.
 func TestFault_ownerThatReturnsGrantsTheRate(t *testing.T) {
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	// settling.
 	opensAt map[string]time.Duration
 	ledgers map[string]*ledger
+	// removed maps each customer that was removed within the settling time to when that was.
+	removed map[string]time.Duration
 	// running is set after the first heartbeat; lastHeartbeat is the time of the last one.
 	running       bool
 	lastHeartbeat time.Duration
@@ -38,7 +41,7 @@
 }
 
 func newOwner(opts Options) *owner {
-	return &owner{opts: opts, opensAt: map[string]time.Duration{}, ledgers: map[string]*ledger{}}
+	return &owner{opts: opts, opensAt: map[string]time.Duration{}, ledgers: map[string]*ledger{}, removed: map[string]time.Duration{}}
 }
 
 // setFleet takes over and gives up customers according to the fleet.
@@ -64,10 +67,12 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.detectAbsence(now)
-	settles := o.contracts == nil || now < o.settleUntil || o.fleet != nil && offset > 0 && offset <= o.fleet.metOffset
+	settlesAll := o.contracts == nil || now < o.settleUntil || o.fleet != nil && offset > 0 && offset <= o.fleet.metOffset
 	var change ownershipChange
+	maps.DeleteFunc(o.removed, func(customer string, _ time.Duration) bool { return !o.wasRemoved(customer, now) })
 	for customer := range o.contracts {
 		if contracts[customer] == nil {
+			o.removed[customer] = now
 			delete(o.opensAt, customer)
 			delete(o.ledgers, customer)
 		}
@@ -82,7 +87,7 @@
 		// The pool of an added customer starts full, because its first calls follow a quiet
 		// period. If the pool filled only from now on, those calls would be refused.
 		opensAt := now - fillTime(o.opts.Tolerance.amount(c))
-		if settles {
+		if settlesAll || o.wasRemoved(customer, now) {
 			opensAt = now + o.opts.settleTime()
 		}
 		change.add(o.reassign(customer, opensAt, now))
@@ -91,6 +96,13 @@
 	o.log("contracts have changed", change)
 }
 
+// wasRemoved reports whether an added customer was there shortly before, so that its burst may have been
+// granted already.
+func (o *owner) wasRemoved(customer string, now time.Duration) bool {
+	at, ok := o.removed[customer]
+	return ok && now-at < o.opts.settleTime()
+}
+
 // fillTime returns the time in which the rate of a contract fills its burst.
 func fillTime(contract amount) time.Duration {
 	return time.Duration(min(contract.burst/contract.rate*float64(time.Second), float64(maxInterval)))
