quota: an account that is added while its owner drains settles

While a draining host is still the owner for some daemons and no longer for others, both owners opened a full pool for an account that was added then: 1,118 requests in a window where 1,010 are allowed (TestFault_customerAddedWhileItsOwnerDrains, virtual time; views differ for 0.6 s). The fleet keeps for a second which candidates have ceased to be ones; accounts that one of them would own settle. Accounts of other owners are open at once as before.

--- a/quota/absence_test.go
+++ b/quota/absence_test.go
@@ -141,6 +141,29 @@
 	must.GreaterEq(t, int(0.9*r.customer.Rate*absenceLoad.Seconds()), len(r.admitted))
 }
 
+// Guards against two owners of an added customer, one of which drains: some daemons learn of that before
+// the customer is added, the others and the owner itself after it.
+func TestFault_customerAddedWhileItsOwnerDrains(t *testing.T) {
+	earlier := &snapshot.Contract{Customer: "earlier", Rate: 150, Burst: 150}
+	r := &absenceRun{customer: &snapshot.Contract{Customer: "customer", Rate: 150, Burst: 150}}
+	r.w = newTolerantWorld(Tolerance{Window: promiseWindow, Share: promiseOverage - 1, Calls: promiseSlack}, 1, 10, earlier)
+	r.w.runUntil(absenceStart)
+	owner := r.w.owner(r.customer)
+	r.w.drainAfter(owner, func(o *daemon) time.Duration {
+		if o != owner && o.index%2 == 0 {
+			return 0
+		}
+		return 600 * time.Millisecond
+	})
+	r.w.runUntil(r.w.now + 10*time.Millisecond)
+	for _, d := range r.w.daemons {
+		d.m.SetContracts(contractMap([]*snapshot.Contract{earlier, r.customer}), 0)
+	}
+	r.load()
+	r.w.runUntil(absenceStart + absenceLoad)
+	must.LessEq(t, int(promised(r.customer)), mostInWindow(r.admitted))
+}
+
 // Guards against a returned owner that settles for so long that a customer gets much less than its
 // rate: it sends more than that, so that all of it should be used.
 func TestFault_ownerThatReturnsGrantsTheRate(t *testing.T) {
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +17,8 @@
 	at    time.Duration
 	// candidates are the members that may own customers: those reachable and not draining.
 	candidates []candidate
+	// departed lists the candidates that have ceased to be ones within minSettleTime.
+	departed []departure
 	// reachable lists the processes of the members that count as reachable, and grownAt is when the
 	// last one was added to them.
 	reachable []holderID
@@ -46,6 +49,12 @@
 	member *membership.Member
 }
 
+// departure is a former candidate, and when it ceased to be one.
+type departure struct {
+	candidate
+	at time.Duration
+}
+
 // regionCount counts the members of one region.
 type regionCount struct{ known, reachable int }
 
@@ -80,6 +89,7 @@
 	own := regions[view.Self.Region]
 	f.isolated = own.known > 1 && own.reachable*2 <= own.known
 	f.trackGrowth(prev)
+	f.trackDepartures(prev)
 	f.trackRejoining(prev, opts.rejoinTime())
 	f.trackUnreachable(prev, opts.settleTime())
 	return f
@@ -107,6 +117,30 @@
 	}
 }
 
+// trackDepartures records which candidates have ceased to be ones.
+func (f *fleet) trackDepartures(prev *fleet) {
+	if prev == nil {
+		return
+	}
+	for _, d := range prev.departed {
+		if f.at-d.at < minSettleTime {
+			f.departed = append(f.departed, d)
+		}
+	}
+	if f.sameOwners(prev) {
+		return
+	}
+	current := make(map[holderID]bool, len(f.candidates))
+	for _, c := range f.candidates {
+		current[holderID{c.member.Host, c.member.Boot}] = true
+	}
+	for _, c := range prev.candidates {
+		if !current[holderID{c.member.Host, c.member.Boot}] {
+			f.departed = append(f.departed, departure{c, f.at})
+		}
+	}
+}
+
 // trackRejoining records which partitioned regions have become reachable again.
 func (f *fleet) trackRejoining(prev *fleet, rejoinTime time.Duration) {
 	if prev == nil {
@@ -199,6 +233,16 @@
 	return best
 }
 
+// ownerJustLeft reports whether another candidate owned a customer until shortly before. Other daemons may
+// still hold it for the owner, and it itself as well.
+func (f *fleet) ownerJustLeft(customer string, now time.Duration) bool {
+	h := xxhash.Sum64String(customer)
+	self := mix(h ^ xxhash.Sum64String(f.view.Self.Host))
+	return slices.ContainsFunc(f.departed, func(d departure) bool {
+		return now-d.at < minSettleTime && mix(h^d.hash) > self
+	})
+}
+
 // selfOwns reports whether this daemon owns a customer.
 func (f *fleet) selfOwns(customer string) bool {
 	o := f.owner(customer)
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -87,7 +87,7 @@
 		// The pool of an added customer starts full, because its first calls follow a quiet
 		// period. If the pool filled only from now on, those calls would be refused.
 		opensAt := now - fillTime(o.opts.Tolerance.amount(c))
-		if settlesAll || o.wasRemoved(customer, now) {
+		if settlesAll || o.wasRemoved(customer, now) || o.fleet.ownerJustLeft(customer, now) {
 			opensAt = now + o.opts.settleTime()
 		}
 		change.add(o.reassign(customer, opensAt, now))
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -578,8 +578,13 @@
 
 // drain lets all daemons know within 600 ms that one drains, so that it owns no customer any more.
 func (w *world) drain(d *daemon) {
+	w.drainAfter(d, func(*daemon) time.Duration { return w.within(50*time.Millisecond, 600*time.Millisecond) })
+}
+
+// drainAfter lets each daemon know after a time of its own that one drains.
+func (w *world) drainAfter(d *daemon, after func(o *daemon) time.Duration) {
 	for _, o := range w.daemons {
-		w.after(w.within(50*time.Millisecond, 600*time.Millisecond), func() {
+		w.after(after(o), func() {
 			o.execute(func() {
 				m := *o.view[d.index]
 				m.Draining = true
