spread: suspect members read the log last

Cause: readers are ranked among the usable members, which include suspect ones, and if a third of a zone is suspect at once, nobody is declared dead for ten minutes. The lost hosts stay the readers. The fallback of a daemon without contact does not help: probes between daemons of which none reads the log count as contact.

Change: suspect members come last in the rank of readers, so that alive hosts of the zone read as soon as they suspect the others.

Test, before the change: TestSuspectReadersAreReplacedInTime, 4 of 4 daemons behind after 2 s.

--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -141,6 +141,19 @@
 	}
 }
 
+// setViewsOfAll gives each live node a view of all nodes, also of those that are lost.
+func (f *fleet) setViewsOfAll() {
+	var members []*membership.Member
+	for _, n := range f.nodes {
+		members = append(members, n.member)
+	}
+	for _, n := range f.nodes {
+		if !n.dead.Load() {
+			n.SetView(&membership.View{Self: n.member, Members: members})
+		}
+	}
+}
+
 // probe makes each live node exchange offsets with one other random node.
 func (f *fleet) probe() {
 	for i, n := range f.nodes {
--- a/spread/isolated_test.go
+++ b/spread/isolated_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/crocuscross/crocuscross/fold"
+	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/peerpb"
 )
 
@@ -129,3 +130,31 @@
 		must.Zero(t, f.countBehind(offset))
 	})
 }
+
+// The readers of a zone are lost, and stay suspect for minutes since they are a large share of their zone.
+// Guards against daemons that then serve their old version for as long: nobody reads the log, and each
+// probe between two of them counts as contact.
+func TestSuspectReadersAreReplacedInTime(t *testing.T) {
+	const hosts, suspectAfter = 6, 1200 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, hosts, 1, func(o *Options) { o.OwnReadAfter = deployedOwnReadAfter })
+		f.run()
+		f.probe()
+		readers := f.readers("zone-0")
+		for _, n := range readers {
+			n.kill()
+		}
+		time.Sleep(suspectAfter)
+		for _, n := range readers {
+			lost := *n.member
+			lost.Liveness = membership.Suspect
+			n.member = &lost
+		}
+		f.setViewsOfAll()
+		offset := f.append(contractChange("a", 0))
+		for begin := time.Now(); time.Since(begin) < configApply; time.Sleep(100 * time.Millisecond) {
+			f.probe()
+		}
+		must.Zero(t, f.countBehind(offset))
+	})
+}
--- a/spread/topology.go
+++ b/spread/topology.go
@@ -37,6 +37,9 @@
 
 // rankedMember is a member with its sort keys.
 type rankedMember struct {
+	// suspect is whether the member is suspect when ranking readers: one that is lost may stay suspect
+	// for minutes, while nobody reads the log in its place. It is false in a push tree.
+	suspect bool
 	// link is the member's bandwidth in Mbit/s when ranking readers, where it takes precedence over
 	// the hash. It is 0 in a push tree.
 	link   float32
@@ -44,11 +47,11 @@
 	member *membership.Member
 }
 
-// rankAsReader returns the sort keys of a member as a reader. Hosts with more bandwidth come first
+// rankAsReader returns the sort keys of a member as a reader. Suspect members come last. Hosts with more bandwidth come first
 // because a reader receives whole documents from the log: 200 kB occupy a link of 5 Mbit/s for
 // 0.3 s, and one of 100 Mbit/s for 16 ms.
 func rankAsReader(m *membership.Member) rankedMember {
-	r := rankedMember{link: m.LinkMbps, hash: membership.Rendezvous(m.Host, readerSeed), member: m}
+	r := rankedMember{suspect: m.Liveness == membership.Suspect, link: m.LinkMbps, hash: membership.Rendezvous(m.Host, readerSeed), member: m}
 	if r.link == 0 {
 		r.link = defaultLinkMbps
 	}
@@ -135,8 +138,15 @@
 	return addrs
 }
 
-// compareRanked orders members by descending bandwidth, then by hash, then by host.
+// compareRanked orders members by descending bandwidth, then by hash, then by host, and suspect ones
+// last.
 func compareRanked(a, b rankedMember) int {
+	if a.suspect != b.suspect {
+		if a.suspect {
+			return 1
+		}
+		return -1
+	}
 	return cmp.Or(cmp.Compare(b.link, a.link), cmp.Compare(b.hash, a.hash), cmp.Compare(a.member.Host, b.member.Host))
 }
 
