--- a/quota/absence_test.go
+++ b/quota/absence_test.go
@@ -164,6 +164,22 @@
 	must.LessEq(t, int(promised(r.customer)), mostInWindow(r.admitted))
 }
 
+// Guards against two sides of a cut that both grant the whole contract: three of ten hosts, the owner
+// among them, reach each other and none of the rest. Until they take the others for unreachable, they do
+// not know that they are the smaller side.
+func TestFault_smallerSideOfACutGrantsItsShare(t *testing.T) {
+	r := &absenceRun{customer: &snapshot.Contract{Customer: "customer", Rate: 150, Burst: 150}}
+	r.w = newTolerantWorld(Tolerance{Window: promiseWindow, Share: promiseOverage - 1, Calls: promiseSlack}, 1, 10, r.customer)
+	r.w.runUntil(absenceStart)
+	owner := r.w.owner(r.customer)
+	inside := func(d *daemon) bool { return (d.index-owner.index+10)%10 < 3 }
+	r.w.partition(inside)
+	r.w.after(8*time.Second, r.w.heal)
+	r.w.after(2*time.Second, r.load)
+	r.w.runUntil(absenceStart + 2*time.Second + absenceLoad)
+	must.LessEq(t, int(promised(r.customer)), mostInWindow(r.admitted))
+}
+
 // Guards against a returned owner that settles for so long that a customer gets much less than its
 // rate: it sends more than that, so that all of it should be used.
 func TestFault_ownerThatReturnsGrantsTheRate(t *testing.T) {
