--- a/quota/absence_test.go
+++ b/quota/absence_test.go
@@ -164,6 +164,30 @@
 	must.LessEq(t, int(promised(r.customer)), mostInWindow(r.admitted))
 }
 
+// Guards against two owners of an added customer, one of which has just started: the other daemons learn
+// of it a second later and take another one for the owner until then.
+func TestFault_customerAddedWhileItsOwnerStarts(t *testing.T) {
+	earlier := &snapshot.Contract{Customer: "earlier", Rate: 150, Burst: 150}
+	r := &absenceRun{customer: &snapshot.Contract{Customer: "customer", Rate: 150, Burst: 150}}
+	r.w = newTolerantWorld(Tolerance{Window: promiseWindow, Share: promiseOverage - 1, Calls: promiseSlack}, 1, 10, earlier)
+	r.w.runUntil(absenceStart)
+	owner := r.w.owner(r.customer)
+	r.w.kill(owner)
+	r.w.runUntil(absenceStart + 10*time.Second)
+	owner.boot += 1000
+	r.w.boot(owner, contractMap([]*snapshot.Contract{earlier}))
+	for _, o := range r.w.daemons {
+		o.setLiveness(owner, membership.Alive, time.Second)
+	}
+	r.w.runUntil(r.w.now + 100*time.Millisecond)
+	for _, d := range r.w.daemons {
+		d.m.SetContracts(contractMap([]*snapshot.Contract{earlier, r.customer}), 0)
+	}
+	r.load()
+	r.w.runUntil(r.w.now + absenceLoad)
+	must.LessEq(t, int(promised(r.customer)), mostInWindow(r.admitted))
+}
+
 // Guards against two sides of a cut that both grant the whole contract: three of ten hosts, the owner
 // among them, reach each other and none of the rest. Until they take the others for unreachable, they do
 // not know that they are the smaller side.
