--- a/internal/proxy/backendconn/conn.go
+++ b/internal/proxy/backendconn/conn.go
@@ -41,7 +41,8 @@
 	bw     *bufio.Writer
 	// reusableUntil is the time until which the connection may take another call.
 	reusableUntil time.Time
-	number        uint64
+	// number counts the connections of the client from 1.
+	number uint64
 	// calls is the number of calls that the connection has carried, and requestIDs has the hashes of
 	// their request IDs.
 	calls      int
