quota: tests use one start of a run with an absence, and maps.Keys and maps.Values

Four tests set up the same fleet by themselves; newAbsenceRun does it. mapsKeys was the standard library's maps.Keys written again, as was its older twin mapsValues.

--- a/quota/absence_random_test.go
+++ b/quota/absence_random_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -49,7 +50,7 @@
 	for range 1 + s.rng.IntN(3) {
 		d := s.w.daemons[s.rng.IntN(len(s.w.daemons))]
 		if s.rng.IntN(2) == 0 {
-			names := slices.Sorted(mapsKeys(s.contracts))
+			names := slices.Sorted(maps.Keys(s.contracts))
 			d = s.w.owner(s.contracts[names[s.rng.IntN(len(names))]])
 		}
 		if !s.down[d] && !slices.Contains(away, d) {
@@ -70,16 +71,6 @@
 	}
 }
 
-func mapsKeys(m map[string]*snapshot.Contract) func(func(string) bool) {
-	return func(yield func(string) bool) {
-		for name := range m {
-			if !yield(name) {
-				return
-			}
-		}
-	}
-}
-
 // Guards against a customer whose owners grant more than promised together: single daemons are cut off or
 // paused, one after another and several at once, while customers are added and limits change.
 func TestManager_RandomAbsencesKeepThePromise(t *testing.T) {
--- a/quota/absence_test.go
+++ b/quota/absence_test.go
@@ -14,10 +14,26 @@
 // absenceRun is a fleet of ten daemons in which the owner of a customer is away for a while. The
 // customer sends several times its rate through the other daemons.
 type absenceRun struct {
-	w        *world
-	away     *daemon
-	customer *snapshot.Contract
-	admitted []time.Duration
+	w    *world
+	away *daemon
+	// earlier is a customer that is there from the start.
+	earlier, customer *snapshot.Contract
+	admitted          []time.Duration
+}
+
+// newAbsenceRun returns a run at absenceStart. known is whether the customer is there from the start.
+func newAbsenceRun(known bool) *absenceRun {
+	r := &absenceRun{
+		earlier:  &snapshot.Contract{Customer: "earlier", Rate: 150, Burst: 150},
+		customer: &snapshot.Contract{Customer: "customer", Rate: 150, Burst: 150},
+	}
+	list := []*snapshot.Contract{r.earlier}
+	if known {
+		list = append(list, r.customer)
+	}
+	r.w = newTolerantWorld(Tolerance{Window: promiseWindow, Share: promiseOverage - 1, Calls: promiseSlack}, 1, 10, list...)
+	r.w.runUntil(absenceStart)
+	return r
 }
 
 const (
@@ -47,14 +63,7 @@
 }
 
 func runAbsence(c absenceCase) *absenceRun {
-	earlier := &snapshot.Contract{Customer: "earlier", Rate: 150, Burst: 150}
-	r := &absenceRun{customer: &snapshot.Contract{Customer: "customer", Rate: 150, Burst: 150}}
-	list := []*snapshot.Contract{earlier}
-	if c.added == 0 {
-		list = append(list, r.customer)
-	}
-	r.w = newTolerantWorld(Tolerance{Window: promiseWindow, Share: promiseOverage - 1, Calls: promiseSlack}, 1, 10, list...)
-	r.w.runUntil(absenceStart)
+	r := newAbsenceRun(c.added == 0)
 	r.away = r.w.owner(r.customer)
 	if c.paused {
 		r.w.pause(r.away)
@@ -63,7 +72,7 @@
 		r.w.cutOff(c.length, r.away)
 	}
 	if c.added > 0 {
-		r.w.after(c.added, func() { r.add(earlier, r.customer) })
+		r.w.after(c.added, func() { r.add(r.earlier, r.customer) })
 	}
 	r.w.after(c.load, r.load)
 	r.w.runUntil(absenceStart + c.load + absenceLoad)
@@ -122,10 +131,7 @@
 
 // Guards against a second burst for a customer that is removed and soon added again.
 func TestFault_customerAddedAgainGetsNoSecondBurst(t *testing.T) {
-	earlier := &snapshot.Contract{Customer: "earlier", Rate: 150, Burst: 150}
-	r := &absenceRun{customer: &snapshot.Contract{Customer: "customer", Rate: 150, Burst: 150}}
-	r.w = newTolerantWorld(Tolerance{Window: promiseWindow, Share: promiseOverage - 1, Calls: promiseSlack}, 1, 10, earlier, r.customer)
-	r.w.runUntil(absenceStart)
+	r := newAbsenceRun(true)
 	r.load()
 	putInForce := func(after time.Duration, list ...*snapshot.Contract) {
 		r.w.after(after, func() {
@@ -134,8 +140,8 @@
 			}
 		})
 	}
-	putInForce(time.Second, earlier)
-	putInForce(1100*time.Millisecond, earlier, r.customer)
+	putInForce(time.Second, r.earlier)
+	putInForce(1100*time.Millisecond, r.earlier, r.customer)
 	r.w.runUntil(absenceStart + absenceLoad)
 	must.LessEq(t, int(promised(r.customer)), mostInWindow(r.admitted))
 	must.GreaterEq(t, int(0.9*r.customer.Rate*absenceLoad.Seconds()), len(r.admitted))
@@ -144,10 +150,7 @@
 // Guards against two owners of an added customer, one of which drains: some daemons learn of that before
 // the customer is added, the others and the owner itself after it.
 func TestFault_customerAddedWhileItsOwnerDrains(t *testing.T) {
-	earlier := &snapshot.Contract{Customer: "earlier", Rate: 150, Burst: 150}
-	r := &absenceRun{customer: &snapshot.Contract{Customer: "customer", Rate: 150, Burst: 150}}
-	r.w = newTolerantWorld(Tolerance{Window: promiseWindow, Share: promiseOverage - 1, Calls: promiseSlack}, 1, 10, earlier)
-	r.w.runUntil(absenceStart)
+	r := newAbsenceRun(false)
 	owner := r.w.owner(r.customer)
 	r.w.drainAfter(owner, func(o *daemon) time.Duration {
 		if o != owner && o.index%2 == 0 {
@@ -157,7 +160,7 @@
 	})
 	r.w.runUntil(r.w.now + 10*time.Millisecond)
 	for _, d := range r.w.daemons {
-		d.m.SetContracts(contractMap([]*snapshot.Contract{earlier, r.customer}), 0)
+		d.m.SetContracts(contractMap([]*snapshot.Contract{r.earlier, r.customer}), 0)
 	}
 	r.load()
 	r.w.runUntil(absenceStart + absenceLoad)
@@ -167,21 +170,18 @@
 // Guards against two owners of an added customer, one of which has just started: the other daemons learn
 // of it a second later and take another one for the owner until then.
 func TestFault_customerAddedWhileItsOwnerStarts(t *testing.T) {
-	earlier := &snapshot.Contract{Customer: "earlier", Rate: 150, Burst: 150}
-	r := &absenceRun{customer: &snapshot.Contract{Customer: "customer", Rate: 150, Burst: 150}}
-	r.w = newTolerantWorld(Tolerance{Window: promiseWindow, Share: promiseOverage - 1, Calls: promiseSlack}, 1, 10, earlier)
-	r.w.runUntil(absenceStart)
+	r := newAbsenceRun(false)
 	owner := r.w.owner(r.customer)
 	r.w.kill(owner)
 	r.w.runUntil(absenceStart + 10*time.Second)
 	owner.boot += 1000
-	r.w.boot(owner, contractMap([]*snapshot.Contract{earlier}))
+	r.w.boot(owner, contractMap([]*snapshot.Contract{r.earlier}))
 	for _, o := range r.w.daemons {
 		o.setLiveness(owner, membership.Alive, time.Second)
 	}
 	r.w.runUntil(r.w.now + 100*time.Millisecond)
 	for _, d := range r.w.daemons {
-		d.m.SetContracts(contractMap([]*snapshot.Contract{earlier, r.customer}), 0)
+		d.m.SetContracts(contractMap([]*snapshot.Contract{r.earlier, r.customer}), 0)
 	}
 	r.load()
 	r.w.runUntil(r.w.now + absenceLoad)
--- a/quota/schedule_test.go
+++ b/quota/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -122,7 +123,7 @@
 
 // putInForce puts the current contracts in force at each daemon, with a delay of its own.
 func (s *schedule) putInForce() {
-	contracts := contractMap(slices.Collect(mapsValues(s.contracts)))
+	contracts := contractMap(slices.Collect(maps.Values(s.contracts)))
 	s.version++
 	version := s.version
 	for _, d := range s.w.daemons {
@@ -139,16 +140,6 @@
 	}
 }
 
-func mapsValues(m map[string]*snapshot.Contract) func(func(*snapshot.Contract) bool) {
-	return func(yield func(*snapshot.Contract) bool) {
-		for _, c := range m {
-			if !yield(c) {
-				return
-			}
-		}
-	}
-}
-
 // fault kills, pauses or cuts off some daemons, and repairs them after a few seconds.
 func (s *schedule) fault() {
 	share := []float64{0.05, 0.17, 0.55, 1}[s.rng.IntN(4)]
@@ -184,14 +175,14 @@
 				return
 			}
 			s.inForce[d], d.offset = s.version, uint64(s.version)
-			s.w.restart(d, slices.Collect(mapsValues(s.contracts))...)
+			s.w.restart(d, slices.Collect(maps.Values(s.contracts))...)
 		})
 	}
 }
 
 func (s *schedule) run() {
 	s.w.runUntil(10 * time.Second)
-	for i, c := range slices.SortedFunc(mapsValues(s.contracts), func(a, b *snapshot.Contract) int { return int(a.Rate - b.Rate) }) {
+	for i, c := range slices.SortedFunc(maps.Values(s.contracts), func(a, b *snapshot.Contract) int { return int(a.Rate - b.Rate) }) {
 		s.load(c, i%2 == 0)
 	}
 	start := s.w.now
