--- a/spread/topology.go
+++ b/spread/topology.go
@@ -47,9 +47,9 @@
 	member *membership.Member
 }
 
-// rankAsReader returns the sort keys of a member as a reader. Suspect members come last. Hosts with more bandwidth come first
-// because a reader receives whole documents from the log: 200 kB occupy a link of 5 Mbit/s for
-// 0.3 s, and one of 100 Mbit/s for 16 ms.
+// rankAsReader returns the sort keys of a member as a reader. Suspect members come last. Hosts with
+// more bandwidth come first because a reader receives whole documents from the log: 200 kB occupy a
+// link of 5 Mbit/s for 0.3 s, and one of 100 Mbit/s for 16 ms.
 func rankAsReader(m *membership.Member) rankedMember {
 	r := rankedMember{suspect: m.Liveness == membership.Suspect, link: m.LinkMbps, hash: membership.Rendezvous(m.Host, readerSeed), member: m}
 	if r.link == 0 {
