--- /dev/null
+++ b/review/caseB/main.go
@@ -0,0 +1,148 @@
+// The case of an account whose limit is granted a second time by a daemon that is restarted while it
+// is cut off from the other daemons.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/crocuscross/crocuscross/review/lab"
+)
+
+const (
+	caseDir = "review/caseB"
+	service = "status-gate"
+	route   = "status.example"
+	account = "farm"
+	key     = "key-of-farm"
+
+	rate, burst = 40, 20
+
+	window  = 5 * time.Second
+	overage = 0.1
+	slack   = 20
+
+	hosts    = 6
+	interval = 20 * time.Millisecond
+
+	warmUp       = 12 * time.Second
+	cutFor       = 12 * time.Second
+	restartAfter = 500 * time.Millisecond
+)
+
+func main() {
+	services := make([]string, hosts)
+	for i := range services {
+		services[i] = service
+	}
+	lab.Main(caseDir, lab.Options{Subnet: 172, Services: services, Zones: 3, Quota: true, Partitions: true}, run)
+}
+
+func run(ctx context.Context, l *lab.Lab) (bool, error) {
+	d := lab.NewDocument(1, service)
+	d.Routes = []lab.Route{{
+		Name: "status", VirtualHost: route, PathPrefix: "/", Kind: lab.Idempotent, TimeoutMs: 1000, ObjectiveMs: 400, Service: service, MaxAttempts: 2,
+	}}
+	d.Accounts = []lab.Account{{Name: account, Keys: []string{key}, Rate: rate, Burst: burst}}
+	if err := l.Publish(ctx, d); err != nil {
+		return false, err
+	}
+	var servers []*lab.Server
+	for i, h := range l.Hosts {
+		s, err := l.StartServer(ctx, h, fmt.Sprintf("i-%d", i+1), 10*time.Millisecond)
+		if err != nil {
+			return false, err
+		}
+		servers = append(servers, s)
+	}
+	if err := l.Start(ctx); err != nil {
+		return false, err
+	}
+	var wg sync.WaitGroup
+	trafficCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	for _, h := range l.Hosts {
+		wg.Go(func() { traffic(trafficCtx, l, h) })
+	}
+	if err := lab.Sleep(ctx, warmUp); err != nil {
+		return false, err
+	}
+	if lab.Trouble() {
+		if err := cutAndRestart(ctx, l); err != nil {
+			return false, err
+		}
+	} else if err := lab.Sleep(ctx, cutFor); err != nil {
+		return false, err
+	}
+	_ = lab.Sleep(ctx, 3*time.Second)
+	stop()
+	wg.Wait()
+	return judge(l, servers), nil
+}
+
+// cutAndRestart cuts one host off from all others and restarts its daemon.
+func cutAndRestart(ctx context.Context, l *lab.Lab) error {
+	cut := l.Hosts[0]
+	var others []string
+	for _, h := range l.Hosts[1:] {
+		others = append(others, h.Name)
+	}
+	l.Network.Cut([]string{cut.Name}, others)
+	end := time.Now().Add(cutFor)
+	l.Logf("%s is cut off from all other hosts", cut.Name)
+	l.KillDaemon(cut)
+	if err := lab.Sleep(ctx, restartAfter); err != nil {
+		return err
+	}
+	if err := l.StartDaemon(cut, false); err != nil {
+		return err
+	}
+	if err := lab.Sleep(ctx, time.Until(end)); err != nil {
+		return err
+	}
+	l.Network.Heal()
+	l.Logf("%s is no longer cut off", cut.Name)
+	return nil
+}
+
+// judge reports whether more requests of the account than allowed have run in some window.
+func judge(l *lab.Lab, servers []*lab.Server) bool {
+	var runs []lab.Run
+	for _, s := range servers {
+		runs = append(runs, s.Runs()...)
+	}
+	sort.Slice(runs, func(i, j int) bool { return runs[i].At.Before(runs[j].At) })
+	for _, r := range runs {
+		l.Logf("%s ran %s of %s at %.3f", r.Server, r.ID, r.Tenant, l.Since(r.At))
+	}
+	allowed := (rate*window.Seconds()+burst)*(1+overage) + slack
+	most, from, first := 0, time.Time{}, 0
+	for i, r := range runs {
+		for r.At.Sub(runs[first].At) > window {
+			first++
+		}
+		if n := i - first + 1; n > most {
+			most, from = n, runs[first].At
+		}
+	}
+	l.Logf("at most %d requests of %s ran in %v, from %.3f on; the rule allows %.0f", most, account, window, l.Since(from), allowed)
+	return float64(most) > allowed
+}
+
+// traffic sends requests of the account through the daemon of a host.
+func traffic(ctx context.Context, l *lab.Lab, h *lab.Host) {
+	client := lab.NewClient()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for n := 0; lab.Sleep(ctx, interval) == nil; n++ {
+		wg.Go(func() {
+			q := lab.Request{ID: fmt.Sprintf("%s-%d", h.Name, n), Method: http.MethodGet, VirtualHost: route, Path: "/queue", Key: key, Deadline: time.Second}
+			a := lab.Do(context.WithoutCancel(ctx), client, h, q)
+			l.Logf("request %s sent %.3f: status %d, by %q, error %v", q.ID, l.Since(a.Sent), a.Status, a.Signature, a.Err)
+		})
+	}
+}
