--- a/review/caseA/main.go
+++ b/review/caseA/main.go
@@ -36,7 +36,7 @@
 	d.Routes = []lab.Route{{
 		Name: "lookup", VirtualHost: route, PathPrefix: "/", Kind: lab.Idempotent, TimeoutMs: 3000, ObjectiveMs: 600, Service: service, MaxAttempts: 2,
 	}}
-	if err := l.Publish(ctx, d); err != nil {
+	if err := l.Publish(d); err != nil {
 		return false, err
 	}
 	var servers []*lab.Server
--- a/review/caseB/main.go
+++ b/review/caseB/main.go
@@ -48,7 +48,7 @@
 		Name: "status", VirtualHost: route, PathPrefix: "/", Kind: lab.Idempotent, TimeoutMs: 1000, ObjectiveMs: 400, Service: service, MaxAttempts: 2,
 	}}
 	d.Accounts = []lab.Account{{Name: account, Keys: []string{key}, Rate: rate, Burst: burst}}
-	if err := l.Publish(ctx, d); err != nil {
+	if err := l.Publish(d); err != nil {
 		return false, err
 	}
 	var servers []*lab.Server
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -19,6 +20,7 @@
 
 	"github.com/crocuscross/crocuscross/bench/network"
 	"github.com/crocuscross/crocuscross/bench/procs"
+	"github.com/crocuscross/crocuscross/platform/storetest"
 )
 
 // The ports of every host.
@@ -33,7 +35,6 @@
 
 const (
 	daemonProgram = "target/crocuscross"
-	storeProgram  = "target/review-2/standin"
 	templatePath  = "deploy/daemon.jsonc"
 	startTimeout  = 30 * time.Second
 	readyInterval = 50 * time.Millisecond
@@ -68,7 +69,6 @@
 	dir      string
 	group    *procs.Group
 	template string
-	admin    string
 	client   *http.Client
 	record   *os.File
 	start    time.Time
@@ -76,6 +76,8 @@
 
 	Hosts   []*Host
 	Network *network.Network
+	// Store is the stand-in of the platform's store.
+	Store *storetest.Server
 }
 
 // Host is one host with its daemon.
@@ -113,7 +115,7 @@
 	defer cancel()
 	l, err := newLab(dir, opts)
 	if err == nil {
-		err = l.startStore(ctx)
+		err = l.startStore()
 	}
 	broken := false
 	if err == nil {
@@ -190,51 +192,36 @@
 // Since returns the time of the record at t.
 func (l *Lab) Since(t time.Time) float64 { return t.Sub(l.start).Seconds() }
 
-func (l *Lab) startStore(ctx context.Context) error {
-	args := []string{"store"}
+func (l *Lab) startStore() error {
+	l.Store = storetest.NewHandler()
 	var hosts []network.Host
 	for _, h := range l.Hosts {
-		args = append(args, "--store", fmt.Sprintf("%s:%d", h.storeIP, portStore))
+		ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", h.storeIP, portStore))
+		if err != nil {
+			return err
+		}
+		go func() { _ = http.Serve(ln, l.Store) }()
 		hosts = append(hosts, network.Host{
 			Name: h.Name, Listen: netip.MustParseAddrPort(h.peers()), Advertise: netip.MustParseAddrPort(h.advertisedPeers()),
 		})
 	}
-	if l.opts.Partitions {
-		var err error
-		if l.Network, err = network.New(hosts); err != nil {
-			return err
-		}
+	if !l.opts.Partitions {
+		return nil
 	}
-	_, addr, err := l.group.StartListening(ctx, "store", storeProgram, args...)
-	l.admin = "http://" + addr
+	var err error
+	l.Network, err = network.New(hosts)
 	return err
 }
 
-// Admin sends a command to the stand-in of the store.
-func (l *Lab) Admin(ctx context.Context, command, body string) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, l.admin+"/admin/"+command, strings.NewReader(body))
-	if err != nil {
-		return err
-	}
-	resp, err := l.client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("command %s: the store answered %s", command, resp.Status)
-	}
-	l.Logf("store: %s", command)
-	return nil
-}
-
-// Publish writes a configuration document.
-func (l *Lab) Publish(ctx context.Context, document any) error {
+// Publish writes a configuration document, as the operator does.
+func (l *Lab) Publish(document any) error {
 	b, err := json.Marshal(document)
 	if err != nil {
 		return err
 	}
-	return l.Admin(ctx, "config", string(b))
+	l.Store.PutConfig(string(b))
+	l.Logf("operator: configuration %s", b)
+	return nil
 }
 
 // StartDaemon starts the daemon of a host. bootstrap is whether the whole system starts.
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -41,8 +41,10 @@
 	lab  *Lab
 	Host *Host
 	ID   string
-	work time.Duration
-	http *http.Server
+	// Version is the version of the server's software.
+	Version string
+	work    time.Duration
+	http    *http.Server
 
 	mu        sync.Mutex
 	runs      []Run
@@ -53,11 +55,16 @@
 
 // StartServer starts the backend server of a host, which works on each request for the given time.
 func (l *Lab) StartServer(ctx context.Context, h *Host, id string, work time.Duration) (*Server, error) {
+	return l.StartServerVersion(ctx, h, id, "v1", work)
+}
+
+// StartServerVersion is StartServer for a version of the software.
+func (l *Lab) StartServerVersion(ctx context.Context, h *Host, id, version string, work time.Duration) (*Server, error) {
 	ln, err := net.Listen("tcp", h.ServerAddress())
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{lab: l, Host: h, ID: id, work: work, state: "ready", announces: true}
+	s := &Server{lab: l, Host: h, ID: id, Version: version, work: work, state: "ready", announces: true}
 	s.http = &http.Server{Handler: http.HandlerFunc(s.serve)}
 	go func() { _ = s.http.Serve(ln) }()
 	go s.heartbeats(ctx)
@@ -96,6 +103,13 @@
 	_, _ = io.WriteString(w, "done by "+s.ID)
 }
 
+// Exit ends the server at once, with the requests that it is working on.
+func (s *Server) Exit() {
+	s.StopHeartbeats()
+	_ = s.http.Close()
+	s.lab.Logf("%s has exited", s.ID)
+}
+
 // Runs returns the requests run so far.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -137,7 +151,7 @@
 	defer s.mu.Unlock()
 	s.sequence++
 	b, _ := json.Marshal(map[string]any{
-		"address": s.Host.ServerAddress(), "service": s.Host.Service, "version": "v1", "availability_zone": s.Host.Zone, "slots": 9,
+		"address": s.Host.ServerAddress(), "service": s.Host.Service, "version": s.Version, "availability_zone": s.Host.Zone, "slots": 9,
 		"state": s.state, "sequence": s.sequence, "warm_up_ms": 0,
 	})
 	return b
