--- a/review/caseA/main.go
+++ b/review/caseA/main.go
@@ -22,8 +22,11 @@
 	killAfter    = 100 * time.Millisecond
 	restartAfter = 300 * time.Millisecond
 	lateBy       = 2500 * time.Millisecond
-	staysFor     = 12 * time.Second
-	interval     = 20 * time.Millisecond
+	staysFor     = 7500 * time.Millisecond
+	endsAfter    = 2 * time.Second
+	interval     = 25 * time.Millisecond
+	work         = 150 * time.Millisecond
+	deadline     = 2 * time.Second
 	slack        = 250 * time.Millisecond
 )
 
@@ -34,14 +37,14 @@
 func run(ctx context.Context, l *lab.Lab) (bool, error) {
 	d := lab.NewDocument(1, service)
 	d.Routes = []lab.Route{{
-		Name: "lookup", VirtualHost: route, PathPrefix: "/", Kind: lab.Idempotent, TimeoutMs: 3000, ObjectiveMs: 600, Service: service, MaxAttempts: 2,
+		Name: "hold", VirtualHost: route, PathPrefix: "/", Kind: lab.NonIdempotent, TimeoutMs: 3000, ObjectiveMs: 600, Service: service, MaxAttempts: 2,
 	}}
 	if err := l.Publish(d); err != nil {
 		return false, err
 	}
 	var servers []*lab.Server
 	for i, h := range l.Hosts {
-		s, err := l.StartServer(ctx, h, fmt.Sprintf("i-%d", i+1), 20*time.Millisecond)
+		s, err := l.StartServer(ctx, h, fmt.Sprintf("i-%d", i+1), work)
 		if err != nil {
 			return false, err
 		}
@@ -53,8 +56,9 @@
 	var wg sync.WaitGroup
 	trafficCtx, stop := context.WithCancel(ctx)
 	defer stop()
+	results := &answers{byID: map[string]lab.Answer{}}
 	for _, h := range l.Hosts[1:] {
-		wg.Go(func() { traffic(trafficCtx, l, h) })
+		wg.Go(func() { traffic(trafficCtx, l, h, results) })
 	}
 	if err := lab.Sleep(ctx, 8*time.Second); err != nil {
 		return false, err
@@ -91,6 +95,8 @@
 	status, err = leaving.Send(ctx, late)
 	l.Logf("the late heartbeat of %s arrives: answer %d, error %v", leaving.ID, status, err)
 	_ = lab.Sleep(ctx, time.Until(acknowledged.Add(staysFor)))
+	leaving.Exit()
+	_ = lab.Sleep(ctx, endsAfter)
 	stop()
 	wg.Wait()
 
@@ -99,27 +105,50 @@
 		bindsFrom = t
 	}
 	l.Logf("the rule binds from %.3f on", l.Since(bindsFrom))
-	count := 0
+	count, lost := 0, 0
 	for _, r := range leaving.Runs()[before:] {
-		l.Logf("%s ran %s at %.3f", r.Server, r.ID, l.Since(r.At))
+		a := results.get(r.ID)
+		l.Logf("%s ran %s at %.3f, its client got status %d", r.Server, r.ID, l.Since(r.At), a.Status)
 		if r.At.After(bindsFrom) {
 			count++
+			if a.Status != http.StatusOK {
+				lost++
+			}
 		}
 	}
-	l.Logf("%s has run %d requests later than drain after its acknowledged leaving, in touch", leaving.ID, count)
+	l.Logf("%s ran %d requests later than drain after its acknowledged leaving, in touch; %d of them were lost", leaving.ID, count, lost)
 	return count > 0, nil
 }
 
-// traffic sends lookups through the daemon of a host.
-func traffic(ctx context.Context, l *lab.Lab, h *lab.Host) {
+// traffic sends permit holds through the daemon of a host.
+func traffic(ctx context.Context, l *lab.Lab, h *lab.Host, results *answers) {
 	client := lab.NewClient()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for n := 0; lab.Sleep(ctx, interval) == nil; n++ {
 		wg.Go(func() {
-			q := lab.Request{ID: fmt.Sprintf("%s-%d", h.Name, n), Method: http.MethodGet, VirtualHost: route, Path: "/level-2", Deadline: 2 * time.Second}
+			q := lab.Request{ID: fmt.Sprintf("%s-%d", h.Name, n), Method: http.MethodPost, VirtualHost: route, Path: "/holds", Body: []byte("space"), Deadline: deadline}
 			a := lab.Do(context.WithoutCancel(ctx), client, h, q)
+			results.add(q.ID, a)
 			l.Logf("request %s sent %.3f: status %d, by %q, error %v", q.ID, l.Since(a.Sent), a.Status, a.Signature, a.Err)
 		})
 	}
 }
+
+// answers has what the clients got.
+type answers struct {
+	mu   sync.Mutex
+	byID map[string]lab.Answer
+}
+
+func (r *answers) add(id string, a lab.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byID[id] = a
+}
+
+func (r *answers) get(id string) lab.Answer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byID[id]
+}
--- a/review/caseC/main.go
+++ b/review/caseC/main.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -23,16 +24,21 @@
 	oldVersion = "v1"
 	newVersion = "v2"
 
-	orderSeconds  = 16
-	warmUp        = 8 * time.Second
-	termAfter     = 6 * time.Second
-	restartAfter  = 500 * time.Millisecond
-	grace         = 6 * time.Second
-	drainDelay    = 3 * time.Second
-	watchAfterEnd = 8 * time.Second
+	orderSeconds = 16
+	warmUp       = 5 * time.Second
+	termAfter    = 6 * time.Second
+	restartAfter = 500 * time.Millisecond
+	grace        = 6 * time.Second
+	drainDelay   = 3 * time.Second
+	// faultAfterEnd is the time from the order's deadline to the final fault.
+	faultAfterEnd = 1500 * time.Millisecond
+	downFor       = time.Second
+	recovery      = 15 * time.Second
+	measuredFor   = 4 * time.Second
 
 	interval     = 40 * time.Millisecond
 	pollInterval = 20 * time.Millisecond
+	deadline     = time.Second
 )
 
 const (
@@ -71,9 +77,10 @@
 	var wg sync.WaitGroup
 	trafficCtx, stop := context.WithCancel(ctx)
 	defer stop()
+	served := &ledger{}
 	for _, h := range l.Hosts {
 		if h != decider {
-			wg.Go(func() { traffic(trafficCtx, l, h) })
+			wg.Go(func() { traffic(trafficCtx, l, h, served) })
 		}
 	}
 	if err := lab.Sleep(ctx, warmUp); err != nil {
@@ -96,11 +103,38 @@
 			return false, err
 		}
 	}
-	_ = lab.Sleep(ctx, time.Until(ordered.Add(orderSeconds*time.Second+watchAfterEnd)))
+	end := ordered.Add(orderSeconds * time.Second)
+	_ = lab.Sleep(ctx, time.Until(end.Add(faultAfterEnd)))
+	back, err := finalFault(ctx, l)
+	if err != nil {
+		return false, err
+	}
+	_ = lab.Sleep(ctx, time.Until(back.Add(recovery+measuredFor)))
 	stopWatch()
 	stop()
 	wg.Wait()
-	return o.contradicted(), nil
+	l.Logf("operator: the states of the rollout were %v", o.history)
+	before := served.share(end.Add(-measuredFor), end)
+	after := served.share(back.Add(recovery), back.Add(recovery+measuredFor))
+	l.Logf("served before the final fault: %.3f, later than %v after the machines were back: %.3f", before, recovery, after)
+	return before >= 0.25 && after < 0.25, nil
+}
+
+// finalFault kills all daemons at once and starts them again. It returns when they are back.
+func finalFault(ctx context.Context, l *lab.Lab) (time.Time, error) {
+	l.Logf("final fault: all daemons are killed")
+	for _, h := range l.Hosts {
+		_ = h.Daemon().Signal(syscall.SIGKILL)
+	}
+	if err := lab.Sleep(ctx, downFor); err != nil {
+		return time.Time{}, err
+	}
+	for _, h := range l.Hosts {
+		if err := l.StartDaemon(h, false); err != nil {
+			return time.Time{}, err
+		}
+	}
+	return time.Now(), nil
 }
 
 // firstDecider returns the host whose daemon decides on the rollout while all daemons run.
@@ -180,7 +214,9 @@
 				s.Exit()
 			}
 		case rolledBack:
-			go o.drainNew(ctx)
+			if os.Getenv("KEEP_NEW") != "1" {
+				go o.drainNew(ctx)
+			}
 		}
 	}
 }
@@ -203,28 +239,46 @@
 	return o.history[len(o.history)-1]
 }
 
-// contradicted reports whether the status changed after it had named an outcome.
-func (o *operator) contradicted() bool {
-	ended := false
-	for _, state := range o.history {
-		if ended {
-			return true
-		}
-		ended = state == succeeded || state == rolledBack
-	}
-	return false
-}
-
 // traffic sends requests through the daemon of a host.
-func traffic(ctx context.Context, l *lab.Lab, h *lab.Host) {
+func traffic(ctx context.Context, l *lab.Lab, h *lab.Host, served *ledger) {
 	client := lab.NewClient()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for n := 0; lab.Sleep(ctx, interval) == nil; n++ {
 		wg.Go(func() {
-			q := lab.Request{ID: fmt.Sprintf("%s-%d", h.Name, n), Method: http.MethodGet, VirtualHost: route, Path: "/queue", Deadline: time.Second}
+			q := lab.Request{ID: fmt.Sprintf("%s-%d", h.Name, n), Method: http.MethodGet, VirtualHost: route, Path: "/queue", Deadline: deadline}
 			a := lab.Do(context.WithoutCancel(ctx), client, h, q)
+			served.add(a)
 			l.Logf("request %s sent %.3f: status %d, by %q, error %v", q.ID, l.Since(a.Sent), a.Status, a.Signature, a.Err)
 		})
 	}
 }
+
+// ledger records which requests were served.
+type ledger struct {
+	mu      sync.Mutex
+	answers []lab.Answer
+}
+
+func (g *ledger) add(a lab.Answer) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.answers = append(g.answers, a)
+}
+
+// share returns the share of the requests sent in a time that were answered with success.
+func (g *ledger) share(from, to time.Time) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	all, good := 0, 0
+	for _, a := range g.answers {
+		if a.Sent.Before(from) || a.Sent.After(to) {
+			continue
+		}
+		all++
+		if a.Status == http.StatusOK && a.Signature != "" {
+			good++
+		}
+	}
+	return float64(good) / float64(max(all, 1))
+}
