--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -61,6 +61,8 @@
 	Partitions bool
 	// Bounds are added to the bounds that the template gets.
 	Bounds map[string]any
+	// WrapStore stands before the stand-in of the store, nil for nothing.
+	WrapStore func(*Lab, http.Handler) http.Handler
 }
 
 // Lab is a running deployment.
@@ -194,13 +196,17 @@
 
 func (l *Lab) startStore() error {
 	l.Store = storetest.NewHandler()
+	var store http.Handler = l.Store
+	if l.opts.WrapStore != nil {
+		store = l.opts.WrapStore(l, store)
+	}
 	var hosts []network.Host
 	for _, h := range l.Hosts {
 		ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", h.storeIP, portStore))
 		if err != nil {
 			return err
 		}
-		go func() { _ = http.Serve(ln, l.Store) }()
+		go func() { _ = http.Serve(ln, store) }()
 		hosts = append(hosts, network.Host{
 			Name: h.Name, Listen: netip.MustParseAddrPort(h.peers()), Advertise: netip.MustParseAddrPort(h.advertisedPeers()),
 		})
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -46,6 +47,10 @@
 	work    time.Duration
 	http    *http.Server
 
+	// FailShare is the share of the requests that the server answers with a failure. It must be set
+	// before the first request.
+	FailShare float64
+
 	mu        sync.Mutex
 	runs      []Run
 	sequence  uint64
@@ -100,6 +105,10 @@
 		return
 	}
 	w.Header().Set(headerSignature, s.ID)
+	if rand.Float64() < s.FailShare {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	_, _ = io.WriteString(w, "done by "+s.ID)
 }
 
