--- a/review/caseD/main.go
+++ b/review/caseD/main.go
@@ -112,7 +112,7 @@
 		if err != nil {
 			return false, err
 		}
-		s.FailShare = badShare
+		s.Fail(badShare, time.Now())
 	}
 	end := time.Now().Add(orderSeconds * time.Second)
 	l.Store.PutRollout(service, newVersion, orderSeconds)
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -35,6 +35,8 @@
 	Server, ID     string
 	Method, Target string
 	Tenant         string
+	// Failed is whether the server answers with a failure.
+	Failed bool
 }
 
 // Server is a backend server on a host. It keeps the platform's protocol.
@@ -47,15 +49,14 @@
 	work    time.Duration
 	http    *http.Server
 
-	// FailShare is the share of the requests that the server answers with a failure. It must be set
-	// before the first request.
-	FailShare float64
-
 	mu        sync.Mutex
 	runs      []Run
 	sequence  uint64
 	state     string
 	announces bool
+	// failShare is the share of the requests that the server answers with a failure from failFrom on.
+	failShare float64
+	failFrom  time.Time
 }
 
 // StartServer starts the backend server of a host, which works on each request for the given time.
@@ -93,9 +94,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	s.mu.Lock()
+	failed := time.Now().After(s.failFrom) && rand.Float64() < s.failShare
+	s.mu.Unlock()
 	run := Run{
 		At: time.Now(), Server: s.ID, ID: r.Header.Get(headerRequestID), Method: r.Method, Target: r.RequestURI,
-		Tenant: r.Header.Get(headerTenant),
+		Tenant: r.Header.Get(headerTenant), Failed: failed,
 	}
 	s.mu.Lock()
 	s.runs = append(s.runs, run)
@@ -105,13 +109,20 @@
 		return
 	}
 	w.Header().Set(headerSignature, s.ID)
-	if rand.Float64() < s.FailShare {
+	if run.Failed {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
 	_, _ = io.WriteString(w, "done by "+s.ID)
 }
 
+// Fail makes the server answer a share of the requests with a failure from a time on.
+func (s *Server) Fail(share float64, from time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failShare, s.failFrom = share, from
+}
+
 // Exit ends the server at once, with the requests that it is working on.
 func (s *Server) Exit() {
 	s.StopHeartbeats()
