--- a/review/caseC/main.go
+++ b/review/4/main.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	caseDir = "review/caseC"
+	caseDir = "review/4"
 	service = "status-gate"
 	route   = "status.example"
 
@@ -52,7 +52,7 @@
 		services[i] = service
 	}
 	lab.Main(caseDir, lab.Options{
-		Subnet: 173, Services: services, Zones: 3, Bounds: map[string]any{"exposure_share": 0.1, "exposure_slack": 50},
+		Services: services, Zones: 3, Bounds: map[string]any{"exposure_share": 0.1, "exposure_slack": 50},
 	}, run)
 }
 
--- a/review/caseB/main.go
+++ b/review/5/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"sort"
 	"sync"
 	"time"
 
@@ -14,7 +13,7 @@
 )
 
 const (
-	caseDir = "review/caseB"
+	caseDir = "review/5"
 	service = "status-gate"
 	route   = "status.example"
 	account = "farm"
@@ -39,7 +38,7 @@
 	for i := range services {
 		services[i] = service
 	}
-	lab.Main(caseDir, lab.Options{Subnet: 172, Services: services, Zones: 3, Quota: true, Partitions: true}, run)
+	lab.Main(caseDir, lab.Options{Services: services, Zones: 3, Quota: true, Partitions: true}, run)
 }
 
 func run(ctx context.Context, l *lab.Lab) (bool, error) {
@@ -65,8 +64,9 @@
 	var wg sync.WaitGroup
 	trafficCtx, stop := context.WithCancel(ctx)
 	defer stop()
+	sent := &sendings{byID: map[string]time.Time{}}
 	for _, h := range l.Hosts {
-		wg.Go(func() { traffic(trafficCtx, l, h) })
+		wg.Go(func() { traffic(trafficCtx, l, h, sent) })
 	}
 	if err := lab.Sleep(ctx, warmUp); err != nil {
 		return false, err
@@ -81,7 +81,7 @@
 	_ = lab.Sleep(ctx, 3*time.Second)
 	stop()
 	wg.Wait()
-	return judge(l, servers), nil
+	return judge(l, servers, sent), nil
 }
 
 // cutAndRestart cuts one host off from all others and restarts its daemon.
@@ -109,40 +109,62 @@
 	return nil
 }
 
-// judge reports whether more requests of the account than allowed have run in some window.
-func judge(l *lab.Lab, servers []*lab.Server) bool {
+// judge reports whether more requests of the account than allowed were sent and arrived in some window.
+func judge(l *lab.Lab, servers []*lab.Server, sent *sendings) bool {
 	var runs []lab.Run
 	for _, s := range servers {
 		runs = append(runs, s.Runs()...)
 	}
-	sort.Slice(runs, func(i, j int) bool { return runs[i].At.Before(runs[j].At) })
 	for _, r := range runs {
 		l.Logf("%s ran %s of %s at %.3f", r.Server, r.ID, r.Tenant, l.Since(r.At))
 	}
 	allowed := (rate*window.Seconds()+burst)*(1+overage) + slack
-	most, from, first := 0, time.Time{}, 0
-	for i, r := range runs {
-		for r.At.Sub(runs[first].At) > window {
-			first++
+	most, from := 0, time.Time{}
+	for _, first := range runs {
+		start := sent.at(first.ID)
+		n := 0
+		for _, r := range runs {
+			if r.Tenant == account && !sent.at(r.ID).Before(start) && !r.At.After(start.Add(window)) {
+				n++
+			}
 		}
-		if n := i - first + 1; n > most {
-			most, from = n, runs[first].At
+		if n > most {
+			most, from = n, start
 		}
 	}
-	l.Logf("at most %d requests of %s ran in %v, from %.3f on; the rule allows %.0f", most, account, window, l.Since(from), allowed)
+	l.Logf("at most %d requests of %s were sent and ran in %v, from %.3f on; the rule allows %.0f", most, account, window, l.Since(from), allowed)
 	return float64(most) > allowed
 }
 
 // traffic sends requests of the account through the daemon of a host.
-func traffic(ctx context.Context, l *lab.Lab, h *lab.Host) {
+func traffic(ctx context.Context, l *lab.Lab, h *lab.Host, sent *sendings) {
 	client := lab.NewClient()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for n := 0; lab.Sleep(ctx, interval) == nil; n++ {
 		wg.Go(func() {
 			q := lab.Request{ID: fmt.Sprintf("%s-%d", h.Name, n), Method: http.MethodGet, VirtualHost: route, Path: "/queue", Key: key, Deadline: time.Second}
+			sent.add(q.ID)
 			a := lab.Do(context.WithoutCancel(ctx), client, h, q)
 			l.Logf("request %s sent %.3f: status %d, by %q, error %v", q.ID, l.Since(a.Sent), a.Status, a.Signature, a.Err)
 		})
 	}
 }
+
+// sendings has when each request was sent.
+type sendings struct {
+	mu   sync.Mutex
+	byID map[string]time.Time
+}
+
+func (s *sendings) add(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.byID[id] = time.Now()
+}
+
+func (s *sendings) at(id string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byID[id]
+}
--- a/review/caseA/main.go
+++ b/review/6/main.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	caseDir = "review/caseA"
+	caseDir = "review/6"
 	service = "sign-feed"
 	route   = "signs.example"
 
@@ -31,7 +31,7 @@
 )
 
 func main() {
-	lab.Main(caseDir, lab.Options{Subnet: 171, Services: []string{service, service, service, service}, Zones: 2}, run)
+	lab.Main(caseDir, lab.Options{Services: []string{service, service, service, service}, Zones: 2}, run)
 }
 
 func run(ctx context.Context, l *lab.Lab) (bool, error) {
--- a/review/caseE/main.go
+++ b/review/7/main.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	caseEir = "review/caseE"
+	caseDir = "review/7"
 	service = "status-gate"
 	route   = "status.example"
 
@@ -43,8 +43,8 @@
 	for i := range services {
 		services[i] = service
 	}
-	lab.Main(caseEir, lab.Options{
-		Subnet: 175, Services: services, Zones: 3, Bounds: map[string]any{"exposure_share": 0.1, "exposure_slack": 50},
+	lab.Main(caseDir, lab.Options{
+		Services: services, Zones: 3, Bounds: map[string]any{"exposure_share": 0.1, "exposure_slack": 50},
 		Partitions: true,
 	}, run)
 }
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -50,8 +50,6 @@
 
 // Options describe a deployment.
 type Options struct {
-	// Subnet is the second byte of the loopback addresses.
-	Subnet int
 	// Services has the service of each host's backend server.
 	Services []string
 	Zones    int
@@ -155,13 +153,17 @@
 		opts: opts, dir: temporary, group: procs.NewGroup(temporary), template: string(template),
 		client: &http.Client{Timeout: 5 * time.Second}, record: record, start: time.Now(),
 	}
+	subnet, err := freeSubnet()
+	if err != nil {
+		return nil, err
+	}
 	for i, service := range opts.Services {
 		zone := i % opts.Zones
 		h := &Host{
 			Name: fmt.Sprintf("host-%d", i+1), Zone: fmt.Sprintf("zone-%d", zone+1), Service: service,
-			ip:         fmt.Sprintf("127.%d.%d.%d", opts.Subnet, zone+1, i+1),
-			advertised: fmt.Sprintf("127.%d.%d.%d", opts.Subnet, zone+101, i+1),
-			storeIP:    fmt.Sprintf("127.%d.200.%d", opts.Subnet, i+1),
+			ip:         fmt.Sprintf("127.%d.%d.%d", subnet, zone+1, i+1),
+			advertised: fmt.Sprintf("127.%d.%d.%d", subnet, zone+101, i+1),
+			storeIP:    fmt.Sprintf("127.%d.200.%d", subnet, i+1),
 		}
 		if !opts.Partitions {
 			h.advertised = h.ip
@@ -171,6 +173,26 @@
 	return l, nil
 }
 
+// The second bytes of the loopback addresses that a lab may use.
+const (
+	firstSubnet = 171
+	lastSubnet  = 240
+)
+
+// freeSubnet returns a second byte of loopback addresses that no other lab uses.
+func freeSubnet() (int, error) {
+	const subnets = lastSubnet - firstSubnet + 1
+	for i := range subnets {
+		subnet := firstSubnet + (os.Getpid()+i)%subnets
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.1.1:%d", subnet, portReady))
+		if err != nil {
+			continue
+		}
+		return subnet, ln.Close()
+	}
+	return 0, errors.New("no loopback addresses are free")
+}
+
 func (l *Lab) close(keepLogs bool) {
 	l.group.KillAll()
 	if l.Network != nil {
@@ -196,7 +218,7 @@
 
 func (l *Lab) startStore() error {
 	l.Store = storetest.NewHandler()
-	var store http.Handler = l.Store
+	var store http.Handler = published(l.Store)
 	if l.opts.WrapStore != nil {
 		store = l.opts.WrapStore(l, store)
 	}
@@ -219,6 +241,25 @@
 	return err
 }
 
+// headerEpoch is a header of the stand-in that the platform's pages do not have.
+const headerEpoch = "Store-Era"
+
+// published leaves out what the pages of the platform do not have.
+func published(store http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { store.ServeHTTP(&publishedWriter{w}, r) })
+}
+
+type publishedWriter struct{ http.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *publishedWriter) WriteHeader(status int) {
+	w.Header().Del(headerEpoch)
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap serves http.ResponseController.
+func (w *publishedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // Publish writes a configuration document, as the operator does.
 func (l *Lab) Publish(document any) error {
 	b, err := json.Marshal(document)
