--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,4 +1,5 @@
-// The case of a target that has left and whose daemon is killed right after the acknowledgement.
+// The case of an account whose limit is granted a second time by a daemon that is restarted while it
+// is cut off from the other daemons.
 package main
 
 import (
@@ -13,38 +14,45 @@
 
 const (
 	caseDir = "review/6"
-	service = "sign-feed"
-	route   = "signs.example"
+	service = "status-gate"
+	route   = "status.example"
+	account = "farm"
+	key     = "key-of-farm"
 
-	drain   = 2 * time.Second
-	contact = 3 * time.Second
+	rate, burst = 40, 20
 
-	killAfter    = 100 * time.Millisecond
-	restartAfter = 300 * time.Millisecond
-	lateBy       = 2500 * time.Millisecond
-	staysFor     = 7500 * time.Millisecond
-	endsAfter    = 2 * time.Second
-	interval     = 25 * time.Millisecond
-	work         = 150 * time.Millisecond
-	deadline     = 2 * time.Second
-	slack        = 250 * time.Millisecond
+	window  = 5 * time.Second
+	overage = 0.1
+	slack   = 20
+
+	hosts    = 6
+	interval = 20 * time.Millisecond
+
+	warmUp       = 12 * time.Second
+	cutFor       = 12 * time.Second
+	restartAfter = 500 * time.Millisecond
 )
 
 func main() {
-	lab.Main(caseDir, lab.Options{Services: []string{service, service, service, service}, Zones: 2}, run)
+	services := make([]string, hosts)
+	for i := range services {
+		services[i] = service
+	}
+	lab.Main(caseDir, lab.Options{Services: services, Zones: 3, Quota: true, Partitions: true}, run)
 }
 
 func run(ctx context.Context, l *lab.Lab) (bool, error) {
 	d := lab.NewDocument(1, service)
 	d.Routes = []lab.Route{{
-		Name: "hold", VirtualHost: route, PathPrefix: "/", Kind: lab.NonIdempotent, TimeoutMs: 3000, ObjectiveMs: 600, Service: service, MaxAttempts: 2,
+		Name: "status", VirtualHost: route, PathPrefix: "/", Kind: lab.Idempotent, TimeoutMs: 1000, ObjectiveMs: 400, Service: service, MaxAttempts: 2,
 	}}
+	d.Accounts = []lab.Account{{Name: account, Keys: []string{key}, Rate: rate, Burst: burst}}
 	if err := l.Publish(d); err != nil {
 		return false, err
 	}
 	var servers []*lab.Server
 	for i, h := range l.Hosts {
-		s, err := l.StartServer(ctx, h, fmt.Sprintf("i-%d", i+1), work)
+		s, err := l.StartServer(ctx, h, fmt.Sprintf("i-%d", i+1), 10*time.Millisecond)
 		if err != nil {
 			return false, err
 		}
@@ -56,99 +64,107 @@
 	var wg sync.WaitGroup
 	trafficCtx, stop := context.WithCancel(ctx)
 	defer stop()
-	results := &answers{byID: map[string]lab.Answer{}}
-	for _, h := range l.Hosts[1:] {
-		wg.Go(func() { traffic(trafficCtx, l, h, results) })
-	}
-	if err := lab.Sleep(ctx, 8*time.Second); err != nil {
-		return false, err
+	sent := &sendings{byID: map[string]time.Time{}}
+	for _, h := range l.Hosts {
+		wg.Go(func() { traffic(trafficCtx, l, h, sent) })
 	}
-
-	leaving, host := servers[0], l.Hosts[0]
-	before := len(leaving.Runs())
-	l.Logf("%s has run %d requests", leaving.ID, before)
-	leaving.StopHeartbeats()
-	late := leaving.Heartbeat()
-	sentLate := time.Now()
-	l.Logf("%s sends a heartbeat that arrives late: %s", leaving.ID, late)
-	if err := lab.Sleep(ctx, 200*time.Millisecond); err != nil {
+	if err := lab.Sleep(ctx, warmUp); err != nil {
 		return false, err
 	}
-	leaving.SetLeaving()
-	status, err := leaving.Withdraw(ctx)
-	acknowledged := time.Now()
-	l.Logf("%s sends DELETE: answer %d, error %v", leaving.ID, status, err)
-	if err != nil || status != http.StatusOK {
-		return false, fmt.Errorf("DELETE was not acknowledged: status %d, error %v", status, err)
-	}
-	restarted := acknowledged
 	if lab.Trouble() {
-		_ = lab.Sleep(ctx, killAfter)
-		l.KillDaemon(host)
-		_ = lab.Sleep(ctx, restartAfter)
-		if err := l.StartDaemon(host, false); err != nil {
+		if err := cutAndRestart(ctx, l); err != nil {
 			return false, err
 		}
-		restarted = time.Now()
+	} else if err := lab.Sleep(ctx, cutFor); err != nil {
+		return false, err
 	}
-	_ = lab.Sleep(ctx, time.Until(sentLate.Add(lateBy)))
-	status, err = leaving.Send(ctx, late)
-	l.Logf("the late heartbeat of %s arrives: answer %d, error %v", leaving.ID, status, err)
-	_ = lab.Sleep(ctx, time.Until(acknowledged.Add(staysFor)))
-	leaving.Exit()
-	_ = lab.Sleep(ctx, endsAfter)
+	_ = lab.Sleep(ctx, 3*time.Second)
 	stop()
 	wg.Wait()
+	return judge(l, servers, sent), nil
+}
 
-	bindsFrom := acknowledged.Add(drain + slack)
-	if t := restarted.Add(contact + slack); t.After(bindsFrom) {
-		bindsFrom = t
+// cutAndRestart cuts one host off from all others and restarts its daemon.
+func cutAndRestart(ctx context.Context, l *lab.Lab) error {
+	cut := l.Hosts[0]
+	var others []string
+	for _, h := range l.Hosts[1:] {
+		others = append(others, h.Name)
+	}
+	l.Network.Cut([]string{cut.Name}, others)
+	end := time.Now().Add(cutFor)
+	l.Logf("%s is cut off from all other hosts", cut.Name)
+	l.KillDaemon(cut)
+	if err := lab.Sleep(ctx, restartAfter); err != nil {
+		return err
+	}
+	if err := l.StartDaemon(cut, false); err != nil {
+		return err
 	}
-	l.Logf("the rule binds from %.3f on", l.Since(bindsFrom))
-	count, lost := 0, 0
-	for _, r := range leaving.Runs()[before:] {
-		a := results.get(r.ID)
-		l.Logf("%s ran %s at %.3f, its client got status %d", r.Server, r.ID, l.Since(r.At), a.Status)
-		if r.At.After(bindsFrom) {
-			count++
-			if a.Status != http.StatusOK {
-				lost++
+	if err := lab.Sleep(ctx, time.Until(end)); err != nil {
+		return err
+	}
+	l.Network.Heal()
+	l.Logf("%s is no longer cut off", cut.Name)
+	return nil
+}
+
+// judge reports whether more requests of the account than allowed were sent and arrived in some window.
+func judge(l *lab.Lab, servers []*lab.Server, sent *sendings) bool {
+	var runs []lab.Run
+	for _, s := range servers {
+		runs = append(runs, s.Runs()...)
+	}
+	for _, r := range runs {
+		l.Logf("%s ran %s of %s at %.3f", r.Server, r.ID, r.Tenant, l.Since(r.At))
+	}
+	allowed := (rate*window.Seconds()+burst)*(1+overage) + slack
+	most, from := 0, time.Time{}
+	for _, first := range runs {
+		start := sent.at(first.ID)
+		n := 0
+		for _, r := range runs {
+			if r.Tenant == account && !sent.at(r.ID).Before(start) && !r.At.After(start.Add(window)) {
+				n++
 			}
 		}
+		if n > most {
+			most, from = n, start
+		}
 	}
-	l.Logf("%s ran %d requests later than drain after its acknowledged leaving, in touch; %d of them were lost", leaving.ID, count, lost)
-	return count > 0, nil
+	l.Logf("at most %d requests of %s were sent and ran in %v, from %.3f on; the rule allows %.0f", most, account, window, l.Since(from), allowed)
+	return float64(most) > allowed
 }
 
-// traffic sends permit holds through the daemon of a host.
-func traffic(ctx context.Context, l *lab.Lab, h *lab.Host, results *answers) {
+// traffic sends requests of the account through the daemon of a host.
+func traffic(ctx context.Context, l *lab.Lab, h *lab.Host, sent *sendings) {
 	client := lab.NewClient()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for n := 0; lab.Sleep(ctx, interval) == nil; n++ {
 		wg.Go(func() {
-			q := lab.Request{ID: fmt.Sprintf("%s-%d", h.Name, n), Method: http.MethodPost, VirtualHost: route, Path: "/holds", Body: []byte("space"), Deadline: deadline}
+			q := lab.Request{ID: fmt.Sprintf("%s-%d", h.Name, n), Method: http.MethodGet, VirtualHost: route, Path: "/queue", Key: key, Deadline: time.Second}
+			sent.add(q.ID)
 			a := lab.Do(context.WithoutCancel(ctx), client, h, q)
-			results.add(q.ID, a)
 			l.Logf("request %s sent %.3f: status %d, by %q, error %v", q.ID, l.Since(a.Sent), a.Status, a.Signature, a.Err)
 		})
 	}
 }
 
-// answers has what the clients got.
-type answers struct {
+// sendings has when each request was sent.
+type sendings struct {
 	mu   sync.Mutex
-	byID map[string]lab.Answer
+	byID map[string]time.Time
 }
 
-func (r *answers) add(id string, a lab.Answer) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.byID[id] = a
+func (s *sendings) add(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.byID[id] = time.Now()
 }
 
-func (r *answers) get(id string) lab.Answer {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.byID[id]
+func (s *sendings) at(id string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byID[id]
 }
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,12 +1,10 @@
-// The case of a bad version whose gate opens by itself once its daemon is restarted while it is cut off
-// from the other daemons.
+// The case of a target that has left and whose daemon is killed right after the acknowledgement.
 package main
 
 import (
 	"context"
 	"fmt"
 	"net/http"
-	"sort"
 	"sync"
 	"time"
 
@@ -15,52 +13,42 @@
 
 const (
 	caseDir = "review/7"
-	service = "status-gate"
-	route   = "status.example"
+	service = "sign-feed"
+	route   = "signs.example"
 
-	hosts      = 6
-	oldVersion = "v1"
-	newVersion = "v2"
-	badShare   = 0.6
-	// badAfter is the time from the start of the new version to its first failure.
-	badAfter = 3 * time.Second
+	drain   = 2 * time.Second
+	contact = 3 * time.Second
 
-	orderSeconds = 16
-	warmUp       = 5 * time.Second
-	cutAfter     = time.Second
-	cutFor       = 12 * time.Second
+	killAfter    = 100 * time.Millisecond
 	restartAfter = 300 * time.Millisecond
-	contact      = 3 * time.Second
-	rollback     = 5 * time.Second
-	badAnswers   = 50
-
-	interval = 12 * time.Millisecond
-	deadline = time.Second
+	lateBy       = 2500 * time.Millisecond
+	staysFor     = 7500 * time.Millisecond
+	endsAfter    = 2 * time.Second
+	interval     = 25 * time.Millisecond
+	work         = 150 * time.Millisecond
+	deadline     = 2 * time.Second
+	slack        = 250 * time.Millisecond
 )
 
 func main() {
-	services := make([]string, hosts)
-	for i := range services {
-		services[i] = service
-	}
-	lab.Main(caseDir, lab.Options{
-		Services: services, Zones: 3, Bounds: map[string]any{"exposure_share": 0.1, "exposure_slack": 50},
-		Partitions: true,
-	}, run)
+	lab.Main(caseDir, lab.Options{Services: []string{service, service, service, service}, Zones: 2}, run)
 }
 
 func run(ctx context.Context, l *lab.Lab) (bool, error) {
 	d := lab.NewDocument(1, service)
 	d.Routes = []lab.Route{{
-		Name: "status", VirtualHost: route, PathPrefix: "/", Kind: lab.Idempotent, TimeoutMs: 1000, ObjectiveMs: 400, Service: service, MaxAttempts: 2,
+		Name: "hold", VirtualHost: route, PathPrefix: "/", Kind: lab.NonIdempotent, TimeoutMs: 3000, ObjectiveMs: 600, Service: service, MaxAttempts: 2,
 	}}
 	if err := l.Publish(d); err != nil {
 		return false, err
 	}
-	for i := 0; i < hosts; i += 2 {
-		if _, err := l.StartServerVersion(ctx, l.Hosts[i], fmt.Sprintf("i-%d", i+1), oldVersion, 20*time.Millisecond); err != nil {
+	var servers []*lab.Server
+	for i, h := range l.Hosts {
+		s, err := l.StartServer(ctx, h, fmt.Sprintf("i-%d", i+1), work)
+		if err != nil {
 			return false, err
 		}
+		servers = append(servers, s)
 	}
 	if err := l.Start(ctx); err != nil {
 		return false, err
@@ -68,107 +56,99 @@
 	var wg sync.WaitGroup
 	trafficCtx, stop := context.WithCancel(ctx)
 	defer stop()
-	for _, h := range l.Hosts {
-		wg.Go(func() { traffic(trafficCtx, l, h) })
+	results := &answers{byID: map[string]lab.Answer{}}
+	for _, h := range l.Hosts[1:] {
+		wg.Go(func() { traffic(trafficCtx, l, h, results) })
 	}
-	if err := lab.Sleep(ctx, warmUp); err != nil {
+	if err := lab.Sleep(ctx, 8*time.Second); err != nil {
 		return false, err
 	}
-	var bad []*lab.Server
-	for i := 1; i < hosts; i += 2 {
-		s, err := l.StartServerVersion(ctx, l.Hosts[i], fmt.Sprintf("i-%d", i+1), newVersion, 20*time.Millisecond)
-		if err != nil {
-			return false, err
-		}
-		s.Fail(badShare, time.Now().Add(badAfter))
-		bad = append(bad, s)
+
+	leaving, host := servers[0], l.Hosts[0]
+	before := len(leaving.Runs())
+	l.Logf("%s has run %d requests", leaving.ID, before)
+	leaving.StopHeartbeats()
+	late := leaving.Heartbeat()
+	sentLate := time.Now()
+	l.Logf("%s sends a heartbeat that arrives late: %s", leaving.ID, late)
+	if err := lab.Sleep(ctx, 200*time.Millisecond); err != nil {
+		return false, err
+	}
+	leaving.SetLeaving()
+	status, err := leaving.Withdraw(ctx)
+	acknowledged := time.Now()
+	l.Logf("%s sends DELETE: answer %d, error %v", leaving.ID, status, err)
+	if err != nil || status != http.StatusOK {
+		return false, fmt.Errorf("DELETE was not acknowledged: status %d, error %v", status, err)
 	}
-	ordered := time.Now()
-	l.Store.PutRollout(service, newVersion, orderSeconds)
-	l.Logf("operator: orders the rollout of %s to %s within %d s; that version is bad", service, newVersion, orderSeconds)
-	var inTouch time.Time
+	restarted := acknowledged
 	if lab.Trouble() {
-		var err error
-		if inTouch, err = cutAndRestart(ctx, l, l.Hosts[1]); err != nil {
+		_ = lab.Sleep(ctx, killAfter)
+		l.KillDaemon(host)
+		_ = lab.Sleep(ctx, restartAfter)
+		if err := l.StartDaemon(host, false); err != nil {
 			return false, err
 		}
-	}
-	_ = lab.Sleep(ctx, time.Until(ordered.Add(orderSeconds*time.Second)))
+		restarted = time.Now()
+	}
+	_ = lab.Sleep(ctx, time.Until(sentLate.Add(lateBy)))
+	status, err = leaving.Send(ctx, late)
+	l.Logf("the late heartbeat of %s arrives: answer %d, error %v", leaving.ID, status, err)
+	_ = lab.Sleep(ctx, time.Until(acknowledged.Add(staysFor)))
+	leaving.Exit()
+	_ = lab.Sleep(ctx, endsAfter)
 	stop()
 	wg.Wait()
-	l.Logf("operator: the status of the rollout is %s", l.Store.RolloutStatus(service))
-	return judge(l, bad, inTouch), nil
-}
-
-// cutAndRestart cuts a host off from all others and restarts its daemon. It returns when the host is in
-// touch again: it keeps its path to the platform.
-func cutAndRestart(ctx context.Context, l *lab.Lab, cut *lab.Host) (time.Time, error) {
-	if err := lab.Sleep(ctx, cutAfter); err != nil {
-		return time.Time{}, err
-	}
-	var others []string
-	for _, h := range l.Hosts {
-		if h != cut {
-			others = append(others, h.Name)
-		}
-	}
-	l.Network.Cut([]string{cut.Name}, others)
-	end := time.Now().Add(cutFor)
-	l.Logf("%s is cut off from all other hosts", cut.Name)
-	l.KillDaemon(cut)
-	if err := lab.Sleep(ctx, restartAfter); err != nil {
-		return time.Time{}, err
-	}
-	if err := l.StartDaemon(cut, false); err != nil {
-		return time.Time{}, err
-	}
-	started := time.Now()
-	if err := lab.Sleep(ctx, time.Until(end)); err != nil {
-		return time.Time{}, err
-	}
-	l.Network.Heal()
-	l.Logf("%s is no longer cut off", cut.Name)
-	return started.Add(contact), nil
-}
 
-// judge reports whether the bad version got a request that was sent later than rollback after its 50th
-// bad answer, from a machine in touch.
-func judge(l *lab.Lab, servers []*lab.Server, inTouch time.Time) bool {
-	var runs []lab.Run
-	for _, s := range servers {
-		runs = append(runs, s.Runs()...)
-	}
-	sort.Slice(runs, func(i, j int) bool { return runs[i].At.Before(runs[j].At) })
-	failed, late := 0, 0
-	var limit time.Time
-	for _, r := range runs {
-		l.Logf("%s ran %s at %.3f, failed: %t", r.Server, r.ID, l.Since(r.At), r.Failed)
-		if r.Failed {
-			failed++
-		}
-		if failed == badAnswers && limit.IsZero() {
-			limit = r.At.Add(rollback)
-			l.Logf("the 50th bad answer was at %.3f", l.Since(r.At))
-		}
-		// A request has at most its deadline from its sending to its run.
-		if !limit.IsZero() && r.At.After(limit.Add(deadline)) && r.At.After(inTouch) {
-			late++
+	bindsFrom := acknowledged.Add(drain + slack)
+	if t := restarted.Add(contact + slack); t.After(bindsFrom) {
+		bindsFrom = t
+	}
+	l.Logf("the rule binds from %.3f on", l.Since(bindsFrom))
+	count, lost := 0, 0
+	for _, r := range leaving.Runs()[before:] {
+		a := results.get(r.ID)
+		l.Logf("%s ran %s at %.3f, its client got status %d", r.Server, r.ID, l.Since(r.At), a.Status)
+		if r.At.After(bindsFrom) {
+			count++
+			if a.Status != http.StatusOK {
+				lost++
+			}
 		}
 	}
-	l.Logf("the bad version ran %d requests, %d of them later than %v after its 50th bad answer, in touch", len(runs), late, rollback)
-	return late > 0
+	l.Logf("%s ran %d requests later than drain after its acknowledged leaving, in touch; %d of them were lost", leaving.ID, count, lost)
+	return count > 0, nil
 }
 
-// traffic sends requests through the daemon of a host.
-func traffic(ctx context.Context, l *lab.Lab, h *lab.Host) {
+// traffic sends permit holds through the daemon of a host.
+func traffic(ctx context.Context, l *lab.Lab, h *lab.Host, results *answers) {
 	client := lab.NewClient()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for n := 0; lab.Sleep(ctx, interval) == nil; n++ {
 		wg.Go(func() {
-			q := lab.Request{ID: fmt.Sprintf("%s-%d", h.Name, n), Method: http.MethodGet, VirtualHost: route, Path: "/queue", Deadline: deadline}
+			q := lab.Request{ID: fmt.Sprintf("%s-%d", h.Name, n), Method: http.MethodPost, VirtualHost: route, Path: "/holds", Body: []byte("space"), Deadline: deadline}
 			a := lab.Do(context.WithoutCancel(ctx), client, h, q)
+			results.add(q.ID, a)
 			l.Logf("request %s sent %.3f: status %d, by %q, error %v", q.ID, l.Since(a.Sent), a.Status, a.Signature, a.Err)
 		})
 	}
 }
+
+// answers has what the clients got.
+type answers struct {
+	mu   sync.Mutex
+	byID map[string]lab.Answer
+}
+
+func (r *answers) add(id string, a lab.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byID[id] = a
+}
+
+func (r *answers) get(id string) lab.Answer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byID[id]
+}
