rollout: a decider without the gates' reports ends nothing

Cause: the daemon that decided while the first one restarted keeps its rollout for 10 s after the last report and evaluates it every 100 ms. At the deadline it finds that its gates have not moved the traffic. Its log: "rollout: ended ... the duration of the order ended before the traffic had moved", 6.2 s after the first decider took over again, with 1,035 calls where that one had counted 1,771. The other two hypotheses are out: the two lines come from two hosts, and the write is not late.

Change: a rollout is evaluated, and permits beyond those of before the order are granted, only while more than half of the hosts that have ever reported on the order still report. The same condition covers a decider that is cut off with a gate of its own: it granted trial calls beside the new decider, and reported a success while gates of the old version were open.

Tests, both failing before: TestDecider_WithoutReportsEndsNothing ("rolled back" in place of "succeeded"), TestDecider_CutOffWithOneGateEndsNothing (a limited permit at 6 s).

--- a/rollout/active.go
+++ b/rollout/active.go
@@ -125,10 +125,29 @@
 	return n
 }
 
+// inContact reports whether most of the hosts whose gates have ever reported on the order still
+// do. Otherwise another daemon decides by now, or this one is cut off. It sees neither the calls
+// nor the gates any more: it would roll back a version whose traffic has moved, or report a
+// success, at which the operator stops the old servers, while their gates are open.
+func (c *activeRollout) inContact(now time.Time) bool {
+	reporting := make(map[string]bool)
+	for _, s := range c.servers {
+		reporting[s.Server.Host] = reporting[s.Server.Host] || now.Sub(s.lastReport) <= gateTimeout
+	}
+	n := 0
+	for _, r := range reporting {
+		if r {
+			n++
+		}
+	}
+	return 2*n > len(reporting)
+}
+
 // evaluate rolls back a version that is worse than the old one, and otherwise performs the step
-// of the move that is due. It does nothing before the recorded outcome has been looked up.
+// of the move that is due. It does nothing before the recorded outcome has been looked up, nor
+// without contact to the gates.
 func (c *activeRollout) evaluate(now time.Time) {
-	if c.outcome != Undecided || !c.loaded || now.Sub(c.lastEvaluation) < evaluateInterval {
+	if c.outcome != Undecided || !c.loaded || now.Sub(c.lastEvaluation) < evaluateInterval || !c.inContact(now) {
 		return
 	}
 	c.lastEvaluation = now
--- a/rollout/helper_test.go
+++ b/rollout/helper_test.go
@@ -171,12 +171,15 @@
 }
 
 // runTasks performs the decider's tasks.
-func (s *sim) runTasks() {
-	for _, task := range s.decider.Tasks(s.now) {
+func (s *sim) runTasks() { s.runTasksOf(s.decider) }
+
+// runTasksOf performs the tasks of one of several deciders.
+func (s *sim) runTasksOf(d *Decider) {
+	for _, task := range d.Tasks(s.now) {
 		switch {
 		case !s.store(s.age()):
 		case task.Load:
-			s.decider.Loaded(task.Order, s.recorded)
+			d.Loaded(task.Order, s.recorded)
 		default:
 			if _, ok := s.reportedAt[task.Outcome]; !ok {
 				s.reportedAt[task.Outcome] = s.age()
@@ -184,7 +187,7 @@
 			if task.Outcome != Undecided {
 				s.recorded = task.Outcome
 			}
-			s.decider.Recorded(task.Order, task.Outcome)
+			d.Recorded(task.Order, task.Outcome)
 		}
 	}
 }
--- a/rollout/permit.go
+++ b/rollout/permit.go
@@ -23,6 +23,8 @@
 		return p
 	}
 	switch {
+	case !c.inContact(now):
+		// What another decider grants meanwhile is not known here, and both would add up.
 	case !c.closedAt.IsZero():
 		p.Mode = modeAfterMove(r)
 	case !r.NewVersion || !c.loaded:
