rollouts: the first recorded outcome of an order is final

A second decider overwrites `succeeded` with `rolled_back`; a write of `running` whose answer was lost replaces `rolled_back` seconds later, for good.

Cause: Directory.Put and ReportStatus append without a condition, so that the later of two writes wins, whoever made it and whenever the store executes it.

Directory.Update and RolloutStatus.ReportStatus read the newest records, decide on them, and append at their end; a topic that has changed meanwhile is read again. A decider that finds another outcome of the order recorded adopts it, as do its gates: a recorded outcome replaces one that is not. "running" is reported only while no outcome is recorded, and nothing is reported on an order that a later one has replaced. Cost: one more read of the topic for each of the three writes of a rollout, and one of the directory for a status.

--- a/internal/controller/contacts/entry_test.go
+++ b/internal/controller/contacts/entry_test.go
@@ -41,6 +41,14 @@
 	return nil
 }
 
+func (d *directory) Update(ctx context.Context, key string, next func(values [][]byte) []byte) error {
+	values, err := d.List(ctx)
+	if err != nil {
+		return err
+	}
+	return d.Put(ctx, key, next(values))
+}
+
 func (d *directory) List(context.Context) ([][]byte, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/controller/rollouts/decide.go
+++ b/internal/controller/rollouts/decide.go
@@ -76,28 +76,93 @@
 	if t.Load {
 		return c.load(ctx, t.Order)
 	}
-	if t.Outcome != rollout.Undecided {
-		value, err := rollout.EncodeEntry(rollout.RecordedOutcome{Order: t.Order, Outcome: t.Outcome})
-		if err != nil {
-			return err
-		}
-		if err := c.opts.Directory.Put(ctx, keyPrefix+t.Order.Service, value); err != nil {
-			return err
-		}
+	outcome, err := c.record(ctx, t)
+	if err == nil && c.opts.StatusReporter != nil {
+		outcome, err = c.reportStatus(ctx, t.Order, outcome)
 	}
-	if c.opts.StatusReporter != nil {
-		if err := c.opts.StatusReporter.ReportStatus(ctx, t.Order, t.Outcome); err != nil {
-			return err
-		}
+	switch {
+	case errors.Is(err, errSuperseded):
+		c.opts.Logger.Info("rollout: superseded by a later order", "service", t.Order.Service, "order", t.Order.Offset)
+		c.opts.Decider.Recorded(t.Order, t.Outcome)
+		return nil
+	case err != nil:
+		return err
 	}
-	c.opts.Logger.Info("rollout: status reported", "service", t.Order.Service, "order", t.Order.Offset, "outcome", t.Outcome.String())
-	c.opts.Decider.Recorded(t.Order, t.Outcome)
+	c.opts.Logger.Info("rollout: status reported", "service", t.Order.Service, "order", t.Order.Offset, "outcome", outcome.String(),
+		"own_outcome", t.Outcome.String())
+	c.opts.Decider.Recorded(t.Order, outcome)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recorded[t.Order.Service] = t
+	c.recorded[t.Order.Service] = rollout.Task{Order: t.Order, Outcome: outcome}
 	return nil
 }
 
+// errSuperseded means that the outcome of a later order for the service is recorded.
+var errSuperseded = errors.New("a later order has replaced this one")
+
+// record stores the outcome of a task, unless it is Undecided, and returns the stored one. The first
+// outcome that is stored for an order is final: another daemon may have decided at the same time, or this
+// one may have been paused before the write, and gates and the operator have acted on the other outcome.
+func (c *Controller) record(ctx context.Context, t rollout.Task) (rollout.Outcome, error) {
+	if t.Outcome == rollout.Undecided {
+		return rollout.Undecided, nil
+	}
+	value, err := rollout.EncodeEntry(rollout.RecordedOutcome{Order: t.Order, Outcome: t.Outcome})
+	if err != nil {
+		return rollout.Undecided, err
+	}
+	var outcome rollout.Outcome
+	var superseded bool
+	err = c.opts.Directory.Update(ctx, keyPrefix+t.Order.Service, func(values [][]byte) []byte {
+		outcome, superseded = recordedOutcome(values, t.Order)
+		if outcome != rollout.Undecided || superseded {
+			return nil
+		}
+		outcome = t.Outcome
+		return value
+	})
+	if err == nil && superseded {
+		err = errSuperseded
+	}
+	return outcome, err
+}
+
+// reportStatus reports an outcome to the operator and returns the reported one. A rollout is reported as
+// in progress only while no outcome is recorded.
+func (c *Controller) reportStatus(ctx context.Context, o rollout.Order, outcome rollout.Outcome) (rollout.Outcome, error) {
+	err := c.opts.StatusReporter.ReportStatus(ctx, o, func(ctx context.Context) (rollout.Outcome, error) {
+		values, err := c.opts.Directory.List(ctx)
+		if err != nil {
+			return rollout.Undecided, err
+		}
+		recorded, superseded := recordedOutcome(values, o)
+		if superseded || !c.isLatest(o) {
+			return rollout.Undecided, errSuperseded
+		}
+		if recorded != rollout.Undecided {
+			outcome = recorded
+		}
+		return outcome, nil
+	})
+	return outcome, err
+}
+
+// recordedOutcome returns the outcome of an order among the directory's entries, rollout.Undecided if
+// there is none, and whether that of a later order for the service is there.
+func recordedOutcome(values [][]byte, o rollout.Order) (outcome rollout.Outcome, superseded bool) {
+	for _, value := range values {
+		e, ok := rollout.DecodeEntry(value)
+		switch {
+		case !ok || e.Order.Service != o.Service:
+		case e.Matches(o):
+			outcome = e.Outcome
+		case e.Order.Offset > o.Offset:
+			superseded = true
+		}
+	}
+	return outcome, superseded
+}
+
 // watchRestores makes runTasks record everything again that the platform's directory may have
 // lost when it was restored from an older copy. Otherwise the operator would see an older
 // outcome, and a fleet that lost power would start the rollout over.
@@ -179,11 +244,11 @@
 	}
 }
 
-// adoptRecordedOutcome adopts the outcome of an order from the directory's entries, unless one
-// is known already. The caller holds mu.
+// adoptRecordedOutcome adopts the outcome of an order from the directory's entries. The caller holds
+// mu.
 func (c *Controller) adoptRecordedOutcome(o rollout.Order, now time.Time) {
 	e, ok := c.directoryOutcomes[o.Service]
-	if ok && e.Matches(o) && c.outcomes[o.Offset].outcome == rollout.Undecided {
+	if ok && e.Matches(o) && c.outcomes[o.Offset].outcome != e.Outcome {
 		c.outcomes[o.Offset] = observedOutcome{e.Outcome, now}
 	}
 }
--- a/internal/controller/rollouts/rollouts.go
+++ b/internal/controller/rollouts/rollouts.go
@@ -53,9 +53,10 @@
 
 // StatusReporter reports the state of a rollout to the operator.
 type StatusReporter interface {
-	// ReportStatus reports the outcome of the rollout of an order, rollout.Undecided while it is
-	// in progress.
-	ReportStatus(ctx context.Context, o rollout.Order, outcome rollout.Outcome) error
+	// ReportStatus reports the outcome of the rollout of an order that outcome returns,
+	// rollout.Undecided while it is in progress. It has no effect if another status was written
+	// after outcome was called, however late it is executed, and then calls outcome again.
+	ReportStatus(ctx context.Context, o rollout.Order, outcome func(context.Context) (rollout.Outcome, error)) error
 }
 
 // Options configures a Controller.
@@ -190,13 +191,14 @@
 }
 
 // updateOutcome adopts the outcome of an order from the directory or from the tracker, which has
-// it from a permit. The caller holds mu.
+// it from a permit. A recorded outcome replaces one that was not recorded. The caller holds mu.
 func (c *Controller) updateOutcome(o *rollout.Order, now time.Time) {
 	c.adoptRecordedOutcome(*o, now)
 	if c.tracker == nil || c.tracker.Order.Offset != o.Offset || c.tracker.Outcome() == rollout.Undecided {
 		return
 	}
-	if c.outcomes[o.Offset].outcome == rollout.Undecided {
+	known := c.outcomes[o.Offset].outcome
+	if known == rollout.Undecided || known != c.tracker.Outcome() && c.tracker.OutcomeRecorded() {
 		c.outcomes[o.Offset] = observedOutcome{c.tracker.Outcome(), now}
 	}
 }
--- a/internal/daemon/rollout_test.go
+++ b/internal/daemon/rollout_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/crocuscross/crocuscross/rollout"
 )
 
 // versionServer is a backend server of a version that counts the requests it runs.
@@ -64,7 +66,18 @@
 // the outcome. It returns the number of calls.
 func (f *storeFleet) callUntil(outcome string) (calls int) {
 	f.t.Helper()
+	last := make(map[string][]rollout.Status)
+	f.t.Cleanup(func() {
+		if f.t.Failed() {
+			f.t.Logf("status in the store: %s; last states at the daemons that decided: %+v", f.store.RolloutStatus("signs"), last)
+		}
+	})
 	f.eventually("the rollout status is "+outcome, func() bool {
+		for _, d := range f.daemons {
+			if list := d.rollouts.Status(); len(list) > 0 {
+				last[d.settings.Host] = list
+			}
+		}
 		f.call(f.daemons[calls%len(f.daemons)], http.MethodGet, "/get/x", "")
 		calls++
 		return strings.Contains(f.store.RolloutStatus("signs"), outcome)
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -153,10 +153,15 @@
 	})
 }
 
-// Recorded confirms that an outcome was recorded and reported to the operator. Undecided
-// confirms that the operator was informed of a rollout in progress.
+// Recorded confirms that an outcome is recorded and was reported to the operator. It replaces the
+// decider's own outcome if another daemon has recorded one before. Undecided confirms that the
+// operator was informed of a rollout in progress.
 func (d *Decider) Recorded(o Order, outcome Outcome) {
 	d.withRollout(o, func(c *activeRollout) {
+		if outcome != Undecided && c.outcome != outcome {
+			c.outcome, c.reason = outcome, "recorded by another daemon"
+			c.opts.Logger.Warn("rollout: another outcome is recorded", "service", o.Service, "order", o.Offset, "outcome", outcome.String())
+		}
 		c.published = true
 		c.publishedOutcome = outcome
 	})
--- a/rollout/gate.go
+++ b/rollout/gate.go
@@ -76,8 +76,9 @@
 	admitted atomic.Int64
 	inFlight atomic.Int64
 	permit   atomic.Pointer[leasedPermit]
-	// outcome holds an Outcome.
-	outcome atomic.Uint32
+	// outcome holds an Outcome, recorded whether that is recorded.
+	outcome  atomic.Uint32
+	recorded atomic.Bool
 }
 
 // leasedPermit is a permit with its expiry time.
@@ -88,9 +89,14 @@
 }
 
 // SetPermit stores the answer to a report. Its lease starts at sent, the time at which the
-// report was sent. The first outcome other than Undecided is final.
+// report was sent. The first outcome other than Undecided is final, unless another one is recorded.
 func (t *Tracker) SetPermit(p Permit, sent time.Time) {
-	if p.Outcome != Undecided {
+	switch {
+	case p.Outcome == Undecided:
+	case p.Recorded:
+		t.outcome.Store(uint32(p.Outcome))
+		t.recorded.Store(true)
+	default:
 		t.outcome.CompareAndSwap(uint32(Undecided), uint32(p.Outcome))
 	}
 	t.permit.Store(&leasedPermit{p.Mode, int64(p.AdmitUpTo), sent.Add(p.Lease)})
@@ -99,6 +105,9 @@
 // Outcome returns the outcome of the rollout as known to this daemon.
 func (t *Tracker) Outcome() Outcome { return Outcome(t.outcome.Load()) }
 
+// OutcomeRecorded reports whether Outcome is recorded in the directory.
+func (t *Tracker) OutcomeRecorded() bool { return t.recorded.Load() }
+
 // Mode returns the mode of the gate at the given time.
 func (t *Tracker) Mode(now time.Time) Mode { return t.modeAt(now) }
 
