spread: readers that the log turns away have other daemons read

These run requests on the old service until the store serves the readers again, 8 s after a version.

Cause: only the two readers of each zone read the log, and being alive makes them readers. "spread: log not read" is logged by these four hosts only; the other eight never read, as each probe counts as contact, though it proves only that the sender lives. The other hypotheses are out: no host served by the store reads, so none can fail to read or to pass on.

Change: a reader whose last read failed asks a random daemon of its zone that is no reader, every 1.25 s or so, to read the log once in its place (Push.read_log). That daemon pushes what is new as if it were a reader and hands it to the other zones. No view changes, so nothing flaps while the store is away for all: a reader then causes no more reads than its own attempts. Weighed: a mark in the membership record that ranks such readers last (while the store is away, all hosts of the fleet would mark themselves one after the other); the age of the sender's news in each packet (in large fleets it exceeds own_read_after, and all hosts would read).

A daemon that doesn't know the field takes the request for a digest.

--- a/spread/pullschedule.go
+++ b/spread/pullschedule.go
@@ -147,13 +147,16 @@
 	if s.readsLog() || s.State() == nil {
 		return
 	}
-	for s.ctx.Err() == nil {
-		n, err := s.readOnce(0, fallbackReadSlack)
-		if err != nil {
-			s.opts.Logger.Debug("spread: fallback read failed", "error", err)
-		}
-		if err != nil || n < readLimit {
-			return
+	if err := s.readToEnd(); err != nil {
+		s.opts.Logger.Debug("spread: fallback read failed", "error", err)
+	}
+}
+
+// readToEnd reads the log until it has no more records, or a read fails.
+func (s *Spreader) readToEnd() error {
+	for {
+		if n, err := s.readOnce(0, fallbackReadSlack); err != nil || n < readLimit {
+			return err
 		}
 	}
 }
--- a/spread/push.go
+++ b/spread/push.go
@@ -64,7 +64,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.opts.ReadersPerZone, s.assignedOffset > s.pushedOffset
+	return s.opts.ReadersPerZone, s.deputy || s.assignedOffset > s.pushedOffset
 }
 
 func (s *Spreader) lastPushedOffset() uint64 {
--- a/spread/read.go
+++ b/spread/read.go
@@ -57,6 +57,7 @@
 		}
 		verified = false
 		failures++
+		s.deputyWake.Set()
 		s.sleep(s.retryDelay(failures, time.Since(begun)))
 	}
 	return nil
--- a/spread/receive.go
+++ b/spread/receive.go
@@ -13,6 +13,9 @@
 // acknowledgment pushes to them itself.
 func (s *Spreader) servePush(m *peerpb.Push, reply func(*peerpb.PushAck) error) error {
 	s.recordContact()
+	if m.GetReadLog() {
+		return s.serveReadRequest(m, reply)
+	}
 	if isDigest(m) {
 		return s.serveDigest(m, reply)
 	}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -14,6 +14,10 @@
 // Handoff: a root sends its offset to one reader of each other availability zone after a delay, in
 // case that zone cannot read the log.
 //
+// Deputies: a reader that the log does not serve asks other daemons of its zone, one after the other,
+// to read the log once in its place. The log may turn away the readers alone, and the others would not
+// notice: a reader that lives and does not read is in contact with them.
+//
 // Pull: each membership probe carries the sender's offset, and a daemon that is behind pulls from
 // one that is ahead. A daemon that receives no probes, or finds no daemon to pull from, reads the
 // log itself, at long and jittered intervals.
@@ -81,6 +85,8 @@
 	// assignedOffset is the offset up to which this daemon pushes in its availability zone although
 	// it is not a reader.
 	assignedOffset uint64
+	// deputy is set while this daemon reads the log in place of a reader, and pushes what it finds.
+	deputy bool
 	// pullCandidates are daemons reported to be ahead, the most recent report last.
 	pullCandidates []pullCandidate
 	lastContact    time.Time
@@ -88,7 +94,9 @@
 	lastLogRead time.Time
 	relayed     recentPushes
 
-	readWake, pushWake, handoffWake, pullWake, reconcileWake loop.Trigger
+	readWake, pushWake, handoffWake, pullWake, reconcileWake, deputyWake loop.Trigger
+	// deputySem admits one read in place of another daemon at a time.
+	deputySem chan struct{}
 
 	// pullSem admits one pull at a time. It keeps a daemon that receives many digests from pulling
 	// the same records from every sender.
@@ -110,6 +118,8 @@
 		handoffWake:   loop.NewTrigger(),
 		pullWake:      loop.NewTrigger(),
 		reconcileWake: loop.NewTrigger(),
+		deputyWake:    loop.NewTrigger(),
+		deputySem:     make(chan struct{}, 1),
 		pullSem:       make(chan struct{}, 1),
 		serveSem:      make(chan struct{}, maxServedPulls),
 		pushSem:       make(chan struct{}, maxRootPushes),
@@ -128,6 +138,7 @@
 	s.t.Go(s.handoffLoop)
 	s.t.Go(s.pullLoop)
 	s.t.Go(s.reconcileLoop)
+	s.t.Go(s.deputyLoop)
 	return s.t.Wait()
 }
 
--- a/spread/topology.go
+++ b/spread/topology.go
@@ -31,6 +31,8 @@
 	// tree lists the other live daemons of this daemon's availability zone in the order in which
 	// its push tree is laid out.
 	tree []netip.AddrPort
+	// deputies lists those of tree that are not readers.
+	deputies []netip.AddrPort
 	// zones lists the first daemons by rank of each other availability zone.
 	zones [][]netip.AddrPort
 }
@@ -82,6 +84,7 @@
 	for zone, members := range zones {
 		if zone == v.Self.AvailabilityZone {
 			topo.rank = rankOf(members, v.Self.Host, readers)
+			topo.deputies = topo.withoutReaders(addrsOf(members[:min(readers, len(members))]))
 			continue
 		}
 		topo.zones = append(topo.zones, addrsOf(members))
@@ -89,6 +92,11 @@
 	return topo
 }
 
+// withoutReaders returns the daemons of the tree other than the readers.
+func (t *topology) withoutReaders(readers []netip.AddrPort) []netip.AddrPort {
+	return slices.DeleteFunc(slices.Clone(t.tree), func(a netip.AddrPort) bool { return slices.Contains(readers, a) })
+}
+
 // CompareReaders orders members of one availability zone by their rank as readers of the log.
 func CompareReaders(a, b *membership.Member) int {
 	return compareRanked(rankAsReader(a), rankAsReader(b))
