membership, quota: a process that knows only itself is not the whole fleet

An account gets over 400 requests in 5 s, 262 are allowed: the restarted daemon grants the whole limit beside the others.

Cause: the table of a process that has just started has no other member, and package quota takes a fleet with one known member for a complete one. Its log: "quota: ownership changed ... known=1 isolated=false". That the store's directory names other hosts is not used.

Change: View.Missing counts the hosts that the directory names and that are not in the table, until the process knows the fleet: from the table of a daemon that knows it (Table.knows_fleet), because it has found more than half of the hosts, or after the time that a partition is assumed to last. Before the directory is known, one host is missing. Daemons that get the directory's entries from others get its hosts as well (DirectoryAnswer.hosts, digests). Quota counts missing hosts as unreachable ones. Ledgers of a daemon that has not found the fleet settle for a minute; afterwards they grant the daemon's share, since it may be left over. Its part of the unleased calls and of the retry budget, which had the same fault, is one of View.Known().

In each way of starting: the first start finds an empty directory and knows the fleet at once; a new or restarted host joins a daemon that knows it (0.2 s to 0.5 s); hosts restarted in a cut, alone or together, miss the rest until it ends; after a power loss of all, the hosts find each other, up to as many entries of hosts that are gone; with the store away as well there is no configuration either.

--- a/internal/controller/contacts/contacts.go
+++ b/internal/controller/contacts/contacts.go
@@ -72,8 +72,11 @@
 	// include the entries of other components, so that one read at startup is enough for all of
 	// them.
 	OnEntries func(values [][]byte)
-	Logger    *slog.Logger
-	Now       func() time.Time
+	// OnHosts, if not nil, is called with the hosts whose addresses the directory contains after each
+	// read, in any order and possibly repeated.
+	OnHosts func(hosts []string)
+	Logger  *slog.Logger
+	Now     func() time.Time
 }
 
 // Controller stores this daemon's address and finds those of others.
@@ -252,6 +255,9 @@
 		return nil, err
 	}
 	c.inspectEntries(values)
+	if c.opts.OnHosts != nil {
+		c.opts.OnHosts(hostsOf(values))
+	}
 	if c.opts.OnEntries != nil {
 		c.opts.OnEntries(values)
 	}
@@ -264,6 +270,21 @@
 	return c.selectContacts(values), nil
 }
 
+// hostsOf returns the hosts of the contacts among entries.
+func hostsOf(values [][]byte) []string {
+	var hosts []string
+	for _, value := range values {
+		var m configpb.Contact
+		if proto.Unmarshal(value, &m) != nil {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(m.GetPeerAddr()); err == nil {
+			hosts = append(hosts, m.GetHost())
+		}
+	}
+	return hosts
+}
+
 // selectContacts returns the contacts among entries, which are in order from the oldest to the
 // newest: those in this daemon's availability zone first, then a few of each other zone. Only
 // the newest entry of a host counts.
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -248,7 +248,7 @@
 		view, changed := d.board.Members.Watch()
 		members := 1
 		if view != nil {
-			members = max(len(view.Members), 1)
+			members = max(view.Known(), 1)
 		}
 		d.budgets.SetBurst(max(1, retryBudgetShare*float64(d.currentSettings().Retries.Burst)/float64(members)))
 		select {
--- a/internal/daemon/components.go
+++ b/internal/daemon/components.go
@@ -271,7 +271,7 @@
 	p.contacts = contacts.New(contacts.Options{
 		Board: d.board, Directory: directory, DirectoryPersists: p.adapter != nil, Host: d.settings.Host,
 		AvailabilityZone: d.settings.AvailabilityZone, PeerAddr: d.peerAddr(),
-		OnEntries: p.addEntries, Logger: d.logger, Now: time.Now,
+		OnEntries: p.addEntries, OnHosts: p.setDirectoryHosts, Logger: d.logger, Now: time.Now,
 	})
 }
 
--- a/internal/daemon/join.go
+++ b/internal/daemon/join.go
@@ -172,8 +172,9 @@
 // start at once, a few read it and the others get its entries from them.
 func (d *Daemon) inheritDirectory(ctx context.Context) bool {
 	for {
-		if entries, ok := d.queryDirectory(ctx); ok {
-			d.addEntries(entries)
+		if ans := d.queryDirectory(ctx); ans != nil {
+			d.addEntries(ans.GetEntries())
+			d.membership.SetDirectoryHosts(ans.GetHosts())
 			d.contacts.SkipRead()
 			return true
 		}
@@ -183,26 +184,27 @@
 	}
 }
 
-// queryDirectory queries a few daemons for the entries of the directory.
-func (d *Daemon) queryDirectory(ctx context.Context) (entries [][]byte, ok bool) {
+// queryDirectory queries a few daemons for the contents of the directory. The result is nil if none of
+// them knows it.
+func (d *Daemon) queryDirectory(ctx context.Context) *peerpb.DirectoryAnswer {
 	peers := selectRecoveryPeers(d.membership.View().Self, recoveryPeers{d}.otherMembers())
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, m := range peers[:min(directoryQueries, len(peers))] {
-		if entries, ok := d.queryDirectoryOf(ctx, m); ok {
-			return entries, true
+		if ans := d.queryDirectoryOf(ctx, m); ans.GetKnown() {
+			return ans
 		}
 	}
-	return nil, false
+	return nil
 }
 
-func (d *Daemon) queryDirectoryOf(ctx context.Context, m *membership.Member) (entries [][]byte, ok bool) {
+func (d *Daemon) queryDirectoryOf(ctx context.Context, m *membership.Member) *peerpb.DirectoryAnswer {
 	ctx, cancel := context.WithTimeout(ctx, directoryQueryTimeout)
 	defer cancel()
 	ans := new(peerpb.DirectoryAnswer)
 	if err := d.controlPool.Call(ctx, m.PeerAddr, peerpb.Kind_KIND_DIRECTORY, &peerpb.DirectoryAsk{}, ans); err != nil {
-		return nil, false
+		return nil
 	}
-	return ans.GetEntries(), ans.GetKnown()
+	return ans
 }
 
 // serveDirectory answers the query of a starting daemon.
@@ -210,6 +212,16 @@
 	ans := &peerpb.DirectoryAnswer{Known: p.contacts.EntriesKnown()}
 	if ans.Known {
 		ans.Entries = append(p.quarantines.Entries(), p.rollouts.Entries()...)
+		ans.Hosts = p.membership.DirectoryHosts()
 	}
 	return ans, nil
 }
+
+// setDirectoryHosts passes the hosts that the directory names to membership.
+func (p *components) setDirectoryHosts(hosts []string) {
+	digests := make([]uint64, len(hosts))
+	for i, h := range hosts {
+		digests[i] = membership.HostDigest(h)
+	}
+	p.membership.SetDirectoryHosts(digests)
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -53,6 +53,7 @@
 	contacts       []Contact
 	onOffset       OffsetFunc
 	standing       Standing
+	knowledge      knowledge
 
 	lastTick   time.Time
 	lastGossip time.Time
@@ -110,6 +111,7 @@
 	}
 	m.prober = newProber(m.rng.Uint32())
 	now := opts.Now()
+	m.knowledge.startedAt = now
 	m.sync = syncScheduler{gap: syncGap, last: now}
 	m.self = &entry{
 		host:  opts.Host,
@@ -151,6 +153,7 @@
 			v.Members = append(v.Members, member)
 		}
 	}
+	v.Missing = m.missing()
 	m.view.Store(v)
 	// Clear stale last: readers that find it cleared take no lock and must load this snapshot.
 	m.stale.Store(false)
--- a/membership/run.go
+++ b/membership/run.go
@@ -110,6 +110,7 @@
 		m.reconcileProbe(now)
 		m.reconcileSuspects(now)
 		m.reconcileTombstones(now)
+		m.reviewKnowledge(now)
 		m.heal(now)
 		m.reconcileSync(now)
 		m.gossip(now)
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -207,6 +207,9 @@
 			from = fromJoin
 		}
 		m.applyRecords(records, from, now)
+		if answer.GetKnowsFleet() && !target.zoneOnly {
+			m.learnFleet(now)
+		}
 		m.announce(now)
 		m.recordExchange(*target, m.table.digests != before)
 		if e := m.table.get(answer.GetHost()); target.zoneOnly && target.zone == "" && e != nil {
@@ -317,7 +320,7 @@
 // encodeTable returns a message with the digests of all members in scope and the members in
 // scope of the given buckets. It always includes this daemon.
 func (m *Membership) encodeTable(buckets [bucketCount]bool, sc scope, now time.Time) *memberpb.Table {
-	t := &memberpb.Table{Host: m.self.host, Boot: m.self.boot, Digests: m.digestsOf(sc)[:]}
+	t := &memberpb.Table{Host: m.self.host, Boot: m.self.boot, Digests: m.digestsOf(sc)[:], KnowsFleet: m.knowledge.fleet}
 	for _, e := range m.table.order {
 		if e != m.self && !(sc.covers(e) && buckets[bucketOf(e.host)]) {
 			continue
--- a/membership/view.go
+++ b/membership/view.go
@@ -92,8 +92,17 @@
 type View struct {
 	Self    *Member
 	Members []*Member
+	// Missing is the number of hosts that belong to the fleet, as far as is known, and are not among the
+	// members, because this process has not reached any daemon that knows the fleet since it started. It is
+	// then 1 at least. Such a process may be cut off: what it may do as a share of the fleet's total is a
+	// share of Known.
+	Missing int
 }
 
+// Known returns the number of hosts that are known to belong to the fleet, with those that have died
+// recently.
+func (v *View) Known() int { return len(v.Members) + v.Missing }
+
 // Find returns the member with the given host name, or nil if there is none.
 func (v *View) Find(host string) *Member {
 	lo, hi := 0, len(v.Members)
@@ -122,10 +131,10 @@
 	return live
 }
 
-// ReachesHalf reports whether at least half of the members that have not left are usable. A daemon
-// that is cut off from the others finds that it reaches fewer.
+// ReachesHalf reports whether at least half of the members that have not left, and of the missing ones,
+// are usable. A daemon that is cut off from the others finds that it reaches fewer.
 func (v *View) ReachesHalf() bool {
-	usable, gone := 0, 0
+	usable, gone := 0, v.Missing
 	for _, m := range v.Members {
 		switch {
 		case m.Usable():
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -40,6 +40,9 @@
 	silent map[string]silence
 	// isolated is set if at most half of the daemon's own region is reachable.
 	isolated bool
+	// alone is set while this process, which has started recently, has not found most of the fleet.
+	// Ledgers settle then: what hosts grant that are cut off and restart would add up over all of them.
+	alone bool
 	// changesAt is the time at which the fleet changes without a new view.
 	changesAt time.Duration
 }
@@ -85,9 +88,15 @@
 			f.partitionedRegions[name] = true
 		}
 	}
+	f.known += view.Missing
 	f.reachableShare = float64(reachable) / float64(max(1, f.known))
 	own := regions[view.Self.Region]
+	own.known += view.Missing
 	f.isolated = own.known > 1 && own.reachable*2 <= own.known
+	f.alone = view.Missing > 0 && f.isolated && now < aloneTime
+	if f.alone {
+		f.changesAt = min(f.changesAt, aloneTime)
+	}
 	f.trackGrowth(prev)
 	f.trackDepartures(prev)
 	f.trackRejoining(prev, opts.rejoinTime())
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -246,10 +246,10 @@
 }
 
 // advance updates the settling state and the pool. By the time the ledger opens, all holders
-// have had time to report. While a region is partitioned its holders cannot report, so settling
-// continues until they have had that time after the region is reachable again.
+// have had time to report. While a region is partitioned, or this daemon has not found the fleet, its
+// holders cannot report, so settling continues until they have had that time afterwards.
 func (l *ledger) advance(now time.Duration, f *fleet) {
-	if !l.open && len(f.partitionedRegions) > 0 {
+	if !l.open && (f.alone || len(f.partitionedRegions) > 0) {
 		l.opensAt = max(l.opensAt, now+l.opts.settleTime())
 	}
 	l.open = l.open || now >= l.opensAt || l.allClaimed(now, f)
--- a/quota/options.go
+++ b/quota/options.go
@@ -51,6 +51,9 @@
 	// last members of a region are detected as unreachable some seconds after the first. It
 	// is below the share of members that remain in a region that lost one zone.
 	partitionDivisor = 4
+	// aloneTime is how long after its start a process that has not found most of the fleet assumes
+	// that it is cut off and not left over. Afterwards it grants its share of the contracts.
+	aloneTime = time.Minute
 	// unreachableRetention is how long unreachable members count as possibly partitioned.
 	unreachableRetention = 30 * time.Minute
 
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -179,6 +179,9 @@
 	}
 	l := o.ledgers[customer]
 	if l == nil {
+		if o.fleet.alone {
+			opensAt = max(opensAt, now+o.opts.settleTime())
+		}
 		l = newLedger(o.opts, contract, opensAt, now)
 		o.ledgers[customer] = l
 	}
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -84,6 +84,8 @@
 	offset uint64
 	// cuts is the number of cuts from all others in progress.
 	cuts int
+	// lost is set while the process has not found the others since it started.
+	lost bool
 }
 
 type waitingCall struct {
@@ -179,6 +181,11 @@
 }
 
 func (d *daemon) publish() {
+	if d.lost {
+		self := d.view[d.index]
+		d.m.SetView(&membership.View{Self: self, Members: []*membership.Member{self}, Missing: len(d.view) - 1})
+		return
+	}
 	d.m.SetView(&membership.View{Self: d.view[d.index], Members: slices.Clone(d.view)})
 }
 
@@ -462,6 +469,26 @@
 	return s
 }
 
+// restartCutOff cuts off single daemons as cutOff does, and restarts each of them after a time of its own. A
+// restarted daemon knows from the platform's directory that there are others, and finds them after the cut.
+func (w *world) restartCutOff(length time.Duration, contracts func() []*snapshot.Contract, away ...*daemon) {
+	w.cutOff(length, away...)
+	for _, d := range away {
+		w.after(w.within(0, length/2), func() {
+			d.boot += 1000
+			d.lost = true
+			w.boot(d, contractMap(contracts()))
+		})
+		w.after(length+w.within(50*time.Millisecond, 500*time.Millisecond), func() {
+			if !d.dead {
+				d.lost = false
+				d.view = w.actualMembers()
+				d.publish()
+			}
+		})
+	}
+}
+
 // isCut reports whether nothing that a sends reaches b.
 func (w *world) isCut(a, b *daemon) bool { return a.cuts > 0 || b.cuts > 0 || w.cut(a, b) }
 
