announce: what a daemon has acknowledged outlives its process

A heartbeat that was sent before arrives 2.5 s later at its successor, and the server gets over 100 requests until it exits.

Cause: the instances that have ended and the last sequence number lie in the memory of one process. Its successor logs "announce: backend server announced itself" at the time of the late heartbeat; it does not discover the server, whose health check answers 503, and no request reaches it before.

Change, two ways that do not depend on each other: - A daemon distributes its last ended servers with its member record before it acknowledges the end (Info.ended). The process that replaces it gets them with the state of its predecessor, and passes them on in turn. No acknowledgement waits for it. - For 10 s after the start of a process that is not the first one, an announcement of a server which it does not know yet is held until the server's health check answers with its ID. A server whose health check fails is accepted once it has announced itself for 5 s: one that leaves no longer does, and a health check may be wrong. This holds if nobody got the record, if all daemons were killed, and while the store or the other hosts are out of reach. It covers a late "ready" of a server that drains as well, and that of an earlier server at the address of a new one.

A member record grows by up to 76 bytes on hosts whose servers have ended.

--- a/internal/controller/announce/announce.go
+++ b/internal/controller/announce/announce.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/uptrace/bunrouter"
@@ -62,9 +63,20 @@
 	// RejectionLogLimit limits the log lines about rejected announcements.
 	RejectionLogLimit telemetry.LogLimiter
 
+	// Predecessors is what is known of earlier processes of this daemon, nil if there were none.
+	Predecessors Predecessors
+	// QueryServerID queries the health check of the server at Address and returns the server's ID. The
+	// error is ErrNoHealthCheck if servers have none, and another one unless the server is known to be
+	// healthy and not shutting down. A nil function stands for ErrNoHealthCheck.
+	QueryServerID func(ctx context.Context) (id string, err error)
+
 	// ended holds the instances that have ended. It is accessed only within updates of the Local
 	// cell, which are serialized.
 	ended endedInstances
+	held  heldAnnouncements
+	// start is when the process started, see startedAt.
+	start     time.Time
+	startOnce sync.Once
 }
 
 // Handler returns the HTTP handler of the backend listener.
@@ -79,11 +91,14 @@
 
 // Run removes announcements that have lapsed, until ctx is done.
 func (c *Controller) Run(ctx context.Context) error {
+	c.startedAt()
 	t := time.NewTicker(checkInterval)
 	defer t.Stop()
 	for {
 		select {
 		case <-t.C:
+			c.inheritEnded()
+			c.reviewHeld(ctx)
 			c.expire()
 		case <-ctx.Done():
 			return nil
--- a/internal/controller/announce/discover.go
+++ b/internal/controller/announce/discover.go
@@ -57,7 +57,7 @@
 			continue
 		}
 		attempt++
-		id, err := d.queryID(ctx, path)
+		id, err := d.QueryID(ctx, path)
 		if err != nil {
 			d.Controller.Logger.Info("announce: backend server not discovered", "address", d.Controller.Address, "try", attempt, "error", err)
 			continue
@@ -71,8 +71,9 @@
 // directTransport connects to the server directly, even if the environment names a proxy.
 var directTransport = &http.Transport{DisableKeepAlives: true}
 
-// queryID requests the health path and returns the server's ID from the response.
-func (d *Discoverer) queryID(ctx context.Context, path string) (string, error) {
+// QueryID requests the health path and returns the server's ID from the response. The error is set unless
+// the server is healthy and not shutting down.
+func (d *Discoverer) QueryID(ctx context.Context, path string) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, discoverTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Controller.Address+path, nil)
--- a/internal/controller/announce/instances.go
+++ b/internal/controller/announce/instances.go
@@ -3,6 +3,10 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/crocuscross/crocuscross/membership"
 )
 
 // maxEndedInstances limits how many ended instances are remembered. Their announcements arrive
@@ -19,16 +23,30 @@
 }
 
 // endedInstances remembers the instances that have been withdrawn or replaced, the latest last.
-type endedInstances struct{ list []instance }
+type endedInstances struct {
+	list []instance
+	// inherited lists those that ended beside earlier processes of the daemon.
+	inherited []membership.EndedServer
+}
 
 // contains reports whether an instance, or a later one with the same ID, has ended. An instance
 // with an unknown start is assumed to be the one that ended.
 func (l *endedInstances) contains(other instance) bool {
-	return slices.ContainsFunc(l.list, func(e instance) bool {
-		return e.id == other.id && (other.startUnixMs == 0 || other.startUnixMs <= e.startUnixMs)
+	id := xxhash.Sum64String(other.id)
+	return slices.ContainsFunc(l.all(), func(e membership.EndedServer) bool {
+		return e.ID == id && (other.startUnixMs == 0 || other.startUnixMs <= e.StartUnixMs)
 	})
 }
 
+// all returns all ended instances, the latest last.
+func (l *endedInstances) all() []membership.EndedServer {
+	all := slices.Clone(l.inherited)
+	for _, e := range l.list {
+		all = append(all, membership.EndedServer{ID: xxhash.Sum64String(e.id), StartUnixMs: e.startUnixMs})
+	}
+	return all
+}
+
 // add records that an instance has ended. If its start is unknown, every instance with its ID
 // that started before now counts as ended: late announcements of the instance do state its
 // start, and would otherwise bring back a server that has been withdrawn.
--- a/internal/controller/announce/servers.go
+++ b/internal/controller/announce/servers.go
@@ -79,11 +79,18 @@
 		c.reject(w, id, err)
 		return nil
 	}
+	c.inheritEnded()
+	if c.admit(r.Context(), id, a) {
+		c.acceptServerAnnouncement(id, a)
+	}
+	w.WriteHeader(http.StatusOK)
+	return nil
+}
+
+func (c *Controller) acceptServerAnnouncement(id string, a ServerAnnouncement) {
 	c.Board.Local.Update(func(old *blackboard.LocalBackend) *blackboard.LocalBackend {
 		return c.applyServerAnnouncement(old, id, a)
 	})
-	w.WriteHeader(http.StatusOK)
-	return nil
 }
 
 // reject answers an invalid request. The known server stays as it is.
@@ -142,7 +149,15 @@
 // markEnded records that another instance has replaced a known one, if there was one.
 func (c *Controller) markEnded(old *blackboard.LocalBackend) {
 	if old != nil {
-		c.ended.add(instance{old.ID, old.StartUnixMs}, c.Now())
+		c.addEnded(instance{old.ID, old.StartUnixMs})
+	}
+}
+
+// addEnded records that an instance has ended, here and with the other daemons.
+func (c *Controller) addEnded(e instance) {
+	c.ended.add(e, c.Now())
+	if c.Predecessors != nil {
+		c.Predecessors.SetEndedServers(c.ended.all())
 	}
 }
 
@@ -175,11 +190,11 @@
 // withdrawal is from another instance.
 func (c *Controller) applyWithdrawal(old *blackboard.LocalBackend, l instance) *blackboard.LocalBackend {
 	if old == nil || old.ID != l.id || isEarlierInstance(old, l.id, l.startUnixMs) {
-		c.ended.add(l, c.Now())
+		c.addEnded(l)
 		return old
 	}
 	l.startUnixMs = max(l.startUnixMs, old.StartUnixMs)
-	c.ended.add(l, c.Now())
+	c.addEnded(l)
 	c.Logger.Info("announce: backend server left", "id", l.id, "born", l.startUnixMs, "service", old.Service)
 	return &blackboard.LocalBackend{}
 }
--- a/internal/daemon/calls.go
+++ b/internal/daemon/calls.go
@@ -9,7 +9,6 @@
 	"github.com/crocuscross/crocuscross/balance"
 	"github.com/crocuscross/crocuscross/gate"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
-	"github.com/crocuscross/crocuscross/internal/controller/announce"
 	"github.com/crocuscross/crocuscross/internal/controller/backends"
 	"github.com/crocuscross/crocuscross/internal/controller/drain"
 	"github.com/crocuscross/crocuscross/internal/proxy/dialect"
@@ -117,33 +116,6 @@
 	return dialect.Default()
 }
 
-// discoverBackend queries the backend server on this host for its ID. It does nothing on platforms
-// whose servers do not report an ID, or if no address is configured.
-func (d *Daemon) discoverBackend(ctx context.Context) error {
-	if d.dialect().ServerID == "" || d.settings.Backend.Address == "" {
-		return idle(ctx)
-	}
-	a := &announce.Discoverer{
-		Controller: d.announce, Service: d.settings.Backend.Service, ServerIDHeader: d.dialect().ServerID,
-		HealthPath: d.healthPath,
-		HealthPathChanged: func() <-chan struct{} {
-			_, changed := d.board.Snapshot.Watch()
-			return changed
-		},
-	}
-	return a.Run(ctx)
-}
-
-// healthPath returns the path of the health check of the backend server on this host according to
-// the document in force, and whether there is one.
-func (d *Daemon) healthPath() (string, bool) {
-	snap := d.board.Snapshot.Load()
-	if snap == nil || snap.Document() == nil {
-		return "", false
-	}
-	return snap.Document().HealthPath(d.settings.Backend.Service)
-}
-
 // newGate returns the gate of a backend server. With a metadata store, backend servers announce how
 // many calls they run concurrently and queue some more, so a shed call does not indicate a lack of
 // slots.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -156,6 +156,7 @@
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	ended := make(chan error, 1)
+	d.checkAnnouncements()
 	d.buildServers()
 	d.lifecycle.Joining()
 	go func() { ended <- loop.Run(runCtx, d.loops()...) }()
--- a/membership/apply.go
+++ b/membership/apply.go
@@ -129,6 +129,9 @@
 	if f := max(r.floor, r.offset); f > m.self.floor {
 		m.raiseFloor(f, now)
 	}
+	if r.info != nil && !slices.Contains(r.info.replaced, m.self.boot) {
+		m.inheritEnded(r.info.ended)
+	}
 	above := r.state.compare(m.self.state) > 0
 	if r.info == nil && (!above || r.usable()) {
 		// The other process may be the later one. The next full-table exchange delivers its
--- a/membership/codec.go
+++ b/membership/codec.go
@@ -24,6 +24,7 @@
 	maxNameBytes     = 128
 	maxAnnouncements = 16
 	maxNotes         = 16
+	maxEndedServers  = 4
 	maxSlots         = 1 << 20
 	// maxLinkMbps bounds the link bandwidth that a host may announce: 1 Tbit/s.
 	maxLinkMbps = 1_000_000
@@ -179,6 +180,9 @@
 		linkMbps:         p.GetLinkMbps(),
 		notes:            p.GetNotes(),
 	}
+	for _, e := range p.GetEnded()[:min(len(p.GetEnded()), maxEndedServers)] {
+		i.ended = append(i.ended, EndedServer{ID: e.GetId(), StartUnixMs: e.GetStartUnixMs()})
+	}
 	var rej *rejection
 	if i.peerAddr, rej = decodeAddr(p.GetPeerAddr()); rej != nil {
 		return nil, rej
@@ -259,6 +263,9 @@
 		LinkMbps:         i.linkMbps,
 		Notes:            i.notes,
 	}
+	for _, e := range i.ended {
+		p.Ended = append(p.Ended, &memberpb.EndedServer{Id: e.ID, StartUnixMs: e.StartUnixMs})
+	}
 	for _, a := range i.announcements {
 		p.Announcements = append(p.Announcements, &memberpb.Announcement{
 			Service:  a.Service,
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -54,6 +54,8 @@
 	onOffset       OffsetFunc
 	standing       Standing
 	knowledge      knowledge
+	// endedBefore lists the backend servers that ended beside earlier processes of this host.
+	endedBefore []EndedServer
 
 	lastTick   time.Time
 	lastGossip time.Time
--- a/membership/record.go
+++ b/membership/record.go
@@ -49,6 +49,8 @@
 	replaced []uint64
 	linkMbps float32
 	notes    [][]byte
+	// ended lists the backend servers of the host that have ended last, the latest last.
+	ended []EndedServer
 }
 
 func (i *info) compare(o *info) int {
