backendconn: the head of a response is bounded

Change: what is read for the heads of one response, with the interim responses before it, is bounded by 32 KiB; fields take many times as much memory as bytes. The rest of a rejection that nobody needs is awaited for 50 ms and not until the deadline. Chunk extensions, trailers, bodies, late responses and signed bodies were bounded before: by net/http, by the links' windows and by the deadline. The client of the product's own log bounds heads as well (64 KiB).

--- a/eventlog/httplog/client.go
+++ b/eventlog/httplog/client.go
@@ -41,6 +41,8 @@
 	dialTimeout         = time.Second
 	idleConnTimeout     = time.Minute
 	maxIdleConnsPerHost = 4
+	// maxHeadBytes limits the head of a response that is held in memory.
+	maxHeadBytes = 64 << 10
 )
 
 // NewHTTPClient returns the default HTTP client. It uses HTTP/1.1 only, because a timed-out
@@ -55,6 +57,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
--- a/internal/proxy/backendconn/client.go
+++ b/internal/proxy/backendconn/client.go
@@ -216,6 +216,7 @@
 	// errForeignResponse means that the server sent only responses to other calls.
 	errForeignResponse = errors.New("received only responses to other calls")
 	errNotHTTP         = errors.New("response is not HTTP")
+	errHeadTooLarge    = fmt.Errorf("the head of a response exceeds %d bytes", maxHeadBytes)
 )
 
 // malformedError wraps a parse error of a response as errNotHTTP.
--- a/internal/proxy/backendconn/conn.go
+++ b/internal/proxy/backendconn/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -28,6 +29,12 @@
 	// maxRequestIDs bounds the request IDs that are kept for a connection, 8 bytes each. A connection
 	// that has carried as many calls is closed, since nothing bounds how late a second response may be.
 	maxRequestIDs = 256
+	// maxHeadBytes bounds what is read for the heads of one response, in bytes: the head itself and the
+	// interim responses before it. Header fields take many times as much memory as bytes.
+	maxHeadBytes = 32 << 10
+	// discardTimeout bounds how long the rest of a response is awaited that nobody needs. A server on the
+	// same host sends it at once.
+	discardTimeout = 50 * time.Millisecond
 	// bufferSize is the size of the read buffer and of the write buffer of a connection, in
 	// bytes.
 	bufferSize = 4 << 10
@@ -37,6 +44,7 @@
 type conn struct {
 	client *Client
 	nc     net.Conn
+	in     *limitedReader
 	br     *bufio.Reader
 	bw     *bufio.Writer
 	// reusableUntil is the time until which the connection may take another call.
@@ -50,11 +58,29 @@
 }
 
 func newConn(c *Client, nc net.Conn, number uint64) *conn {
-	return &conn{client: c, nc: nc, br: bufio.NewReaderSize(nc, bufferSize), bw: bufio.NewWriterSize(nc, bufferSize), number: number}
+	in := &limitedReader{r: nc, left: math.MaxInt64}
+	return &conn{client: c, nc: nc, in: in, br: bufio.NewReaderSize(in, bufferSize), bw: bufio.NewWriterSize(nc, bufferSize), number: number}
 }
 
 func (cn *conn) close() { _ = cn.nc.Close() }
 
+// limitedReader reads from a connection until left bytes have been read. http.ReadResponse holds a head
+// of any length in memory, and a faulty server may send one without end.
+type limitedReader struct {
+	r    io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
 // reusable reports whether the server has neither closed an idle connection nor sent anything
 // on it. Input on an idle connection belongs to no call and would be taken for the response to
 // the next one.
@@ -113,8 +139,9 @@
 // connection had.
 func (cn *conn) readResponse(r *Request) (*http.Response, error) {
 	id := cn.client.opts.RequestIDHeader
+	headBytes := int64(maxHeadBytes)
 	for foreign := 0; foreign <= maxForeignResponses; {
-		resp, err := http.ReadResponse(cn.br, &http.Request{Method: r.Method})
+		resp, err := cn.readHead(r, &headBytes)
 		if err != nil {
 			var netErr net.Error
 			if errors.As(err, &netErr) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
@@ -140,6 +167,15 @@
 	return nil, errForeignResponse
 }
 
+// readHead reads one head, of at most left bytes, and subtracts its length from left.
+func (cn *conn) readHead(r *Request, left *int64) (*http.Response, error) {
+	cn.in.left = *left
+	resp, err := http.ReadResponse(cn.br, &http.Request{Method: r.Method})
+	*left = cn.in.left
+	cn.in.left = math.MaxInt64
+	return resp, err
+}
+
 // reuseDeadline returns the time until which a connection may take another call after a
 // response with the given header.
 func reuseDeadline(h http.Header) time.Time {
@@ -285,6 +321,24 @@
 	return nil
 }
 
+// Discard reads a response of a stated length of at most limit bytes to its end, if that arrives soon, so
+// that its connection can be used again, and closes it. A longer response is closed at once.
+func Discard(resp *http.Response, limit int64) {
+	b, ok := resp.Body.(*responseBody)
+	if n := resp.ContentLength; ok && n >= 0 && n <= limit {
+		b.discard()
+	}
+	_ = resp.Body.Close()
+}
+
+// discard reads the rest of the body within discardTimeout.
+func (b *responseBody) discard() {
+	timer := time.AfterFunc(discardTimeout, func() { _ = b.cn.nc.SetReadDeadline(time.Unix(1, 0)) })
+	if _, err := io.Copy(io.Discard, b.src); err == nil && timer.Stop() {
+		b.complete = true
+	}
+}
+
 // release returns the connection to the idle list if the response was read completely, no more
 // input follows it and the request was sent completely; otherwise it closes the connection. A
 // server that responds to a long body early continues to read it, and would take the next call
--- a/internal/proxy/inbound/forward.go
+++ b/internal/proxy/inbound/forward.go
@@ -83,12 +83,7 @@
 // discardResponse reads a short response to its end, so that its connection can be used again.
 // Otherwise each call that a server sheds would cost a new connection, which occupies a slot
 // for a moment.
-func discardResponse(resp *http.Response) {
-	if n := resp.ContentLength; n >= 0 && n <= maxDiscardedBytes {
-		_, _ = io.Copy(io.Discard, resp.Body)
-	}
-	_ = resp.Body.Close()
-}
+func discardResponse(resp *http.Response) { backendconn.Discard(resp, maxDiscardedBytes) }
 
 // checkResponse returns an error for a response that must not be forwarded: one that states
 // that the call has not run, or a success that the backend server has not signed.
@@ -178,6 +173,9 @@
 	if err != nil {
 		return gate.Failed, c.reject(c.exchangeError(err))
 	}
+	if err := c.checkLength(resp, prefix, body.MaxBufferedResponse); err != nil {
+		return gate.Failed, c.reject(err)
+	}
 	c.h.opts.Quarantine.RecordSuccess(c.identity)
 	if err := c.sendWithPrefix(c.responseHead(resp), prefix, resp); err != nil {
 		return gate.Failed, linkError(err)
@@ -191,6 +189,16 @@
 	return io.ReadAll(io.LimitReader(resp.Body, limit+1))
 }
 
+// checkLength returns an error for a response that is longer than limit and not signed. A server in trouble
+// may send bytes without end in place of a response; they would occupy the links until the deadline.
+func (c *call) checkLength(resp *http.Response, prefix []byte, limit int64) error {
+	d := c.h.opts.Dialect
+	if int64(len(prefix)) <= limit || d.Signature == "" || resp.Header.Get(d.Signature) != "" {
+		return nil
+	}
+	return errkind.Newf(errkind.BackendFailed, "the response with status %d is not signed and exceeds %d bytes", resp.StatusCode, limit)
+}
+
 // sendWithPrefix sends a response of whose body the prefix has already been read.
 func (c *call) sendWithPrefix(head *peerpb.AnswerHead, prefix []byte, resp *http.Response) error {
 	src := io.MultiReader(bytes.NewReader(prefix), resp.Body)
--- a/internal/proxy/inbound/once.go
+++ b/internal/proxy/inbound/once.go
@@ -66,6 +66,10 @@
 		_ = c.exchangeError(err)
 		return gate.Failed, c.reject(errkind.Wrap(errkind.OutcomeUnknown, err, "the backend server's response was incomplete"))
 	}
+	if err := c.checkLength(resp, prefix, maxRecordedBody); err != nil {
+		c.h.opts.Attempts.Fail(id)
+		return gate.Failed, c.reject(errkind.Wrap(errkind.OutcomeUnknown, err, "the backend server's response is not one"))
+	}
 	c.h.opts.Quarantine.RecordSuccess(c.identity)
 	if len(prefix) <= maxRecordedBody {
 		c.h.opts.Attempts.Finish(id, recordedResponse(head, prefix))
