announce: the head of a health check's answer is bounded

A server in trouble that answers its health check with header fields without end made the daemon allocate 67 to 198 MB within the 500 ms of one check, 10 MiB of them raw: the default of net/http. Now at most 16 KiB of a head are held, as a health check states an ID only. Body and time were bounded before.

Test, failing before: TestDiscoverer_EndlessResponse (four of six forms above 8 MiB).

--- a/internal/controller/announce/discover.go
+++ b/internal/controller/announce/discover.go
@@ -21,8 +21,10 @@
 	// assumedSlots is the number of concurrent calls assumed for the server until it announces
 	// its own, which takes at most one heartbeat.
 	assumedSlots = 8
-	// maxHealthBytes limits how much of the response body is read.
-	maxHealthBytes = 4 << 10
+	// maxHealthBytes limits how much of the response body is read, and maxHealthHeadBytes how much of its
+	// head is held in memory.
+	maxHealthBytes     = 4 << 10
+	maxHealthHeadBytes = 16 << 10
 )
 
 // Discoverer queries the ID of the backend server on the host of a daemon that has just started.
@@ -69,7 +71,7 @@
 }
 
 // directTransport connects to the server directly, even if the environment names a proxy.
-var directTransport = &http.Transport{DisableKeepAlives: true}
+var directTransport = &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHealthHeadBytes}
 
 // QueryID requests the health path and returns the server's ID from the response. The error is set unless
 // the server is healthy and not shutting down.
--- a/internal/controller/announce/discover_test.go
+++ b/internal/controller/announce/discover_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -63,3 +65,40 @@
 		})
 	}
 }
+
+// Guards against a daemon that runs out of memory, or waits, since a server in trouble answers its health check
+// with bytes without end.
+func TestDiscoverer_EndlessResponse(t *testing.T) {
+	const maxHeap = 8 << 20
+	for name, parts := range map[string][2]string{
+		"header fields": {"HTTP/1.1 200 OK\r\nId: i-1\r\n", "A: b\r\n"},
+		"header field":  {"HTTP/1.1 200 OK\r\nId: ", "x"},
+		"interim":       {"", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+		"no response":   {"", "x"},
+		"body":          {"HTTP/1.1 503 Oops\r\nId: i-1\r\n\r\n", "x"},
+		"trailer":       {"HTTP/1.1 503 Oops\r\nId: i-1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			block := strings.Repeat(parts[1], 1+(32<<10)/len(parts[1]))
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				nc, _, err := http.NewResponseController(w).Hijack()
+				must.NoError(t, err)
+				defer nc.Close()
+				_, err = io.WriteString(nc, parts[0])
+				for err == nil {
+					_, err = io.WriteString(nc, block)
+				}
+			}))
+			defer s.Close()
+			d := &Discoverer{Controller: &Controller{Address: strings.TrimPrefix(s.URL, "http://")}, ServerIDHeader: "Id"}
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			begun := time.Now()
+			_, err := d.QueryID(t.Context(), "/health")
+			runtime.ReadMemStats(&after)
+			must.Error(t, err)
+			must.Less(t, 10*time.Second, time.Since(begun))
+			must.LessEq(t, maxHeap, after.TotalAlloc-before.TotalAlloc)
+		})
+	}
+}
