rollouts: a daemon that has not found the fleet opens no gate and decides nothing

With no other member in its view, "no server of another version is left", and a server whose version is not known yet counts as one of the old version. The daemon also became the decider for its own gate.

Change: counts of the other servers say whether they are complete (View.Missing). A daemon that has not found the fleet keeps the gate of a server of the new or an unknown version closed, as without a decider, and a daemon that reaches less than half of the fleet doesn't decide.

--- a/internal/controller/rollouts/decide.go
+++ b/internal/controller/rollouts/decide.go
@@ -30,6 +30,10 @@
 // permit until that lapses.
 var errUnknownOrder = errors.New("the order of the rollout is not known to this daemon")
 
+// errCutOff means that this daemon reaches less than half of the fleet. Another daemon decides on the other
+// side, and what both grant would add up.
+var errCutOff = errors.New("this daemon does not reach half of the fleet")
+
 // decide returns the permit that answers a report.
 func (c *Controller) decide(m *rolloutpb.Report) (rollout.Permit, error) {
 	r, err := rollout.DecodeReport(m)
@@ -43,6 +47,9 @@
 	if o.Offset > m.GetOrder() {
 		return rollout.SupersededPermit(r), nil
 	}
+	if view := c.opts.Board.Members.Load(); view != nil && !view.ReachesHalf() {
+		return rollout.Permit{}, errCutOff
+	}
 	p := c.opts.Decider.Report(*o, r, c.opts.Now())
 	c.reportReceived.Set()
 	return p, nil
--- a/internal/controller/rollouts/record_test.go
+++ b/internal/controller/rollouts/record_test.go
@@ -10,6 +10,7 @@
 	"github.com/crocuscross/crocuscross/configpb"
 	"github.com/crocuscross/crocuscross/fold"
 	"github.com/crocuscross/crocuscross/internal/blackboard"
+	"github.com/crocuscross/crocuscross/membership"
 	"github.com/crocuscross/crocuscross/platform"
 	"github.com/crocuscross/crocuscross/platform/storetest"
 	"github.com/crocuscross/crocuscross/rollout"
@@ -74,3 +75,16 @@
 	tracker.SetPermit(rollout.Permit{Mode: rollout.Closed, Outcome: rollout.RolledBack}, time.Now())
 	must.Eq(t, rollout.Open, tracker.Mode(time.Now()))
 }
+
+// Guards against a bad version that gets calls through a host which is cut off: its daemon was restarted,
+// knows itself only, and decides on its own gate.
+func TestController_CutOffDaemonDoesNotDecide(t *testing.T) {
+	c, _, o, _ := newDeciders(t)
+	self := &membership.Member{Host: "a", Boot: 1, Liveness: membership.Alive}
+	report := rollout.Report{Server: rollout.ServerID{Host: "a", Boot: 1}, NewVersion: true}
+	for missing, want := range []error{nil, nil, errCutOff} {
+		c.opts.Board.Members.Store(&membership.View{Self: self, Members: []*membership.Member{self}, Missing: missing})
+		_, err := c.decide(rollout.EncodeReport(o, report))
+		must.ErrorIs(t, err, want)
+	}
+}
--- a/internal/controller/rollouts/rollouts.go
+++ b/internal/controller/rollouts/rollouts.go
@@ -271,6 +271,7 @@
 	if view == nil {
 		return p
 	}
+	p.Incomplete = view.Missing > 0
 	own, target := members.VersionDigest(local.Version), uint32(0)
 	if o != nil {
 		target = members.VersionDigest(o.ToVersion)
--- a/rollout/role.go
+++ b/rollout/role.go
@@ -24,12 +24,21 @@
 	// Same counts the servers with the version of the server beside the daemon, Other those
 	// with another version, and Target those with the version that traffic is to move to.
 	Same, Other, Target int
+	// Incomplete is set if this daemon has not found the fleet since it started: other servers may run that
+	// are not counted.
+	Incomplete bool
 }
 
 // inMinority reports whether the local server's version is in the minority: at least two other
 // servers, and more than share the local version, have a different one.
 func (p PeerCounts) inMinority() bool { return p.Other > 1 && p.Same < p.Other }
 
+// isLastVersion reports whether no server has another version.
+func (p PeerCounts) isLastVersion() bool { return p.Other == 0 && !p.Incomplete }
+
+// mayHaveTarget reports whether servers may have the version that traffic is to move to.
+func (p PeerCounts) mayHaveTarget() bool { return p.Target > 0 || p.Incomplete }
+
 // LocalServer describes the backend server beside a daemon and its service.
 type LocalServer struct {
 	// Version of the server, empty if it is unknown.
@@ -86,7 +95,7 @@
 	}
 	stable := l.Version != o.ToVersion
 	switch {
-	case l.Version == "" && outcome != Succeeded && now.Sub(l.FirstSeen) < orderWait && l.Peers().Target > 0:
+	case l.Version == "" && outcome != Succeeded && now.Sub(l.FirstSeen) < orderWait && l.Peers().mayHaveTarget():
 		// The daemon has restarted and does not know the version yet: the server may be one of
 		// those with the target version.
 		return Pending
@@ -102,7 +111,7 @@
 		return Canary
 	case l.OrderKnownAt.Sub(l.FirstSeen) > inServiceAge:
 		return Unaffected
-	case now.Sub(l.FirstSeen) > orderWait && l.Peers().Other == 0:
+	case now.Sub(l.FirstSeen) > orderWait && l.Peers().isLastVersion():
 		// No server of another version is left to receive the calls.
 		return Unaffected
 	}
--- a/rollout/role_test.go
+++ b/rollout/role_test.go
@@ -34,6 +34,8 @@
 		"version unknown":                     {order, 0, LocalServer{FirstSeen: at(1), OrderKnownAt: at(0), Peers: peersFunc(PeerCounts{Other: 8, Target: 4})}, 2, Pending},
 		"version unknown, rolled back":        {order, RolledBack, LocalServer{FirstSeen: at(1), OrderKnownAt: at(0), Peers: peersFunc(PeerCounts{Other: 8, Target: 4})}, 2, Pending},
 		"version unknown for too long":        {order, 0, LocalServer{FirstSeen: at(1), OrderKnownAt: at(0), Peers: peersFunc(PeerCounts{Other: 8, Target: 4})}, 5, Stable},
+		"version and others unknown":          {order, 0, LocalServer{FirstSeen: at(1), OrderKnownAt: at(0), Peers: peersFunc(PeerCounts{Incomplete: true})}, 2, Pending},
+		"others not found since the start":    {order, 0, LocalServer{Version: "v2", FirstSeen: at(0), OrderKnownAt: at(0), Peers: peersFunc(PeerCounts{Incomplete: true})}, 4, Canary},
 		"no other server left":                {order, 0, LocalServer{Version: "v2", FirstSeen: at(0), OrderKnownAt: at(0)}, 4, Unaffected},
 		"in service before the order":         {order, 0, LocalServer{Version: "v2", FirstSeen: at(-60), OrderKnownAt: at(0), Peers: peersFunc(PeerCounts{Same: 8})}, 1, Unaffected},
 		"earlier order not finished":          {order, 0, LocalServer{Version: "v0", FirstSeen: at(-5), OrderKnownAt: at(0), Unproven: true, Peers: peersFunc(PeerCounts{Other: 8})}, 2, Pending},
