announce: only announcements that keep arriving release a held server

The time for which a held instance has announced itself was counted up to now and not to its latest announcement: two late announcements of a server that had left, and 5 s without any, were enough to send it calls. Test, failing before: TestServers_SeveralLateAnnouncementsAfterRestart.

--- a/internal/controller/announce/restart.go
+++ b/internal/controller/announce/restart.go
@@ -49,9 +49,8 @@
 
 type heldAnnouncement struct {
 	announcement ServerAnnouncement
-	// firstSequence is the sequence number of the first announcement, and at when it arrived.
-	firstSequence uint64
-	at            time.Time
+	// firstAt and latestAt are when the first announcement and the latest newer one have arrived.
+	firstAt, latestAt time.Time
 }
 
 // add stores an announcement, unless it is older than the one that is held.
@@ -63,11 +62,11 @@
 		if h.list == nil {
 			h.list = make(map[instance]*heldAnnouncement)
 		}
-		e = &heldAnnouncement{announcement: a, firstSequence: *a.Sequence, at: now}
+		e = &heldAnnouncement{announcement: a, firstAt: now, latestAt: now}
 		h.list[i] = e
 	}
 	if *a.Sequence > *e.announcement.Sequence {
-		e.announcement = a
+		e.announcement, e.latestAt = a, now
 	}
 	copied := *e
 	return &copied
@@ -98,8 +97,7 @@
 	// hasHealthCheck is whether servers have a health check. healthy is whether the server is known to be
 	// healthy and not shutting down, and sameID whether its ID is that of the instance.
 	hasHealthCheck, healthy, sameID bool
-	// announcedFor is the time since the first announcement of the instance, if a later one has arrived
-	// since.
+	// announcedFor is the time between the first and the latest announcement of the instance.
 	announcedFor time.Duration
 }
 
@@ -124,7 +122,7 @@
 	e := c.held.add(i, a, c.Now())
 	if !c.checkHeld(ctx, i, *e) {
 		c.Logger.Info("announce: announcement held", "id", id, "born", a.StartUnixMs, "sequence", *a.Sequence, "state", a.State,
-			"since", c.Now().Sub(e.at))
+			"since", c.Now().Sub(e.firstAt))
 		return false
 	}
 	c.held.remove(i)
@@ -153,10 +151,7 @@
 
 // checkHeld checks an instance and reports whether its announcement can be applied.
 func (c *Controller) checkHeld(ctx context.Context, i instance, e heldAnnouncement) bool {
-	s := serverCheck{asked: c.Predecessors.Asked()}
-	if *e.announcement.Sequence > e.firstSequence {
-		s.announcedFor = c.Now().Sub(e.at)
-	}
+	s := serverCheck{asked: c.Predecessors.Asked(), announcedFor: e.latestAt.Sub(e.firstAt)}
 	if c.QueryServerID != nil {
 		id, err := c.QueryServerID(ctx)
 		s.hasHealthCheck, s.healthy, s.sameID = !errors.Is(err, ErrNoHealthCheck), err == nil, id == i.id
@@ -169,7 +164,7 @@
 func (c *Controller) reviewHeld(ctx context.Context) {
 	for i, e := range c.held.all() {
 		switch {
-		case c.Now().Sub(e.at) > memoryTime && *e.announcement.Sequence == e.firstSequence:
+		case c.Now().Sub(e.latestAt) > holdTime:
 			c.held.remove(i)
 		case c.checkHeld(ctx, i, e):
 			c.held.remove(i)
--- a/internal/controller/announce/restart_test.go
+++ b/internal/controller/announce/restart_test.go
@@ -64,6 +64,21 @@
 	must.True(t, r.localServer().Draining)
 }
 
+// Guards against the same with several late announcements, after which no more arrives.
+func TestServers_SeveralLateAnnouncementsAfterRestart(t *testing.T) {
+	r := newRestarted("", errLeaving)
+	for sequence := 5; sequence < 8; sequence++ {
+		r.announce(t, "i-1", stateReady, sequence)
+		r.now = r.now.Add(time.Second)
+	}
+	for range 20 {
+		r.now = r.now.Add(time.Second)
+		r.reviewHeld(t.Context())
+		must.Eq(t, "", r.localServer().ID)
+	}
+	must.MapEmpty(t, r.held.all())
+}
+
 // Guards against a server that gets no calls because its health check fails while it keeps announcing that
 // it is ready.
 func TestServers_FailingHealthCheckAfterRestart(t *testing.T) {
