announce: a server is made known before the document, and checked after it

Cause: for 10 s after a start the announcement of an unknown server waits for its health check, whose path is in the document. After a power loss of all, servers became known with the document and not 0.2 s before, as until now; all requests of the fleet wait for that.

One that leaves is then taken out again: its daemon has no document meanwhile, and is not in touch for 3 s after its restart.

Test: TestServers_AnnouncementBeforeTheDocument, a row of TestServerCheck_Verdict.

--- a/internal/controller/announce/announce.go
+++ b/internal/controller/announce/announce.go
@@ -66,8 +66,9 @@
 	// Predecessors is what is known of earlier processes of this daemon, nil if there were none.
 	Predecessors Predecessors
 	// QueryServerID queries the health check of the server at Address and returns the server's ID. The
-	// error is ErrNoHealthCheck if servers have none, and another one unless the server is known to be
-	// healthy and not shutting down. A nil function stands for ErrNoHealthCheck.
+	// error is ErrNoHealthCheck if servers have none, ErrNoDocument if that is not known yet, and another
+	// one unless the server is known to be healthy and not shutting down. A nil function stands for
+	// ErrNoHealthCheck.
 	QueryServerID func(ctx context.Context) (id string, err error)
 
 	// ended holds the instances that have ended. It is accessed only within updates of the Local
--- a/internal/controller/announce/restart.go
+++ b/internal/controller/announce/restart.go
@@ -30,6 +30,9 @@
 // ErrNoHealthCheck means that the backend server of this host has no health check.
 var ErrNoHealthCheck = errors.New("the service has no health check")
 
+// ErrNoDocument means that it is not known yet whether the backend server has a health check.
+var ErrNoDocument = errors.New("no document is in force")
+
 // Predecessors knows what became of earlier processes of this daemon, and informs later ones.
 type Predecessors interface {
 	// Asked reports whether other daemons have been asked for the state of earlier processes, or there
@@ -97,50 +100,69 @@
 	// hasHealthCheck is whether servers have a health check. healthy is whether the server is known to be
 	// healthy and not shutting down, and sameID whether its ID is that of the instance.
 	hasHealthCheck, healthy, sameID bool
+	// noDocument is whether no document is in force, so that it is not known if there is a health check.
+	noDocument bool
 	// announcedFor is the time between the first and the latest announcement of the instance.
 	announcedFor time.Duration
 }
 
-// accepts reports whether calls may be sent to the instance.
-func (s serverCheck) accepts() bool {
+// verdict is what to do with the announcement of an instance.
+type verdict uint8
+
+const (
+	// hold keeps the announcement until the instance can be accepted.
+	hold verdict = iota
+	accept
+	// acceptForNow makes the server known, and checks it again once a document is in force. All servers
+	// would otherwise become known later after a power loss of the fleet.
+	acceptForNow
+)
+
+// verdict decides on the instance.
+func (s serverCheck) verdict() verdict {
 	switch {
-	case s.hasHealthCheck && s.healthy:
-		return s.sameID
-	case s.announcedFor >= holdTime:
-		return true
+	case s.noDocument:
+		return acceptForNow
+	case s.hasHealthCheck && s.healthy && !s.sameID:
+		return hold
+	case s.hasHealthCheck && s.healthy, s.announcedFor >= holdTime, s.asked && !s.hasHealthCheck:
+		return accept
 	}
-	return s.asked && !s.hasHealthCheck
+	return hold
 }
 
 // admit reports whether an announcement can be applied. One that cannot is held.
 func (c *Controller) admit(ctx context.Context, id string, a ServerAnnouncement) bool {
 	i := instance{id, a.StartUnixMs}
 	if !c.needsCheck(i, a) {
-		c.held.remove(i)
 		return true
 	}
 	e := c.held.add(i, a, c.Now())
-	if !c.checkHeld(ctx, i, *e) {
-		c.Logger.Info("announce: announcement held", "id", id, "born", a.StartUnixMs, "sequence", *a.Sequence, "state", a.State,
-			"since", c.Now().Sub(e.firstAt))
-		return false
+	switch c.check(ctx, i, *e) {
+	case accept:
+		c.held.remove(i)
+		return true
+	case acceptForNow:
+		return true
 	}
-	c.held.remove(i)
-	return true
+	c.Logger.Info("announce: announcement held", "id", id, "born", a.StartUnixMs, "sequence", *a.Sequence, "state", a.State,
+		"since", c.Now().Sub(e.firstAt))
+	return false
 }
 
 // needsCheck reports whether an earlier process may have known better than to accept an announcement.
 func (c *Controller) needsCheck(i instance, a ServerAnnouncement) bool {
-	local := c.Board.Local.Load()
-	known := local != nil && local.ID != ""
-	switch {
-	case c.Predecessors == nil || isSameInstance(local, i.id, i.startUnixMs):
+	if c.Predecessors == nil {
 		return false
-	case a.State == stateDraining && !known:
+	}
+	local := c.Board.Local.Load()
+	if a.State == stateDraining && (local == nil || local.ID == "" || local.ID == i.id) {
 		return false
 	}
-	_, held := c.held.all()[i]
-	return held || c.Now().Sub(c.startedAt()) < memoryTime
+	if _, held := c.held.all()[i]; held {
+		return true
+	}
+	return !isSameInstance(local, i.id, i.startUnixMs) && c.Now().Sub(c.startedAt()) < memoryTime
 }
 
 // startedAt returns the time of the first call.
@@ -149,30 +171,48 @@
 	return c.start
 }
 
-// checkHeld checks an instance and reports whether its announcement can be applied.
-func (c *Controller) checkHeld(ctx context.Context, i instance, e heldAnnouncement) bool {
+// check decides on an instance.
+func (c *Controller) check(ctx context.Context, i instance, e heldAnnouncement) verdict {
 	s := serverCheck{asked: c.Predecessors.Asked(), announcedFor: e.latestAt.Sub(e.firstAt)}
 	if c.QueryServerID != nil {
 		id, err := c.QueryServerID(ctx)
+		s.noDocument = errors.Is(err, ErrNoDocument)
 		s.hasHealthCheck, s.healthy, s.sameID = !errors.Is(err, ErrNoHealthCheck), err == nil, id == i.id
 	}
-	return s.accepts()
+	return s.verdict()
 }
 
 // reviewHeld applies the announcements that are held and can be applied by now, and drops those of
 // instances that no longer announce themselves.
 func (c *Controller) reviewHeld(ctx context.Context) {
 	for i, e := range c.held.all() {
+		v := c.check(ctx, i, e)
 		switch {
-		case c.Now().Sub(e.latestAt) > holdTime:
-			c.held.remove(i)
-		case c.checkHeld(ctx, i, e):
+		case v == accept:
 			c.held.remove(i)
 			c.acceptServerAnnouncement(i.id, e.announcement)
+		case v == hold:
+			c.dropUnchecked(i)
+			fallthrough
+		default:
+			if c.Now().Sub(e.latestAt) > holdTime {
+				c.held.remove(i)
+			}
 		}
 	}
 }
 
+// dropUnchecked removes an instance that was accepted before a document was in force.
+func (c *Controller) dropUnchecked(i instance) {
+	c.Board.Local.Update(func(old *blackboard.LocalBackend) *blackboard.LocalBackend {
+		if !isSameInstance(old, i.id, i.startUnixMs) || old.Draining {
+			return old
+		}
+		c.Logger.Info("announce: announcement held", "id", i.id, "born", i.startUnixMs, "service", old.Service)
+		return &blackboard.LocalBackend{}
+	})
+}
+
 // inheritEnded takes over the instances that have ended beside earlier processes, and drops the known
 // server if it is one of them.
 func (c *Controller) inheritEnded() {
--- a/internal/controller/announce/restart_test.go
+++ b/internal/controller/announce/restart_test.go
@@ -160,21 +160,42 @@
 	must.Eq(t, r.now.UnixMilli(), r.predecessors.distributed[0].StartUnixMs)
 }
 
+// Guards against servers that become known only after the document, when all daemons have lost power, and
+// against one that leaves and is made known before it can be checked.
+func TestServers_AnnouncementBeforeTheDocument(t *testing.T) {
+	for _, after := range []error{nil, errLeaving} {
+		r := newRestarted("i-1", ErrNoDocument)
+		for sequence := 7; sequence < 9; sequence++ {
+			r.announce(t, "i-1", stateReady, sequence)
+			must.Eq(t, "i-1", r.localServer().ID)
+			r.reviewHeld(t.Context())
+			must.Eq(t, "i-1", r.localServer().ID)
+		}
+		r.healthError = after
+		r.reviewHeld(t.Context())
+		must.Eq(t, after == nil, r.localServer().ID == "i-1")
+		r.announce(t, "i-1", stateReady, 9)
+		must.Eq(t, after == nil, r.localServer().ID == "i-1")
+		must.Eq(t, after != nil, len(r.held.all()) == 1)
+	}
+}
+
 // The decision on an announcement after a restart.
-func TestServerCheck_Accepts(t *testing.T) {
+func TestServerCheck_Verdict(t *testing.T) {
 	for name, c := range map[string]struct {
 		check serverCheck
-		want  bool
+		want  verdict
 	}{
-		"healthy":                            {serverCheck{hasHealthCheck: true, healthy: true, sameID: true}, true},
-		"another server is healthy":          {serverCheck{asked: true, hasHealthCheck: true, healthy: true, announcedFor: time.Minute}, false},
-		"leaving or failing":                 {serverCheck{asked: true, hasHealthCheck: true}, false},
-		"failing, and announces itself":      {serverCheck{hasHealthCheck: true, announcedFor: holdTime}, true},
-		"no health check, others asked":      {serverCheck{asked: true}, true},
-		"no health check, others not asked":  {serverCheck{}, false},
-		"no health check, announces itself":  {serverCheck{announcedFor: holdTime}, true},
-		"failing, and announced itself once": {serverCheck{hasHealthCheck: true, announcedFor: holdTime - 1}, false},
+		"no document yet":                    {serverCheck{hasHealthCheck: true, noDocument: true}, acceptForNow},
+		"healthy":                            {serverCheck{hasHealthCheck: true, healthy: true, sameID: true}, accept},
+		"another server is healthy":          {serverCheck{asked: true, hasHealthCheck: true, healthy: true, announcedFor: time.Minute}, hold},
+		"leaving or failing":                 {serverCheck{asked: true, hasHealthCheck: true}, hold},
+		"failing, and announces itself":      {serverCheck{hasHealthCheck: true, announcedFor: holdTime}, accept},
+		"no health check, others asked":      {serverCheck{asked: true}, accept},
+		"no health check, others not asked":  {serverCheck{}, hold},
+		"no health check, announces itself":  {serverCheck{announcedFor: holdTime}, accept},
+		"failing, and announced itself once": {serverCheck{hasHealthCheck: true, announcedFor: holdTime - 1}, hold},
 	} {
-		must.Eq(t, c.want, c.check.accepts(), must.Sprint(name))
+		must.Eq(t, c.want, c.check.verdict(), must.Sprint(name))
 	}
 }
--- a/internal/daemon/backendserver.go
+++ b/internal/daemon/backendserver.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/crocuscross/crocuscross/internal/controller/announce"
 	"github.com/crocuscross/crocuscross/internal/settings"
 	"github.com/crocuscross/crocuscross/membership"
@@ -65,13 +63,10 @@
 	p.membership.SetEndedServers(list)
 }
 
-// errNoDocument means that it is not known yet whether the backend server has a health check.
-var errNoDocument = errors.New("no document is in force")
-
 // queryServerID implements announce.Controller.QueryServerID.
 func (d *Daemon) queryServerID(ctx context.Context) (string, error) {
 	if snap := d.board.Snapshot.Load(); snap == nil || snap.Document() == nil {
-		return "", errNoDocument
+		return "", announce.ErrNoDocument
 	}
 	path, ok := d.healthPath()
 	if !ok {
