announce: without a health check a server is held for a second at most

Now it is accepted after 1 s: a join takes less unless nobody can be reached, and then nobody knows of an end.

Servers with a health check, as on the users' platform, are decided on as before.

--- a/internal/controller/announce/restart.go
+++ b/internal/controller/announce/restart.go
@@ -25,6 +25,9 @@
 	// check fails. A server that leaves no longer announces itself as ready, and a health check that is
 	// wrong must not keep a server out of service.
 	holdTime = 5 * time.Second
+	// askTime is how long an instance is held because other daemons have not been asked yet, if servers have
+	// no health check. A join takes less, unless no other daemon can be reached.
+	askTime = time.Second
 )
 
 // ErrNoHealthCheck means that the backend server of this host has no health check.
@@ -102,8 +105,9 @@
 	hasHealthCheck, healthy, sameID bool
 	// noDocument is whether no document is in force, so that it is not known if there is a health check.
 	noDocument bool
-	// announcedFor is the time between the first and the latest announcement of the instance.
-	announcedFor time.Duration
+	// announcedFor is the time between the first and the latest announcement of the instance, heldFor the
+	// time since the first one.
+	announcedFor, heldFor time.Duration
 }
 
 // verdict is what to do with the announcement of an instance.
@@ -125,7 +129,9 @@
 		return acceptForNow
 	case s.hasHealthCheck && s.healthy && !s.sameID:
 		return hold
-	case s.hasHealthCheck && s.healthy, s.announcedFor >= holdTime, s.asked && !s.hasHealthCheck:
+	case s.hasHealthCheck && s.healthy, s.announcedFor >= holdTime:
+		return accept
+	case !s.hasHealthCheck && (s.asked || s.heldFor >= askTime):
 		return accept
 	}
 	return hold
@@ -173,7 +179,7 @@
 
 // check decides on an instance.
 func (c *Controller) check(ctx context.Context, i instance, e heldAnnouncement) verdict {
-	s := serverCheck{asked: c.Predecessors.Asked(), announcedFor: e.latestAt.Sub(e.firstAt)}
+	s := serverCheck{asked: c.Predecessors.Asked(), announcedFor: e.latestAt.Sub(e.firstAt), heldFor: c.Now().Sub(e.firstAt)}
 	if c.QueryServerID != nil {
 		id, err := c.QueryServerID(ctx)
 		s.noDocument = errors.Is(err, ErrNoDocument)
--- a/internal/controller/announce/restart_test.go
+++ b/internal/controller/announce/restart_test.go
@@ -189,10 +189,11 @@
 		"no document yet":                    {serverCheck{hasHealthCheck: true, noDocument: true}, acceptForNow},
 		"healthy":                            {serverCheck{hasHealthCheck: true, healthy: true, sameID: true}, accept},
 		"another server is healthy":          {serverCheck{asked: true, hasHealthCheck: true, healthy: true, announcedFor: time.Minute}, hold},
-		"leaving or failing":                 {serverCheck{asked: true, hasHealthCheck: true}, hold},
+		"leaving or failing":                 {serverCheck{asked: true, hasHealthCheck: true, heldFor: time.Minute}, hold},
 		"failing, and announces itself":      {serverCheck{hasHealthCheck: true, announcedFor: holdTime}, accept},
 		"no health check, others asked":      {serverCheck{asked: true}, accept},
-		"no health check, others not asked":  {serverCheck{}, hold},
+		"no health check, others not asked":  {serverCheck{heldFor: askTime - 1}, hold},
+		"no health check, nobody answers":    {serverCheck{heldFor: askTime}, accept},
 		"no health check, announces itself":  {serverCheck{announcedFor: holdTime}, accept},
 		"failing, and announced itself once": {serverCheck{hasHealthCheck: true, announcedFor: holdTime - 1}, hold},
 	} {
