--- a/internal/controller/announce/discover_test.go
+++ b/internal/controller/announce/discover_test.go
@@ -79,14 +79,14 @@
 		"trailer":       {"HTTP/1.1 503 Oops\r\nId: i-1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			block := strings.Repeat(parts[1], 1+(32<<10)/len(parts[1]))
+			block := []byte(strings.Repeat(parts[1], 1+(32<<10)/len(parts[1])))
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				nc, _, err := http.NewResponseController(w).Hijack()
 				must.NoError(t, err)
 				defer nc.Close()
 				_, err = io.WriteString(nc, parts[0])
 				for err == nil {
-					_, err = io.WriteString(nc, block)
+					_, err = nc.Write(block)
 				}
 			}))
 			defer s.Close()
--- a/internal/daemon/endless_test.go
+++ b/internal/daemon/endless_test.go
@@ -21,7 +21,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newStoreFleet(t, 2)
 			f.putDocument(3)
-			block := strings.Repeat(parts[1], 32<<10)
+			block := []byte(strings.Repeat(parts[1], 32<<10))
 			s := &server{id: "i-1"}
 			s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				nc, _, err := http.NewResponseController(w).Hijack()
@@ -29,7 +29,7 @@
 				defer nc.Close()
 				_, err = io.WriteString(nc, parts[0])
 				for err == nil {
-					_, err = io.WriteString(nc, block)
+					_, err = nc.Write(block)
 				}
 			}))
 			t.Cleanup(s.Close)
--- a/internal/proxy/backendconn/endless_test.go
+++ b/internal/proxy/backendconn/endless_test.go
@@ -47,14 +47,14 @@
 func TestClient_EndlessResponses(t *testing.T) {
 	for name, parts := range endless {
 		t.Run(name, func(t *testing.T) {
-			block := strings.Repeat(parts[1], 1+(32<<10)/len(parts[1]))
+			block := []byte(strings.Repeat(parts[1], 1+(32<<10)/len(parts[1])))
 			s := serve(t, func(nc net.Conn, br *bufio.Reader) {
 				if _, ok := readRequest(br); !ok {
 					return
 				}
 				_, err := io.WriteString(nc, parts[0])
 				for err == nil {
-					_, err = io.WriteString(nc, block)
+					_, err = nc.Write(block)
 				}
 			})
 			c := s.client(t)
