--- a/membership/ended.go
+++ b/membership/ended.go
@@ -24,9 +24,8 @@
 		}
 		next := *m.self.info
 		next.ended = slices.Clone(list)
-		next.announcements = aged(next.announcements, now.Sub(m.self.since))
 		next.notes = m.fittingNotes(next, next.notes)
-		m.setInfo(&next, m.self.incarnation+1, now)
+		m.setInfoOfSameServers(&next, now)
 	})
 }
 
--- a/membership/self.go
+++ b/membership/self.go
@@ -44,8 +44,7 @@
 		}
 		next := *m.self.info
 		next.notes = fits
-		next.announcements = aged(next.announcements, now.Sub(m.self.since))
-		m.setInfo(&next, m.self.incarnation+1, now)
+		m.setInfoOfSameServers(&next, now)
 	})
 }
 
@@ -75,6 +74,12 @@
 	return fits
 }
 
+// setInfoOfSameServers replaces the daemon's own info by one with the same announcements, and gossips it.
+func (m *Membership) setInfoOfSameServers(i *info, now time.Time) {
+	i.announcements = aged(i.announcements, now.Sub(m.self.since))
+	m.setInfo(i, m.self.incarnation+1, now)
+}
+
 // setInfo replaces the daemon's own info at a new incarnation and gossips it.
 func (m *Membership) setInfo(i *info, incarnation uint64, now time.Time) {
 	i.revision = incarnation
