announce: one list of ended instances, held announcements by value

Instances that ended here and beside earlier processes were two lists, joined and hashed for each question; they are one list of what is distributed. What is held is copied as a value, the start of the process is a field that the daemon sets, and the review of held announcements has no fallthrough.

--- a/internal/controller/announce/announce.go
+++ b/internal/controller/announce/announce.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/netip"
 	"net/url"
-	"sync"
 	"time"
 
 	"github.com/uptrace/bunrouter"
@@ -65,19 +64,19 @@
 
 	// Predecessors is what is known of earlier processes of this daemon, nil if there were none.
 	Predecessors Predecessors
+	// StartedAt is when this process started. It is used only with Predecessors.
+	StartedAt time.Time
 	// QueryServerID queries the health check of the server at Address and returns the server's ID. The
 	// error is ErrNoHealthCheck if servers have none, ErrNoDocument if that is not known yet, and another
 	// one unless the server is known to be healthy and not shutting down. A nil function stands for
 	// ErrNoHealthCheck.
 	QueryServerID func(ctx context.Context) (id string, err error)
 
-	// ended holds the instances that have ended. It is accessed only within updates of the Local
-	// cell, which are serialized.
-	ended endedInstances
-	held  heldAnnouncements
-	// start is when the process started, see startedAt.
-	start     time.Time
-	startOnce sync.Once
+	// ended holds the instances that have ended, of which inherited were reported by Predecessors. They
+	// are accessed only within updates of the Local cell, which are serialized.
+	ended     endedInstances
+	inherited int
+	held      heldAnnouncements
 }
 
 // Handler returns the HTTP handler of the backend listener.
@@ -92,7 +91,6 @@
 
 // Run removes announcements that have lapsed, until ctx is done.
 func (c *Controller) Run(ctx context.Context) error {
-	c.startedAt()
 	t := time.NewTicker(checkInterval)
 	defer t.Stop()
 	for {
--- a/internal/controller/announce/instances.go
+++ b/internal/controller/announce/instances.go
@@ -22,50 +22,43 @@
 	startUnixMs int64
 }
 
-// endedInstances remembers the instances that have been withdrawn or replaced, the latest last.
-type endedInstances struct {
-	list []instance
-	// inherited lists those that ended beside earlier processes of the daemon.
-	inherited []membership.EndedServer
-}
+// endedInstances lists the instances that have been withdrawn or replaced, here or beside earlier
+// processes of the daemon, the latest last.
+type endedInstances []membership.EndedServer
 
 // contains reports whether an instance, or a later one with the same ID, has ended. An instance
 // with an unknown start is assumed to be the one that ended.
-func (l *endedInstances) contains(other instance) bool {
+func (l endedInstances) contains(other instance) bool {
 	id := xxhash.Sum64String(other.id)
-	return slices.ContainsFunc(l.all(), func(e membership.EndedServer) bool {
+	return slices.ContainsFunc(l, func(e membership.EndedServer) bool {
 		return e.ID == id && (other.startUnixMs == 0 || other.startUnixMs <= e.StartUnixMs)
 	})
 }
 
-// all returns all ended instances, the latest last.
-func (l *endedInstances) all() []membership.EndedServer {
-	all := slices.Clone(l.inherited)
-	for _, e := range l.list {
-		all = append(all, membership.EndedServer{ID: xxhash.Sum64String(e.id), StartUnixMs: e.startUnixMs})
-	}
-	return all
-}
-
 // add records that an instance has ended. If its start is unknown, every instance with its ID
 // that started before now counts as ended: late announcements of the instance do state its
 // start, and would otherwise bring back a server that has been withdrawn.
-func (l *endedInstances) add(e instance, now time.Time) {
-	if e.id == "" {
+func (l *endedInstances) add(i instance, now time.Time) {
+	if i.id == "" {
 		return
 	}
-	if e.startUnixMs == 0 {
-		e.startUnixMs = now.UnixMilli()
+	if i.startUnixMs == 0 {
+		i.startUnixMs = now.UnixMilli()
 	}
-	l.list = slices.DeleteFunc(l.list, func(o instance) bool {
-		if o.id != e.id {
+	l.merge(membership.EndedServer{ID: xxhash.Sum64String(i.id), StartUnixMs: i.startUnixMs})
+}
+
+// merge adds an ended instance as the latest one, with the latest start that is known to have ended.
+func (l *endedInstances) merge(e membership.EndedServer) {
+	rest := slices.DeleteFunc(slices.Clone(*l), func(o membership.EndedServer) bool {
+		if o.ID != e.ID {
 			return false
 		}
-		e.startUnixMs = max(e.startUnixMs, o.startUnixMs)
+		e.StartUnixMs = max(e.StartUnixMs, o.StartUnixMs)
 		return true
 	})
-	l.list = append(l.list, e)
-	if len(l.list) > maxEndedInstances {
-		l.list = l.list[1:]
+	*l = append(rest, e)
+	if len(*l) > maxEndedInstances {
+		*l = (*l)[1:]
 	}
 }
--- a/internal/controller/announce/restart.go
+++ b/internal/controller/announce/restart.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,7 +52,7 @@
 // heldAnnouncements holds the latest announcement of each instance that is not accepted yet.
 type heldAnnouncements struct {
 	mu   sync.Mutex
-	list map[instance]*heldAnnouncement
+	list map[instance]heldAnnouncement
 }
 
 type heldAnnouncement struct {
@@ -59,23 +61,30 @@
 	firstAt, latestAt time.Time
 }
 
-// add stores an announcement, unless it is older than the one that is held.
-func (h *heldAnnouncements) add(i instance, a ServerAnnouncement, now time.Time) *heldAnnouncement {
+// add stores an announcement, unless it is older than the one that is held, and returns what is held.
+func (h *heldAnnouncements) add(i instance, a ServerAnnouncement, now time.Time) heldAnnouncement {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	e := h.list[i]
-	if e == nil {
-		if h.list == nil {
-			h.list = make(map[instance]*heldAnnouncement)
-		}
-		e = &heldAnnouncement{announcement: a, firstAt: now, latestAt: now}
-		h.list[i] = e
+	if h.list == nil {
+		h.list = make(map[instance]heldAnnouncement)
 	}
-	if *a.Sequence > *e.announcement.Sequence {
+	e, ok := h.list[i]
+	switch {
+	case !ok:
+		e = heldAnnouncement{announcement: a, firstAt: now, latestAt: now}
+	case *a.Sequence > *e.announcement.Sequence:
 		e.announcement, e.latestAt = a, now
 	}
-	copied := *e
-	return &copied
+	h.list[i] = e
+	return e
+}
+
+// contains reports whether an announcement of an instance is held.
+func (h *heldAnnouncements) contains(i instance) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, ok := h.list[i]
+	return ok
 }
 
 // remove forgets an instance.
@@ -85,15 +94,11 @@
 	delete(h.list, i)
 }
 
-// all returns copies of what is held.
+// all returns a copy of what is held.
 func (h *heldAnnouncements) all() map[instance]heldAnnouncement {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	all := make(map[instance]heldAnnouncement, len(h.list))
-	for i, e := range h.list {
-		all[i] = *e
-	}
-	return all
+	return maps.Clone(h.list)
 }
 
 // serverCheck is what is known about an instance that has announced itself.
@@ -144,7 +149,7 @@
 		return true
 	}
 	e := c.held.add(i, a, c.Now())
-	switch c.check(ctx, i, *e) {
+	switch c.check(ctx, i, e) {
 	case accept:
 		c.held.remove(i)
 		return true
@@ -165,16 +170,10 @@
 	if a.State == stateDraining && (local == nil || local.ID == "" || local.ID == i.id) {
 		return false
 	}
-	if _, held := c.held.all()[i]; held {
+	if c.held.contains(i) {
 		return true
 	}
-	return !isSameInstance(local, i.id, i.startUnixMs) && c.Now().Sub(c.startedAt()) < memoryTime
-}
-
-// startedAt returns the time of the first call.
-func (c *Controller) startedAt() time.Time {
-	c.startOnce.Do(func() { c.start = c.Now() })
-	return c.start
+	return !isSameInstance(local, i.id, i.startUnixMs) && c.Now().Sub(c.StartedAt) < memoryTime
 }
 
 // check decides on an instance.
@@ -193,17 +192,14 @@
 func (c *Controller) reviewHeld(ctx context.Context) {
 	for i, e := range c.held.all() {
 		v := c.check(ctx, i, e)
-		switch {
-		case v == accept:
+		if v == accept || c.Now().Sub(e.latestAt) > holdTime {
 			c.held.remove(i)
+		}
+		switch v {
+		case accept:
 			c.acceptServerAnnouncement(i.id, e.announcement)
-		case v == hold:
+		case hold:
 			c.dropUnchecked(i)
-			fallthrough
-		default:
-			if c.Now().Sub(e.latestAt) > holdTime {
-				c.held.remove(i)
-			}
 		}
 	}
 }
@@ -227,11 +223,15 @@
 	}
 	inherited := c.Predecessors.EndedBefore()
 	c.Board.Local.Update(func(old *blackboard.LocalBackend) *blackboard.LocalBackend {
-		if len(inherited) == len(c.ended.inherited) {
+		if len(inherited) == c.inherited {
 			return old
 		}
-		c.ended.inherited = inherited
-		c.Predecessors.SetEndedServers(c.ended.all())
+		own := slices.Clone(c.ended)
+		c.ended, c.inherited = nil, len(inherited)
+		for _, e := range append(slices.Clone(inherited), own...) {
+			c.ended.merge(e)
+		}
+		c.Predecessors.SetEndedServers(c.ended)
 		if old == nil || old.ID == "" || !c.ended.contains(instance{old.ID, old.StartUnixMs}) {
 			return old
 		}
--- a/internal/controller/announce/restart_test.go
+++ b/internal/controller/announce/restart_test.go
@@ -35,7 +35,7 @@
 func newRestarted(id string, healthError error) *restarted {
 	r := &restarted{fixture: newFixture(), id: id, healthError: healthError}
 	r.predecessors.asked = true
-	r.Predecessors = &r.predecessors
+	r.Predecessors, r.StartedAt = &r.predecessors, r.now
 	r.QueryServerID = func(context.Context) (string, error) { return r.id, r.healthError }
 	return r
 }
--- a/internal/controller/announce/servers.go
+++ b/internal/controller/announce/servers.go
@@ -157,7 +157,7 @@
 func (c *Controller) addEnded(e instance) {
 	c.ended.add(e, c.Now())
 	if c.Predecessors != nil {
-		c.Predecessors.SetEndedServers(c.ended.all())
+		c.Predecessors.SetEndedServers(c.ended)
 	}
 }
 
--- a/internal/daemon/backendserver.go
+++ b/internal/daemon/backendserver.go
@@ -39,7 +39,7 @@
 	if d.settings.FirstStart == settings.On {
 		return
 	}
-	d.announce.Predecessors = predecessors{d}
+	d.announce.Predecessors, d.announce.StartedAt = predecessors{d}, d.created
 	if d.discoversServer() {
 		d.announce.QueryServerID = d.queryServerID
 	}
