quota: an account that is added while its owner joins a running fleet settles

It has the table of the fleet at once, but some of the others learn of it up to 2 s later and have another owner until then. An account that is added in between was open at once at both, each with the whole burst.

Ruled out: settling for a while after each start refuses the burst of accounts that are added to a fleet which has just started (TestDaemon_NewCustomerGetsItsBurst). That others know this process can be learned from digests and probes of each of them only, which takes seconds. What tells the two apart is whether the others had been running before this process started; the age of their records says so.

Change: fleet.metAt is when a process met others that had been running for 2 s at its start. For 2 s after that, the ledgers of added accounts settle, as they do for those that others had in force before.

--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -26,6 +26,9 @@
 	// metOffset is the latest configuration offset that another process had in force when it became
 	// reachable for this one.
 	metOffset uint64
+	// metAt is when this process, which has started recently, met others that had been running before. Those
+	// that do not know it yet have other owners for its customers. It is negative if there were none.
+	metAt time.Duration
 	// known is the number of members, except those that left or have been unreachable for
 	// unreachableRetention.
 	known int
@@ -107,10 +110,10 @@
 // trackGrowth records whether a process has become reachable since the previous fleet, and which offset
 // it had in force.
 func (f *fleet) trackGrowth(prev *fleet) {
-	f.grownAt = f.at
+	f.grownAt, f.metAt = f.at, -introductionTime
 	known := map[holderID]bool{}
 	if prev != nil {
-		f.grownAt, f.metOffset = prev.grownAt, prev.metOffset
+		f.grownAt, f.metOffset, f.metAt = prev.grownAt, prev.metOffset, prev.metAt
 		for _, id := range prev.reachable {
 			known[id] = true
 		}
@@ -122,10 +125,17 @@
 		f.grownAt = f.at
 		if m := f.view.Find(id.host); m != nil && m != f.view.Self {
 			f.metOffset = max(f.metOffset, m.Offset)
+			if f.metAt < 0 && f.since(m) < -introductionTime {
+				f.metAt = f.at
+			}
 		}
 	}
 }
 
+// introduced reports whether the other daemons have had time to learn of this process, and to take it for
+// the owner of its customers.
+func (f *fleet) introduced(now time.Duration) bool { return now-f.metAt >= introductionTime }
+
 // trackDepartures records which candidates have ceased to be ones.
 func (f *fleet) trackDepartures(prev *fleet) {
 	if prev == nil {
--- a/quota/options.go
+++ b/quota/options.go
@@ -72,6 +72,10 @@
 	// the fleet must not have grown, whatever has been reported to it. A daemon learns of members that
 	// it does not know within one or two membership exchanges.
 	minSettleTime = time.Second
+	// introductionTime is how long the daemons of a running fleet may take to learn of a process that has
+	// joined them. A daemon gossips to its availability zone within some 200 ms, and to the others within a
+	// few exchanges.
+	introductionTime = 2 * time.Second
 	// settleDivisor sets the settling time of a new owner: the lease time divided by
 	// settleDivisor.
 	settleDivisor = 3
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -61,13 +61,15 @@
 }
 
 // setContracts replaces the contracts in force with those of an offset. The ledger of an added customer
-// need not settle, since no owner can have granted anything, unless other daemons may have had another
-// owner: because this one was away, or because they had the offset in force before they met this one.
+// need not settle, since no owner can have granted anything, unless other daemons may have another owner:
+// because this one was away, because they had the offset in force before they met this one, or because some of
+// them do not know yet that this one has started.
 func (o *owner) setContracts(contracts map[string]*snapshot.Contract, offset uint64, now time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.detectAbsence(now)
-	settlesAll := o.contracts == nil || now < o.settleUntil || o.fleet != nil && offset > 0 && offset <= o.fleet.metOffset
+	settlesAll := o.contracts == nil || now < o.settleUntil ||
+		o.fleet != nil && (offset > 0 && offset <= o.fleet.metOffset || !o.fleet.introduced(now))
 	var change ownershipChange
 	maps.DeleteFunc(o.removed, func(customer string, _ time.Duration) bool { return !o.wasRemoved(customer, now) })
 	for customer := range o.contracts {
