--- a/quota/doc.go
+++ b/quota/doc.go
@@ -23,7 +23,8 @@
 //     settles: until every holder has had time to report, it renews what holders report and grants
 //     no more than that and settlingShare of the contract, or a part of Options.Tolerance. Such an
 //     owner was paused, heard from no other member, or was declared dead; it may have seen no
-//     change of the fleet. Customers that are added soon after settle as well. Leases of the
+//     change of the fleet. Customers that are added soon after settle as well, and those that are added
+//     within introductionTime after the owner has joined a running fleet. Leases of the
 //     previous owner that no holder reports stay charged until they have ended, as far as
 //     unreachable members may hold them. Their sum follows from the totals that the other holders
 //     saw when they received their leases.
