backendconn: part of a response is not complete after a reset during an upload

What callers saw: a backend server answers a long upload at once, with a 200 without a length, and resets the connection while the upload is being written. The caller receives the part as a complete answer.

Cause: the kernel reports ECONNRESET to one system call. The goroutine that writes the upload gets it, and the next read of the response returns io.EOF, as after an orderly close, which is the end of a body without a length.

Evidence: TestResponseWithoutLength_ResetDuringUpload waits until the write has failed before it reads the body.

Change: all writes go through writeSide, which keeps the first error. At the end of a body that ends with its connection, the write in progress is ended and its error decides. Both goroutines' order of scheduling no longer matters: a read that returns io.EOF after a reset means that a write has already received the error, and the lock waits until it is recorded. EPIPE is no such error: Linux reports it in place of ECONNRESET if the server's orderly end arrived before the reset.

--- /dev/null
+++ b/internal/daemon/broken_response_test.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// newRawServer returns a backend server that writes its responses with respond. The body of the request has
+// not been read.
+func newRawServer(t *testing.T, respond func(nc *net.TCPConn, requestID string)) *server {
+	s := &server{id: "i-1"}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		nc, _, err := http.NewResponseController(w).Hijack()
+		must.NoError(t, err)
+		defer nc.Close()
+		respond(nc.(*net.TCPConn), r.Header.Get(names.RequestID))
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+// signedHead returns a status line and the fields of a signed response, without the empty line that ends a head.
+func signedHead(status, requestID string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%s: %s\r\n%s: signed\r\n", status, names.RequestID, requestID, names.Signature)
+}
+
+// rawCall sends a request with a body of the given length, which is written while the response is read, and
+// returns the response and its body. The error is set unless both are complete.
+func rawCall(t *testing.T, d *testDaemon, method, path string, length int) (*http.Response, string, error) {
+	t.Helper()
+	nc, err := net.Dial("tcp", d.ln.callers.Addr().String())
+	must.NoError(t, err)
+	defer nc.Close()
+	must.NoError(t, nc.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = fmt.Fprintf(nc, "%s %s HTTP/1.1\r\nHost: h.example\r\n%s: id-1\r\n%s: 3000\r\nContent-Length: %d\r\n\r\n",
+		method, path, names.RequestID, names.Remaining, length)
+	must.NoError(t, err)
+	go func() { _, _ = io.WriteString(nc, strings.Repeat("x", length)) }()
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		return nil, "", err
+	}
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+// Guards against callers that receive part of a response as the whole one, since its server has reset the
+// connection while an upload was being written to it.
+func TestStore_ResponseResetDuringUploadIsNotComplete(t *testing.T) {
+	const (
+		uploadBytes = 4 << 20
+		// calls are enough for one run in a hundred thousand to miss a fault that one call in four shows.
+		calls = 40
+	)
+	for _, size := range []int{3 << 10, 90 << 10} {
+		f := newStoreFleet(t, 2)
+		f.putDocument(3)
+		var reached atomic.Int64
+		s := newRawServer(t, func(nc *net.TCPConn, id string) {
+			reached.Add(1)
+			_, _ = io.WriteString(nc, signedHead("200 OK", id)+"\r\n"+strings.Repeat("y", size))
+			// The daemon goes on writing the upload while the connection is reset.
+			_, _ = io.CopyN(io.Discard, nc, 256<<10)
+			_ = nc.SetLinger(0)
+		})
+		f.announce(f.daemons[1], s, "ready", 1)
+		for _, d := range f.daemons {
+			f.waitServerKnown(d)
+		}
+		for i := range calls {
+			path := []string{"/put/x", "/get/x"}[i%2]
+			resp, got, err := rawCall(t, f.daemons[i/2%2], http.MethodPost, path, uploadBytes)
+			if err == nil && resp.StatusCode == http.StatusOK {
+				t.Fatalf("call %d to %s: the caller received %d bytes as a complete response", i, path, len(got))
+			}
+		}
+		must.GreaterEq(t, calls, reached.Load())
+	}
+}
--- a/internal/proxy/backendconn/conn.go
+++ b/internal/proxy/backendconn/conn.go
@@ -42,6 +42,7 @@
 	nc     net.Conn
 	in     *limitedReader
 	br     *bufio.Reader
+	out    *writeSide
 	bw     *bufio.Writer
 	// reusableUntil is the time until which the connection may take another call.
 	reusableUntil time.Time
@@ -55,7 +56,12 @@
 
 func newConn(c *Client, nc net.Conn, number uint64) *conn {
 	in := &limitedReader{r: nc, left: math.MaxInt64}
-	return &conn{client: c, nc: nc, in: in, br: bufio.NewReaderSize(in, bufferSize), bw: bufio.NewWriterSize(nc, bufferSize), number: number}
+	out := &writeSide{nc: nc}
+	return &conn{
+		client: c, nc: nc, number: number,
+		in: in, br: bufio.NewReaderSize(in, bufferSize),
+		out: out, bw: bufio.NewWriterSize(out, bufferSize),
+	}
 }
 
 func (cn *conn) close() { _ = cn.nc.Close() }
@@ -116,7 +122,10 @@
 		return nil, err
 	}
 	keepAlive := !resp.Close && !bodyMayBeUnread(r, resp) && len(cn.requestIDs) < maxRequestIDs
-	resp.Body = &responseBody{src: resp.Body, cn: cn, writer: writer, unbind: unbind, keepAlive: keepAlive, reusableUntil: reuseDeadline(resp.Header)}
+	resp.Body = &responseBody{
+		src: resp.Body, cn: cn, writer: writer, unbind: unbind, endsWithConn: endsWithConn(resp),
+		keepAlive: keepAlive, reusableUntil: reuseDeadline(resp.Header),
+	}
 	return resp, nil
 }
 
@@ -130,6 +139,11 @@
 	return r.Length != 0 && resp.StatusCode >= http.StatusMultipleChoices
 }
 
+// endsWithConn reports whether the end of the connection is the end of the response body.
+func endsWithConn(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
 // readResponse returns the head of the call's own response. A late second response to an
 // earlier call may precede it and is recognized by its request ID, which no earlier call on the
 // connection had.
--- a/internal/proxy/backendconn/response.go
+++ b/internal/proxy/backendconn/response.go
@@ -19,6 +19,8 @@
 	cn     *conn
 	writer *requestWriter
 	unbind func() bool
+	// endsWithConn is whether the end of the connection is the end of the body.
+	endsWithConn bool
 	// keepAlive is whether the connection may be used again after the response, and
 	// reusableUntil until when.
 	keepAlive     bool
@@ -33,6 +35,9 @@
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.src.Read(p)
 	if errors.Is(err, io.EOF) {
+		if b.endsWithConn && b.cn.out.stop() {
+			return n, io.ErrUnexpectedEOF
+		}
 		b.complete = true
 		b.release()
 	}
