backendconn: a response with an invalid status is no response

What callers saw: a backend server in trouble sends a status of 000. No caller got it as a response, but the call waited until its deadline (504 after 3 s) for another one, and got the next response that the server sent, which belongs to nobody. +20, 001 and 099 had the same effect; 600 and 999 were forwarded, 101 counted as an interim response.

Cause: http.ReadResponse accepts every status that strconv.Atoi reads from three characters, and readResponse skips what is below 200 as an interim response.

Change: statuses outside 100 to 599, and 101, which no call asks for, fail the call as other malformed responses do. The connection is closed. The call may have run: a caller of a non-idempotent route gets 502, an idempotent call may go to another server.

Why it is enough: every head passes readResponse, before anything of it is used. Statuses that are not three digits were rejected before.

--- a/internal/daemon/broken_response_test.go
+++ b/internal/daemon/broken_response_test.go
@@ -87,3 +87,46 @@
 		must.GreaterEq(t, calls, reached.Load())
 	}
 }
+
+// brokenResponses are bytes that a server sends in place of a response, with the request ID of the call.
+var brokenResponses = map[string]func(id string) string{
+	"status 000":          func(id string) string { return signedHead("000 Oops", id) + "Content-Length: 2\r\n\r\nno" },
+	"status 000, no body": func(id string) string { return signedHead("000", id) + "Content-Length: 0\r\n\r\n" },
+	"status +20, then 200": func(id string) string {
+		return signedHead("+20 OK", id) + "Content-Length: 0\r\n\r\n" + signedHead("200 OK", id) + "Content-Length: 2\r\n\r\nno"
+	},
+	"status 999": func(id string) string { return signedHead("999 Oops", id) + "Content-Length: 2\r\n\r\nno" },
+}
+
+// Guards against callers that receive bytes of a server in trouble as a response, or wait for another one
+// until their deadline. The call may have run, so that it is not reported as not run.
+func TestStore_BrokenResponseIsNotForwarded(t *testing.T) {
+	f := newStoreFleet(t, 2)
+	f.putDocument(3)
+	var response atomic.Pointer[func(id string) string]
+	s := newRawServer(t, func(nc *net.TCPConn, id string) {
+		_, _ = io.WriteString(nc, (*response.Load())(id))
+		// The connection stays open, so that only the bytes show that there is no response.
+		_, _ = io.Copy(io.Discard, nc)
+	})
+	f.announce(f.daemons[1], s, "ready", 1)
+	for _, d := range f.daemons {
+		f.waitServerKnown(d)
+	}
+	for name, bytes := range brokenResponses {
+		t.Run(name, func(t *testing.T) {
+			response.Store(&bytes)
+			for _, d := range f.daemons {
+				for _, path := range []string{"/get/x", "/put/x"} {
+					for _, length := range []int{0, 100, 4 << 20} {
+						begun := time.Now()
+						resp, _, err := rawCall(t, d, http.MethodPost, path, length)
+						must.NoError(t, err)
+						must.Eq(t, http.StatusBadGateway, resp.StatusCode)
+						must.Less(t, 2500*time.Millisecond, time.Since(begun))
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/proxy/backendconn/conn.go
+++ b/internal/proxy/backendconn/conn.go
@@ -159,6 +159,9 @@
 			}
 			return nil, malformedError(err)
 		}
+		if err := checkStatus(resp.StatusCode); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
