backendconn: a head with an invalid line is no response

What callers saw: a backend server in trouble sends a head in which the name of a field holds a blank. The caller got the response without that line, and if the line gave the length (Content-Length : 4, Content Length: 4, Transfer-Encoding : chunked) with a body that was not the server's: all bytes up to the end of the connection, with the framing of the chunks, or 504 at the deadline if the connection stayed open. A rejection with such a line was believed. Control bytes and tabs in a name were rejected before.

Cause: net/textproto accepts blanks in names, under which nobody looks for a field, and joins a line that begins with a blank to the value before it, so that the same length is lost (" Content-Length: 4").

Change: each line of a head is checked while it arrives, before http.ReadResponse parses the head, and nothing of the response is used before: a status line with HTTP/1, three digits and a reason without control bytes, and fields whose names are tokens. The check of the status moves there. A head is read into the buffer of the connection, which grows for the rare one of more than 4 KiB, so that the separate limit of the reader is not needed any more. golang.org/x/net/http/httpguts, a dependency of dependencies before, has the grammar of names.

The call may have run: callers get 502, and an idempotent call may go to another server.

--- a/internal/daemon/broken_response_test.go
+++ b/internal/daemon/broken_response_test.go
@@ -96,6 +96,21 @@
 		return signedHead("+20 OK", id) + "Content-Length: 0\r\n\r\n" + signedHead("200 OK", id) + "Content-Length: 2\r\n\r\nno"
 	},
 	"status 999": func(id string) string { return signedHead("999 Oops", id) + "Content-Length: 2\r\n\r\nno" },
+	"blank in a name": func(id string) string {
+		return signedHead("200 OK", id) + "X Y: 1\r\nContent-Length: 2\r\n\r\nno"
+	},
+	"control byte in a name": func(id string) string {
+		return signedHead("200 OK", id) + "X\x01Y: 1\r\nContent-Length: 2\r\n\r\nno"
+	},
+	"blank after the name of a length": func(id string) string {
+		return signedHead("200 OK", id) + "Content-Length : 2\r\n\r\nno"
+	},
+	"blank before the name of an encoding": func(id string) string {
+		return signedHead("200 OK", id) + " Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"
+	},
+	"blank in a name of a rejection": func(id string) string {
+		return signedHead("503 Full", id) + names.NotRun + ": 1\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n"
+	},
 }
 
 // Guards against callers that receive bytes of a server in trouble as a response, or wait for another one
--- a/internal/proxy/backendconn/conn.go
+++ b/internal/proxy/backendconn/conn.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -40,7 +39,6 @@
 type conn struct {
 	client *Client
 	nc     net.Conn
-	in     *limitedReader
 	br     *bufio.Reader
 	out    *writeSide
 	bw     *bufio.Writer
@@ -55,34 +53,16 @@
 }
 
 func newConn(c *Client, nc net.Conn, number uint64) *conn {
-	in := &limitedReader{r: nc, left: math.MaxInt64}
 	out := &writeSide{nc: nc}
 	return &conn{
 		client: c, nc: nc, number: number,
-		in: in, br: bufio.NewReaderSize(in, bufferSize),
+		br:  bufio.NewReaderSize(nc, bufferSize),
 		out: out, bw: bufio.NewWriterSize(out, bufferSize),
 	}
 }
 
 func (cn *conn) close() { _ = cn.nc.Close() }
 
-// limitedReader reads from a connection until left bytes have been read. http.ReadResponse holds a head
-// of any length in memory, and a faulty server may send one without end.
-type limitedReader struct {
-	r    io.Reader
-	left int64
-}
-
-// Read implements io.Reader.
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.left <= 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
-	l.left -= int64(n)
-	return n, err
-}
-
 // reusable reports whether the server has neither closed an idle connection nor sent anything
 // on it. Input on an idle connection belongs to no call and would be taken for the response to
 // the next one.
@@ -149,7 +129,7 @@
 // connection had.
 func (cn *conn) readResponse(r *Request) (*http.Response, error) {
 	id := cn.client.opts.RequestIDHeader
-	headBytes := int64(maxHeadBytes)
+	headBytes := maxHeadBytes
 	for foreign := 0; foreign <= maxForeignResponses; {
 		resp, err := cn.readHead(r, &headBytes)
 		if err != nil {
@@ -159,9 +139,6 @@
 			}
 			return nil, malformedError(err)
 		}
-		if err := checkStatus(resp.StatusCode); err != nil {
-			return nil, err
-		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
@@ -180,15 +157,6 @@
 	return nil, errForeignResponse
 }
 
-// readHead reads one head, of at most left bytes, and subtracts its length from left.
-func (cn *conn) readHead(r *Request, left *int64) (*http.Response, error) {
-	cn.in.left = *left
-	resp, err := http.ReadResponse(cn.br, &http.Request{Method: r.Method})
-	*left = cn.in.left
-	cn.in.left = math.MaxInt64
-	return resp, err
-}
-
 // reuseDeadline returns the time until which a connection may take another call after a
 // response with the given header.
 func reuseDeadline(h http.Header) time.Time {
--- a/internal/proxy/backendconn/head.go
+++ b/internal/proxy/backendconn/head.go
@@ -1,19 +1,138 @@
 package backendconn
 
 import (
+	"bufio"
+	"bytes"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"strconv"
+
+	"golang.org/x/net/http/httpguts"
 )
 
-// maxStatus is the highest status that HTTP defines (RFC 9110, section 15).
-const maxStatus = 599
+const (
+	versionPrefix = "HTTP/1."
+	// maxStatus is the highest status that HTTP defines (RFC 9110, section 15).
+	maxStatus = 599
+)
 
-// checkStatus returns an error for a status that http.ReadResponse accepts and that no response to a call
-// may have. Bytes with such a status are no response, and what follows them is none either. The protocol
-// is never switched, since no call asks for it.
-func checkStatus(status int) error {
+// readHead reads one head, of at most left bytes, and subtracts its length from left.
+//
+// http.ReadResponse accepts heads that no server may send: it ignores fields with a blank in their names,
+// such as "Content-Length : 4", and joins a line that begins with a blank to the line before it. The caller
+// would receive another body than the one that the server sent. Each line of a head is therefore checked
+// before the head is used.
+func (cn *conn) readHead(r *Request, left *int) (*http.Response, error) {
+	length, err := cn.peekHead(*left)
+	if err != nil {
+		return nil, err
+	}
+	*left -= length
+	return http.ReadResponse(cn.br, &http.Request{Method: r.Method})
+}
+
+// peekHead waits for a complete head of at most limit bytes and returns its length. It consumes nothing.
+func (cn *conn) peekHead(limit int) (int, error) {
+	var scan headScanner
+	for {
+		buffered, _ := cn.br.Peek(cn.br.Buffered())
+		if err := scan.advance(buffered); err != nil {
+			return 0, err
+		}
+		switch {
+		case scan.complete && scan.next <= limit:
+			return scan.next, nil
+		case scan.complete, len(buffered) >= limit:
+			return 0, errHeadTooLarge
+		case len(buffered) == cn.br.Size():
+			cn.growReadBuffer()
+		}
+		if _, err := cn.br.Peek(len(buffered) + 1); errors.Is(err, io.EOF) {
+			return 0, io.ErrUnexpectedEOF
+		} else if err != nil {
+			return 0, err
+		}
+	}
+}
+
+// growReadBuffer enlarges the read buffer for a head that does not fit into it.
+func (cn *conn) growReadBuffer() {
+	buffered, _ := cn.br.Peek(cn.br.Buffered())
+	src := io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), cn.nc)
+	cn.br = bufio.NewReaderSize(src, maxHeadBytes)
+}
+
+// headScanner checks the lines of a head while they arrive.
+type headScanner struct {
+	// next is the offset of the line that has not been checked yet, or the length of a complete head, and
+	// searched the offset up to which there is no end of that line.
+	next, searched int
+	complete       bool
+}
+
+// advance checks the lines that have arrived since the last call. head is what has arrived in all.
+func (s *headScanner) advance(head []byte) error {
+	for !s.complete {
+		n := bytes.IndexByte(head[s.searched:], '\n')
+		if n < 0 {
+			s.searched = len(head)
+			return nil
+		}
+		line := bytes.TrimSuffix(head[s.next:s.searched+n], []byte("\r"))
+		first := s.next == 0
+		s.searched += n + 1
+		s.next = s.searched
+		var err error
+		switch {
+		case first:
+			err = checkStatusLine(line)
+		case len(line) == 0:
+			s.complete = true
+		default:
+			err = checkFieldLine(line)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkStatusLine returns an error unless a line begins with an HTTP version and a status that a response to
+// a call may have. The protocol is never switched, since no call asks for it.
+func checkStatusLine(line []byte) error {
+	rest, ok := bytes.CutPrefix(line, []byte(versionPrefix))
+	if !ok || len(rest) < len("1 200") || !isDigits(rest[:1]) || rest[1] != ' ' {
+		return fmt.Errorf("malformed status line %.80q", line)
+	}
+	code, reason := rest[2:5], rest[5:]
+	if !isDigits(code) || len(reason) > 0 && reason[0] != ' ' || !httpguts.ValidHeaderFieldValue(string(reason)) {
+		return fmt.Errorf("malformed status line %.80q", line)
+	}
+	status, _ := strconv.Atoi(string(code))
 	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
-		return malformedError(fmt.Errorf("invalid status %03d", status))
+		return fmt.Errorf("invalid status %03d", status)
+	}
+	return nil
+}
+
+// checkFieldLine returns an error unless a line has the form of a header field. http.ReadResponse checks
+// the values.
+func checkFieldLine(line []byte) error {
+	name, _, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !httpguts.ValidHeaderFieldName(string(name)) {
+		return fmt.Errorf("malformed header field %.80q", line)
 	}
 	return nil
 }
+
+func isDigits(b []byte) bool {
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/proxy/backendconn/head_test.go
+++ b/internal/proxy/backendconn/head_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -59,3 +60,44 @@
 		must.NoError(t, resp.Body.Close())
 	}
 }
+
+// Guards against a response whose fields are read in another way than its server meant them, so that the
+// caller receives another body, or fields that are none.
+func TestInvalidFieldName(t *testing.T) {
+	for _, line := range []string{
+		"X Y: 1", "X : 1", "X\t: 1", ": 1", " : 1", "X", "X\x00: 1", "\x01X: 1", "X\x0b: 1", "X\x7f: 1", "X\x80: 1", "X(Y): 1", "X\rY: 1",
+		"Content-Length : 4", "Content Length: 4", "Content-Length\t: 4", "Transfer-Encoding : chunked",
+		// Continuations of the line before.
+		" X: 1", "\tX: 1", " Content-Length: 4", " ", "\t",
+		idHeader + " : 1",
+	} {
+		for name, lines := range map[string]string{
+			"first":  "%s\r\n" + idHeader + ": 1\r\n",
+			"middle": idHeader + ": 1\r\n%s\r\nX-Last: 1\r\n",
+			"last":   idHeader + ": 1\r\n%s\r\n",
+			"LF":     idHeader + ": 1\r\n%s\nX-Last: 1\n",
+		} {
+			t.Run(fmt.Sprintf("%q %s", line, name), func(t *testing.T) {
+				expectNoResponse(t, "HTTP/1.1 200 OK\r\n"+fmt.Sprintf(lines, line)+"\r\n4\r\nbody\r\n0\r\n\r\n")
+			})
+		}
+	}
+}
+
+// Guards against the loss of bytes behind a head that does not fit into the read buffer.
+func TestLargeHead(t *testing.T) {
+	field := "X-Long: " + strings.Repeat("x", 2*bufferSize) + "\r\n"
+	s := serve(t, func(nc net.Conn, br *bufio.Reader) {
+		for id, ok := readRequest(br); ok; id, ok = readRequest(br) {
+			_, _ = io.WriteString(nc, strings.Replace(okResponse(id, id+" body"), "\r\n", "\r\n"+field, 1))
+		}
+	})
+	c := s.client(t)
+	for i := range 3 {
+		id := fmt.Sprint(i)
+		got, err := get(t, c, id)
+		must.NoError(t, err)
+		must.Eq(t, id+" body", got)
+	}
+	must.Eq(t, 1, s.conns.Load())
+}
