backendconn: HTTP/1.0 with a transfer encoding is no response

What callers would see: a response of HTTP/1.0 with Transfer-Encoding: chunked was accepted, as one that ends with its connection and whose body begins with the framing of the chunks. A server that keeps the connection open made the call wait until its deadline (504 after 3 s).

Cause: http.ReadResponse drops the field from a head of HTTP/1.0 and goes on as if it had not been there. RFC 9112, section 6.1, has a recipient treat such framing as faulty. It is the same kind of fault as a length under a name with a blank, found by trying the parser with the fields that frame a body.

Change: the check of the lines of a head rejects it. The call fails as for other malformed responses.

Failing before: TestTransferEncodingInHTTP10, TestStore_BrokenResponseIsNotForwarded/chunks_in_HTTP/1.0.

--- a/internal/daemon/broken_response_test.go
+++ b/internal/daemon/broken_response_test.go
@@ -108,6 +108,9 @@
 	"blank before the name of an encoding": func(id string) string {
 		return signedHead("200 OK", id) + " Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"
 	},
+	"chunks in HTTP/1.0": func(id string) string {
+		return strings.Replace(signedHead("200 OK", id), "/1.1", "/1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"
+	},
 	"blank in a name of a rejection": func(id string) string {
 		return signedHead("503 Full", id) + names.NotRun + ": 1\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n"
 	},
--- a/internal/proxy/backendconn/head.go
+++ b/internal/proxy/backendconn/head.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -70,6 +71,8 @@
 	// searched the offset up to which there is no end of that line.
 	next, searched int
 	complete       bool
+	// http10 is whether the version is HTTP/1.0.
+	http10 bool
 }
 
 // advance checks the lines that have arrived since the last call. head is what has arrived in all.
@@ -88,10 +91,11 @@
 		switch {
 		case first:
 			err = checkStatusLine(line)
+			s.http10 = bytes.HasPrefix(line, []byte(versionPrefix+"0"))
 		case len(line) == 0:
 			s.complete = true
 		default:
-			err = checkFieldLine(line)
+			err = s.checkFieldLine(line)
 		}
 		if err != nil {
 			return err
@@ -119,12 +123,15 @@
 }
 
 // checkFieldLine returns an error unless a line has the form of a header field. http.ReadResponse checks
-// the values.
-func checkFieldLine(line []byte) error {
+// the values. It ignores a transfer encoding in HTTP/1.0, whose framing is faulty (RFC 9112, section 6.1).
+func (s *headScanner) checkFieldLine(line []byte) error {
 	name, _, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !httpguts.ValidHeaderFieldName(string(name)) {
 		return fmt.Errorf("malformed header field %.80q", line)
 	}
+	if s.http10 && strings.EqualFold(string(name), "Transfer-Encoding") {
+		return errors.New("transfer encoding in a response of HTTP/1.0")
+	}
 	return nil
 }
 
--- a/internal/proxy/backendconn/head_test.go
+++ b/internal/proxy/backendconn/head_test.go
@@ -84,6 +84,14 @@
 	}
 }
 
+// Guards against a caller that receives the framing of the chunks as part of the body: HTTP/1.0 has no
+// transfer encodings, and http.ReadResponse ignores the field.
+func TestTransferEncodingInHTTP10(t *testing.T) {
+	for _, field := range []string{"Transfer-Encoding: chunked", "transfer-encoding: identity"} {
+		expectNoResponse(t, fmt.Sprintf("HTTP/1.0 200 OK\r\n%s: 1\r\n%s\r\n\r\n4\r\nbody\r\n0\r\n\r\n", idHeader, field))
+	}
+}
+
 // Guards against the loss of bytes behind a head that does not fit into the read buffer.
 func TestLargeHead(t *testing.T) {
 	field := "X-Long: " + strings.Repeat("x", 2*bufferSize) + "\r\n"
