backendconn: the Connection field of a response with "close" is kept

What callers saw: with "Connection: close, X-Hop" in a response, X-Hop reached the caller, although the server meant it for its connection to the daemon.

Cause: http.ReadResponse removes the whole field if it contains "close", and body.Fields learns from it which other fields it must not forward.

Change: the check of the lines of a head keeps the field's values, and readHead puts them back.

Failing before: TestConnectionFieldIsKept, TestStore_ConnectionFieldsOfServerAreNotForwarded.

--- a/internal/daemon/broken_response_test.go
+++ b/internal/daemon/broken_response_test.go
@@ -148,3 +148,19 @@
 		})
 	}
 }
+
+// Guards against forwarding fields that the server meant for its connection to the daemon only.
+func TestStore_ConnectionFieldsOfServerAreNotForwarded(t *testing.T) {
+	f := newStoreFleet(t, 2)
+	f.putDocument(3)
+	s := newRawServer(t, func(nc *net.TCPConn, id string) {
+		_, _ = io.WriteString(nc, signedHead("200 OK", id)+"Connection: close, X-Hop\r\nX-Hop: 1\r\nX-End: 1\r\nContent-Length: 5\r\n\r\nwhole")
+	})
+	f.announce(f.daemons[1], s, "ready", 1)
+	f.waitServerKnown(f.daemons[0])
+	resp, got, err := rawCall(t, f.daemons[0], http.MethodGet, "/get/x", 0)
+	must.NoError(t, err)
+	must.Eq(t, "whole", got)
+	must.Eq(t, "1", resp.Header.Get("X-End"))
+	must.Eq(t, "", resp.Header.Get("X-Hop"))
+}
--- a/internal/proxy/backendconn/head.go
+++ b/internal/proxy/backendconn/head.go
@@ -26,34 +26,40 @@
 // would receive another body than the one that the server sent. Each line of a head is therefore checked
 // before the head is used.
 func (cn *conn) readHead(r *Request, left *int) (*http.Response, error) {
-	length, err := cn.peekHead(*left)
+	head, err := cn.peekHead(*left)
 	if err != nil {
 		return nil, err
 	}
-	*left -= length
-	return http.ReadResponse(cn.br, &http.Request{Method: r.Method})
+	*left -= head.next
+	resp, err := http.ReadResponse(cn.br, &http.Request{Method: r.Method})
+	if err == nil && len(head.connection) > 0 {
+		// http.ReadResponse removes the field if it contains "close", and with it the names of other fields
+		// that apply to this connection only.
+		resp.Header["Connection"] = head.connection
+	}
+	return resp, err
 }
 
-// peekHead waits for a complete head of at most limit bytes and returns its length. It consumes nothing.
-func (cn *conn) peekHead(limit int) (int, error) {
-	var scan headScanner
+// peekHead waits for a complete head of at most limit bytes. It consumes nothing.
+func (cn *conn) peekHead(limit int) (*headScanner, error) {
+	var head headScanner
 	for {
 		buffered, _ := cn.br.Peek(cn.br.Buffered())
-		if err := scan.advance(buffered); err != nil {
-			return 0, err
+		if err := head.advance(buffered); err != nil {
+			return nil, err
 		}
 		switch {
-		case scan.complete && scan.next <= limit:
-			return scan.next, nil
-		case scan.complete, len(buffered) >= limit:
-			return 0, errHeadTooLarge
+		case head.complete && head.next <= limit:
+			return &head, nil
+		case head.complete, len(buffered) >= limit:
+			return nil, errHeadTooLarge
 		case len(buffered) == cn.br.Size():
 			cn.growReadBuffer()
 		}
 		if _, err := cn.br.Peek(len(buffered) + 1); errors.Is(err, io.EOF) {
-			return 0, io.ErrUnexpectedEOF
+			return nil, io.ErrUnexpectedEOF
 		} else if err != nil {
-			return 0, err
+			return nil, err
 		}
 	}
 }
@@ -73,6 +79,8 @@
 	complete       bool
 	// http10 is whether the version is HTTP/1.0.
 	http10 bool
+	// connection has the values of the Connection field.
+	connection []string
 }
 
 // advance checks the lines that have arrived since the last call. head is what has arrived in all.
@@ -125,13 +133,16 @@
 // checkFieldLine returns an error unless a line has the form of a header field. http.ReadResponse checks
 // the values. It ignores a transfer encoding in HTTP/1.0, whose framing is faulty (RFC 9112, section 6.1).
 func (s *headScanner) checkFieldLine(line []byte) error {
-	name, _, ok := bytes.Cut(line, []byte(":"))
+	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !httpguts.ValidHeaderFieldName(string(name)) {
 		return fmt.Errorf("malformed header field %.80q", line)
 	}
 	if s.http10 && strings.EqualFold(string(name), "Transfer-Encoding") {
 		return errors.New("transfer encoding in a response of HTTP/1.0")
 	}
+	if strings.EqualFold(string(name), "Connection") {
+		s.connection = append(s.connection, string(bytes.TrimSpace(value)))
+	}
 	return nil
 }
 
--- a/internal/proxy/backendconn/head_test.go
+++ b/internal/proxy/backendconn/head_test.go
@@ -92,6 +92,22 @@
 	}
 }
 
+// Guards against forwarding fields that apply to this connection only: http.ReadResponse removes the field
+// that names them if it contains "close".
+func TestConnectionFieldIsKept(t *testing.T) {
+	for _, values := range [][]string{{"X-Hop"}, {"close"}, {"close, X-Hop"}, {"X-Hop", "close"}} {
+		s := serve(t, func(nc net.Conn, br *bufio.Reader) {
+			id, _ := readRequest(br)
+			lines := "Connection: " + strings.Join(values, "\r\nconnection:  ")
+			_, _ = io.WriteString(nc, strings.Replace(okResponse(id, ""), "\r\n", "\r\n"+lines+"\r\n", 1))
+		})
+		resp, err := s.client(t).Do(t.Context(), getRequest("1"))
+		must.NoError(t, err)
+		must.NoError(t, resp.Body.Close())
+		must.Eq(t, values, resp.Header["Connection"])
+	}
+}
+
 // Guards against the loss of bytes behind a head that does not fit into the read buffer.
 func TestLargeHead(t *testing.T) {
 	field := "X-Long: " + strings.Repeat("x", 2*bufferSize) + "\r\n"
