inbound: a signature that is not forwarded signs nothing

What callers would see: a success without the server's signature, if the response names the signature in its Connection field: that field is not forwarded then.

Cause: the check of the signature looked at the server's header, and body.Fields removes what Connection names afterwards.

Change: a response is signed if its signature reaches the caller (body.Forwards). It applies to the three places that ask: the check of a success, the bound on unsigned bodies, and whether a notice is the server's own.

Failing before: TestStore_BrokenResponseIsNotForwarded/signature_named_by_Connection, alone and beside close (200).

--- a/internal/daemon/broken_response_test.go
+++ b/internal/daemon/broken_response_test.go
@@ -111,6 +111,12 @@
 	"chunks in HTTP/1.0": func(id string) string {
 		return strings.Replace(signedHead("200 OK", id), "/1.1", "/1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"
 	},
+	"signature named by Connection": func(id string) string {
+		return signedHead("200 OK", id) + "Connection: " + strings.ToLower(names.Signature) + "\r\nContent-Length: 2\r\n\r\nno"
+	},
+	"signature named by Connection beside close": func(id string) string {
+		return signedHead("200 OK", id) + "Connection: close, " + names.Signature + "\r\nContent-Length: 2\r\n\r\nno"
+	},
 	"blank in a name of a rejection": func(id string) string {
 		return signedHead("503 Full", id) + names.NotRun + ": 1\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n"
 	},
--- a/internal/proxy/body/fields.go
+++ b/internal/proxy/body/fields.go
@@ -43,6 +43,11 @@
 	return fields
 }
 
+// Forwards reports whether a header contains the field of a name, in canonical form, and Fields keeps it.
+func Forwards(h http.Header, name string) bool {
+	return h.Get(name) != "" && !hopByHopHeaders[name] && !connectionHeaders(h)[name]
+}
+
 // SetFields adds message fields to a header, without the hop-by-hop headers.
 func SetFields(h http.Header, fields []*peerpb.Field) {
 	for _, f := range fields {
--- a/internal/proxy/inbound/forward.go
+++ b/internal/proxy/inbound/forward.go
@@ -95,12 +95,19 @@
 		return errkind.Newf(errkind.Unreachable, "backend server %s responds at the address of %s", resp.Header.Get(d.ServerID), c.instance.id)
 	case d.IsRejection(resp.StatusCode, resp.Header):
 		return errkind.Newf(errkind.Shed, "the backend server rejected the call with status %d", resp.StatusCode)
-	case d.Signature != "" && resp.StatusCode < http.StatusMultipleChoices && resp.Header.Get(d.Signature) == "":
+	case resp.StatusCode < http.StatusMultipleChoices && !c.isSigned(resp):
 		return errkind.Newf(errkind.BackendFailed, "the response with status %d is not signed", resp.StatusCode)
 	}
 	return nil
 }
 
+// isSigned reports whether the backend server has signed a response with a signature that reaches the caller:
+// a field that Connection names is not forwarded. It is true for a dialect without signatures.
+func (c *call) isSigned(resp *http.Response) bool {
+	signature := c.h.opts.Dialect.Signature
+	return signature == "" || body.Forwards(resp.Header, signature)
+}
+
 // isMisdirected reports whether a response comes from another server than the one that the call was
 // meant for.
 func (c *call) isMisdirected(resp *http.Response) bool {
@@ -192,8 +199,7 @@
 // checkLength returns an error for a response that is longer than limit and not signed. A server in trouble
 // may send bytes without end in place of a response; they would occupy the links until the deadline.
 func (c *call) checkLength(resp *http.Response, prefix []byte, limit int64) error {
-	d := c.h.opts.Dialect
-	if int64(len(prefix)) <= limit || d.Signature == "" || resp.Header.Get(d.Signature) != "" {
+	if int64(len(prefix)) <= limit || c.isSigned(resp) {
 		return nil
 	}
 	return errkind.Newf(errkind.BackendFailed, "the response with status %d is not signed and exceeds %d bytes", resp.StatusCode, limit)
--- a/internal/proxy/inbound/notice.go
+++ b/internal/proxy/inbound/notice.go
@@ -137,8 +137,7 @@
 // isServersOwn reports whether a response is certainly one that the server wrote itself for a call
 // that it ran. Others, such as rejections, need not repeat a limit that is in force.
 func (c *call) isServersOwn(resp *http.Response) bool {
-	d := c.h.opts.Dialect
-	return !d.IsRejection(resp.StatusCode, resp.Header) && (d.Signature == "" || resp.Header.Get(d.Signature) != "")
+	return !c.h.opts.Dialect.IsRejection(resp.StatusCode, resp.Header) && c.isSigned(resp)
 }
 
 // adoptNotice applies the notice that the sender has received from the server. It returns the
