--- a/internal/daemon/broken_response_test.go
+++ b/internal/daemon/broken_response_test.go
@@ -170,3 +170,39 @@
 	must.Eq(t, "1", resp.Header.Get("X-End"))
 	must.Eq(t, "", resp.Header.Get("X-Hop"))
 }
+
+// Guards against callers that receive an empty or short body as a complete response, since its server stops in
+// the middle of the head.
+func TestStore_TruncatedHeadIsNotForwarded(t *testing.T) {
+	f := newStoreFleet(t, 2)
+	f.putDocument(3)
+	whole := func(id string) string { return signedHead("200 OK", id) + "Content-Length: 4\r\n\r\n" }
+	var cut, reset atomic.Int64
+	s := newRawServer(t, func(nc *net.TCPConn, id string) {
+		_, _ = io.WriteString(nc, whole(id)[:cut.Load()])
+		if reset.Load() == 1 {
+			_ = nc.SetLinger(0)
+			return
+		}
+		_ = nc.CloseWrite()
+		_, _ = io.Copy(io.Discard, nc)
+	})
+	f.announce(f.daemons[1], s, "ready", 1)
+	for _, d := range f.daemons {
+		f.waitServerKnown(d)
+	}
+	size := len(whole("id-1"))
+	for _, n := range []int{0, 5, 12, 13, 17, 30, size / 2, size - 4, size - 3, size - 2, size - 1} {
+		for how := range int64(2) {
+			cut.Store(int64(n))
+			reset.Store(how)
+			for _, path := range []string{"/get/x", "/put/x"} {
+				for i, length := range []int{0, 1 << 20} {
+					resp, _, err := rawCall(t, f.daemons[i], http.MethodPost, path, length)
+					must.NoError(t, err)
+					must.Eq(t, http.StatusBadGateway, resp.StatusCode, must.Sprintf("%d bytes of the head", n))
+				}
+			}
+		}
+	}
+}
