pipeline: part of a response to an HTTP/1.0 caller is not complete

What callers saw: a caller of HTTP/1.0 gets a response of unknown length, whose server breaks off or whose daemon ends. The caller received the part as a complete response, since its connection was closed in an orderly way.

Cause: HTTP/1.0 has no chunks, so that such a response ends with its connection, and the daemon closed an aborted connection like any other.

Change: while such a response is incomplete, closing the connection resets it (SO_LINGER of 0 s), which also holds if the process is killed. Once the last byte is written the close is orderly again. Responses of HTTP/1.1 have a length or chunks and are closed as before.

Failing before: TestAbortedResponseIsNotComplete (both cases of HTTP/1.0), TestResponseThatEndsWithConnection (a server that closes its connections).

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -210,6 +210,17 @@
 	_ = c.nc.Close()
 }
 
+// resetOnClose sets whether closing the connection, also by the end of the process, resets it.
+func (c *conn) resetOnClose(reset bool) {
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	if tcp, ok := c.nc.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(seconds)
+	}
+}
+
 // waitEmpty waits until no requests are in progress.
 func (c *conn) waitEmpty() {
 	c.mu.Lock()
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -35,6 +35,8 @@
 	buffered    bytes.Buffer
 	headWritten bool
 	chunked     bool
+	// endsWithConn is whether the end of the connection is the end of the body.
+	endsWithConn bool
 	// declaredLength is the Content-Length of the response, -1 if it has none. writtenLength is
 	// the length of the body written so far.
 	declaredLength, writtenLength int64
@@ -267,7 +269,11 @@
 		_, _ = x.c.bw.WriteString("0\r\n\r\n")
 	}
 	// bufio.Writer returns its first write error from Flush.
-	return x.c.bw.Flush()
+	err := x.c.bw.Flush()
+	if err == nil && end && x.endsWithConn {
+		x.c.resetOnClose(false)
+	}
+	return err
 }
 
 // writeHead writes the status line and the header. complete states that the whole body is
@@ -289,8 +295,11 @@
 		x.chunked = true
 		h.Set("Transfer-Encoding", "chunked")
 	default:
-		// An HTTP/1.0 caller takes the end of the connection for the end of the body.
+		// An HTTP/1.0 caller takes the end of the connection for the end of the body. Until the response is
+		// complete, that end must not be an orderly one.
 		h.Set("Connection", "close")
+		x.endsWithConn = true
+		x.c.resetOnClose(true)
 	}
 	if x.c.closesAfterResponse(h.Get("Connection") == "close") {
 		h.Set("Connection", "close")
