peerpb: the value of a header field is bytes

What callers saw: a whole response with a byte above 0x7f in a field value, such as a name in Latin-1, never arrived: 502 on an idempotent route, 504 at the deadline on the others. HTTP allows such bytes (RFC 9110, section 5.5). The same value in a request failed the call too. Found while the check of heads was compared with what arrives.

Cause: Field.value was a protobuf string, which is not encoded unless it is UTF-8, so that the daemon beside the server ended the stream without an answer.

Change: it is bytes. Both types have the same encoding, so that daemons of both versions understand each other, as protobuf's rules for changed types state; a value that is not UTF-8 fails as before if one of the two is old.

Failing before: TestStore_FieldValueIsNotUTF8 (502).

--- a/internal/daemon/broken_response_test.go
+++ b/internal/daemon/broken_response_test.go
@@ -206,3 +206,35 @@
 		}
 	}
 }
+
+// Guards against the loss of a whole response that has a byte above 0x7f in a field value, which HTTP allows and
+// need not be UTF-8, and against a change of such a byte in a request.
+func TestStore_FieldValueIsNotUTF8(t *testing.T) {
+	const value = "caf\xe9"
+	f := newStoreFleet(t, 2)
+	f.putDocument(3)
+	s := newRawServer(t, func(nc *net.TCPConn, id string) {
+		_, _ = io.WriteString(nc, signedHead("200 OK", id)+"X-Name: "+value+"\r\nContent-Length: 5\r\n\r\nwhole")
+	})
+	f.announce(f.daemons[1], s, "ready", 1)
+	for _, d := range f.daemons {
+		f.waitServerKnown(d)
+	}
+	for _, d := range f.daemons {
+		for _, path := range []string{"/get/x", "/put/x"} {
+			resp, got, err := rawCall(t, d, http.MethodPost, path, 0)
+			must.NoError(t, err)
+			must.Eq(t, http.StatusOK, resp.StatusCode)
+			must.Eq(t, "whole", got)
+			must.Eq(t, value, resp.Header.Get("X-Name"))
+		}
+	}
+	echo := newServer(t, "i-1")
+	f.announce(f.daemons[1], echo, "ready", 2)
+	f.eventually("the request reaches the server", func() bool {
+		resp, _ := f.send(f.daemons[0], http.MethodGet, "/get/x", "", http.Header{"X-Name": {value}, names.Remaining: {"3000"}})
+		return resp.StatusCode == http.StatusOK && resp.Header.Get("X-Name") == ""
+	})
+	r, _ := echo.lastRequest()
+	must.Eq(t, value, r.Header.Get("X-Name"))
+}
--- a/internal/proxy/body/fields.go
+++ b/internal/proxy/body/fields.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		for _, v := range values {
-			fields = append(fields, &peerpb.Field{Name: name, Value: v})
+			fields = append(fields, &peerpb.Field{Name: name, Value: []byte(v)})
 		}
 	}
 	return fields
@@ -53,7 +53,7 @@
 	for _, f := range fields {
 		name := textproto.CanonicalMIMEHeaderKey(f.GetName())
 		if !hopByHopHeaders[name] {
-			h[name] = append(h[name], f.GetValue())
+			h[name] = append(h[name], string(f.GetValue()))
 		}
 	}
 }
--- a/internal/proxy/inbound/once.go
+++ b/internal/proxy/inbound/once.go
@@ -86,7 +86,7 @@
 func recordedResponse(head *peerpb.AnswerHead, b []byte) *once.Response {
 	a := &once.Response{Status: int(head.GetStatus()), Body: b}
 	for _, f := range head.GetFields() {
-		a.Fields = append(a.Fields, once.HeaderField{Name: f.GetName(), Value: f.GetValue()})
+		a.Fields = append(a.Fields, once.HeaderField{Name: f.GetName(), Value: string(f.GetValue())})
 	}
 	return a
 }
@@ -121,7 +121,7 @@
 	}
 	a.Answer = &peerpb.AnswerHead{Status: uint32(r.Response.Status), ContentLength: int64(len(r.Response.Body))}
 	for _, f := range r.Response.Fields {
-		a.Answer.Fields = append(a.Answer.Fields, &peerpb.Field{Name: f.Name, Value: f.Value})
+		a.Answer.Fields = append(a.Answer.Fields, &peerpb.Field{Name: f.Name, Value: []byte(f.Value)})
 	}
 	a.Body = r.Response.Body
 	return a
--- a/internal/proxy/outbound/keyed.go
+++ b/internal/proxy/outbound/keyed.go
@@ -122,7 +122,7 @@
 	s.close(errkind.None)
 	ans := &once.Response{Status: int(s.head.GetStatus()), Body: b}
 	for _, f := range s.head.GetFields() {
-		ans.Fields = append(ans.Fields, once.HeaderField{Name: f.GetName(), Value: f.GetValue()})
+		ans.Fields = append(ans.Fields, once.HeaderField{Name: f.GetName(), Value: string(f.GetValue())})
 	}
 	return ans, nil
 }
@@ -139,7 +139,7 @@
 func recordedResponseHead(ans *once.Response) *peerpb.AnswerHead {
 	head := &peerpb.AnswerHead{Status: uint32(ans.Status), ContentLength: int64(len(ans.Body))}
 	for _, f := range ans.Fields {
-		head.Fields = append(head.Fields, &peerpb.Field{Name: f.Name, Value: f.Value})
+		head.Fields = append(head.Fields, &peerpb.Field{Name: f.Name, Value: []byte(f.Value)})
 	}
 	return head
 }
