--- a/internal/controller/announce/discover.go
+++ b/internal/controller/announce/discover.go
@@ -89,10 +89,10 @@
 		return "", err
 	}
 	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBytes))
 	if err := httphead.Check(resp); err != nil {
 		return "", err
 	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBytes))
 	id := resp.Header.Get(d.ServerIDHeader)
 	if resp.StatusCode != http.StatusOK || id == "" {
 		return "", errors.Newf("health check answered with status %d and server id %q", resp.StatusCode, id)
