Tests of broken responses: one set-up, and the bytes as plain text

Five tests built the same fleet, and each response was a function of a request ID that is always the same. The assertions are unchanged.

--- a/internal/daemon/broken_response_test.go
+++ b/internal/daemon/broken_response_test.go
@@ -15,23 +15,34 @@
 	"github.com/shoenig/test/must"
 )
 
-// newRawServer returns a backend server that writes its responses with respond. The body of the request has
-// not been read.
-func newRawServer(t *testing.T, respond func(nc *net.TCPConn, requestID string)) *server {
+// rawCallID is the request ID of each rawCall.
+const rawCallID = "id-1"
+
+// newRawFleet returns two daemons that know a backend server beside the second one. It writes its responses
+// with respond; the body of the request has not been read.
+func newRawFleet(t *testing.T, respond func(nc *net.TCPConn)) *storeFleet {
+	t.Helper()
+	f := newStoreFleet(t, 2)
+	f.putDocument(3)
 	s := &server{id: "i-1"}
-	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		nc, _, err := http.NewResponseController(w).Hijack()
 		must.NoError(t, err)
 		defer nc.Close()
-		respond(nc.(*net.TCPConn), r.Header.Get(names.RequestID))
+		respond(nc.(*net.TCPConn))
 	}))
 	t.Cleanup(s.Close)
-	return s
+	f.announce(f.daemons[1], s, "ready", 1)
+	for _, d := range f.daemons {
+		f.waitServerKnown(d)
+	}
+	return f
 }
 
-// signedHead returns a status line and the fields of a signed response, without the empty line that ends a head.
-func signedHead(status, requestID string) string {
-	return fmt.Sprintf("HTTP/1.1 %s\r\n%s: %s\r\n%s: signed\r\n", status, names.RequestID, requestID, names.Signature)
+// signedHead returns a status line and the fields of a signed response to a rawCall, without the empty line that
+// ends a head.
+func signedHead(status string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%s: %s\r\n%s: signed\r\n", status, names.RequestID, rawCallID, names.Signature)
 }
 
 // rawCall sends a request with a body of the given length, which is written while the response is read, and
@@ -42,8 +53,8 @@
 	must.NoError(t, err)
 	defer nc.Close()
 	must.NoError(t, nc.SetDeadline(time.Now().Add(10*time.Second)))
-	_, err = fmt.Fprintf(nc, "%s %s HTTP/1.1\r\nHost: h.example\r\n%s: id-1\r\n%s: 3000\r\nContent-Length: %d\r\n\r\n",
-		method, path, names.RequestID, names.Remaining, length)
+	_, err = fmt.Fprintf(nc, "%s %s HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: 3000\r\nContent-Length: %d\r\n\r\n",
+		method, path, names.RequestID, rawCallID, names.Remaining, length)
 	must.NoError(t, err)
 	go func() { _, _ = io.WriteString(nc, strings.Repeat("x", length)) }()
 	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
@@ -63,20 +74,14 @@
 		calls = 40
 	)
 	for _, size := range []int{3 << 10, 90 << 10} {
-		f := newStoreFleet(t, 2)
-		f.putDocument(3)
 		var reached atomic.Int64
-		s := newRawServer(t, func(nc *net.TCPConn, id string) {
+		f := newRawFleet(t, func(nc *net.TCPConn) {
 			reached.Add(1)
-			_, _ = io.WriteString(nc, signedHead("200 OK", id)+"\r\n"+strings.Repeat("y", size))
+			_, _ = io.WriteString(nc, signedHead("200 OK")+"\r\n"+strings.Repeat("y", size))
 			// The daemon goes on writing the upload while the connection is reset.
 			_, _ = io.CopyN(io.Discard, nc, 256<<10)
 			_ = nc.SetLinger(0)
 		})
-		f.announce(f.daemons[1], s, "ready", 1)
-		for _, d := range f.daemons {
-			f.waitServerKnown(d)
-		}
 		for i := 0; reached.Load() < calls && i < 2*calls; i++ {
 			path := []string{"/put/x", "/get/x"}[i%2]
 			resp, got, err := rawCall(t, f.daemons[i/2%2], http.MethodPost, path, uploadBytes)
@@ -88,58 +93,34 @@
 	}
 }
 
-// brokenResponses are bytes that a server sends in place of a response, with the request ID of the call.
-var brokenResponses = map[string]func(id string) string{
-	"status 000":          func(id string) string { return signedHead("000 Oops", id) + "Content-Length: 2\r\n\r\nno" },
-	"status 000, no body": func(id string) string { return signedHead("000", id) + "Content-Length: 0\r\n\r\n" },
-	"status +20, then 200": func(id string) string {
-		return signedHead("+20 OK", id) + "Content-Length: 0\r\n\r\n" + signedHead("200 OK", id) + "Content-Length: 2\r\n\r\nno"
-	},
-	"status 999": func(id string) string { return signedHead("999 Oops", id) + "Content-Length: 2\r\n\r\nno" },
-	"blank in a name": func(id string) string {
-		return signedHead("200 OK", id) + "X Y: 1\r\nContent-Length: 2\r\n\r\nno"
-	},
-	"control byte in a name": func(id string) string {
-		return signedHead("200 OK", id) + "X\x01Y: 1\r\nContent-Length: 2\r\n\r\nno"
-	},
-	"blank after the name of a length": func(id string) string {
-		return signedHead("200 OK", id) + "Content-Length : 2\r\n\r\nno"
-	},
-	"blank before the name of an encoding": func(id string) string {
-		return signedHead("200 OK", id) + " Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"
-	},
-	"chunks in HTTP/1.0": func(id string) string {
-		return strings.Replace(signedHead("200 OK", id), "/1.1", "/1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"
-	},
-	"signature named by Connection": func(id string) string {
-		return signedHead("200 OK", id) + "Connection: " + strings.ToLower(names.Signature) + "\r\nContent-Length: 2\r\n\r\nno"
-	},
-	"signature named by Connection beside close": func(id string) string {
-		return signedHead("200 OK", id) + "Connection: close, " + names.Signature + "\r\nContent-Length: 2\r\n\r\nno"
-	},
-	"blank in a name of a rejection": func(id string) string {
-		return signedHead("503 Full", id) + names.NotRun + ": 1\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n"
-	},
+// brokenResponses are bytes that a server sends in place of a response.
+var brokenResponses = map[string]string{
+	"status 000":                                 signedHead("000 Oops") + "Content-Length: 2\r\n\r\nno",
+	"status 000, no body":                        signedHead("000") + "Content-Length: 0\r\n\r\n",
+	"status +20, then 200":                       signedHead("+20 OK") + "Content-Length: 0\r\n\r\n" + signedHead("200 OK") + "Content-Length: 2\r\n\r\nno",
+	"status 999":                                 signedHead("999 Oops") + "Content-Length: 2\r\n\r\nno",
+	"blank in a name":                            signedHead("200 OK") + "X Y: 1\r\nContent-Length: 2\r\n\r\nno",
+	"control byte in a name":                     signedHead("200 OK") + "X\x01Y: 1\r\nContent-Length: 2\r\n\r\nno",
+	"blank after the name of a length":           signedHead("200 OK") + "Content-Length : 2\r\n\r\nno",
+	"blank before the name of an encoding":       signedHead("200 OK") + " Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+	"chunks in HTTP/1.0":                         strings.Replace(signedHead("200 OK"), "/1.1", "/1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+	"signature named by Connection":              signedHead("200 OK") + "Connection: " + strings.ToLower(names.Signature) + "\r\nContent-Length: 2\r\n\r\nno",
+	"signature named by Connection beside close": signedHead("200 OK") + "Connection: close, " + names.Signature + "\r\nContent-Length: 2\r\n\r\nno",
+	"blank in a name of a rejection":             signedHead("503 Full") + names.NotRun + ": 1\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n",
 }
 
 // Guards against callers that receive bytes of a server in trouble as a response, or wait for another one
 // until their deadline. The call may have run, so that it is not reported as not run.
 func TestStore_BrokenResponseIsNotForwarded(t *testing.T) {
-	f := newStoreFleet(t, 2)
-	f.putDocument(3)
-	var response atomic.Pointer[func(id string) string]
-	s := newRawServer(t, func(nc *net.TCPConn, id string) {
-		_, _ = io.WriteString(nc, (*response.Load())(id))
+	var response atomic.Value
+	f := newRawFleet(t, func(nc *net.TCPConn) {
+		_, _ = io.WriteString(nc, response.Load().(string))
 		// The connection stays open, so that only the bytes show that there is no response.
 		_, _ = io.Copy(io.Discard, nc)
 	})
-	f.announce(f.daemons[1], s, "ready", 1)
-	for _, d := range f.daemons {
-		f.waitServerKnown(d)
-	}
-	for name, bytes := range brokenResponses {
+	for name, raw := range brokenResponses {
 		t.Run(name, func(t *testing.T) {
-			response.Store(&bytes)
+			response.Store(raw)
 			for _, d := range f.daemons {
 				for _, path := range []string{"/get/x", "/put/x"} {
 					for _, length := range []int{0, 100, 4 << 20} {
@@ -156,13 +137,9 @@
 
 // Guards against forwarding fields that the server meant for its connection to the daemon only.
 func TestStore_ConnectionFieldsOfServerAreNotForwarded(t *testing.T) {
-	f := newStoreFleet(t, 2)
-	f.putDocument(3)
-	s := newRawServer(t, func(nc *net.TCPConn, id string) {
-		_, _ = io.WriteString(nc, signedHead("200 OK", id)+"Connection: close, X-Hop\r\nX-Hop: 1\r\nX-End: 1\r\nContent-Length: 5\r\n\r\nwhole")
+	f := newRawFleet(t, func(nc *net.TCPConn) {
+		_, _ = io.WriteString(nc, signedHead("200 OK")+"Connection: close, X-Hop\r\nX-Hop: 1\r\nX-End: 1\r\nContent-Length: 5\r\n\r\nwhole")
 	})
-	f.announce(f.daemons[1], s, "ready", 1)
-	f.waitServerKnown(f.daemons[0])
 	resp, got, err := rawCall(t, f.daemons[0], http.MethodGet, "/get/x", 0)
 	must.NoError(t, err)
 	must.Eq(t, "whole", got)
@@ -173,28 +150,23 @@
 // Guards against callers that receive an empty or short body as a complete response, since its server stops in
 // the middle of the head.
 func TestStore_TruncatedHeadIsNotForwarded(t *testing.T) {
-	f := newStoreFleet(t, 2)
-	f.putDocument(3)
-	whole := func(id string) string { return signedHead("200 OK", id) + "Content-Length: 4\r\n\r\n" }
-	var cut, reset atomic.Int64
-	s := newRawServer(t, func(nc *net.TCPConn, id string) {
-		_, _ = io.WriteString(nc, whole(id)[:cut.Load()])
-		if reset.Load() == 1 {
+	whole := signedHead("200 OK") + "Content-Length: 4\r\n\r\n"
+	var cut atomic.Int64
+	var reset atomic.Bool
+	f := newRawFleet(t, func(nc *net.TCPConn) {
+		_, _ = io.WriteString(nc, whole[:cut.Load()])
+		if reset.Load() {
 			_ = nc.SetLinger(0)
 			return
 		}
 		_ = nc.CloseWrite()
 		_, _ = io.Copy(io.Discard, nc)
 	})
-	f.announce(f.daemons[1], s, "ready", 1)
-	for _, d := range f.daemons {
-		f.waitServerKnown(d)
-	}
-	size := len(whole("id-1"))
+	size := len(whole)
 	for _, n := range []int{0, 5, 12, 13, 17, 30, size / 2, size - 4, size - 3, size - 2, size - 1} {
-		for how := range int64(2) {
+		for _, withReset := range []bool{false, true} {
 			cut.Store(int64(n))
-			reset.Store(how)
+			reset.Store(withReset)
 			for _, path := range []string{"/get/x", "/put/x"} {
 				for i, length := range []int{0, 1 << 20} {
 					resp, _, err := rawCall(t, f.daemons[i], http.MethodPost, path, length)
@@ -210,15 +182,9 @@
 // need not be UTF-8, and against a change of such a byte in a request.
 func TestStore_FieldValueIsNotUTF8(t *testing.T) {
 	const value = "caf\xe9"
-	f := newStoreFleet(t, 2)
-	f.putDocument(3)
-	s := newRawServer(t, func(nc *net.TCPConn, id string) {
-		_, _ = io.WriteString(nc, signedHead("200 OK", id)+"X-Name: "+value+"\r\nContent-Length: 5\r\n\r\nwhole")
+	f := newRawFleet(t, func(nc *net.TCPConn) {
+		_, _ = io.WriteString(nc, signedHead("200 OK")+"X-Name: "+value+"\r\nContent-Length: 5\r\n\r\nwhole")
 	})
-	f.announce(f.daemons[1], s, "ready", 1)
-	for _, d := range f.daemons {
-		f.waitServerKnown(d)
-	}
 	for _, d := range f.daemons {
 		for _, path := range []string{"/get/x", "/put/x"} {
 			resp, got, err := rawCall(t, d, http.MethodPost, path, 0)
